The whole path, thin: router, engine and platform stand-ins, ctl, load tool

Change: five binaries on one static library. yucca-router routes chat completions by consistent hashing with bounded loads on the prompt prefix (round robin selectable as the baseline), relays server-sent events, runs service calls with an Idempotency-Key at most once through create-only records in the object API, learns the catalogue by list+watch and the endpoints from the VM list. yucca-engine is the engine / plain service stand-in (prefix cache of chained block hashes, slots, lagged load, fencing). yucca-platform is the object API / VM list stand-in (versions, conditional writes, watches with a bounded history, rate limits, faults). yucca-ctl applies catalogue entries conditionally and writes audit records. yucca-load drives returning conversations and checks every answer.

--- /dev/null
+++ b/src/cli.cpp
@@ -0,0 +1,65 @@
+#include "cli.h"
+
+#include <cstdio>
+
+namespace yucca::cli
+{
+
+std::optional<int> parse(const char *program, int argc, const char **argv, const poptOption *own, Common &common, std::vector<std::string> &rest, const char *usage)
+{
+    const poptOption commonTable[] = {
+        {"config", 'c', POPT_ARG_STRING, &common.config, 0, "settings file (JSON with comments)", "FILE"},
+        {"version", 'V', POPT_ARG_NONE, &common.version, 0, "print the version and exit", nullptr},
+        POPT_TABLEEND,
+    };
+    const poptOption ownEnd[] = {POPT_TABLEEND};
+    const poptOption table[] = {
+        {nullptr, '\0', POPT_ARG_INCLUDE_TABLE, const_cast<poptOption *>(own ? own : ownEnd), 0, "Options:", nullptr},
+        {nullptr, '\0', POPT_ARG_INCLUDE_TABLE, const_cast<poptOption *>(commonTable), 0, "Common options:", nullptr},
+        POPT_AUTOHELP POPT_TABLEEND,
+    };
+    poptContext ctx = poptGetContext(program, argc, argv, table, 0);
+    if (usage) {
+        poptSetOtherOptionHelp(ctx, usage);
+    }
+    int rc;
+    while ((rc = poptGetNextOpt(ctx)) > 0) {
+    }
+    if (rc < -1) {
+        fprintf(stderr, "%s: %s: %s\n", program, poptBadOption(ctx, POPT_BADOPTION_NOALIAS), poptStrerror(rc));
+        poptFreeContext(ctx);
+        return ExitUsage;
+    }
+    if (common.version) {
+        printf("%s %s\n", program, YUCCA_VERSION);
+        poptFreeContext(ctx);
+        return ExitOk;
+    }
+    while (const char *arg = poptGetArg(ctx)) {
+        rest.emplace_back(arg);
+    }
+    poptFreeContext(ctx);
+    return std::nullopt;
+}
+
+} // namespace yucca::cli
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+
+namespace yucca::cli
+{
+
+int awaitStopSignal()
+{
+    boost::asio::io_context io;
+    boost::asio::signal_set signals(io, SIGTERM, SIGINT);
+    int caught = 0;
+    signals.async_wait([&](const boost::system::error_code &, int sig) {
+        caught = sig;
+    });
+    io.run();
+    return caught;
+}
+
+} // namespace yucca::cli
--- /dev/null
+++ b/src/engine_core.h
@@ -0,0 +1,127 @@
+// The engine stand-in's decisions, free of I/O: its prefix cache, slots,
+// lagged load report, fencing of orders and the plain service's log.
+#pragma once
+
+#include "yucca/types.h"
+
+#include <chrono>
+#include <condition_variable>
+#include <cstdint>
+#include <deque>
+#include <list>
+#include <map>
+#include <mutex>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace yucca::engine
+{
+
+using Clock = std::chrono::steady_clock;
+
+/// A prefix cache of a fixed number of blocks, keyed by chained block
+/// hashes, evicted least recently used first.
+class PrefixCache
+{
+public:
+    explicit PrefixCache(std::size_t capacity);
+    /// The number of leading blocks found; marks them recently used.
+    std::size_t match(const std::vector<uint64_t> &blocks);
+    /// Stores blocks, evicting the least recently used beyond capacity.
+    void insert(const std::vector<uint64_t> &blocks);
+    void clear();
+    std::size_t size() const
+    {
+        return m_index.size();
+    }
+
+private:
+    std::size_t m_capacity;
+    std::list<uint64_t> m_lru; ///< front = most recently used
+    std::unordered_map<uint64_t, std::list<uint64_t>::iterator> m_index;
+};
+
+/// Decode slots for continuous batching: a request waits for a free slot,
+/// higher priority first, then first come.
+class SlotPool
+{
+public:
+    explicit SlotPool(std::size_t slots);
+    void acquire(int priority);
+    void release();
+    std::size_t busy() const;
+    std::size_t waiting() const;
+
+private:
+    mutable std::mutex m_mutex;
+    std::condition_variable m_freed;
+    std::size_t m_slots;
+    std::size_t m_busy = 0;
+    std::multimap<std::pair<int, uint64_t>, bool> m_queue; ///< (-priority, ticket)
+    uint64_t m_ticket = 0;
+};
+
+/// Keeps samples of the load so that the engine can report it with a lag.
+class LoadHistory
+{
+public:
+    explicit LoadHistory(std::chrono::milliseconds lag);
+    void record(Clock::time_point now, int64_t load);
+    /// The load as it was lag ago (the oldest kept sample when none is that old).
+    int64_t reported(Clock::time_point now) const;
+
+private:
+    std::chrono::milliseconds m_lag;
+    std::deque<std::pair<Clock::time_point, int64_t>> m_samples;
+};
+
+/// An order to an engine (load a model, change role, drain) with its fencing number.
+struct Order {
+    std::string kind;
+    std::string argument;
+    uint64_t fence = 0;
+    std::string holder;
+};
+
+/// Admits orders. In checking mode an order with a fencing number below the
+/// highest seen is refused; in ignoring mode every order is applied.
+/// Records every applied order so that a test can count them.
+class FencingGate
+{
+public:
+    explicit FencingGate(bool check);
+    Result<uint64_t> admit(const Order &order);
+    const std::vector<Order> &applied() const
+    {
+        return m_applied;
+    }
+
+private:
+    bool m_check;
+    uint64_t m_highest = 0;
+    std::vector<Order> m_applied;
+};
+
+/// The deterministic answer tokens of a request: the same prompt and
+/// seed give the same answer, different prompts differ.
+std::vector<std::string> answerTokens(uint64_t seed, std::size_t count);
+
+/// The plain service's record of executions per idempotency key.
+class ExecutionLog
+{
+public:
+    /// Records one execution and returns its confirmation number.
+    uint64_t execute(const std::string &operation, const std::string &key);
+    uint64_t total() const;
+    /// Keys that ran more than once.
+    std::vector<std::string> duplicates() const;
+    std::map<std::string, int> byKey() const;
+
+private:
+    mutable std::mutex m_mutex;
+    std::map<std::string, int> m_byKey;
+    uint64_t m_total = 0;
+};
+
+} // namespace yucca::engine
--- /dev/null
+++ b/src/idempotency.h
@@ -0,0 +1,66 @@
+// At-most-once execution of non-idempotent calls, recorded through the
+// platform's object API: a create-only claim per idempotency key, then
+// the stored answer.
+#pragma once
+
+#include "platform_client.h"
+
+#include <string>
+
+namespace yucca::idempotency
+{
+
+/// The object kind that holds the records.
+inline constexpr const char *recordKind = "idem";
+
+/// What a router may do with a request that carries an idempotency key.
+enum class Decision {
+    Run, ///< this router holds the claim: forward the call once
+    Replay, ///< the call ran before: answer with the stored answer
+    InProgress, ///< another attempt holds the claim; its outcome is not known yet
+    NotRun, ///< no claim could be taken (store down or rate limited): not run
+    Mismatch, ///< the key was used before for a different request
+};
+
+inline constexpr NameTable<Decision, 5> decisionNames{{{Decision::Run, "run"},
+                                                       {Decision::Replay, "replay"},
+                                                       {Decision::InProgress, "in_progress"},
+                                                       {Decision::NotRun, "not_run"},
+                                                       {Decision::Mismatch, "mismatch"}}};
+
+/// The outcome of a claim, with the record when there is one.
+struct Claim {
+    Decision decision = Decision::NotRun;
+    platform::Object record;
+    unsigned storedStatus = 0;
+    std::string storedBody;
+};
+
+/// Takes and settles claims for one router.
+class Guard
+{
+public:
+    Guard(platform::ObjectApi &api, std::string owner);
+
+    /// Claims key for a request whose body hashes to requestHash.
+    /// Each attempt is identified by a fresh nonce so that a claim whose
+    /// answer was lost can be recognised as one's own.
+    Claim claim(const std::string &workspace, const std::string &key, uint64_t requestHash);
+    /// Stores the answer of a call that ran; true when stored.
+    bool complete(const Claim &claim, unsigned status, const std::string &body);
+    /// Marks a call that certainly did not run, so that a retry may run it.
+    bool release(const Claim &claim);
+
+    /// The record name of a key: workspace and key, URL-safe.
+    static std::string recordName(const std::string &workspace, const std::string &key);
+
+private:
+    Claim decide(const platform::Object &existing, uint64_t requestHash, const std::string &nonce);
+    bool settle(const Claim &claim, const nlohmann::json &value);
+
+    platform::ObjectApi &m_api;
+    std::string m_owner;
+    uint64_t m_attempts = 0;
+};
+
+} // namespace yucca::idempotency
--- /dev/null
+++ b/src/objstore.h
@@ -0,0 +1,87 @@
+// The object store: versioned objects, conditional writes and watches,
+// kept in memory. The core of the platform stand-in (yucca-platform).
+#pragma once
+
+#include "yucca/types.h"
+
+#include <nlohmann/json.hpp>
+
+#include <chrono>
+#include <condition_variable>
+#include <deque>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <string>
+
+namespace yucca::store
+{
+
+/// One stored object. Its version is the store revision of its last write.
+struct Object {
+    std::string kind;
+    std::string name;
+    uint64_t version = 0;
+    nlohmann::json value;
+};
+
+/// A change seen by a watch.
+struct WatchEvent {
+    bool deleted = false;
+    uint64_t revision = 0;
+    Object object;
+};
+
+/// A watch answer: the changes after a revision, and the revision reached.
+struct WatchBatch {
+    uint64_t revision = 0;
+    std::vector<WatchEvent> events;
+};
+
+/// A list answer: the objects of a kind as of a revision.
+struct Listing {
+    uint64_t revision = 0;
+    std::vector<Object> items;
+};
+
+nlohmann::json toJson(const Object &o);
+Object objectFromJson(const nlohmann::json &j);
+
+/// Error codes the store gives (also used on the wire).
+inline constexpr int NotFound = 404;
+inline constexpr int Conflict = 409;
+inline constexpr int Gone = 410; ///< a watch from a revision no longer kept: list again
+inline constexpr int Unavailable = 503;
+inline constexpr int AnswerLost = 504; ///< the call was sent; it may have taken effect
+
+/// A thread-safe, in-memory, versioned object store with a bounded
+/// history of changes for watches.
+class ObjectStore
+{
+public:
+    explicit ObjectStore(std::size_t history = 10000);
+
+    Result<Object> get(const std::string &kind, const std::string &name) const;
+    Listing list(const std::string &kind) const;
+    /// Writes an object. ifVersion: absent = unconditional, 0 = create only,
+    /// N = only if the current version is N. A mismatch is a Conflict.
+    Result<Object> put(const std::string &kind, const std::string &name, const nlohmann::json &value, std::optional<uint64_t> ifVersion);
+    Result<Object> remove(const std::string &kind, const std::string &name, std::optional<uint64_t> ifVersion);
+    /// The changes after revision from; Gone when they are no longer kept.
+    Result<WatchBatch> since(uint64_t from) const;
+    /// Blocks until the revision passes from or the timeout ends.
+    void waitPast(uint64_t from, std::chrono::milliseconds timeout) const;
+    uint64_t revision() const;
+
+private:
+    void record(bool deleted, const Object &o);
+
+    mutable std::mutex m_mutex;
+    mutable std::condition_variable m_changed;
+    std::map<std::pair<std::string, std::string>, Object> m_objects;
+    std::deque<WatchEvent> m_history;
+    std::size_t m_historyLimit;
+    uint64_t m_revision = 0;
+};
+
+} // namespace yucca::store
--- /dev/null
+++ b/src/prefix.cpp
@@ -0,0 +1,69 @@
+#include "prefix.h"
+
+#include "yucca/ring.h"
+
+namespace yucca::prefix
+{
+
+std::string promptText(const nlohmann::json &messages)
+{
+    std::string out;
+    if (!messages.is_array()) {
+        return out;
+    }
+    for (const auto &m : messages) {
+        if (!m.is_object()) {
+            continue;
+        }
+        out += m.value("role", "user");
+        out += ": ";
+        const auto &c = m.contains("content") ? m["content"] : nlohmann::json();
+        out += c.is_string() ? c.get<std::string>() : std::string();
+        out += "\n";
+    }
+    return out;
+}
+
+std::vector<std::string_view> tokens(std::string_view text)
+{
+    std::vector<std::string_view> out;
+    std::size_t i = 0;
+    while (i < text.size()) {
+        while (i < text.size() && std::isspace(static_cast<unsigned char>(text[i]))) {
+            ++i;
+        }
+        std::size_t start = i;
+        while (i < text.size() && !std::isspace(static_cast<unsigned char>(text[i]))) {
+            ++i;
+        }
+        if (i > start) {
+            out.push_back(text.substr(start, i - start));
+        }
+    }
+    return out;
+}
+
+std::vector<uint64_t> blockHashes(const std::vector<std::string_view> &toks, std::size_t blockTokens)
+{
+    std::vector<uint64_t> out;
+    uint64_t chain = 0;
+    for (std::size_t b = 0; (b + 1) * blockTokens <= toks.size(); ++b) {
+        for (std::size_t t = b * blockTokens; t < (b + 1) * blockTokens; ++t) {
+            chain = ring::hash(toks[t], chain);
+        }
+        out.push_back(chain);
+    }
+    return out;
+}
+
+uint64_t affinityKey(std::string_view prompt, std::size_t prefixTokens)
+{
+    auto toks = tokens(prompt);
+    uint64_t h = 0x9e3779b97f4a7c15ULL;
+    for (std::size_t i = 0; i < toks.size() && i < prefixTokens; ++i) {
+        h = ring::hash(toks[i], h);
+    }
+    return h;
+}
+
+} // namespace yucca::prefix
--- /dev/null
+++ b/src/prefix.h
@@ -0,0 +1,29 @@
+// Prompt prefixes: the stand-in tokenizer, chained block hashes of a
+// prefix (as engines key their prefix caches) and the affinity key.
+#pragma once
+
+#include <nlohmann/json.hpp>
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace yucca::prefix
+{
+
+/// The prompt of a chat request: each message as "role: content", one a line.
+std::string promptText(const nlohmann::json &messages);
+
+/// Splits text into tokens on white space (the stand-ins' tokenizer).
+std::vector<std::string_view> tokens(std::string_view text);
+
+/// Hashes of the whole blocks of a token sequence, each chained to the
+/// one before, so equal hashes mean equal prefixes.
+std::vector<uint64_t> blockHashes(const std::vector<std::string_view> &toks, std::size_t blockTokens);
+
+/// The routing key of a prompt: a hash of its first prefixTokens tokens.
+/// Returning turns of one conversation share it.
+uint64_t affinityKey(std::string_view prompt, std::size_t prefixTokens);
+
+} // namespace yucca::prefix
--- /dev/null
+++ b/src/settings.cpp
@@ -0,0 +1,222 @@
+#include "settings.h"
+
+#include <fstream>
+#include <sstream>
+
+namespace yucca::settings
+{
+
+namespace
+{
+const nlohmann::json emptyObject = nlohmann::json::object();
+}
+
+Reader::Reader(const nlohmann::json &object, std::string path, Findings &findings)
+    : m_object(object.is_object() ? object : emptyObject)
+    , m_path(std::move(path))
+    , m_findings(findings)
+{
+    if (!object.is_object() && !object.is_null()) {
+        m_findings.add(m_path, "must be an object");
+    }
+}
+
+// Marks a key as known and returns its value, or null when absent.
+const nlohmann::json *Reader::field(const char *key)
+{
+    m_known.insert(key);
+    auto it = m_object.find(key);
+    return it == m_object.end() ? nullptr : &*it;
+}
+
+void Reader::read(const char *key, std::string &out)
+{
+    if (auto v = field(key)) {
+        if (v->is_string()) {
+            out = v->get<std::string>();
+        } else {
+            m_findings.add(m_path + "/" + key, "must be a string");
+        }
+    }
+}
+
+void Reader::read(const char *key, bool &out)
+{
+    if (auto v = field(key)) {
+        if (v->is_boolean()) {
+            out = v->get<bool>();
+        } else {
+            m_findings.add(m_path + "/" + key, "must be true or false");
+        }
+    }
+}
+
+void Reader::read(const char *key, int64_t &out, int64_t min, int64_t max)
+{
+    auto v = field(key);
+    if (!v) {
+        return;
+    }
+    if (!v->is_number_integer()) {
+        m_findings.add(m_path + "/" + key, "must be an integer");
+        return;
+    }
+    auto n = v->get<int64_t>();
+    if (n < min || n > max) {
+        m_findings.add(m_path + "/" + key, "must be in [" + std::to_string(min) + ", " + std::to_string(max) + "], is " + std::to_string(n));
+        return;
+    }
+    out = n;
+}
+
+void Reader::read(const char *key, double &out, double min, double max)
+{
+    auto v = field(key);
+    if (!v) {
+        return;
+    }
+    if (!v->is_number()) {
+        m_findings.add(m_path + "/" + key, "must be a number");
+        return;
+    }
+    auto n = v->get<double>();
+    if (n < min || n > max) {
+        std::ostringstream s;
+        s << "must be in [" << min << ", " << max << "], is " << n;
+        m_findings.add(m_path + "/" + key, s.str());
+        return;
+    }
+    out = n;
+}
+
+void Reader::read(const char *key, uint16_t &out)
+{
+    int64_t n = out;
+    read(key, n, 0, 65535);
+    out = static_cast<uint16_t>(n);
+}
+
+Reader Reader::child(const char *key)
+{
+    auto v = field(key);
+    return Reader(v ? *v : emptyObject, m_path + "/" + key, m_findings);
+}
+
+void Reader::finish()
+{
+    for (auto it = m_object.begin(); it != m_object.end(); ++it) {
+        if (!m_known.count(it.key())) {
+            m_findings.add(m_path + "/" + it.key(), "unknown key");
+        }
+    }
+}
+
+nlohmann::json parseText(const std::string &text, Findings &findings)
+{
+    try {
+        return nlohmann::json::parse(text, nullptr, true, true);
+    } catch (const nlohmann::json::parse_error &e) {
+        findings.add("", std::string("not valid JSON: ") + e.what());
+        return nlohmann::json::object();
+    }
+}
+
+nlohmann::json loadFile(const std::string &path, Findings &findings)
+{
+    std::ifstream in(path);
+    if (!in) {
+        findings.add("", "cannot read settings file " + path);
+        return nlohmann::json::object();
+    }
+    std::stringstream buf;
+    buf << in.rdbuf();
+    return parseText(buf.str(), findings);
+}
+
+namespace
+{
+
+// Reads the listen block shared by the servers.
+void readListen(Reader r, Listen &l)
+{
+    r.read("host", l.host);
+    r.read("port", l.port);
+    r.read("zone", l.zone);
+    r.finish();
+}
+
+// Reads an enum by its wire name, recording a Finding for an unknown name.
+template<typename E, std::size_t N>
+void readEnum(Reader &r, const nlohmann::json &doc, const char *key, const std::string &path, const NameTable<E, N> &table, E &out, Findings &f)
+{
+    std::string name(nameOf(table, out));
+    r.read(key, name);
+    if (auto e = parseName(table, name)) {
+        out = *e;
+    } else {
+        f.add(path + "/" + key, "unknown value '" + name + "'");
+    }
+}
+
+} // namespace
+
+RouterSettings parseRouter(const nlohmann::json &doc, Findings &f)
+{
+    RouterSettings s;
+    Reader r(doc, "", f);
+    r.read("id", s.id);
+    readListen(r.child("listen"), s.listen);
+    auto p = r.child("platform");
+    p.read("host", s.platform.host);
+    p.read("port", s.platform.port);
+    p.finish();
+    readEnum(r, doc, "policy", "", policyNames, s.policy, f);
+    r.read("loadFactor", s.loadFactor, 1.0, 4.0);
+    r.read("virtualNodes", s.virtualNodes, 1, 1024);
+    r.read("prefixTokens", s.prefixTokens, 1, 100000);
+    r.read("watchTimeoutMs", s.watchTimeoutMs, 100, 60000);
+    r.read("vmPollMs", s.vmPollMs, 50, 60000);
+    r.read("loadPollMs", s.loadPollMs, 50, 60000);
+    r.read("requestTimeoutMs", s.requestTimeoutMs, 100, 600000);
+    r.read("retryAfterS", s.retryAfterS, 1, 3600);
+    r.read("stopGraceMs", s.stopGraceMs, 0, 600000);
+    r.read("threads", s.threads, 1, 256);
+    r.read("logLevel", s.logLevel);
+    r.finish();
+    return s;
+}
+
+EngineSettings parseEngine(const nlohmann::json &doc, Findings &f)
+{
+    EngineSettings s;
+    Reader r(doc, "", f);
+    r.read("id", s.id);
+    readListen(r.child("listen"), s.listen);
+    readEnum(r, doc, "kind", "", endpointKindNames, s.kind, f);
+    r.read("slots", s.slots, 1, 4096);
+    r.read("cacheBlocks", s.cacheBlocks, 0, 10000000);
+    r.read("blockTokens", s.blockTokens, 1, 4096);
+    r.read("tokensPerS", s.tokensPerS, 1, 1000000);
+    r.read("loadLagMs", s.loadLagMs, 0, 60000);
+    r.read("cacheEventLossPct", s.cacheEventLossPct, 0, 100);
+    r.read("checkFencing", s.checkFencing);
+    r.read("logLevel", s.logLevel);
+    r.finish();
+    return s;
+}
+
+PlatformSettings parsePlatform(const nlohmann::json &doc, Findings &f)
+{
+    PlatformSettings s;
+    Reader r(doc, "", f);
+    readListen(r.child("listen"), s.listen);
+    r.read("writesPerS", s.writesPerS, 1, 1000000);
+    r.read("readsPerS", s.readsPerS, 1, 1000000);
+    r.read("vmListLagMs", s.vmListLagMs, 0, 600000);
+    r.read("watchHistory", s.watchHistory, 1, 10000000);
+    r.read("logLevel", s.logLevel);
+    r.finish();
+    return s;
+}
+
+} // namespace yucca::settings
--- /dev/null
+++ b/tests/test_engine.cpp
@@ -0,0 +1,80 @@
+// The engine stand-in's decisions: prefix cache, lagged load, fencing.
+#include "engine_core.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace yucca;
+
+TEST_GROUP(EngineStandIn){};
+
+TEST(EngineStandIn, PrefixCacheMatchesLeadingBlocksAndEvictsLeastRecentlyUsed)
+{
+    engine::PrefixCache cache(3);
+    cache.insert({1, 2, 3});
+    LONGS_EQUAL(2, cache.match({1, 2, 9}));
+    cache.insert({4}); // 3 is the least recently used
+    LONGS_EQUAL(0, cache.match({3}));
+    LONGS_EQUAL(2, cache.match({1, 2}));
+    LONGS_EQUAL(3, cache.size());
+}
+
+TEST(EngineStandIn, LoadIsReportedAsItWasALagAgo)
+{
+    engine::LoadHistory h(std::chrono::milliseconds(300));
+    auto t0 = engine::Clock::time_point{} + std::chrono::hours(1);
+    h.record(t0, 1);
+    h.record(t0 + std::chrono::milliseconds(100), 5);
+    h.record(t0 + std::chrono::milliseconds(350), 9);
+    LONGS_EQUAL(1, h.reported(t0 + std::chrono::milliseconds(350)));
+    LONGS_EQUAL(5, h.reported(t0 + std::chrono::milliseconds(500)));
+    LONGS_EQUAL(9, h.reported(t0 + std::chrono::milliseconds(700)));
+}
+
+TEST(EngineStandIn, SlotsAreCountedAndFreed)
+{
+    engine::SlotPool slots(2);
+    slots.acquire(0);
+    slots.acquire(5);
+    LONGS_EQUAL(2, slots.busy());
+    slots.release();
+    LONGS_EQUAL(1, slots.busy());
+}
+
+TEST(EngineStandIn, AnswersAreDeterministicPerPrompt)
+{
+    CHECK(engine::answerTokens(7, 5) == engine::answerTokens(7, 5));
+    CHECK(engine::answerTokens(7, 5) != engine::answerTokens(8, 5));
+}
+
+TEST_GROUP(FencingLease){};
+
+TEST(FencingLease, ACheckingEngineRefusesTheOrderOfALapsedHolder)
+{
+    // Holder A held the lease at fence 4, paused, its lease lapsed, and B
+    // took it at fence 5. A wakes and sends its stale order.
+    engine::FencingGate gate(true);
+    CHECK(ok(gate.admit({"load_model", "counsel-v2", 5, "B"})));
+    CHECK_FALSE(ok(gate.admit({"load_model", "counsel-v1", 4, "A"})));
+    LONGS_EQUAL(1, gate.applied().size());
+}
+
+TEST(FencingLease, AnIgnoringEngineAppliesBothWhichIsWhyOrdersMustBeIdempotentThere)
+{
+    engine::FencingGate gate(false);
+    CHECK(ok(gate.admit({"load_model", "counsel-v2", 5, "B"})));
+    CHECK(ok(gate.admit({"load_model", "counsel-v1", 4, "A"})));
+    LONGS_EQUAL(2, gate.applied().size());
+}
+
+TEST_GROUP(PlainService){};
+
+TEST(PlainService, TheExecutionLogCountsRepeats)
+{
+    engine::ExecutionLog log;
+    log.execute("book", "k1");
+    log.execute("book", "k2");
+    log.execute("book", "k1");
+    LONGS_EQUAL(3, log.total());
+    LONGS_EQUAL(1, log.duplicates().size());
+    STRCMP_EQUAL("k1", log.duplicates()[0].c_str());
+}
--- /dev/null
+++ b/tests/test_idempotency.cpp
@@ -0,0 +1,134 @@
+// At most once: the claim protocol of idempotency::Guard against the
+// object API fake, under retries, crashes, lost answers, outages and races.
+#include "idempotency.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace yucca;
+using idempotency::Decision;
+
+namespace
+{
+
+/// The plain service: counts how often each call really ran.
+struct Service {
+    int runs = 0;
+};
+
+/// One attempt as a router makes it: claim, run when allowed, store the answer.
+Decision attempt(idempotency::Guard &g, Service &svc, const std::string &key, uint64_t body = 11, bool crashAfterRun = false)
+{
+    auto c = g.claim("ws-0", key, body);
+    if (c.decision == Decision::Run) {
+        ++svc.runs;
+        if (!crashAfterRun) {
+            g.complete(c, 200, R"({"confirmation":"book-1"})");
+        }
+    }
+    return c.decision;
+}
+
+} // namespace
+
+TEST_GROUP(InvariantAtMostOnce)
+{
+    store::ObjectStore store;
+    platform::LocalObjectApi api{store};
+    Service svc;
+};
+
+TEST(InvariantAtMostOnce, ACallerRetryGetsTheStoredAnswer)
+{
+    idempotency::Guard g(api, "router-1");
+    CHECK(attempt(g, svc, "k") == Decision::Run);
+    auto again = g.claim("ws-0", "k", 11);
+    CHECK(again.decision == Decision::Replay);
+    STRCMP_EQUAL(R"({"confirmation":"book-1"})", again.storedBody.c_str());
+    LONGS_EQUAL(1, svc.runs);
+}
+
+TEST(InvariantAtMostOnce, TwoRoutersRacingOnOneKeyRunItOnce)
+{
+    idempotency::Guard a(api, "router-1"), b(api, "router-2");
+    auto ca = a.claim("ws-0", "k", 11);
+    auto cb = b.claim("ws-0", "k", 11); // before a has an answer
+    CHECK(ca.decision == Decision::Run);
+    CHECK(cb.decision == Decision::InProgress);
+    LONGS_EQUAL(0, svc.runs + (cb.decision == Decision::Run ? 1 : 0));
+}
+
+TEST(InvariantAtMostOnce, ARouterCrashAfterTheCallNeverLetsARetryRunItAgain)
+{
+    idempotency::Guard a(api, "router-1"), b(api, "router-2");
+    attempt(a, svc, "k", 11, true); // ran, then the router died before storing the answer
+    for (int i = 0; i < 3; ++i) {
+        CHECK(attempt(b, svc, "k") == Decision::InProgress);
+    }
+    LONGS_EQUAL(1, svc.runs);
+}
+
+TEST(InvariantAtMostOnce, ALostAnswerAfterTheClaimTookEffectIsRecognisedAsOurOwn)
+{
+    idempotency::Guard g(api, "router-1");
+    api.loseAnswers = 1;
+    CHECK(attempt(g, svc, "k") == Decision::Run);
+    CHECK(attempt(g, svc, "k") == Decision::Replay);
+    LONGS_EQUAL(1, svc.runs);
+}
+
+TEST(InvariantAtMostOnce, ALostAnswerWhenStoringTheResultStillEndsDone)
+{
+    idempotency::Guard g(api, "router-1");
+    auto c = g.claim("ws-0", "k", 11);
+    api.loseAnswers = 1;
+    CHECK(g.complete(c, 200, "{}"));
+    CHECK(g.claim("ws-0", "k", 11).decision == Decision::Replay);
+}
+
+TEST(InvariantAtMostOnce, AStoreOutageMeansNotRunAndTheCallIsNotSent)
+{
+    idempotency::Guard g(api, "router-1");
+    api.outage = true;
+    CHECK(attempt(g, svc, "k") == Decision::NotRun);
+    LONGS_EQUAL(0, svc.runs);
+    api.outage = false;
+    CHECK(attempt(g, svc, "k") == Decision::Run); // told not run, so it may run now
+    LONGS_EQUAL(1, svc.runs);
+}
+
+TEST(InvariantAtMostOnce, AReleasedClaimMayRunOnRetry)
+{
+    idempotency::Guard g(api, "router-1");
+    auto c = g.claim("ws-0", "k", 11);
+    CHECK(g.release(c)); // the service could not be reached: certainly not run
+    CHECK(attempt(g, svc, "k") == Decision::Run);
+    LONGS_EQUAL(1, svc.runs);
+}
+
+TEST(InvariantAtMostOnce, AKeyReusedForAnotherRequestIsRefused)
+{
+    idempotency::Guard g(api, "router-1");
+    attempt(g, svc, "k", 11);
+    CHECK(attempt(g, svc, "k", 12) == Decision::Mismatch);
+    LONGS_EQUAL(1, svc.runs);
+}
+
+TEST(InvariantAtMostOnce, FaultsTogetherAndTwiceStillRunEachKeyAtMostOnce)
+{
+    idempotency::Guard a(api, "router-1"), b(api, "router-2");
+    std::map<std::string, int> runs;
+    for (int k = 0; k < 200; ++k) {
+        std::string key = "k" + std::to_string(k);
+        api.loseAnswers = k % 3; // lost answers, sometimes two in a row
+        api.outage = (k % 7 == 0);
+        Service s;
+        attempt(a, s, key, 1, k % 5 == 0); // crash after the call now and then
+        api.outage = false;
+        attempt(b, s, key, 1);
+        attempt(a, s, key, 1);
+        runs[key] = s.runs;
+    }
+    for (const auto &[key, n] : runs) {
+        CHECK_TEXT(n <= 1, key.c_str());
+    }
+}
--- /dev/null
+++ b/tests/test_objstore.cpp
@@ -0,0 +1,50 @@
+// The object store stand-in: versions, conditional writes, watches.
+#include "objstore.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace yucca;
+
+TEST_GROUP(ObjectStore){};
+
+TEST(ObjectStore, CreateOnlyRefusesAnExistingObject)
+{
+    store::ObjectStore s;
+    CHECK(ok(s.put("k", "a", 1, 0)));
+    auto again = s.put("k", "a", 2, 0);
+    CHECK_FALSE(ok(again));
+    LONGS_EQUAL(store::Conflict, std::get<Error>(again).code);
+}
+
+TEST(ObjectStore, ConditionalUpdateNeedsTheCurrentVersion)
+{
+    store::ObjectStore s;
+    auto v1 = std::get<store::Object>(s.put("k", "a", 1, 0)).version;
+    auto v2 = std::get<store::Object>(s.put("k", "a", 2, v1)).version;
+    CHECK(v2 > v1);
+    LONGS_EQUAL(store::Conflict, std::get<Error>(s.put("k", "a", 3, v1)).code);
+    LONGS_EQUAL(2, std::get<store::Object>(s.get("k", "a")).value.get<int>());
+}
+
+TEST(ObjectStore, AWatchFromAnOldRevisionSeesEveryLaterChange)
+{
+    store::ObjectStore s;
+    s.put("k", "a", 1, std::nullopt);
+    auto from = s.revision();
+    s.put("k", "b", 2, std::nullopt);
+    s.remove("k", "a", std::nullopt);
+    auto b = std::get<store::WatchBatch>(s.since(from));
+    LONGS_EQUAL(2, b.events.size());
+    CHECK(b.events[1].deleted);
+}
+
+TEST(ObjectStore, AWatchPastTheKeptHistoryIsGone)
+{
+    store::ObjectStore s(2);
+    for (int i = 0; i < 5; ++i) {
+        s.put("k", "a", i, std::nullopt);
+    }
+    auto r = s.since(1);
+    CHECK_FALSE(ok(r));
+    LONGS_EQUAL(store::Gone, std::get<Error>(r).code);
+}
