Router ready only with engines known; VM polls no longer wait behind the watch

The router log showed 'no engine of pool' with no unreachable-endpoint (E2008) or platform (E2007) events: the router was ready once the catalogue was loaded, but its first VM list read fell inside the list's 1 s lag (empty), and the next read came only after the 2 s watch long poll returned. Ruled out: rate limits (no 429 logged), suspect marks (no E2008).

Change: ready means catalogue loaded and a non-empty VM list read; the watch's wait ends when the next VM poll or probe is due.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -84,7 +84,7 @@
     for i in 1 2 3 4; do
         curl -sf -X POST "127.0.0.1:$((BASE + 100 + i))/admin/reset" >/dev/null
     done
-    curl -sf -X POST "127.0.0.1:$((BASE + 104))/admin/order" -d '{"kind":"undrain","fence":2,"holder":"demo"}' >/dev/null
+    curl -sf -X POST "127.0.0.1:$((BASE + 104))/admin/order" -d "{\"kind\":\"undrain\",\"fence\":$(date +%s%3N),\"holder\":\"demo\"}" >/dev/null
     register engine-4 $((BASE + 104)) counsel-a engine live
     sleep 1.5
 }
@@ -99,7 +99,8 @@
 import json, sys
 ours, base = (json.load(open(p)) for p in sys.argv[1:3])
 rows = ["served", "failed", "wrong", "not_run", "unknown", "booked", "replayed", "duplicates",
-        "arrivals_3s_after_drain", "cache_reuse", "skew", "control_bytes_per_s_per_router"]
+        "arrivals_3s_after_drain", "cache_reuse", "skew", "control_bytes_per_s_per_router",
+        "record_bytes_per_s_per_router"]
 print(f"{'measure':32} {'yuccasaddle':>12} {'baseline':>12}")
 for r in rows:
     a, b = ours.get(r, 0), base.get(r, 0)
--- a/src/load_main.cpp
+++ b/src/load_main.cpp
@@ -383,7 +383,7 @@
     // caller sends it twice (a retry after a lost answer), which must run once.
     void book(const Conversation &conv)
     {
-        const std::string key = "book-" + std::to_string(conv.id) + "-" + std::to_string(conv.turnsDone);
+        const std::string key = std::string(m_o.label ? m_o.label : "run") + "-book-" + std::to_string(conv.id) + "-" + std::to_string(conv.turnsDone);
         json body{{"household", conv.id}, {"slot", conv.turnsDone}};
         for (int copy = 0; copy < 2; ++copy) {
             const auto &t = router(conv.id + copy);
@@ -418,7 +418,9 @@
             if (e.id != m_o.drainEngine) {
                 continue;
             }
-            http::call(e.host, e.port, "POST", "/admin/order", json{{"kind", "drain"}, {"fence", 1}, {"holder", "yucca-load"}}.dump(), std::chrono::seconds(2));
+            // The fencing number grows with time, as a lease's would.
+            auto fence = static_cast<uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count());
+            http::call(e.host, e.port, "POST", "/admin/order", json{{"kind", "drain"}, {"fence", fence}, {"holder", "yucca-load"}}.dump(), std::chrono::seconds(2));
             e.state = EndpointState::Leaving;
             http::call(m_o.platformHost ? m_o.platformHost : "127.0.0.1", static_cast<uint16_t>(m_o.platformPort), "PUT", "/admin/vms/" + e.id, platform::toJson(e).dump(), std::chrono::seconds(2));
             fprintf(stderr, "yucca-load: engine %s told to drain at %ds\n", e.id.c_str(), m_o.drainAtS);
@@ -439,7 +441,10 @@
                 if (auto *reply = std::get_if<http::Reply>(&r)) {
                     auto j = json::parse(reply->body, nullptr, false);
                     if (e.kind == EndpointKind::Engine) {
-                        served.push_back(j.value("served", 0.0));
+                        // Skew is over the engines that stayed: one that left mid-run served less by design.
+                        if (!j.value("draining", false)) {
+                            served.push_back(j.value("served", 0.0));
+                        }
                         for (auto ms : j.value("arrivalsAfterDrainMs", std::vector<int64_t>{})) {
                             lateArrivals += ms > 3000 ? 1 : 0;
                         }
@@ -455,11 +460,13 @@
             mean += s / static_cast<double>(served.size());
             peak = std::max(peak, s);
         }
-        double control = 0;
+        double control = 0, records = 0;
         for (const auto &t : m_routers) {
             auto r = http::call(t.host, t.port, "GET", "/status", "", std::chrono::seconds(2));
             if (auto *reply = std::get_if<http::Reply>(&r)) {
-                control += json::parse(reply->body, nullptr, false).value("controlBytesPerS", 0.0) / static_cast<double>(m_routers.size());
+                auto j = json::parse(reply->body, nullptr, false);
+                control += j.value("controlBytesPerS", 0.0) / static_cast<double>(m_routers.size());
+                records += j.value("recordBytesPerS", 0.0) / static_cast<double>(m_routers.size());
             }
         }
         std::lock_guard lock(m_tally.mutex);
@@ -477,6 +484,7 @@
                  {"cache_reuse", m_tally.returningPrompt ? static_cast<double>(m_tally.returningCached) / static_cast<double>(m_tally.returningPrompt) : 0.0},
                  {"skew", mean > 0 ? peak / mean : 0.0},
                  {"control_bytes_per_s_per_router", control},
+                 {"record_bytes_per_s_per_router", records},
                  {"ttft_ms", {{"p50", quantile(m_tally, 0.5)}, {"p95", quantile(m_tally, 0.95)}, {"p99", quantile(m_tally, 0.99)}}},
                  {"elapsed_s", std::chrono::duration<double>(Clock::now() - m_started).count()}};
         json problems = json::array();
--- a/src/router_control.cpp
+++ b/src/router_control.cpp
@@ -3,6 +3,8 @@
 #include "http.h"
 #include "log.h"
 
+#include <algorithm>
+
 namespace yucca::router
 {
 
@@ -40,7 +42,11 @@
     if (!m_loaded) {
         loadCatalogue();
     } else {
-        watchOnce();
+        // The long poll ends in time for the next VM poll or probe, so
+        // that neither waits behind a quiet catalogue.
+        auto due = std::min(m_nextVmPoll, m_nextProbe) - Clock::now();
+        auto wait = std::clamp(std::chrono::duration_cast<std::chrono::milliseconds>(due), std::chrono::milliseconds(50), std::chrono::milliseconds(m_settings.watchTimeoutMs));
+        watchOnce(wait);
     }
     auto now = Clock::now();
     if (now >= m_nextVmPoll) {
@@ -78,9 +84,9 @@
 }
 
 // One long poll of the watch; a gap (410) makes the router list again.
-void Control::watchOnce()
+void Control::watchOnce(std::chrono::milliseconds wait)
 {
-    auto r = m_api.watch(m_watchFrom, std::chrono::milliseconds(m_settings.watchTimeoutMs));
+    auto r = m_api.watch(m_watchFrom, wait);
     if (!ok(r)) {
         const auto &e = std::get<Error>(r);
         if (e.code == store::Gone) {
@@ -115,6 +121,7 @@
         log::event(log::Event::PlatformUnreachable, "op=vms");
         return; // keep the last endpoint set while the platform is down
     }
+    m_endpointsSeen = !std::get<std::vector<Endpoint>>(r).empty();
     if (m_table.setEndpoints(std::get<std::vector<Endpoint>>(r))) {
         log::event(log::Event::EndpointSetChanged, "endpoints=" + std::to_string(m_table.endpoints().size()));
     }
--- a/src/router_control.h
+++ b/src/router_control.h
@@ -28,10 +28,10 @@
     /// a test can drive it step by step.
     void step();
 
-    /// True once a full catalogue has been loaded.
+    /// True once a full catalogue has been loaded and the VM list read.
     bool ready() const
     {
-        return m_loaded.load();
+        return m_loaded.load() && m_endpointsSeen.load();
     }
     std::optional<catalogue::Workspace> workspace(const std::string &name) const;
     std::optional<catalogue::WorkClass> workClass(const std::string &name) const;
@@ -44,7 +44,7 @@
 
 private:
     void loadCatalogue();
-    void watchOnce();
+    void watchOnce(std::chrono::milliseconds wait);
     void pollVms();
     void probeEndpoints();
 
@@ -55,6 +55,7 @@
     catalogue::View m_view;
     uint64_t m_watchFrom = 0;
     std::atomic<bool> m_loaded{false};
+    std::atomic<bool> m_endpointsSeen{false};
     std::atomic<bool> m_stopping{false};
     std::atomic<uint64_t> m_probeBytes{0};
     Clock::time_point m_nextVmPoll{};
--- a/src/router_main.cpp
+++ b/src/router_main.cpp
@@ -78,12 +78,13 @@
 class Router
 {
 public:
-    Router(const settings::RouterSettings &s, platform::HttpObjectApi &api, RoutingTable &table, router::Control &control)
+    Router(const settings::RouterSettings &s, platform::HttpObjectApi &api, platform::HttpObjectApi &recordsApi, RoutingTable &table, router::Control &control)
         : m_settings(s)
         , m_api(api)
+        , m_recordsApi(recordsApi)
         , m_table(table)
         , m_control(control)
-        , m_guard(api, s.id)
+        , m_guard(recordsApi, s.id)
         , m_started(router::Clock::now())
     {
     }
@@ -343,11 +344,13 @@
                 {"controlBytes", control},
                 {"uptimeS", uptime},
                 {"controlBytesPerS", uptime > 0 ? static_cast<double>(control) / uptime : 0.0},
+                {"recordBytesPerS", uptime > 0 ? static_cast<double>(m_recordsApi.bytes().sent + m_recordsApi.bytes().received) / uptime : 0.0},
                 {"endpoints", m_table.status()}};
     }
 
     settings::RouterSettings m_settings;
-    platform::HttpObjectApi &m_api;
+    platform::HttpObjectApi &m_api; ///< control: catalogue and VM list
+    platform::HttpObjectApi &m_recordsApi; ///< data path: idempotency records
     RoutingTable &m_table;
     router::Control &m_control;
     idempotency::Guard m_guard;
@@ -405,9 +408,10 @@
     }
     log::init("yucca-router", s->logLevel);
     platform::HttpObjectApi api(s->platform.host, s->platform.port);
+    platform::HttpObjectApi recordsApi(s->platform.host, s->platform.port);
     router::RoutingTable table(s->policy, static_cast<int>(s->virtualNodes), s->loadFactor);
     router::Control control(*s, api, table);
-    Router router(*s, api, table, control);
+    Router router(*s, api, recordsApi, table, control);
     http::Server server(s->listen.host, s->listen.port, [&](http::Exchange &ex) {
         router.handle(ex);
     });
