--- a/src/load_main.cpp
+++ b/src/load_main.cpp
@@ -67,8 +67,8 @@
     uint64_t served = 0, failed = 0, notRun = 0, unknown = 0, wrong = 0, retries = 0;
     uint64_t returningPrompt = 0, returningCached = 0;
     uint64_t booked = 0, replayed = 0;
-    decltype(boost::histogram::make_histogram(boost::histogram::axis::regular<>(60, 0.0, 3000.0))) ttft =
-        boost::histogram::make_histogram(boost::histogram::axis::regular<>(60, 0.0, 3000.0));
+    decltype(boost::histogram::make_histogram(boost::histogram::axis::regular<>(300, 0.0, 3000.0))) ttft =
+        boost::histogram::make_histogram(boost::histogram::axis::regular<>(300, 0.0, 3000.0));
     std::vector<std::string> problems;
 };
 
--- a/src/objstore.cpp
+++ b/src/objstore.cpp
@@ -1,5 +1,7 @@
 #include "objstore.h"
 
+#include <algorithm>
+
 namespace yucca::store
 {
 
@@ -88,7 +90,15 @@
     }
 }
 
-Result<WatchBatch> ObjectStore::since(uint64_t from) const
+namespace
+{
+bool wanted(const std::vector<std::string> &kinds, const std::string &kind)
+{
+    return kinds.empty() || std::find(kinds.begin(), kinds.end(), kind) != kinds.end();
+}
+} // namespace
+
+Result<WatchBatch> ObjectStore::since(uint64_t from, const std::vector<std::string> &kinds) const
 {
     std::lock_guard lock(m_mutex);
     WatchBatch b;
@@ -97,18 +107,32 @@
         return Error{Gone, "revision " + std::to_string(from) + " is no longer kept"};
     }
     for (const auto &e : m_history) {
-        if (e.revision > from) {
+        if (e.revision > from && wanted(kinds, e.object.kind)) {
             b.events.push_back(e);
         }
     }
     return b;
 }
 
-void ObjectStore::waitPast(uint64_t from, std::chrono::milliseconds timeout) const
+// True when a kept change of the given kinds is newer than from. Caller holds the lock.
+bool ObjectStore::changedSince(uint64_t from, const std::vector<std::string> &kinds) const
+{
+    if (!m_history.empty() && from + 1 < m_history.front().revision) {
+        return true; // the watcher must hear that it is Gone
+    }
+    for (auto it = m_history.rbegin(); it != m_history.rend() && it->revision > from; ++it) {
+        if (wanted(kinds, it->object.kind)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+void ObjectStore::waitPast(uint64_t from, std::chrono::milliseconds timeout, const std::vector<std::string> &kinds) const
 {
     std::unique_lock lock(m_mutex);
     m_changed.wait_for(lock, timeout, [&] {
-        return m_revision > from;
+        return changedSince(from, kinds);
     });
 }
 
--- a/src/objstore.h
+++ b/src/objstore.h
@@ -67,14 +67,17 @@
     /// N = only if the current version is N. A mismatch is a Conflict.
     Result<Object> put(const std::string &kind, const std::string &name, const nlohmann::json &value, std::optional<uint64_t> ifVersion);
     Result<Object> remove(const std::string &kind, const std::string &name, std::optional<uint64_t> ifVersion);
-    /// The changes after revision from; Gone when they are no longer kept.
-    Result<WatchBatch> since(uint64_t from) const;
-    /// Blocks until the revision passes from or the timeout ends.
-    void waitPast(uint64_t from, std::chrono::milliseconds timeout) const;
+    /// The changes after revision from, of the given kinds (all when
+    /// empty); Gone when they are no longer kept. The batch's revision is
+    /// the store's, so a watcher moves past changes it did not ask for.
+    Result<WatchBatch> since(uint64_t from, const std::vector<std::string> &kinds = {}) const;
+    /// Blocks until a change of the given kinds passes from, or the timeout ends.
+    void waitPast(uint64_t from, std::chrono::milliseconds timeout, const std::vector<std::string> &kinds = {}) const;
     uint64_t revision() const;
 
 private:
     void record(bool deleted, const Object &o);
+    bool changedSince(uint64_t from, const std::vector<std::string> &kinds) const;
 
     mutable std::mutex m_mutex;
     mutable std::condition_variable m_changed;
--- a/src/platform_client.cpp
+++ b/src/platform_client.cpp
@@ -92,9 +92,13 @@
     return store::objectFromJson(std::get<nlohmann::json>(r));
 }
 
-Result<WatchBatch> HttpObjectApi::watch(uint64_t from, std::chrono::milliseconds timeout)
+Result<WatchBatch> HttpObjectApi::watch(uint64_t from, std::chrono::milliseconds timeout, const std::vector<std::string> &kinds)
 {
-    auto r = request("GET", "/v1/watch?from=" + std::to_string(from) + "&timeoutMs=" + std::to_string(timeout.count()), "", timeout + m_timeout);
+    std::string target = "/v1/watch?from=" + std::to_string(from) + "&timeoutMs=" + std::to_string(timeout.count());
+    for (std::size_t i = 0; i < kinds.size(); ++i) {
+        target += (i == 0 ? "&kinds=" : ",") + kinds[i];
+    }
+    auto r = request("GET", target, "", timeout + m_timeout);
     if (!ok(r)) {
         return std::get<Error>(r);
     }
@@ -155,12 +159,12 @@
     return r;
 }
 
-Result<WatchBatch> LocalObjectApi::watch(uint64_t from, std::chrono::milliseconds)
+Result<WatchBatch> LocalObjectApi::watch(uint64_t from, std::chrono::milliseconds, const std::vector<std::string> &kinds)
 {
     if (outage) {
         return Error{store::Unavailable, "outage"};
     }
-    return m_store.since(from);
+    return m_store.since(from, kinds);
 }
 
 Result<std::vector<Endpoint>> LocalObjectApi::vms()
--- a/src/platform_client.h
+++ b/src/platform_client.h
@@ -29,7 +29,9 @@
     virtual Result<Object> get(const std::string &kind, const std::string &name) = 0;
     virtual Result<Listing> list(const std::string &kind) = 0;
     virtual Result<Object> put(const std::string &kind, const std::string &name, const nlohmann::json &value, std::optional<uint64_t> ifVersion) = 0;
-    virtual Result<WatchBatch> watch(uint64_t from, std::chrono::milliseconds timeout) = 0;
+    /// Changes after revision from, of the given kinds (all when empty),
+    /// waiting up to timeout for one.
+    virtual Result<WatchBatch> watch(uint64_t from, std::chrono::milliseconds timeout, const std::vector<std::string> &kinds = {}) = 0;
     /// The VM list: live and leaving endpoints, as of a lag.
     virtual Result<std::vector<Endpoint>> vms() = 0;
 };
@@ -48,7 +50,7 @@
     Result<Object> get(const std::string &kind, const std::string &name) override;
     Result<Listing> list(const std::string &kind) override;
     Result<Object> put(const std::string &kind, const std::string &name, const nlohmann::json &value, std::optional<uint64_t> ifVersion) override;
-    Result<WatchBatch> watch(uint64_t from, std::chrono::milliseconds timeout) override;
+    Result<WatchBatch> watch(uint64_t from, std::chrono::milliseconds timeout, const std::vector<std::string> &kinds = {}) override;
     Result<std::vector<Endpoint>> vms() override;
 
     const http::ByteCounter &bytes() const
@@ -75,7 +77,7 @@
     Result<Object> get(const std::string &kind, const std::string &name) override;
     Result<Listing> list(const std::string &kind) override;
     Result<Object> put(const std::string &kind, const std::string &name, const nlohmann::json &value, std::optional<uint64_t> ifVersion) override;
-    Result<WatchBatch> watch(uint64_t from, std::chrono::milliseconds timeout) override;
+    Result<WatchBatch> watch(uint64_t from, std::chrono::milliseconds timeout, const std::vector<std::string> &kinds = {}) override;
     Result<std::vector<Endpoint>> vms() override;
 
     std::atomic<bool> outage{false};
--- a/src/platform_main.cpp
+++ b/src/platform_main.cpp
@@ -167,13 +167,21 @@
         return false;
     }
 
-    // A long-polling watch: the changes after ?from=, waiting up to ?timeoutMs=.
+    // A long-polling watch: the changes after ?from= of ?kinds=a,b (all
+    // when absent), waiting up to ?timeoutMs=.
     void watch(http::Exchange &ex)
     {
         uint64_t from = std::stoull(ex.query("from", "0"));
         auto timeout = std::chrono::milliseconds(std::min<int64_t>(std::stoll(ex.query("timeoutMs", "1000")), 30000));
-        m_store.waitPast(from, timeout);
-        auto r = m_store.since(from);
+        std::vector<std::string> kinds;
+        std::string list = ex.query("kinds");
+        for (std::size_t at = 0; !list.empty() && at <= list.size();) {
+            auto comma = list.find(',', at);
+            kinds.push_back(list.substr(at, comma == std::string::npos ? std::string::npos : comma - at));
+            at = comma == std::string::npos ? list.size() + 1 : comma + 1;
+        }
+        m_store.waitPast(from, timeout, kinds);
+        auto r = m_store.since(from, kinds);
         if (!ok(r)) {
             replyError(ex, std::get<Error>(r));
             return;
--- a/src/router_control.cpp
+++ b/src/router_control.cpp
@@ -86,7 +86,7 @@
 // One long poll of the watch; a gap (410) makes the router list again.
 void Control::watchOnce(std::chrono::milliseconds wait)
 {
-    auto r = m_api.watch(m_watchFrom, wait);
+    auto r = m_api.watch(m_watchFrom, wait, {catalogue::workspaceKind, catalogue::classKind});
     if (!ok(r)) {
         const auto &e = std::get<Error>(r);
         if (e.code == store::Gone) {
--- a/tests/test_objstore.cpp
+++ b/tests/test_objstore.cpp
@@ -48,3 +48,14 @@
     CHECK_FALSE(ok(r));
     LONGS_EQUAL(store::Gone, std::get<Error>(r).code);
 }
+
+TEST(ObjectStore, AWatchOfSomeKindsSkipsTheOthersButMovesPastThem)
+{
+    store::ObjectStore s;
+    s.put("idem", "r1", 1, std::nullopt);
+    s.put("workspace", "ws-0", 2, std::nullopt);
+    s.put("idem", "r2", 3, std::nullopt);
+    auto b = std::get<store::WatchBatch>(s.since(0, {"workspace"}));
+    LONGS_EQUAL(1, b.events.size());
+    LONGS_EQUAL(3, b.revision);
+}
