--- a/include/yucca/ring.h
+++ b/include/yucca/ring.h
@@ -19,9 +19,11 @@
 /// A routing policy: given an affinity key and the in-flight load of each
 /// member (same order as the members), picks a member index, or nothing
 /// when the pool is empty.
-template<typename P>
-concept Picker = requires(P p, uint64_t key, const std::vector<int64_t> &loads) {
-    { p.pick(key, loads) } -> std::same_as<std::optional<std::size_t>>;
+template <typename P> concept Picker = requires(P p, uint64_t key, const std::vector<int64_t> &loads)
+{
+    {
+        p.pick(key, loads)
+        } -> std::same_as<std::optional<std::size_t>>;
 };
 
 /// Consistent hashing with bounded loads (Mirrokni, Thorup and
--- a/include/yucca/types.h
+++ b/include/yucca/types.h
@@ -20,12 +20,10 @@
 };
 
 /// The result of an operation that can fail: the value or an Error.
-template<typename T>
-using Result = std::variant<T, Error>;
+template <typename T> using Result = std::variant<T, Error>;
 
 /// True when a Result holds its value.
-template<typename T>
-bool ok(const Result<T> &r)
+template <typename T> bool ok(const Result<T> &r)
 {
     return std::holds_alternative<T>(r);
 }
@@ -56,8 +54,7 @@
 };
 
 /// A pair table mapping an enum to its wire name.
-template<typename E, std::size_t N>
-using NameTable = std::array<std::pair<E, std::string_view>, N>;
+template <typename E, std::size_t N> using NameTable = std::array<std::pair<E, std::string_view>, N>;
 
 inline constexpr NameTable<Policy, 2> policyNames{{{Policy::Bounded, "bounded"}, {Policy::RoundRobin, "roundrobin"}}};
 inline constexpr NameTable<EndpointKind, 2> endpointKindNames{{{EndpointKind::Engine, "engine"}, {EndpointKind::Service, "service"}}};
@@ -65,8 +62,7 @@
 inline constexpr NameTable<Outcome, 3> outcomeNames{{{Outcome::Done, "done"}, {Outcome::NotRun, "not_run"}, {Outcome::Unknown, "unknown"}}};
 
 /// The wire name of an enum value, looked up in its table.
-template<typename E, std::size_t N>
-constexpr std::string_view nameOf(const NameTable<E, N> &table, E value)
+template <typename E, std::size_t N> constexpr std::string_view nameOf(const NameTable<E, N> &table, E value)
 {
     for (const auto &[e, n] : table) {
         if (e == value) {
@@ -77,8 +73,7 @@
 }
 
 /// The enum value of a wire name, or nothing when the name is unknown.
-template<typename E, std::size_t N>
-constexpr std::optional<E> parseName(const NameTable<E, N> &table, std::string_view name)
+template <typename E, std::size_t N> constexpr std::optional<E> parseName(const NameTable<E, N> &table, std::string_view name)
 {
     for (const auto &[e, n] : table) {
         if (n == name) {
--- a/scripts/setup.sh
+++ b/scripts/setup.sh
@@ -2,7 +2,7 @@
 # Installs the Debian packages the build uses, only where one is missing.
 set -euo pipefail
 PACKAGES=(cmake g++ make pkg-config libboost-dev libwebsocketpp-dev nlohmann-json3-dev
-          liblog4cxx-dev libpopt-dev libcpputest-dev libxxhash-dev curl)
+          liblog4cxx-dev libpopt-dev libcpputest-dev libxxhash-dev curl python3 clang-format)
 missing=()
 for p in "${PACKAGES[@]}"; do
     dpkg-query -W -f='${Status}' "$p" 2>/dev/null | grep -q "ok installed" || missing+=("$p")
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -24,8 +24,8 @@
 build/yucca-tests -v "${excludes[@]}" >build/unit.log 2>&1 || unit_ok=0
 grep -E "^(OK|Errors) \(" build/unit.log || true
 [ "$unit_ok" -eq 1 ] || grep -B2 -A6 "Failure in\|error:" build/unit.log | head -80
-unit_ran=$(grep -oE '[0-9]+ ran' build/unit.log | tail -1 | cut -d' ' -f1)
-unit_failed=$(grep -oE '[0-9]+ failures?' build/unit.log | tail -1 | cut -d' ' -f1)
+unit_ran=$(grep -oE '[0-9]+ ran' build/unit.log | tail -1 | cut -d' ' -f1 || true)
+unit_failed=$(grep -oE '[0-9]+ failures?' build/unit.log | tail -1 | cut -d' ' -f1 || true)
 unit_ran=${unit_ran:-0}
 unit_failed=${unit_failed:-0}
 [ "$unit_ok" -eq 1 ] || [ "$unit_failed" -gt 0 ] || unit_failed=1
@@ -44,5 +44,14 @@
     fi
 done
 
+# Formatting: clang-format (KDE Frameworks style) leaves every file as it is.
+if clang-format --dry-run --Werror src/*.cpp src/*.h include/yucca/*.h tests/*.cpp >build/format.log 2>&1; then
+    echo "format: ok"
+    e2e_passed=$((e2e_passed + 1))
+else
+    echo "format: FAILED"; head -20 build/format.log
+    e2e_failed=$((e2e_failed + 1))
+fi
+
 echo "$((unit_ran - unit_failed + e2e_passed)) passed, $((unit_failed + e2e_failed)) failed"
 [ "$unit_ok" -eq 1 ] && [ "$e2e_failed" -eq 0 ]
--- a/src/bench.cpp
+++ b/src/bench.cpp
@@ -5,9 +5,9 @@
 
 #include <popt.h>
 
+#include <algorithm>
 #include <chrono>
 #include <cstdio>
-#include <algorithm>
 #include <deque>
 #include <random>
 #include <string>
@@ -41,8 +41,7 @@
 
 // Runs one policy through the scenario. Every random draw comes from a
 // fixed seed, so the same code gives the same signature.
-template<typename P>
-Outcome simulate(P picker, const Scenario &sc)
+template <typename P> Outcome simulate(P picker, const Scenario &sc)
 {
     std::mt19937_64 rng(42);
     std::vector<std::string> ids;
@@ -136,8 +135,7 @@
     };
     poptContext ctx = poptGetContext("yucca-router bench", argc, argv, table, 0);
     int rc;
-    while ((rc = poptGetNextOpt(ctx)) > 0) {
-    }
+    while ((rc = poptGetNextOpt(ctx)) > 0) { }
     poptFreeContext(ctx);
     if (rc < -1 || sc.engines < 1 || sc.conversations < 100 || sc.requests < 1) {
         fprintf(stderr, "yucca-router bench: bad arguments\n");
--- a/src/cli.cpp
+++ b/src/cli.cpp
@@ -5,7 +5,8 @@
 namespace yucca::cli
 {
 
-std::optional<int> parse(const char *program, int argc, const char **argv, const poptOption *own, Common &common, std::vector<std::string> &rest, const char *usage)
+std::optional<int> parse(const char *program, int argc, const char **argv, const poptOption *own, Common &common, std::vector<std::string> &rest,
+                         const char *usage)
 {
     const poptOption commonTable[] = {
         {"config", 'c', POPT_ARG_STRING, &common.config, 0, "settings file (JSON with comments)", "FILE"},
@@ -23,8 +24,7 @@
         poptSetOtherOptionHelp(ctx, usage);
     }
     int rc;
-    while ((rc = poptGetNextOpt(ctx)) > 0) {
-    }
+    while ((rc = poptGetNextOpt(ctx)) > 0) { }
     if (rc < -1) {
         fprintf(stderr, "%s: %s: %s\n", program, poptBadOption(ctx, POPT_BADOPTION_NOALIAS), poptStrerror(rc));
         poptFreeContext(ctx);
--- a/src/cli.h
+++ b/src/cli.h
@@ -31,12 +31,12 @@
 /// Parses argv with popt. Returns an exit code when the program should stop
 /// now (help, version, usage error); otherwise fills rest with the leftover
 /// arguments and returns nothing.
-std::optional<int> parse(const char *program, int argc, const char **argv, const poptOption *own, Common &common, std::vector<std::string> &rest, const char *usage = nullptr);
+std::optional<int> parse(const char *program, int argc, const char **argv, const poptOption *own, Common &common, std::vector<std::string> &rest,
+                         const char *usage = nullptr);
 
 /// Loads the settings file named by --config (or an empty document) and
 /// parses it; prints every finding to stderr and returns nothing when any.
-template<typename T>
-std::optional<T> loadSettings(const Common &common, const std::function<T(const nlohmann::json &, Findings &)> &parseFn)
+template <typename T> std::optional<T> loadSettings(const Common &common, const std::function<T(const nlohmann::json &, Findings &)> &parseFn)
 {
     Findings findings;
     nlohmann::json doc = common.config ? settings::loadFile(common.config, findings) : nlohmann::json::object();
--- a/src/ctl_main.cpp
+++ b/src/ctl_main.cpp
@@ -121,7 +121,8 @@
             if (before == e.value) {
                 printf("  %s/%s unchanged (version %llu)\n", e.kind.c_str(), e.name.c_str(), static_cast<unsigned long long>(version));
             } else {
-                printf("~ %s/%s version %llu\n  - %s\n  + %s\n", e.kind.c_str(), e.name.c_str(), static_cast<unsigned long long>(version), before.dump().c_str(), e.value.dump().c_str());
+                printf("~ %s/%s version %llu\n  - %s\n  + %s\n", e.kind.c_str(), e.name.c_str(), static_cast<unsigned long long>(version),
+                       before.dump().c_str(), e.value.dump().c_str());
             }
             continue;
         }
@@ -135,7 +136,8 @@
         if (!ok(r)) {
             const auto &err = std::get<Error>(r);
             if (err.code == store::Conflict) {
-                fprintf(stderr, "yucca-ctl: %s/%s was changed by someone else: %s; nothing written. Read it again (get), then apply.\n", e.kind.c_str(), e.name.c_str(), err.message.c_str());
+                fprintf(stderr, "yucca-ctl: %s/%s was changed by someone else: %s; nothing written. Read it again (get), then apply.\n", e.kind.c_str(),
+                        e.name.c_str(), err.message.c_str());
                 rc = cli::ExitConflict;
                 continue;
             }
@@ -165,11 +167,8 @@
     });
     for (const auto &a : items) {
         if (a.value.value("kind", "") == kind && a.value.value("name", "") == name) {
-            printf("version %llu by %s at %lld: %s\n  %s\n",
-                   static_cast<unsigned long long>(a.value.value("version", 0ull)),
-                   a.value.value("author", "").c_str(),
-                   static_cast<long long>(a.value.value("at", 0ll)),
-                   a.value.value("reason", "").c_str(),
+            printf("version %llu by %s at %lld: %s\n  %s\n", static_cast<unsigned long long>(a.value.value("version", 0ull)),
+                   a.value.value("author", "").c_str(), static_cast<long long>(a.value.value("at", 0ll)), a.value.value("reason", "").c_str(),
                    a.value["after"].dump().c_str());
         }
     }
--- a/src/engine_main.cpp
+++ b/src/engine_main.cpp
@@ -155,7 +155,10 @@
                 }
             }
             if (delivered) {
-                json last{{"id", id}, {"object", "chat.completion.chunk"}, {"choices", json::array({{{"index", 0}, {"delta", json::object()}, {"finish_reason", "stop"}}})}, {"usage", usage}};
+                json last{{"id", id},
+                          {"object", "chat.completion.chunk"},
+                          {"choices", json::array({{{"index", 0}, {"delta", json::object()}, {"finish_reason", "stop"}}})},
+                          {"usage", usage}};
                 ex.sendChunk("data: " + last.dump() + "\n\n");
                 ex.sendChunk("data: [DONE]\n\n");
                 ex.endStream();
@@ -191,7 +194,8 @@
         std::this_thread::sleep_for(std::chrono::milliseconds(5));
         auto n = m_executions.execute(operation, key);
         track(-1);
-        ex.reply(200, json{{"operation", operation}, {"confirmation", operation + "-" + std::to_string(n)}, {"key", key}}.dump(), {{"x-engine-id", m_settings.id}});
+        ex.reply(200, json{{"operation", operation}, {"confirmation", operation + "-" + std::to_string(n)}, {"key", key}}.dump(),
+                 {{"x-engine-id", m_settings.id}});
     }
 
     // An order with a fencing number: refused when old, if this engine checks.
@@ -284,7 +288,8 @@
         fprintf(stderr, "yucca-engine: %s\n", std::get<Error>(bound).message.c_str());
         return cli::ExitFailure;
     }
-    log::event(log::Event::ProgramStarted, "id=" + s->id + " port=" + std::to_string(std::get<uint16_t>(bound)) + " kind=" + std::string(nameOf(endpointKindNames, s->kind)));
+    log::event(log::Event::ProgramStarted,
+               "id=" + s->id + " port=" + std::to_string(std::get<uint16_t>(bound)) + " kind=" + std::string(nameOf(endpointKindNames, s->kind)));
     cli::awaitStopSignal();
     log::event(log::Event::StopRequested, "inflight=" + std::to_string(server.inflight()));
     server.stopAccepting();
--- a/src/http.h
+++ b/src/http.h
@@ -121,8 +121,7 @@
     std::string message;
 };
 
-template<typename T>
-using CallResult = std::variant<T, CallError>;
+template <typename T> using CallResult = std::variant<T, CallError>;
 
 /// One blocking request on a fresh connection, bounded by a timeout.
 CallResult<Reply> call(const std::string &host, uint16_t port, std::string_view method, const std::string &target, const std::string &body,
--- a/src/load_main.cpp
+++ b/src/load_main.cpp
@@ -257,10 +257,7 @@
             req.body() = body.dump();
             std::string retryAfter;
             auto r = http::stream(
-                t.host,
-                t.port,
-                std::move(req),
-                std::chrono::seconds(20),
+                t.host, t.port, std::move(req), std::chrono::seconds(20),
                 [&](const http::bhttp::response_header<> &h) {
                     status = h.result_int();
                     retryAfter = std::string(h["retry-after"]);
@@ -387,7 +384,8 @@
         json body{{"household", conv.id}, {"slot", conv.turnsDone}};
         for (int copy = 0; copy < 2; ++copy) {
             const auto &t = router(conv.id + copy);
-            auto r = http::call(t.host, t.port, "POST", "/v1/ops/book", body.dump(), std::chrono::seconds(10), {{"x-workspace", "scheduler"}, {"idempotency-key", key}});
+            auto r = http::call(t.host, t.port, "POST", "/v1/ops/book", body.dump(), std::chrono::seconds(10),
+                                {{"x-workspace", "scheduler"}, {"idempotency-key", key}});
             std::lock_guard lock(m_tally.mutex);
             auto *reply = std::get_if<http::Reply>(&r);
             if (!reply || reply->status != 200) {
@@ -419,10 +417,13 @@
                 continue;
             }
             // The fencing number grows with time, as a lease's would.
-            auto fence = static_cast<uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count());
-            http::call(e.host, e.port, "POST", "/admin/order", json{{"kind", "drain"}, {"fence", fence}, {"holder", "yucca-load"}}.dump(), std::chrono::seconds(2));
+            auto fence =
+                static_cast<uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count());
+            http::call(e.host, e.port, "POST", "/admin/order", json{{"kind", "drain"}, {"fence", fence}, {"holder", "yucca-load"}}.dump(),
+                       std::chrono::seconds(2));
             e.state = EndpointState::Leaving;
-            http::call(m_o.platformHost ? m_o.platformHost : "127.0.0.1", static_cast<uint16_t>(m_o.platformPort), "PUT", "/admin/vms/" + e.id, platform::toJson(e).dump(), std::chrono::seconds(2));
+            http::call(m_o.platformHost ? m_o.platformHost : "127.0.0.1", static_cast<uint16_t>(m_o.platformPort), "PUT", "/admin/vms/" + e.id,
+                       platform::toJson(e).dump(), std::chrono::seconds(2));
             fprintf(stderr, "yucca-load: engine %s told to drain at %ds\n", e.id.c_str(), m_o.drainAtS);
         }
     }
--- a/src/router_control.cpp
+++ b/src/router_control.cpp
@@ -45,7 +45,8 @@
         // The long poll ends in time for the next VM poll or probe, so
         // that neither waits behind a quiet catalogue.
         auto due = std::min(m_nextVmPoll, m_nextProbe) - Clock::now();
-        auto wait = std::clamp(std::chrono::duration_cast<std::chrono::milliseconds>(due), std::chrono::milliseconds(50), std::chrono::milliseconds(m_settings.watchTimeoutMs));
+        auto wait = std::clamp(std::chrono::duration_cast<std::chrono::milliseconds>(due), std::chrono::milliseconds(50),
+                               std::chrono::milliseconds(m_settings.watchTimeoutMs));
         watchOnce(wait);
     }
     auto now = Clock::now();
--- a/src/router_core.cpp
+++ b/src/router_core.cpp
@@ -59,6 +59,15 @@
     m_suspects[id] = until;
 }
 
+// A picker of the router's policy, empty.
+RoutingTable::Picker RoutingTable::makePicker() const
+{
+    if (m_policy == Policy::Bounded) {
+        return ring::BoundedRing(m_virtualNodes, m_loadFactor);
+    }
+    return ring::RoundRobin();
+}
+
 // Rebuilds each pool's picker from the endpoints that may take new work.
 void RoutingTable::rebuild()
 {
@@ -69,7 +78,7 @@
         }
         auto it = m_pools.find(e.pool);
         if (it == m_pools.end()) {
-            Pool p{m_policy == Policy::Bounded ? decltype(Pool::picker)(ring::BoundedRing(m_virtualNodes, m_loadFactor)) : decltype(Pool::picker)(ring::RoundRobin())};
+            Pool p{makePicker(), {}};
             it = m_pools.emplace(e.pool, std::move(p)).first;
         }
         it->second.members.push_back(e);
--- a/src/router_core.h
+++ b/src/router_core.h
@@ -49,11 +49,13 @@
     nlohmann::json status() const;
 
 private:
+    using Picker = std::variant<ring::BoundedRing, ring::RoundRobin>;
     struct Pool {
-        std::variant<ring::BoundedRing, ring::RoundRobin> picker;
+        Picker picker;
         std::vector<Endpoint> members; ///< in the picker's member order
     };
     void rebuild();
+    Picker makePicker() const;
 
     mutable std::mutex m_mutex;
     Policy m_policy;
--- a/src/router_main.cpp
+++ b/src/router_main.cpp
@@ -25,8 +25,8 @@
 {
 
 using namespace yucca;
-using router::RoutingTable;
 using nlohmann::json;
+using router::RoutingTable;
 namespace acc = boost::accumulators;
 
 constexpr std::array<double, 3> latencyQuantiles{0.5, 0.95, 0.99};
@@ -204,7 +204,8 @@
     bool relayWhole(http::Exchange &ex, const Endpoint &ep)
     {
         http::Headers headers{{"x-request-id", ex.header("x-request-id")}};
-        auto r = http::call(ep.host, ep.port, "POST", std::string(ex.request().target()), ex.request().body(), std::chrono::milliseconds(m_settings.requestTimeoutMs), headers);
+        auto r = http::call(ep.host, ep.port, "POST", std::string(ex.request().target()), ex.request().body(),
+                            std::chrono::milliseconds(m_settings.requestTimeoutMs), headers);
         if (auto *err = std::get_if<http::CallError>(&r)) {
             engineFailed(ep, *err);
             return false;
@@ -227,12 +228,10 @@
         req.body() = ex.request().body();
         bool headSent = false;
         auto r = http::stream(
-            ep.host,
-            ep.port,
-            std::move(req),
-            std::chrono::milliseconds(m_settings.requestTimeoutMs),
+            ep.host, ep.port, std::move(req), std::chrono::milliseconds(m_settings.requestTimeoutMs),
             [&](const http::bhttp::response_header<> &head) {
-                headSent = ex.beginStream(head.result_int(), "text/event-stream", {{"x-request-id", std::string(head["x-request-id"])}, {"x-engine-id", ep.id}});
+                headSent =
+                    ex.beginStream(head.result_int(), "text/event-stream", {{"x-request-id", std::string(head["x-request-id"])}, {"x-engine-id", ep.id}});
             },
             [&](std::string_view data) {
                 return ex.sendChunk(data);
@@ -421,7 +420,8 @@
         return cli::ExitFailure;
     }
     control.start();
-    log::event(log::Event::ProgramStarted, "id=" + s->id + " port=" + std::to_string(std::get<uint16_t>(bound)) + " policy=" + std::string(nameOf(policyNames, s->policy)));
+    log::event(log::Event::ProgramStarted,
+               "id=" + s->id + " port=" + std::to_string(std::get<uint16_t>(bound)) + " policy=" + std::string(nameOf(policyNames, s->policy)));
     cli::awaitStopSignal();
     // A planned stop: not ready first, then no new connections, then wait
     // for every request in flight.
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -146,7 +146,7 @@
 }
 
 // Reads an enum by its wire name, recording a Finding for an unknown name.
-template<typename E, std::size_t N>
+template <typename E, std::size_t N>
 void readEnum(Reader &r, const nlohmann::json &doc, const char *key, const std::string &path, const NameTable<E, N> &table, E &out, Findings &f)
 {
     std::string name(nameOf(table, out));
--- a/tests/test_prefix.cpp
+++ b/tests/test_prefix.cpp
@@ -27,7 +27,8 @@
 
 TEST(Prefix, AReturningTurnKeepsItsAffinityKey)
 {
-    nlohmann::json turn1 = nlohmann::json::array({{{"role", "system"}, {"content", "be brief"}}, {{"role", "user"}, {"content", "conversation 5 asks about rent"}}});
+    nlohmann::json turn1 =
+        nlohmann::json::array({{{"role", "system"}, {"content", "be brief"}}, {{"role", "user"}, {"content", "conversation 5 asks about rent"}}});
     nlohmann::json turn2 = turn1;
     turn2.push_back({{"role", "assistant"}, {"content", "w1 w2"}});
     turn2.push_back({{"role", "user"}, {"content", "and the deposit?"}});
--- a/tests/test_ring.cpp
+++ b/tests/test_ring.cpp
@@ -26,8 +26,7 @@
 /// Places requests from a surge: most come from three keys. Each request
 /// stays in flight for `hold` placements. Returns the worst ratio of an
 /// engine's load to the bound in force when it was placed (<= 1 holds).
-template<typename P>
-double worstOverBound(P &picker, int engines, double c, int requests, int hold)
+template <typename P> double worstOverBound(P &picker, int engines, double c, int requests, int hold)
 {
     std::mt19937_64 rng(1);
     std::vector<int64_t> loads(engines, 0);
