PrefixCache moves but never copies: the bench crashed on a copied cache

Cause: 'yucca-router bench' died with SIGSEGV in PrefixCache::match (gdb: std::list splice). The bench built its caches by copying one PrefixCache; a copy's index holds iterators into the original's list. Ruled out: the ring and the churn bookkeeping (the backtrace is in the cache's splice on the first lookups).

Change: PrefixCache deletes copy construction and assignment and keeps the defaulted moves (list iterators survive a move). The bench emplaces and moves its caches. New test APrefixCacheMovesButIsNeverCopied: before the fix it failed to compile (static_assert on is_copy_constructible), after it passes. The bench now holds 400 requests in flight (20 per engine) instead of 40, so skew is not dominated by the ceiling of a bound at two requests per engine.

--- a/src/bench.cpp
+++ b/src/bench.cpp
@@ -26,7 +26,7 @@
     int requests = 100000;
     int blocksPerTurn = 4; ///< new prompt blocks each turn adds
     int cacheBlocks = 2000; ///< per engine
-    int serviceSteps = 40; ///< requests placed while one is in flight
+    int serviceSteps = 400; ///< requests in flight at once (20 per engine)
     int churnEvery = 10000; ///< an engine leaves and another joins
     int surgeShare = 30; ///< percent of requests from the few large workspaces
 };
@@ -50,7 +50,10 @@
         ids.push_back("engine-" + std::to_string(nextId));
     }
     picker.setMembers(ids);
-    std::vector<engine::PrefixCache> caches(sc.engines, engine::PrefixCache(sc.cacheBlocks));
+    std::vector<engine::PrefixCache> caches;
+    for (int e = 0; e < sc.engines; ++e) {
+        caches.emplace_back(sc.cacheBlocks);
+    }
     std::vector<int64_t> loads(sc.engines, 0);
     std::deque<std::size_t> inflight; // member index of each request in flight
     std::vector<std::vector<uint64_t>> history(sc.conversations);
@@ -77,7 +80,7 @@
             const auto &members = picker.members();
             for (std::size_t m = 0; m < members.size(); ++m) {
                 auto at = std::find(ids.begin(), ids.end(), members[m]) - ids.begin();
-                reordered.push_back(caches[at]);
+                reordered.push_back(std::move(caches[at]));
                 reloads.push_back(loads[at]);
                 map[at] = m;
             }
--- a/src/engine_core.h
+++ b/src/engine_core.h
@@ -26,6 +26,12 @@
 {
 public:
     explicit PrefixCache(std::size_t capacity);
+    // The index holds iterators into m_lru: a copy would point into the
+    // original, so a cache moves (list iterators survive a move) but never copies.
+    PrefixCache(const PrefixCache &) = delete;
+    PrefixCache &operator=(const PrefixCache &) = delete;
+    PrefixCache(PrefixCache &&) = default;
+    PrefixCache &operator=(PrefixCache &&) = default;
     /// The number of leading blocks found; marks them recently used.
     std::size_t match(const std::vector<uint64_t> &blocks);
     /// Stores blocks, evicting the least recently used beyond capacity.
--- a/tests/test_engine.cpp
+++ b/tests/test_engine.cpp
@@ -78,3 +78,16 @@
     LONGS_EQUAL(1, log.duplicates().size());
     STRCMP_EQUAL("k1", log.duplicates()[0].c_str());
 }
+
+TEST(EngineStandIn, APrefixCacheMovesButIsNeverCopied)
+{
+    // Its index holds iterators into its own list: a copy would point into
+    // the original (the bench crashed on exactly that).
+    static_assert(!std::is_copy_constructible_v<engine::PrefixCache>);
+    engine::PrefixCache a(4);
+    a.insert({1, 2});
+    engine::PrefixCache b(std::move(a));
+    LONGS_EQUAL(2, b.match({1, 2}));
+    b.insert({3, 4, 5});
+    LONGS_EQUAL(4, b.size());
+}
