--- a/scripts/setup.sh
+++ b/scripts/setup.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
 # Installs the Debian packages the build uses, only where one is missing.
 set -euo pipefail
-PACKAGES=(cmake g++ make pkg-config libboost-dev libwebsocketpp-dev nlohmann-json3-dev
+PACKAGES=(cmake g++ make pkg-config libboost-dev nlohmann-json3-dev
           liblog4cxx-dev libpopt-dev libcpputest-dev libxxhash-dev curl python3 clang-format)
 missing=()
 for p in "${PACKAGES[@]}"; do
