VM list by conditional GET, slow probes, drains learned from answers

Change: the platform stand-in gives the VM list an ETag and answers 304 to If-None-Match while it is unchanged; HttpObjectApi keeps the list and its tag. Engines mark every answer with x-engine-draining, and a router that sees 'true' gives that engine no new work at once, so drains are not slower for the slower probe.

--- a/src/engine_main.cpp
+++ b/src/engine_main.cpp
@@ -139,7 +139,7 @@
                          {"total_tokens", toks.size() + answer.size()},
                          {"prompt_tokens_details", {{"cached_tokens", cachedBlocks * m_settings.blockTokens}}}};
         const std::string id = "chatcmpl-" + requestId;
-        const http::Headers headers{{"x-request-id", requestId}, {"x-engine-id", m_settings.id}};
+        const http::Headers headers{{"x-request-id", requestId}, {"x-engine-id", m_settings.id}, {"x-engine-draining", m_draining ? "true" : "false"}};
         std::string content;
         bool delivered = true;
         if (stream) {
@@ -195,7 +195,7 @@
         auto n = m_executions.execute(operation, key);
         track(-1);
         ex.reply(200, json{{"operation", operation}, {"confirmation", operation + "-" + std::to_string(n)}, {"key", key}}.dump(),
-                 {{"x-engine-id", m_settings.id}});
+                 {{"x-engine-id", m_settings.id}, {"x-engine-draining", m_draining ? "true" : "false"}});
     }
 
     // An order with a fencing number: refused when old, if this engine checks.
--- a/src/platform_client.cpp
+++ b/src/platform_client.cpp
@@ -111,16 +111,37 @@
     return b;
 }
 
+// A conditional GET: while the list is unchanged the platform answers 304
+// with no body, and the list held is returned again.
 Result<std::vector<Endpoint>> HttpObjectApi::vms()
 {
-    auto r = request("GET", "/v1/vms", "", m_timeout);
-    if (!ok(r)) {
-        return std::get<Error>(r);
+    http::Headers headers;
+    if (!m_vmTag.empty()) {
+        headers.emplace_back("If-None-Match", m_vmTag);
+    }
+    m_bytes.sent += 100 + m_vmTag.size();
+    auto r = http::call(m_host, m_port, "GET", "/v1/vms", "", m_timeout, headers);
+    if (auto *err = std::get_if<http::CallError>(&r)) {
+        return Error{store::Unavailable, "object API: " + err->message};
+    }
+    const auto &reply = std::get<http::Reply>(r);
+    m_bytes.received += reply.body.size() + 120;
+    if (reply.status == 304) {
+        return m_vmList;
+    }
+    if (reply.status != 200) {
+        return Error{static_cast<int>(reply.status), "object API: VM list answered " + std::to_string(reply.status)};
+    }
+    auto j = nlohmann::json::parse(reply.body, nullptr, false);
+    if (!j.is_object()) {
+        return Error{store::Unavailable, "object API answered no JSON"};
     }
     std::vector<Endpoint> out;
-    for (const auto &e : std::get<nlohmann::json>(r).value("vms", nlohmann::json::array())) {
+    for (const auto &e : j.value("vms", nlohmann::json::array())) {
         out.push_back(endpointFromJson(e));
     }
+    m_vmList = out;
+    m_vmTag = reply.header("etag");
     return out;
 }
 
--- a/src/platform_client.h
+++ b/src/platform_client.h
@@ -65,6 +65,8 @@
     uint16_t m_port;
     std::chrono::milliseconds m_timeout;
     http::ByteCounter m_bytes;
+    std::string m_vmTag; ///< entity tag of the VM list held
+    std::vector<Endpoint> m_vmList;
 };
 
 /// The object API in process, over an ObjectStore, with faults a test can
--- a/src/platform_main.cpp
+++ b/src/platform_main.cpp
@@ -99,7 +99,7 @@
         } else if (path == "/v1/watch") {
             watch(ex);
         } else if (path == "/v1/vms") {
-            ex.reply(200, json{{"vms", laggedVms()}}.dump());
+            vms(ex);
         } else if (path == "/healthz") {
             ex.reply(200, R"({"ok":true})");
         } else {
@@ -194,6 +194,19 @@
         ex.reply(200, json{{"revision", b.revision}, {"events", events}}.dump());
     }
 
+    // The VM list, with an entity tag: a caller that names the tag it
+    // holds gets 304 and no body while the list is unchanged.
+    void vms(http::Exchange &ex)
+    {
+        std::string body = json{{"vms", laggedVms()}}.dump();
+        std::string tag = "\"" + std::to_string(std::hash<std::string>{}(body)) + "\"";
+        if (ex.header("if-none-match") == tag) {
+            ex.reply(304, "", {{"ETag", tag}});
+            return;
+        }
+        ex.reply(200, body, {{"ETag", tag}});
+    }
+
     // The VM list as it stood vmListLagMs ago.
     json laggedVms()
     {
--- a/src/router_main.cpp
+++ b/src/router_main.cpp
@@ -211,6 +211,7 @@
             return false;
         }
         const auto &reply = std::get<http::Reply>(r);
+        noteDraining(ep, reply.header("x-engine-draining"));
         if (reply.status == 503) {
             return false;
         }
@@ -230,6 +231,7 @@
         auto r = http::stream(
             ep.host, ep.port, std::move(req), std::chrono::milliseconds(m_settings.requestTimeoutMs),
             [&](const http::bhttp::response_header<> &head) {
+                noteDraining(ep, std::string(head["x-engine-draining"]));
                 headSent =
                     ex.beginStream(head.result_int(), "text/event-stream", {{"x-request-id", std::string(head["x-request-id"])}, {"x-engine-id", ep.id}});
             },
@@ -247,6 +249,14 @@
         return true;
     }
 
+    // An engine's answer says it is leaving: it gets no new work from here on.
+    void noteDraining(const Endpoint &ep, const std::string &flag)
+    {
+        if (flag == "true") {
+            m_table.markDraining(ep.id);
+        }
+    }
+
     void engineFailed(const Endpoint &ep, const http::CallError &err)
     {
         log::event(log::Event::EndpointUnreachable, "id=" + ep.id + " error=\"" + err.message + "\"");
@@ -310,6 +320,7 @@
                 return; // the claim stays "started": never run twice
             }
             const auto &reply = std::get<http::Reply>(r);
+            noteDraining(*ep, reply.header("x-engine-draining"));
             if (!key.empty()) {
                 m_guard.complete(claim, reply.status, reply.body);
             }
--- a/src/settings.h
+++ b/src/settings.h
@@ -62,8 +62,8 @@
     int64_t virtualNodes = 64; ///< points per engine on the hash ring
     int64_t prefixTokens = 64; ///< tokens of the prompt that make the affinity key
     int64_t watchTimeoutMs = 2000; ///< long-poll length of a watch
-    int64_t vmPollMs = 500; ///< VM list poll period
-    int64_t loadPollMs = 500; ///< engine load report poll period
+    int64_t vmPollMs = 1000; ///< VM list poll period (conditional GET: 304 while unchanged)
+    int64_t loadPollMs = 10000; ///< period of the probe of each endpoint's load report
     int64_t requestTimeoutMs = 30000;
     int64_t retryAfterS = 1; ///< told to callers whose request was not run
     int64_t stopGraceMs = 10000; ///< longest wait for in-flight requests at a planned stop
