--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -56,9 +56,13 @@
 $B/yucca-ctl --port "$BASE" --author demo --reason "sample catalogue" apply config/catalogue-lonestar.json >"$RUN/ctl.log"
 echo "demo: platform, 4 engines, 1 scheduler up; catalogue applied ($(wc -l <"$RUN/ctl.log") entries)"
 
-# One phase: three routers of a policy, a bounded load with engine-4 leaving.
-phase() { # policy label
+# One phase: three routers of a policy, a bounded load with engine-4
+# leaving (or, for the move, the class moving to pool counsel-b).
+phase() { # policy label [yucca-load options]
     local policy=$1 label=$2 routers=() list=""
+    shift 2
+    local scenario=("$@")
+    [ ${#scenario[@]} -gt 0 ] || scenario=(--drain-at 2 --drain-engine engine-4)
     for i in 1 2 3; do
         local port=$((BASE + 10 * i))
         start "router-$policy-$i" $B/yucca-router --port $port --platform-port "$BASE" --id "router-$i" --policy "$policy" --config config/router.json
@@ -69,7 +73,7 @@
     sleep 1.5 # the VM list lags: let every router see the engines
     $B/yucca-load --routers "${list%,}" --platform-port "$BASE" --label "$label" \
         --conversations 240 --turns 5 --max-requests 1200 --duration "$DURATION" --concurrency 12 \
-        --drain-at 2 --drain-engine engine-4 >"$RUN/$label.json" 2>"$RUN/load-$label.log" || true
+        "${scenario[@]}" >"$RUN/$label.json" 2>"$RUN/load-$label.log" || true
     # A planned stop of each router: it waits for its requests in flight.
     local clean=0
     for pid in "${routers[@]}"; do
@@ -92,12 +96,22 @@
 phase bounded yuccasaddle
 reset_engines
 phase roundrobin baseline
+# The provider move: two engines of another pool join, and the counsel
+# class moves to them 3 s into the run by a conditional catalogue write.
+reset_engines
+for i in 5 6; do
+    start "engine-$i" $B/yucca-engine --port $((BASE + 100 + i)) --id "engine-$i" --config config/engine.json
+    wait_ready "127.0.0.1:$((BASE + 100 + i))/healthz"
+    register "engine-$i" $((BASE + 100 + i)) counsel-b engine live
+done
+sleep 1.2
+phase bounded migrate --migrate-at 3 --migrate-class counsel --migrate-pool counsel-b
 stop_all
 trap - EXIT
 
-python3 - "$RUN/yuccasaddle.json" "$RUN/baseline.json" <<'PY'
+python3 - "$RUN/yuccasaddle.json" "$RUN/baseline.json" "$RUN/migrate.json" <<'PY'
 import json, sys
-ours, base = (json.load(open(p)) for p in sys.argv[1:3])
+ours, base, move = (json.load(open(p)) for p in sys.argv[1:4])
 rows = ["served", "failed", "wrong", "not_run", "unknown", "booked", "replayed", "duplicates",
         "arrivals_3s_after_drain", "cache_reuse", "skew", "control_bytes_per_s_per_router",
         "record_bytes_per_s_per_router"]
@@ -107,11 +121,15 @@
     fmt = (lambda v: f"{v:12.3f}") if isinstance(a, float) else (lambda v: f"{v:12d}")
     print(f"{r:32} {fmt(a)} {fmt(b)}")
 print(f"{'ttft p95 ms':32} {ours['ttft_ms']['p95']:12.0f} {base['ttft_ms']['p95']:12.0f}")
-for p in ours.get("first_problems", []):
+print(f"provider move: moved={move['moved']} served={move['served']} failed={move['failed']} "
+      f"duplicates={move['duplicates']} cache_reuse={move['cache_reuse']:.3f} after the move={move['cache_reuse_after_move']:.3f}")
+for p in ours.get("first_problems", []) + move.get("first_problems", []):
     print("problem:", p)
 summary = {k: ours[k] for k in ["served", "failed", "not_run", "unknown", "duplicates", "cache_reuse", "skew",
                                 "control_bytes_per_s_per_router"]}
 summary["baseline"] = {k: base[k] for k in ["served", "failed", "cache_reuse", "skew"]}
+summary["move"] = {k: move[k] for k in ["moved", "served", "failed", "duplicates", "cache_reuse_after_move"]}
 print(json.dumps(summary))
-sys.exit(0 if ours["failed"] == 0 and ours["duplicates"] == 0 and ours["served"] > 0 else 1)
+clean = all(r["failed"] == 0 and r["duplicates"] == 0 and r["served"] > 0 for r in (ours, move)) and move["moved"]
+sys.exit(0 if clean else 1)
 PY
--- a/src/load_main.cpp
+++ b/src/load_main.cpp
@@ -45,6 +45,9 @@
     int servicePct = 10; ///< share of turns that also book through the service
     int drainAtS = -1;
     char *drainEngine = nullptr;
+    int migrateAtS = -1; ///< when the class of work moves to another pool
+    char *migrateClass = nullptr;
+    char *migratePool = nullptr;
     char *label = nullptr;
 };
 
@@ -66,6 +69,7 @@
     std::mutex mutex;
     uint64_t served = 0, failed = 0, notRun = 0, unknown = 0, wrong = 0, retries = 0;
     uint64_t returningPrompt = 0, returningCached = 0;
+    uint64_t movedPrompt = 0, movedCached = 0; ///< returning turns after the provider move
     uint64_t booked = 0, replayed = 0;
     decltype(boost::histogram::make_histogram(boost::histogram::axis::regular<>(300, 0.0, 3000.0))) ttft =
         boost::histogram::make_histogram(boost::histogram::axis::regular<>(300, 0.0, 3000.0));
@@ -145,6 +149,12 @@
                 drainLater();
             });
         }
+        std::thread mover;
+        if (m_o.migrateAtS >= 0 && m_o.migrateClass && m_o.migratePool) {
+            mover = std::thread([this] {
+                migrateLater();
+            });
+        }
         for (auto &t : workers) {
             t.join();
         }
@@ -152,6 +162,9 @@
         if (drainer.joinable()) {
             drainer.join();
         }
+        if (mover.joinable()) {
+            mover.join();
+        }
         return report();
     }
 
@@ -306,6 +319,10 @@
             if (conv.turnsDone > 0) {
                 m_tally.returningPrompt += got.promptTokens;
                 m_tally.returningCached += got.cachedTokens;
+                if (m_moved) {
+                    m_tally.movedPrompt += got.promptTokens;
+                    m_tally.movedCached += got.cachedTokens;
+                }
             }
             return got.content;
         }
@@ -402,10 +419,7 @@
     // platform's VM list marking it as leaving.
     void drainLater()
     {
-        while (!m_done && Clock::now() - m_started < std::chrono::seconds(m_o.drainAtS)) {
-            std::this_thread::sleep_for(std::chrono::milliseconds(50));
-        }
-        if (m_done) {
+        if (!sleepUntil(m_o.drainAtS)) {
             return;
         }
         auto vms = m_platform.vms();
@@ -428,6 +442,35 @@
         }
     }
 
+    // Sleeps until `seconds` into the run; false when the run ended first.
+    bool sleepUntil(int seconds)
+    {
+        while (!m_done && Clock::now() - m_started < std::chrono::seconds(seconds)) {
+            std::this_thread::sleep_for(std::chrono::milliseconds(50));
+        }
+        return !m_done;
+    }
+
+    // The provider move: the class of work is pointed at another pool by a
+    // conditional catalogue write, as an operator's yucca-ctl apply would.
+    void migrateLater()
+    {
+        if (!sleepUntil(m_o.migrateAtS)) {
+            return;
+        }
+        platform::HttpObjectApi api(m_o.platformHost ? m_o.platformHost : "127.0.0.1", static_cast<uint16_t>(m_o.platformPort));
+        auto current = api.get("class", m_o.migrateClass);
+        if (!ok(current)) {
+            fprintf(stderr, "yucca-load: class %s not found; no move\n", m_o.migrateClass);
+            return;
+        }
+        auto obj = std::get<platform::Object>(current);
+        obj.value["pool"] = m_o.migratePool;
+        auto r = api.put("class", m_o.migrateClass, obj.value, obj.version);
+        m_moved = ok(r);
+        fprintf(stderr, "yucca-load: class %s moved to pool %s at %ds: %s\n", m_o.migrateClass, m_o.migratePool, m_o.migrateAtS, m_moved ? "ok" : "refused");
+    }
+
     json report()
     {
         json engines = json::array();
@@ -483,6 +526,8 @@
                  {"duplicates", duplicates},
                  {"arrivals_3s_after_drain", lateArrivals},
                  {"cache_reuse", m_tally.returningPrompt ? static_cast<double>(m_tally.returningCached) / static_cast<double>(m_tally.returningPrompt) : 0.0},
+                 {"cache_reuse_after_move", m_tally.movedPrompt ? static_cast<double>(m_tally.movedCached) / static_cast<double>(m_tally.movedPrompt) : 0.0},
+                 {"moved", m_moved.load()},
                  {"skew", mean > 0 ? peak / mean : 0.0},
                  {"control_bytes_per_s_per_router", control},
                  {"record_bytes_per_s_per_router", records},
@@ -507,6 +552,7 @@
     Tally m_tally;
     Clock::time_point m_started;
     std::atomic<bool> m_done{false};
+    std::atomic<bool> m_moved{false};
 };
 
 } // namespace
@@ -529,6 +575,9 @@
         {"service-pct", 0, POPT_ARG_INT, &o.servicePct, 0, "percent of turns followed by a booking", "PCT"},
         {"drain-at", 0, POPT_ARG_INT, &o.drainAtS, 0, "seconds into the run when --drain-engine leaves", "S"},
         {"drain-engine", 0, POPT_ARG_STRING, &o.drainEngine, 0, "engine id that leaves mid-run", "ID"},
+        {"migrate-at", 0, POPT_ARG_INT, &o.migrateAtS, 0, "seconds into the run when --migrate-class moves", "S"},
+        {"migrate-class", 0, POPT_ARG_STRING, &o.migrateClass, 0, "class of work that moves to another pool mid-run", "NAME"},
+        {"migrate-pool", 0, POPT_ARG_STRING, &o.migratePool, 0, "the pool it moves to", "POOL"},
         {"label", 'l', POPT_ARG_STRING, &o.label, 0, "label in the report", "TEXT"},
         POPT_TABLEEND,
     };
