Test the bench signature for behaviour drift

Cause: the routing bench prints a deterministic signature of every decision, but nothing compared it, so a change to routing behaviour could pass unseen.

Ruled out: comparing the bench's measures (reuse, skew): they are floats printed rounded and carry less than the signature.

A change that alters routing on purpose updates the file in the same commit, with its reason.

--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -44,6 +44,17 @@
     fi
 done
 
+# Behaviour drift: the routing bench's signature hashes every decision of
+# both policies; a change that alters routing must update tests/bench.signature.
+sig=$(build/yucca-router bench | awk '/^signature/ {print $2}')
+if [ "$sig" = "$(cat tests/bench.signature)" ]; then
+    echo "bench signature: ok ($sig)"
+    e2e_passed=$((e2e_passed + 1))
+else
+    echo "bench signature: FAILED (got $sig, expected $(cat tests/bench.signature))"
+    e2e_failed=$((e2e_failed + 1))
+fi
+
 # Formatting: clang-format (KDE Frameworks style) leaves every file as it is.
 if clang-format --dry-run --Werror src/*.cpp src/*.h include/yucca/*.h tests/*.cpp >build/format.log 2>&1; then
     echo "format: ok"
