A failed build fails the tests; CppUTest include order kept

Ruled out: a missing package on the clean clone (the same error reproduces here once the stale object is rebuilt).

Conclusion: the tests now run only on what was just built.

--- a/scripts/build.sh
+++ b/scripts/build.sh
@@ -3,5 +3,10 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 cmake -S . -B build -DCMAKE_BUILD_TYPE=RelWithDebInfo >/dev/null
-cmake --build build -j"$(nproc)" 2>&1 | grep -vE '^\[|^-- ' || true
-test -x build/yucca-router -a -x build/yucca-tests
+# A failed build must fail here, not leave an older binary to be tested.
+if ! cmake --build build -j"$(nproc)" >build/build.log 2>&1; then
+    grep -E "error|Error" build/build.log | head -40
+    echo "build: FAILED (build/build.log)"
+    exit 1
+fi
+grep -E "warning:" build/build.log | head -20 || true
--- a/tests/test_router.cpp
+++ b/tests/test_router.cpp
@@ -6,8 +6,10 @@
 #include <future>
 
 // CppUTest goes last: its memory-leak macros redefine operator new.
-#include <CppUTest/MemoryLeakWarningPlugin.h>
 #include <CppUTest/TestHarness.h>
+// The plugin's header needs TestHarness.h first; the blank line keeps the order.
+
+#include <CppUTest/MemoryLeakWarningPlugin.h>
 
 using namespace yucca;
 using json = nlohmann::json;
