Claim nonces unique per process; a suspect engine keeps the pool's affinity

Cause: two faults found by reading. (1) A claim's nonce was "id-counter", and the counter restarts with the process: a router replaced under the same id took its predecessor's open claim for its own lost answer and ran the call a second time. The counter was also a plain integer shared by traffic threads, so two of them could draw the same nonce. (2) RoutingTable::acquire used the picker only while every member of the pool was usable; with one suspect or excluded member it took the least loaded engine, so one flapping engine moved every conversation of the pool.

Ruled out: marking old claims by time (clocks jump, and a slow claim is not a dead one); treating unusable members as infinitely loaded (their load entered the total and lifted the bound for everybody).

Change: nonces carry 64 random bits per process and an atomic counter; pickers take ring::unavailable for a member that must be passed by, which counts neither in the total nor in the member count.

Conclusion: both are fixed; each has its test.

--- a/include/yucca/ring.h
+++ b/include/yucca/ring.h
@@ -13,6 +13,9 @@
 namespace yucca::ring
 {
 
+/// The load of a member that must not be picked; it counts for nothing.
+inline constexpr int64_t unavailable = -1;
+
 /// 64-bit xxHash (XXH3) of a byte string.
 uint64_t hash(std::string_view bytes, uint64_t seed = 0);
 
--- a/src/idempotency.cpp
+++ b/src/idempotency.cpp
@@ -2,17 +2,28 @@
 
 #include "yucca/ring.h"
 
+#include <random>
+
 namespace yucca::idempotency
 {
 
 namespace
 {
 constexpr int maxTries = 3; ///< bounded retries of one store call
+
+// A name for this process that no earlier process of the same router id had:
+// a restarted router must not take its predecessor's claims for its own.
+std::string bootId()
+{
+    std::random_device entropy;
+    return std::to_string((uint64_t{entropy()} << 32) | entropy());
 }
+} // namespace
 
 Guard::Guard(platform::ObjectApi &api, std::string owner)
     : m_api(api)
     , m_owner(std::move(owner))
+    , m_boot(bootId())
 {
 }
 
@@ -56,7 +67,7 @@
 Claim Guard::claim(const std::string &workspace, const std::string &key, uint64_t requestHash)
 {
     const std::string name = recordName(workspace, key);
-    const std::string nonce = m_owner + "-" + std::to_string(++m_attempts);
+    const std::string nonce = m_owner + "-" + m_boot + "-" + std::to_string(++m_attempts);
     const nlohmann::json started{{"state", "started"}, {"owner", m_owner}, {"nonce", nonce}, {"requestHash", requestHash}};
     std::optional<uint64_t> ifVersion = 0; // create only
     for (int attempt = 0; attempt < maxTries; ++attempt) {
--- a/src/idempotency.h
+++ b/src/idempotency.h
@@ -5,6 +5,7 @@
 
 #include "platform_client.h"
 
+#include <atomic>
 #include <string>
 
 namespace yucca::idempotency
@@ -60,7 +61,8 @@
 
     platform::ObjectApi &m_api;
     std::string m_owner;
-    uint64_t m_attempts = 0;
+    std::string m_boot; ///< random per process: nonces never repeat across restarts
+    std::atomic<uint64_t> m_attempts{0}; ///< traffic threads claim concurrently
 };
 
 } // namespace yucca::idempotency
--- a/src/ring.cpp
+++ b/src/ring.cpp
@@ -49,10 +49,15 @@
         return std::nullopt;
     }
     int64_t total = 0;
+    std::size_t usable = 0;
     for (auto l : loads) {
-        total += l;
+        total += l == unavailable ? 0 : l;
+        usable += l == unavailable ? 0 : 1;
     }
-    const int64_t limit = bound(total, m_members.size(), m_loadFactor);
+    if (usable == 0) {
+        return std::nullopt;
+    }
+    const int64_t limit = bound(total, usable, m_loadFactor);
     auto it = std::lower_bound(m_points.begin(), m_points.end(), key, [](const Point &p, uint64_t k) {
         return p.hash < k;
     });
@@ -62,20 +67,23 @@
         if (it == m_points.end()) {
             it = m_points.begin();
         }
-        int64_t load = it->member < loads.size() ? loads[it->member] : 0;
-        if (load + 1 <= limit) {
+        const int64_t load = loads[it->member];
+        if (load != unavailable && load + 1 <= limit) {
             return it->member;
         }
     }
-    return std::min_element(loads.begin(), loads.end()) - loads.begin();
+    return std::nullopt;
 }
 
-std::optional<std::size_t> RoundRobin::pick(uint64_t, const std::vector<int64_t> &)
+std::optional<std::size_t> RoundRobin::pick(uint64_t, const std::vector<int64_t> &loads)
 {
-    if (m_members.empty()) {
-        return std::nullopt;
+    for (std::size_t step = 0; step < m_members.size(); ++step) {
+        const std::size_t m = m_next++ % m_members.size();
+        if (loads[m] != unavailable) {
+            return m;
+        }
     }
-    return m_next++ % m_members.size();
+    return std::nullopt;
 }
 
 } // namespace yucca::ring
--- a/src/router_core.cpp
+++ b/src/router_core.cpp
@@ -104,35 +104,21 @@
         return std::nullopt;
     }
     auto &p = it->second;
-    // Excluded and suspect members count as full, so the picker passes them by.
-    constexpr int64_t full = int64_t{1} << 40;
     std::vector<int64_t> loads;
     loads.reserve(p.members.size());
-    std::size_t usable = 0;
-    int64_t total = 0;
     for (const auto &m : p.members) {
         auto s = m_suspects.find(m.id);
         bool out = exclude.count(m.id) || (s != m_suspects.end() && s->second > now);
-        int64_t load = m_inflight[m.id];
-        loads.push_back(out ? full : load);
-        usable += out ? 0 : 1;
-        total += out ? 0 : load;
+        loads.push_back(out ? ring::unavailable : m_inflight[m.id]);
     }
-    if (usable == 0) {
+    auto index = std::visit(
+        [&](auto &picker) {
+            return picker.pick(key, loads);
+        },
+        p.picker);
+    if (!index) {
         return std::nullopt;
     }
-    std::optional<std::size_t> index;
-    if (usable == p.members.size()) {
-        index = std::visit(
-            [&](auto &picker) {
-                return picker.pick(key, loads);
-            },
-            p.picker);
-    }
-    if (!index || loads[*index] >= full) {
-        // Some members are out: take the least loaded usable one.
-        index = std::min_element(loads.begin(), loads.end()) - loads.begin();
-    }
     const Endpoint &chosen = p.members[*index];
     ++m_inflight[chosen.id];
     ++m_placed[chosen.id];
--- a/tests/test_idempotency.cpp
+++ b/tests/test_idempotency.cpp
@@ -132,3 +132,12 @@
         CHECK_TEXT(n <= 1, key.c_str());
     }
 }
+
+TEST(InvariantAtMostOnce, ARestartedRouterOfTheSameIdDoesNotTakeItsOldClaimForItsOwn)
+{
+    idempotency::Guard before(api, "router-1");
+    attempt(before, svc, "k", 11, true); // ran, then the router died before storing the answer
+    idempotency::Guard restarted(api, "router-1"); // replaced under the same id
+    CHECK(attempt(restarted, svc, "k") == Decision::InProgress);
+    LONGS_EQUAL(1, svc.runs);
+}
--- a/tests/test_ring.cpp
+++ b/tests/test_ring.cpp
@@ -191,3 +191,29 @@
     }
     CHECK(sawA);
 }
+
+TEST_GROUP(AffinityThroughChurn){};
+
+TEST(AffinityThroughChurn, OneSuspectEngineMovesOnlyItsOwnKeys)
+{
+    std::vector<Endpoint> eps;
+    for (const auto &id : engineIds(8)) {
+        eps.push_back({id, "127.0.0.1", 9, "pool", EndpointKind::Engine, EndpointState::Live});
+    }
+    router::RoutingTable table(Policy::Bounded, 64, 1.25);
+    table.setEndpoints(eps);
+    auto now = router::Clock::now();
+    int moved = 0;
+    for (int k = 0; k < 400; ++k) {
+        auto key = ring::hash("k" + std::to_string(k));
+        auto before = table.acquire("pool", key, {}, now);
+        table.release(before->id);
+        table.suspect("engine-3", now + std::chrono::seconds(1));
+        auto during = table.acquire("pool", key, {}, now);
+        table.release(during->id);
+        table.suspect("engine-3", now); // its time is up
+        CHECK(during->id != "engine-3");
+        moved += before->id != "engine-3" && during->id != before->id ? 1 : 0;
+    }
+    LONGS_EQUAL(0, moved);
+}
