--- a/include/yucca/placement.h
+++ b/include/yucca/placement.h
@@ -73,7 +73,8 @@
 
 /// Settings of PrefixAffinity.
 struct AffinityOptions {
-    double loadFactor = 1.5; ///< c: no engine above c times the mean load, plus one
+    double loadFactor = 1.5; ///< c: no engine above c times the mean load, plus the slack
+    double slack = 3.0; ///< requests: below a few in flight, a late report's noise is no overload
     double fillFactor = 0.1; ///< the share of a mean engine's load that one shared key may fill
     double onsetFactor = 1.0; ///< the share of a mean engine's load that one request from every router may fill
     std::chrono::duration<double> reportLifetime{2.0}; ///< a load report's weight decays by e in this time
@@ -107,7 +108,7 @@
     /// The estimated load of a member, from all routers.
     double estimate(std::size_t member, TimePoint now) const;
     /// The size of a shared key's replica set in a pool of n members.
-    std::size_t replicas(uint64_t sharedKey, std::size_t n) const;
+    std::size_t replicas(uint64_t sharedKey, std::size_t n);
 
 private:
     struct Member {
@@ -126,6 +127,7 @@
     std::vector<Member> m_members;
     HeatSketch m_heat;
     HeatSketch m_surge;
+    std::unordered_map<uint64_t, std::size_t> m_replicas; ///< the sets wider than one, by shared key
     double m_mean = 0; ///< the pool's mean load, refreshed now and then
     int64_t m_ownTotal = 0;
     TimePoint m_meanAt{};
--- /dev/null
+++ b/scripts/lint.sh
@@ -0,0 +1,11 @@
+#!/usr/bin/env bash
+# clang-tidy over every source file, with the checks of .clang-tidy. clang
+# compiles what g++ builds: Asio's coroutine support is switched on by hand,
+# as Boost 1.74 knows only older clangs.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+TIDY=${CLANG_TIDY:-clang-tidy-16}
+files=("$@")
+[ ${#files[@]} -gt 0 ] || files=(src/*.cpp)
+printf '%s\n' "${files[@]}" | xargs -P "$(nproc)" -n 1 "$TIDY" -p build --quiet \
+    --extra-arg=-DBOOST_ASIO_HAS_CO_AWAIT=1 --extra-arg=-DBOOST_ASIO_HAS_STD_COROUTINE=1 --extra-arg=-Wno-everything 2>/dev/null
--- a/scripts/setup.sh
+++ b/scripts/setup.sh
@@ -2,7 +2,8 @@
 # Installs the Debian packages the build uses, only where one is missing.
 set -euo pipefail
 PACKAGES=(cmake g++ make pkg-config libboost-dev nlohmann-json3-dev
-          liblog4cxx-dev libpopt-dev libcpputest-dev libxxhash-dev curl python3 clang-format)
+          liblog4cxx-dev libpopt-dev libcpputest-dev libxxhash-dev curl python3
+          clang-format clang-tidy-16 clang libclang-rt-14-dev spin)
 missing=()
 for p in "${PACKAGES[@]}"; do
     dpkg-query -W -f='${Status}' "$p" 2>/dev/null | grep -q "ok installed" || missing+=("$p")
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -55,14 +55,23 @@
     e2e_failed=$((e2e_failed + 1))
 fi
 
-# Formatting: clang-format (KDE Frameworks style) leaves every file as it is.
-if clang-format --dry-run --Werror src/*.cpp src/*.h include/yucca/*.h tests/*.cpp >build/format.log 2>&1; then
-    echo "format: ok"
-    e2e_passed=$((e2e_passed + 1))
-else
-    echo "format: FAILED"; head -20 build/format.log
-    e2e_failed=$((e2e_failed + 1))
-fi
+# Runs one of the checks; its output is shown when it fails.
+run_check() { # name, then the command
+    local name=$1; shift
+    if "$@" >"build/$name.log" 2>&1; then
+        echo "$name: ok"
+        e2e_passed=$((e2e_passed + 1))
+    else
+        echo "$name: FAILED"
+        tail -n 30 "build/$name.log"
+        e2e_failed=$((e2e_failed + 1))
+    fi
+}
+
+run_check proofs scripts/proofs.sh
+# clang-format (KDE Frameworks style) leaves every file as it is; clang-tidy finds nothing.
+run_check format clang-format --dry-run --Werror src/*.cpp src/*.h include/yucca/*.h tests/*.cpp tests/*.h tests/fuzz/*.cpp
+run_check lint scripts/lint.sh
 
 echo "$((unit_ran - unit_failed + e2e_passed)) passed, $((unit_failed + e2e_failed)) failed"
 [ "$unit_ok" -eq 1 ] && [ "$e2e_failed" -eq 0 ]
--- a/src/bench.cpp
+++ b/src/bench.cpp
@@ -37,6 +37,7 @@
 constexpr milliseconds reportLag{300}; ///< age of the load in a report
 constexpr milliseconds membershipLagMax{2000}; ///< routers hear of a changed member within this
 constexpr milliseconds sampleEvery{100}; ///< skew is sampled this often
+constexpr int virtualNodes = 64; ///< of the bounded policy, whose bound is the same as ours
 constexpr double capFactor = 2.0; ///< an engine above capFactor * mean + capSlack counts as overloaded
 constexpr double capSlack = 3.0;
 
@@ -382,7 +383,7 @@
            s.seconds);
     printf("%-11s %8s %10s %11s %9s %12s\n", "policy", "reuse", "mean skew", "worst skew", "over cap", "ns/decision");
     uint64_t signature = measure("affinity", placement::PrefixAffinity(), s);
-    signature = ring::hash(std::to_string(measure("bounded", placement::OwnBound(), s)), signature);
+    signature = ring::hash(std::to_string(measure("bounded", placement::OwnBound(virtualNodes, placement::AffinityOptions().loadFactor), s)), signature);
     signature = ring::hash(std::to_string(measure("roundrobin", placement::RoundRobin(), s)), signature);
     printf("signature %016llx\n", static_cast<unsigned long long>(signature));
     return 0;
--- a/src/engine_server.cpp
+++ b/src/engine_server.cpp
@@ -2,10 +2,10 @@
 
 #include "log.h"
 #include "prefix.h"
+#include "text.h"
 #include "yucca/ring.h"
 
 #include <algorithm>
-#include <charconv>
 
 namespace yucca::engine
 {
@@ -19,13 +19,6 @@
 constexpr int64_t defaultDeadlineMs = 600000;
 constexpr int64_t mostTokens = 4096;
 
-int64_t numberOr(std::string_view text, int64_t fallback)
-{
-    int64_t value = 0;
-    const auto parsed = std::from_chars(text.data(), text.data() + text.size(), value);
-    return parsed.ec == std::errc() && !text.empty() ? value : fallback;
-}
-
 // GCC 12 cannot keep braced lists in a coroutine's frame, so every JSON body
 // is made in a plain function.
 
@@ -115,7 +108,7 @@
     } else if (post && path == "/v1/kv/import") {
         co_await importKv(ex);
     } else if (path == "/v1/kv/events") {
-        co_await ex.reply(200, cacheEvents(static_cast<uint64_t>(numberOr(ex.query("since"), 0))).dump());
+        co_await ex.reply(200, cacheEvents(static_cast<uint64_t>(text::number(ex.query("since")).value_or(0))).dump());
     } else if (path == "/load") {
         co_await ex.reply(200, loadReport().dump());
     } else if (path == "/stats") {
@@ -187,7 +180,7 @@
     g.stream = body.value("stream", false);
     g.model = body.value("model", m_model);
     g.requestId = ex.header("x-request-id");
-    g.resumeAfter = static_cast<uint64_t>(std::max<int64_t>(0, numberOr(ex.header("last-event-id"), 0)));
+    g.resumeAfter = static_cast<uint64_t>(std::max<int64_t>(0, text::number(ex.header("last-event-id")).value_or(0)));
     const auto count = static_cast<std::size_t>(std::clamp<int64_t>(body.value("max_tokens", int64_t{16}), 1, mostTokens));
     g.answer = answerTokens(ring::hash(prompt), count);
     return g;
@@ -203,9 +196,9 @@
         co_return;
     }
     auto g = parse(ex, body);
-    const auto deadline = Clock::now() + Millis(numberOr(ex.header("x-deadline-ms"), defaultDeadlineMs));
+    const auto deadline = Clock::now() + Millis(text::number(ex.header("x-deadline-ms")).value_or(defaultDeadlineMs));
     track(+1);
-    const bool admitted = co_await m_slots.acquire(numberOr(ex.header("x-priority"), 5), deadline);
+    const bool admitted = co_await m_slots.acquire(text::number(ex.header("x-priority")).value_or(5), deadline);
     if (!admitted) {
         track(-1);
         co_await refuse(ex, "queue full or deadline passed in the queue");
--- a/src/load_main.cpp
+++ b/src/load_main.cpp
@@ -4,6 +4,7 @@
 #include "cli.h"
 #include "experiment.h"
 #include "findings.h"
+#include "text.h"
 
 #include <cstdio>
 
@@ -25,14 +26,10 @@
 std::vector<http::Address> parseRouters(const std::string &list, Findings &findings)
 {
     std::vector<http::Address> out;
-    std::size_t at = 0;
-    while (at < list.size()) {
-        const auto comma = std::min(list.find(',', at), list.size());
-        const std::string item = list.substr(at, comma - at);
-        at = comma + 1;
+    for (const auto &item : text::items(list)) {
         const auto colon = item.rfind(':');
-        const int port = colon == std::string::npos ? 0 : std::atoi(item.c_str() + colon + 1);
-        if (port < 1 || port > 65535) {
+        const auto port = colon == std::string::npos ? std::nullopt : text::number<uint16_t>(item.substr(colon + 1));
+        if (!port) {
             findings.add("--routers", "'" + item + "' is not HOST:PORT");
             continue;
         }
@@ -40,7 +37,7 @@
         if (!isLoopback(host)) {
             findings.add("--routers", host + " is not a loopback address; load goes to loopback only");
         }
-        out.push_back({host, static_cast<uint16_t>(port)});
+        out.push_back({host, *port});
     }
     if (out.empty()) {
         findings.add("--routers", "at least one router is required");
--- a/src/placement.cpp
+++ b/src/placement.cpp
@@ -14,6 +14,7 @@
 constexpr double decayStepS = 0.25; ///< counts decay at most once in this time
 constexpr std::chrono::milliseconds meanLifetime{200}; ///< the pool's mean load is refreshed this often
 constexpr double coldCount = 40.0; ///< below this many counted requests no key's share is trusted
+constexpr double shrinkBelow = 8.0; ///< a replica set this many times too wide is halved
 constexpr double negligible = 0.01; ///< a decayed count below this is forgotten
 constexpr double cautionSigmas = 1.0; ///< standard errors taken off a count before it is trusted
 
@@ -203,7 +204,7 @@
     return ownMean > 0 ? 1.0 / (m_options.onsetFactor * ownMean) : 1.0;
 }
 
-std::size_t PrefixAffinity::replicas(uint64_t sharedKey, std::size_t n) const
+std::size_t PrefixAffinity::replicas(uint64_t sharedKey, std::size_t n)
 {
     if (m_heat.total() < coldCount) {
         return n; // nothing known yet: any key may be a hot one
@@ -211,11 +212,21 @@
     const double share = std::max(m_heat.share(sharedKey), m_surge.share(sharedKey));
     const double needed = std::max(share * static_cast<double>(n) / m_options.fillFactor, sliverReplicas(n));
     // Powers of two: routers whose counts differ a little agree on the set,
-    // and a set that grows keeps its first half.
-    std::size_t k = 1;
+    // and a set that grows keeps its first half. A set shrinks only when far
+    // too wide: each change of its width moves conversations off their caches.
+    auto held = m_replicas.find(sharedKey);
+    std::size_t k = held == m_replicas.end() ? 1 : held->second;
+    while (k > 1 && needed < static_cast<double>(k) / shrinkBelow) {
+        k /= 2;
+    }
     while (static_cast<double>(k) < needed && k < n) {
         k *= 2;
     }
+    if (k > 1) {
+        m_replicas[sharedKey] = k;
+    } else if (held != m_replicas.end()) {
+        m_replicas.erase(held);
+    }
     return std::min(k, n);
 }
 
@@ -240,7 +251,7 @@
         return rank(m_members[a.second].hash, affinity.conversation) > rank(m_members[b.second].hash, affinity.conversation);
     });
     refreshMean(usable, now);
-    const double limit = m_options.loadFactor * m_mean + 1;
+    const double limit = m_options.loadFactor * m_mean + m_options.slack;
     const auto ownLimit = ring::BoundedRing::bound(m_ownTotal, order.size(), m_options.loadFactor);
     for (std::size_t step = 0; step < walk; ++step) {
         const auto &m = m_members[order[step].second];
--- a/src/platform_server.cpp
+++ b/src/platform_server.cpp
@@ -2,11 +2,11 @@
 
 #include "log.h"
 #include "platform_client.h"
+#include "text.h"
 
 #include <boost/asio/detached.hpp>
 
 #include <algorithm>
-#include <charconv>
 
 namespace yucca::platform
 {
@@ -21,26 +21,6 @@
 constexpr std::string_view vmAdminPrefix = "/admin/vms/";
 constexpr Millis longestWatch{30000};
 
-uint64_t unsignedOr(const std::string &text, uint64_t fallback)
-{
-    uint64_t value = 0;
-    const auto parsed = std::from_chars(text.data(), text.data() + text.size(), value);
-    return parsed.ec == std::errc() && !text.empty() ? value : fallback;
-}
-
-// The items of a comma-separated list.
-std::vector<std::string> split(const std::string &list)
-{
-    std::vector<std::string> out;
-    std::size_t at = 0;
-    while (at < list.size()) {
-        const auto comma = std::min(list.find(',', at), list.size());
-        out.push_back(list.substr(at, comma - at));
-        at = comma + 1;
-    }
-    return out;
-}
-
 // GCC 12 cannot keep braced lists in a coroutine's frame, so JSON bodies and
 // headers are made in plain functions.
 
@@ -148,8 +128,8 @@
 Result<store::Object> PlatformServer::apply(const http::Exchange &ex, const std::string &kind, const std::string &name)
 {
     std::optional<uint64_t> ifVersion;
-    if (const auto text = ex.query("ifVersion"); !text.empty()) {
-        ifVersion = unsignedOr(text, 0);
+    if (const auto version = ex.query("ifVersion"); !version.empty()) {
+        ifVersion = text::number<uint64_t>(version).value_or(0);
     }
     switch (ex.request().method()) {
     case http::bhttp::verb::get:
@@ -174,7 +154,7 @@
 // One page of a kind: ?after=NAME&limit=N.
 Task<void> PlatformServer::listing(http::Exchange &ex, std::string kind)
 {
-    const auto page = m_store.list(kind, ex.query("after"), unsignedOr(ex.query("limit"), 0));
+    const auto page = m_store.list(kind, ex.query("after"), text::number<uint64_t>(ex.query("limit")).value_or(0));
     co_await ex.reply(200, pageOf(page).dump());
 }
 
@@ -182,9 +162,9 @@
 // absent), waiting up to ?timeoutMs=.
 Task<void> PlatformServer::watch(http::Exchange &ex)
 {
-    const uint64_t from = unsignedOr(ex.query("from"), 0);
-    const auto kinds = split(ex.query("kinds"));
-    const auto deadline = Clock::now() + std::min(Millis(unsignedOr(ex.query("timeoutMs"), 1000)), longestWatch);
+    const uint64_t from = text::number<uint64_t>(ex.query("from")).value_or(0);
+    const auto kinds = text::items(ex.query("kinds"));
+    const auto deadline = Clock::now() + std::min(Millis(text::number<uint64_t>(ex.query("timeoutMs")).value_or(1000)), longestWatch);
     ex.onCallerGone([this] {
         m_changed.notifyAll();
     });
--- a/src/router_traffic.cpp
+++ b/src/router_traffic.cpp
@@ -2,8 +2,7 @@
 
 #include "log.h"
 #include "prefix.h"
-
-#include <charconv>
+#include "text.h"
 
 namespace yucca::router
 {
@@ -17,14 +16,6 @@
 constexpr std::string_view operationPrefix = "/v1/ops/";
 constexpr Millis settleBeforeAnswer{500}; ///< how long an answer waits for its record to be stored
 
-// A decimal header value, or nothing.
-std::optional<int64_t> number(std::string_view text)
-{
-    int64_t value = 0;
-    const auto parsed = std::from_chars(text.data(), text.data() + text.size(), value);
-    return parsed.ec == std::errc() && !text.empty() ? std::optional(value) : std::nullopt;
-}
-
 // True when an endpoint's answer says that it did not run the request.
 bool notExecuted(unsigned status, const std::string &flag)
 {
@@ -167,7 +158,7 @@
         a.requestId = m_settings.id + "-" + std::to_string(++m_requests);
     }
     const int64_t longest = m_settings.requestTimeoutMs;
-    a.deadline = a.began + Millis(std::clamp<int64_t>(number(ex.header("x-deadline-ms")).value_or(longest), 1, longest));
+    a.deadline = a.began + Millis(std::clamp<int64_t>(text::number(ex.header("x-deadline-ms")).value_or(longest), 1, longest));
     m_retryBudget.earn();
     co_return std::move(a);
 }
@@ -487,7 +478,7 @@
 void Router::noteHead(const Endpoint &endpoint, const std::string &loadReport, const std::string &draining)
 {
     m_table.recovered(endpoint.id);
-    if (const auto load = number(loadReport)) {
+    if (const auto load = text::number(loadReport)) {
         m_table.reported(endpoint.id, *load, Clock::now());
     }
     if (!draining.empty() && m_table.setDraining(endpoint.id, draining == "true")) {
--- a/src/settings.h
+++ b/src/settings.h
@@ -58,7 +58,7 @@
     Listen listen{"127.0.0.1", 7000, "zone-a"};
     PlatformAddress platform;
     Policy policy = Policy::Affinity;
-    double loadFactor = 1.5; ///< c: no engine above c times the mean of its pool, plus one
+    double loadFactor = 1.5; ///< c: no engine above c times the mean of its pool, plus three
     double fillFactor = 0.1; ///< share of a mean engine's load that one shared prompt may fill
     int64_t virtualNodes = 64; ///< points per engine on the hash ring of policy "bounded"
     int64_t watchTimeoutMs = 25000; ///< long-poll length of the catalogue and VM list watch
--- a/src/sse.cpp
+++ b/src/sse.cpp
@@ -1,7 +1,6 @@
 #include "sse.h"
 
-#include <charconv>
-#include <optional>
+#include "text.h"
 
 namespace yucca::sse
 {
@@ -21,10 +20,7 @@
         const auto end = std::min(event.find('\n', at), event.size());
         const auto line = event.substr(at, end - at);
         if (line.substr(0, idField.size()) == idField) {
-            uint64_t id = 0;
-            const auto digits = line.substr(idField.size());
-            const auto parsed = std::from_chars(digits.data(), digits.data() + digits.size(), id);
-            return parsed.ec == std::errc() ? std::optional(id) : std::nullopt;
+            return text::number<uint64_t>(line.substr(idField.size()));
         }
         at = end + 1;
     }
--- /dev/null
+++ b/tests/e2e/faults.sh
@@ -0,0 +1,124 @@
+# Faults that need separate processes: an engine killed or frozen while it
+# streams, an engine flapping, the platform down while the catalogue changes,
+# a router killed with a booking in flight, an order to load a model.
+source "$(dirname "$0")/lib.bash"
+P=${YUCCA_E2E_BASE:-18700}
+
+cat >"$RUN/engine.json" <<'JSON'
+{"tokensPerS": 40, "slots": 16, "logLevel": "warn"}
+JSON
+cat >"$RUN/router.json" <<'JSON'
+{"streamPauseMs": 1000, "leaseMs": 2000, "logLevel": "warn"}
+JSON
+start platform $B/yucca-platform --port $P
+wait_ok "127.0.0.1:$P/healthz"
+for i in 1 2 3; do
+    start engine-$i $B/yucca-engine --port $((P + i)) --id engine-$i --config "$RUN/engine.json"
+    eval "ENGINE_$i=$LAST_PID"
+    wait_ok "127.0.0.1:$((P + i))/healthz"
+    register $P engine-$i $((P + i)) counsel-a engine
+done
+start scheduler $B/yucca-engine --port $((P + 9)) --id scheduler-1 --kind service
+wait_ok "127.0.0.1:$((P + 9))/healthz"
+register $P scheduler-1 $((P + 9)) scheduler service
+$B/yucca-ctl --port $P apply config/catalogue-lonestar.json >/dev/null || fail "catalogue apply"
+for r in 1 2; do
+    start router-$r $B/yucca-router --port $((P + 10 + r)) --platform-port $P --id router-$r --config "$RUN/router.json"
+    eval "ROUTER_$r=$LAST_PID"
+    wait_ok "127.0.0.1:$((P + 10 + r))/readyz"
+done
+R1=127.0.0.1:$((P + 11))
+R2=127.0.0.1:$((P + 12))
+
+# Streams an answer of 60 tokens into a file.
+stream() { # router request-id file
+    curl -s -N -D "$3.head" -X POST "$1/v1/chat/completions" -H "x-workspace: ws-0" -H "x-request-id: $2" \
+        -d '{"messages":[{"role":"user","content":"a long question about rent"}],"max_tokens":60,"stream":true}' >"$3"
+}
+# The engine that a streaming answer comes from, once it has begun.
+engine_of() { # file
+    for _ in $(seq 1 100); do
+        [ "$(grep -c '^id:' "$1" 2>/dev/null)" -ge 3 ] && { sed -n 's/^x-engine-id: engine-\([0-9]\).*/\1/Ip' "$1.head"; return; }
+        sleep 0.05
+    done
+}
+# A whole stream: ids 1 to 61 in order, none twice, and the terminal event.
+whole() { # file
+    [ "$(sed -n 's/^id: //p' "$1")" = "$(seq 1 61)" ] && tail -2 "$1" | grep -q 'data: \[DONE\]'
+}
+
+# The unbroken answer, for comparison: the same prompt gives the same tokens.
+stream $R1 golden "$RUN/golden.out"
+whole "$RUN/golden.out" || fail "unbroken stream"
+
+stream $R1 killed "$RUN/killed.out" &
+CURL=$!
+victim=$(engine_of "$RUN/killed.out")
+pid_var="ENGINE_$victim"
+kill -KILL "${!pid_var}"
+wait $CURL || fail "caller's connection broke with the engine"
+whole "$RUN/killed.out" || fail "stream not whole after its engine was killed"
+diff <(sed 's/chatcmpl-[a-z]*//g; s/,"usage".*//' "$RUN/golden.out") <(sed 's/chatcmpl-[a-z]*//g; s/,"usage".*//' "$RUN/killed.out") >/dev/null || fail "resumed answer differs"
+pass "a stream whose engine is killed goes on at another, whole and in order"
+
+start engine-$victim $B/yucca-engine --port $((P + victim)) --id engine-$victim --config "$RUN/engine.json"
+eval "ENGINE_$victim=$LAST_PID"
+wait_ok "127.0.0.1:$((P + victim))/healthz"
+stream $R2 frozen "$RUN/frozen.out" &
+CURL=$!
+victim=$(engine_of "$RUN/frozen.out")
+pid_var="ENGINE_$victim"
+kill -STOP "${!pid_var}"
+wait $CURL || fail "caller's connection broke with the frozen engine"
+kill -CONT "${!pid_var}"
+whole "$RUN/frozen.out" || fail "stream not whole after its engine froze"
+pass "a stream whose engine freezes goes on at another, whole and in order"
+
+executions() { curl -s "127.0.0.1:$((P + 9))/v1/executions" | python3 -c 'import json,sys; print(json.load(sys.stdin)["total"])'; }
+book() { curl -s -w ' %{http_code}' -X POST "$1/v1/ops/book" -H 'x-workspace: scheduler' -H "Idempotency-Key: $2" -d '{"slot":7}'; }
+
+# A router is killed right after the service ran: no router runs it again.
+curl -sf -X POST "127.0.0.1:$((P + 9))/admin/faults" -d '{"loseAnswers":1}' >/dev/null
+first=$(book $R1 key-kill)
+echo "$first" | grep -q '"outcome":"unknown"' || fail "lost answer: $first"
+kill -KILL $ROUTER_1
+start router-1b $B/yucca-router --port $((P + 11)) --platform-port $P --id router-1 --config "$RUN/router.json"
+wait_ok "$R1/readyz"
+for r in $R1 $R2; do
+    again=$(book $r key-kill)
+    echo "$again" | grep -q '"outcome":"unknown"' || fail "after the kill: $again"
+done
+[ "$(executions)" = 1 ] || fail "ran $(executions) times"
+pass "a booking whose router was killed and replaced under its name runs once"
+
+# The platform is down: chats go on with the catalogue held; the change made
+# right before is in force on both routers after it, and stays.
+curl -sf -X POST "127.0.0.1:$P/admin/faults" -d '{"outage":true}' >/dev/null
+for r in $R1 $R2; do
+    curl -sf -X POST "$r/v1/chat/completions" -H 'x-workspace: ws-1' -d '{"messages":[{"role":"user","content":"hi"}],"max_tokens":2}' >/dev/null || fail "chat in the outage"
+done
+$B/yucca-ctl --port $P edit workspace ws-1 /limits/maxInflight 7 >/dev/null 2>&1 && fail "an edit was accepted in the outage"
+curl -sf -X POST "127.0.0.1:$P/admin/faults" -d '{"compact":true}' >/dev/null
+$B/yucca-ctl --port $P --author e2e edit class counsel /priority 2 >/dev/null || fail "edit after the outage"
+version=$($B/yucca-ctl --port $P get class counsel | python3 -c 'import json,sys; print(json.load(sys.stdin)["version"])')
+for r in $R1 $R2; do
+    for _ in $(seq 1 100); do
+        seen=$(curl -s "$r/status" | python3 -c 'import json,sys; print(json.load(sys.stdin)["catalogueRevision"])')
+        [ "$seen" -ge "$version" ] && break
+        sleep 0.1
+    done
+    [ "$seen" -ge "$version" ] || fail "change not in force on $r: $seen < $version"
+done
+pass "chats go on through an outage; the change after it is in force everywhere"
+
+# The duty holder orders every engine of the pool to the catalogue's model, once.
+$B/yucca-ctl --port $P edit class counsel /model counsel-v2 >/dev/null || fail "edit model"
+for i in 1 2 3; do
+    for _ in $(seq 1 100); do
+        curl -s "127.0.0.1:$((P + i))/load" | grep -q '"model":"counsel-v2"' && break
+        sleep 0.1
+    done
+    curl -s "127.0.0.1:$((P + i))/load" | grep -q '"model":"counsel-v2"' || fail "engine-$i has no counsel-v2"
+    [ "$(curl -s "127.0.0.1:$((P + i))/stats" | python3 -c 'import json,sys; print(json.load(sys.stdin)["ordersApplied"])')" = 1 ] || fail "engine-$i was ordered more than once"
+done
+pass "a model named in the catalogue is loaded on every engine by one order each"
