A caller that does not read is given up; malformed chats never reach an engine

ServerLimits::writeTimeout was declared and never used: a caller that stops reading held its coroutine, its engine and a planned stop for good. And a chat whose messages were not objects with a role was either routed to an engine or ended in a 500 that promises nothing.

Ruled out: TCP_USER_TIMEOUT (it does not fire while the peer's kernel acknowledges a zero window).

Change: every write to a caller runs under the write timeout, and a caller that does not take it counts as gone, which ends the engine's work; prefix::wellFormed checks the messages, and a malformed chat is answered 400 with outcome not_run before placement.

--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -33,10 +33,11 @@
 
 } // namespace
 
-Exchange::Exchange(boost::beast::tcp_stream &stream, const Request &request, bool keepAlive)
+Exchange::Exchange(boost::beast::tcp_stream &stream, const Request &request, bool keepAlive, Millis writeTimeout)
     : m_stream(stream)
     , m_request(request)
     , m_keepAlive(keepAlive)
+    , m_writeTimeout(writeTimeout)
 {
 }
 
@@ -74,6 +75,15 @@
     }
 }
 
+// Ends a write: the clock stops, and a caller that did not take it has gone.
+void Exchange::written(const boost::system::error_code &ec)
+{
+    m_stream.expires_never();
+    if (ec) {
+        noteCallerGone();
+    }
+}
+
 Task<void> Exchange::reply(unsigned status, std::string body, Headers headers, std::string contentType)
 {
     bhttp::response<bhttp::string_body> res{static_cast<bhttp::status>(status), m_request.version()};
@@ -83,10 +93,9 @@
     res.prepare_payload();
     m_answered = true;
     boost::system::error_code ec;
+    m_stream.expires_after(m_writeTimeout);
     co_await bhttp::async_write(m_stream, res, asio::redirect_error(asio::use_awaitable, ec));
-    if (ec) {
-        noteCallerGone();
-    }
+    written(ec);
 }
 
 Task<bool> Exchange::beginStream(unsigned status, std::string contentType, Headers headers)
@@ -98,10 +107,9 @@
     bhttp::response_serializer<bhttp::empty_body> serializer{res};
     m_answered = true;
     boost::system::error_code ec;
+    m_stream.expires_after(m_writeTimeout);
     co_await bhttp::async_write_header(m_stream, serializer, asio::redirect_error(asio::use_awaitable, ec));
-    if (ec) {
-        noteCallerGone();
-    }
+    written(ec);
     co_return !m_callerGone;
 }
 
@@ -112,10 +120,9 @@
     }
     const auto body = asio::buffer(data);
     boost::system::error_code ec;
+    m_stream.expires_after(m_writeTimeout);
     co_await asio::async_write(m_stream, bhttp::make_chunk(body), asio::redirect_error(asio::use_awaitable, ec));
-    if (ec) {
-        noteCallerGone();
-    }
+    written(ec);
     co_return !m_callerGone;
 }
 
@@ -125,10 +132,9 @@
         co_return;
     }
     boost::system::error_code ec;
+    m_stream.expires_after(m_writeTimeout);
     co_await asio::async_write(m_stream, bhttp::make_chunk_last(), asio::redirect_error(asio::use_awaitable, ec));
-    if (ec) {
-        noteCallerGone();
-    }
+    written(ec);
 }
 
 void Exchange::drop()
@@ -267,7 +273,7 @@
 Task<void> Server::answer(ConnectionPtr c, const Request &request)
 {
     c->stream.expires_never();
-    Exchange exchange(c->stream, request, request.keep_alive() && !m_stopping);
+    Exchange exchange(c->stream, request, request.keep_alive() && !m_stopping, m_limits.writeTimeout);
     auto watched = std::make_shared<Exchange *>(&exchange);
     watchCaller(c, watched);
     bool failed = false;
--- a/src/http_server.h
+++ b/src/http_server.h
@@ -24,7 +24,7 @@
 class Exchange
 {
 public:
-    Exchange(boost::beast::tcp_stream &stream, const Request &request, bool keepAlive);
+    Exchange(boost::beast::tcp_stream &stream, const Request &request, bool keepAlive, Millis writeTimeout);
 
     const Request &request() const
     {
@@ -69,11 +69,13 @@
 private:
     friend class Server;
     void noteCallerGone();
+    void written(const boost::system::error_code &ec);
 
     boost::beast::tcp_stream &m_stream;
     const Request &m_request;
     std::function<void()> m_onCallerGone;
     bool m_keepAlive;
+    Millis m_writeTimeout;
     bool m_answered = false;
     bool m_callerGone = false;
 };
--- a/src/prefix.cpp
+++ b/src/prefix.cpp
@@ -2,6 +2,8 @@
 
 #include "yucca/ring.h"
 
+#include <algorithm>
+
 namespace yucca::prefix
 {
 
@@ -56,6 +58,17 @@
     return out;
 }
 
+bool wellFormed(const nlohmann::json &messages)
+{
+    if (!messages.is_array() || messages.empty()) {
+        return false;
+    }
+    return std::all_of(messages.begin(), messages.end(), [](const nlohmann::json &m) {
+        return m.is_object() && m.contains("role") && m["role"].is_string() && m.contains("content")
+            && (m["content"].is_string() || m["content"].is_array() || m["content"].is_null());
+    });
+}
+
 placement::Affinity affinity(std::string_view workspace, const nlohmann::json &messages)
 {
     placement::Affinity keys;
--- a/src/prefix.h
+++ b/src/prefix.h
@@ -24,6 +24,10 @@
 /// one before, so equal hashes mean equal prefixes.
 std::vector<uint64_t> blockHashes(const std::vector<std::string_view> &toks, std::size_t blockTokens);
 
+/// True for a non-empty list of messages that each have a role and a content
+/// of text or parts.
+bool wellFormed(const nlohmann::json &messages);
+
 /// The affinity keys of a chat: the shared key covers the workspace and the
 /// leading system messages, the conversation key also the first message
 /// after them. Both are the same for every turn of a conversation.
--- a/src/router_traffic.cpp
+++ b/src/router_traffic.cpp
@@ -183,9 +183,10 @@
         co_return;
     }
     const json body = json::parse(ex.request().body(), nullptr, false);
-    if (!body.is_object() || !body.contains("messages") || !body["messages"].is_array()) {
+    if (!body.is_object() || !body.contains("messages") || !prefix::wellFormed(body["messages"])) {
         ++m_counters.notRun;
-        co_await ex.reply(400, R"({"error":{"message":"messages required","type":"invalid_request_error"},"outcome":"not_run"})");
+        co_await ex.reply(
+            400, R"({"error":{"message":"messages required: a list of objects with role and content","type":"invalid_request_error"},"outcome":"not_run"})");
         co_return;
     }
     Chat chat;
--- a/tests/test_router.cpp
+++ b/tests/test_router.cpp
@@ -241,6 +241,22 @@
     LONGS_EQUAL(1, runs);
 }
 
+TEST(InvariantNotRunTruth, AMalformedChatIsRefusedBeforeAnyEngineSeesIt)
+{
+    int runs = 0;
+    FakeEndpoint engine(loop(), [&](http::Exchange &ex) -> Task<void> {
+        ++runs;
+        co_await ex.reply(200, "{}", echo(ex));
+    });
+    RouterRig rig(loop(), {endpointAt("e", engine.port, "p", EndpointKind::Engine)});
+    for (const char *body : {"", "[]", "{", R"({"messages":7})", R"({"messages":[]})", R"({"messages":[7]})", R"({"messages":[{"role":7}]})"}) {
+        const auto reply = std::get<http::Reply>(rig.chat(body));
+        LONGS_EQUAL(400, reply.status);
+        STRCMP_EQUAL("not_run", outcomeOf(reply).c_str());
+    }
+    LONGS_EQUAL(0, runs);
+}
+
 LOOP_GROUP(InvariantGracefulStop);
 
 TEST(InvariantGracefulStop, APlannedStopRefusesNewConnectionsAndFinishesTheRequestInFlight)
@@ -301,6 +317,31 @@
     CHECK(gone.fired());
 }
 
+TEST(Cancellation, ACallerThatDoesNotReadIsGivenUpAfterTheWriteTimeout)
+{
+    Signal ended;
+    http::ServerLimits limits;
+    limits.writeTimeout = Millis(20);
+    const std::string chunk(64 * 1024, 'x');
+    http::Server server(
+        {&loop().io}, "127.0.0.1", 0,
+        [&](http::Exchange &ex) -> Task<void> {
+            co_await ex.beginStream(200, "text/plain");
+            while (co_await ex.sendChunk(chunk)) { }
+            ended.fire();
+        },
+        limits);
+    const auto port = std::get<uint16_t>(server.start());
+    asio::ip::tcp::socket caller(loop().io);
+    caller.connect({asio::ip::make_address("127.0.0.1"), port});
+    auto request = http::makeRequest("GET", "/");
+    http::bhttp::write(caller, request); // and never reads
+    loop().until([&] {
+        return ended.fired();
+    });
+    CHECK(ended.fired());
+}
+
 LOOP_GROUP(Recovery);
 
 TEST(Recovery, ARecordThatCouldNotBeStoredInAnOutageIsStoredAfterIt)
