yucca-load reads its settings file; slow store and flapping engine tested

Ruled out: a second options table for the file (the settings reader already collects findings with their place).

--- a/include/yucca/types.h
+++ b/include/yucca/types.h
@@ -92,7 +92,7 @@
     std::string pool; ///< the pool of engines (or services) it belongs to
     EndpointKind kind = EndpointKind::Engine;
     EndpointState state = EndpointState::Live;
-    std::string zone; ///< failure domain
+    std::string zone = {}; ///< failure domain
     bool operator==(const Endpoint &) const = default;
 };
 
--- a/src/load_main.cpp
+++ b/src/load_main.cpp
@@ -4,6 +4,7 @@
 #include "cli.h"
 #include "experiment.h"
 #include "findings.h"
+#include "settings.h"
 #include "text.h"
 
 #include <cstdio>
@@ -52,6 +53,42 @@
     }
 }
 
+// The settings file: the same names as the options, in camel case.
+experiment::Options parseSettings(const nlohmann::json &doc, Findings &findings)
+{
+    experiment::Options o;
+    settings::Reader r(doc, "", findings);
+    const auto readInt = [&r](const char *key, int &out, int min, int max) {
+        int64_t value = out;
+        r.read(key, value, min, max);
+        out = static_cast<int>(value);
+    };
+    std::string routers;
+    r.read("routers", routers);
+    if (!routers.empty()) {
+        o.routers = parseRouters(routers, findings);
+    }
+    r.read("platformPort", o.platform.port);
+    r.read("label", o.label);
+    readInt("workspaces", o.workspaces, 1, mostRequests);
+    readInt("conversations", o.conversations, 1, mostRequests);
+    readInt("turns", o.turns, 1, mostRequests);
+    readInt("maxTokens", o.maxTokens, 1, 4096);
+    readInt("maxRequests", o.maxRequests, 1, mostRequests);
+    readInt("duration", o.durationS, 1, mostSeconds);
+    readInt("concurrency", o.concurrency, 1, mostConcurrency);
+    readInt("pauseMinMs", o.pauseMinMs, 0, mostSeconds * 1000);
+    readInt("pauseMaxMs", o.pauseMaxMs, 0, mostSeconds * 1000);
+    readInt("servicePct", o.servicePercent, 0, 100);
+    readInt("churnEvery", o.churnEveryS, 0, mostSeconds);
+    readInt("surgeAt", o.surgeAtS, -1, mostSeconds);
+    readInt("surgeConversations", o.surgeConversations, 0, mostRequests);
+    readInt("outageAt", o.outageAtS, -1, mostSeconds);
+    readInt("outageFor", o.outageForS, 0, mostSeconds);
+    r.finish();
+    return o;
+}
+
 void takeText(std::string &out, const char *value)
 {
     if (value) {
@@ -63,14 +100,17 @@
 
 int main(int argc, const char **argv)
 {
+    // The settings file gives the defaults that the options override, so the
+    // command line is read once for its name and once more on top of it.
     cli::Common common;
+    std::vector<std::string> rest;
     experiment::Options o;
     char *routers = nullptr;
     char *label = nullptr;
     char *drainEngine = nullptr;
     char *migrateClass = nullptr;
     char *migratePool = nullptr;
-    int platformPort = o.platform.port;
+    int platformPort = -1;
     const poptOption own[] = {
         {"routers", 'r', POPT_ARG_STRING, &routers, 0, "routers to send to, as 127.0.0.1:PORT,...", "LIST"},
         {"platform-port", 0, POPT_ARG_INT, &platformPort, 0, "object API port, for the VM list and the faults", "PORT"},
@@ -97,12 +137,22 @@
         {"outage-for", 0, POPT_ARG_INT, &o.outageForS, 0, "seconds it stays down", "S"},
         POPT_TABLEEND,
     };
-    std::vector<std::string> rest;
+    if (auto rc = cli::parse("yucca-load", argc, argv, own, common, rest)) {
+        return *rc;
+    }
+    auto loaded = cli::loadSettings<experiment::Options>(common, parseSettings);
+    if (!loaded) {
+        return cli::ExitUsage;
+    }
+    o = *loaded;
     if (auto rc = cli::parse("yucca-load", argc, argv, own, common, rest)) {
         return *rc;
     }
     Findings findings;
-    o.routers = parseRouters(routers ? routers : "", findings);
+    if (routers || o.routers.empty()) {
+        o.routers = parseRouters(routers ? routers : "", findings);
+    }
+    platformPort = platformPort < 0 ? o.platform.port : platformPort;
     checkRange("--platform-port", platformPort, 1, 65535, findings);
     checkRange("--duration", o.durationS, 1, mostSeconds, findings);
     checkRange("--max-requests", o.maxRequests, 1, mostRequests, findings);
--- a/tests/e2e/faults.sh
+++ b/tests/e2e/faults.sh
@@ -111,6 +111,19 @@
 done
 pass "chats go on through an outage; the change after it is in force everywhere"
 
+# The platform is slow for a while: bookings wait for it and run once, chats
+# and the catalogue in force are not touched.
+curl -sf -X POST "127.0.0.1:$P/admin/faults" -d '{"slowMs":400}' >/dev/null
+before=$(executions)
+for copy in 1 2; do
+    slow=$(book $R2 key-slow)
+    echo "$slow" | grep -q ' 200$' || fail "booking with a slow store: $slow"
+done
+[ "$(executions)" = $((before + 1)) ] || fail "a booking with a slow store ran $(($(executions) - before)) times"
+curl -sf -X POST "$R1/v1/chat/completions" -H 'x-workspace: ws-1' -d '{"messages":[{"role":"user","content":"hi"}],"max_tokens":2}' >/dev/null || fail "chat with a slow store"
+curl -sf -X POST "127.0.0.1:$P/admin/faults" -d '{}' >/dev/null
+pass "with a slow store bookings run once and chats go on"
+
 # The duty holder orders every engine of the pool to the catalogue's model, once.
 $B/yucca-ctl --port $P edit class counsel /model counsel-v2 >/dev/null || fail "edit model"
 for i in 1 2 3; do
--- a/tests/test_ring.cpp
+++ b/tests/test_ring.cpp
@@ -236,6 +236,31 @@
     LONGS_EQUAL(0, moved);
 }
 
+TEST(AffinityThroughChurn, AFlappingEngineIsPassedByLongerEachTimeUntilItAnswers)
+{
+    router::RoutingTable table(options(Policy::Affinity));
+    table.setEndpoints({{"a", "127.0.0.1", 1, "pool", EndpointKind::Engine, EndpointState::Live}});
+    auto now = Clock::now();
+    const auto usable = [&] {
+        const auto ep = table.acquire("pool", keyed("k"), {}, now);
+        if (ep) {
+            table.release(ep->id, now);
+        }
+        return ep.has_value();
+    };
+    for (const int seconds : {1, 2, 4, 8, 8}) { // doubled up to suspectForMost
+        table.suspect("a", now);
+        now += std::chrono::seconds(seconds) - std::chrono::milliseconds(1);
+        CHECK_FALSE(usable());
+        now += std::chrono::milliseconds(1);
+        CHECK(usable());
+    }
+    table.recovered("a");
+    table.suspect("a", now);
+    now += std::chrono::seconds(1);
+    CHECK(usable());
+}
+
 namespace
 {
 
