Bounded memory under endless variety; connections to gone engines are closed

The widths of replica sets were remembered for every shared prompt ever wider than one, and prompts come in endless variety.

Ruled out: an idle timer a connection (thousands of timers for what one look a second does); clearing all widths at a limit (every hot prompt would move).

Change: beyond three times the counted keys, widths of keys that no sketch counts any more are dropped; once a second a loop closes all its idle connections, whoever they lead to.

Conclusion: both are bounded; each has its test.

--- a/include/yucca/placement.h
+++ b/include/yucca/placement.h
@@ -55,6 +55,11 @@
     /// the count less its standard error, so that a key seen once or twice
     /// is not taken for a hot one.
     double share(uint64_t key) const;
+    /// True while a key is among those counted.
+    bool counts(uint64_t key) const
+    {
+        return m_counts.count(key) > 0;
+    }
     /// The decayed count of all occurrences.
     double total() const
     {
@@ -109,6 +114,11 @@
     double estimate(std::size_t member, TimePoint now) const;
     /// The size of a shared key's replica set in a pool of n members.
     std::size_t replicas(uint64_t sharedKey, std::size_t n);
+    /// The number of shared keys whose width is remembered.
+    std::size_t heldSets() const
+    {
+        return m_replicas.size();
+    }
 
 private:
     struct Member {
@@ -120,6 +130,7 @@
     };
     double estimate(const Member &m, TimePoint now) const;
     double sliverReplicas(std::size_t n) const;
+    void forgetColdSets();
     void refreshMean(const Usable &usable, TimePoint now);
 
     AffinityOptions m_options;
--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -17,6 +17,7 @@
 constexpr Millis connectTimeout{1000}; ///< an engine that does not answer a SYN is passed by
 constexpr std::size_t maxKeptPerPeer = 32;
 constexpr Millis keptLifetime{4000}; ///< shorter than the idle timeouts of the servers we call
+constexpr Millis closeIdleEvery{1000};
 constexpr std::size_t responseHeaderLimit = 64 * 1024;
 
 // True when a kept connection is still quiet: no end of stream, and no
@@ -157,14 +158,44 @@
 {
     connection->stream.expires_never();
     connection->idleSince = Clock::now();
-    const PoolKey key{&asio::query(connection->stream.get_executor(), asio::execution::context), peer};
+    auto &loop = asio::query(connection->stream.get_executor(), asio::execution::context);
+    bool closeDue = false;
+    {
+        std::lock_guard lock(m_mutex);
+        auto &kept = m_kept[{&loop, peer}];
+        kept.push_back(std::move(connection));
+        if (kept.size() > maxKeptPerPeer) {
+            kept.pop_front();
+        }
+        closeDue = Clock::now() >= m_nextCloseIdle;
+        m_nextCloseIdle = closeDue ? Clock::now() + closeIdleEvery : m_nextCloseIdle;
+    }
+    if (closeDue) {
+        closeIdle(loop, Clock::now());
+    }
+}
+
+void Client::closeIdle(asio::execution_context &loop, Clock::time_point now)
+{
+    std::lock_guard lock(m_mutex);
+    for (auto it = m_kept.begin(); it != m_kept.end();) {
+        auto &[key, kept] = *it;
+        // Another loop's sockets are that loop's to close.
+        while (key.first == &loop && !kept.empty() && now - kept.front()->idleSince > keptLifetime) {
+            kept.pop_front();
+        }
+        it = kept.empty() ? m_kept.erase(it) : std::next(it);
+    }
+}
+
+std::size_t Client::keptConnections()
+{
     std::lock_guard lock(m_mutex);
-    auto &kept = m_kept[key];
-    kept.push_back(std::move(connection));
-    // The oldest are closed: beyond the limit, or idle for too long.
-    while (kept.size() > maxKeptPerPeer || Clock::now() - kept.front()->idleSince > keptLifetime) {
-        kept.pop_front();
+    std::size_t n = 0;
+    for (const auto &[key, kept] : m_kept) {
+        n += kept.size();
     }
+    return n;
 }
 
 Task<std::optional<CallError>> Client::connect(ClientConnection &c, Address to, Clock::time_point deadline)
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -127,6 +127,11 @@
     {
         return m_opened;
     }
+    /// Closes an event loop's connections that have been idle for too long:
+    /// also those to engines that have gone and will not be called again.
+    /// From that loop's thread; done now and then by itself.
+    void closeIdle(asio::execution_context &loop, Clock::time_point now);
+    std::size_t keptConnections();
 
 private:
     friend class Response;
@@ -139,6 +144,7 @@
 
     std::mutex m_mutex;
     std::map<PoolKey, std::deque<std::unique_ptr<ClientConnection>>> m_kept;
+    Clock::time_point m_nextCloseIdle{};
     std::atomic<uint64_t> m_opened{0};
 };
 
--- a/src/placement.cpp
+++ b/src/placement.cpp
@@ -14,6 +14,7 @@
 constexpr double decayStepS = 0.25; ///< counts decay at most once in this time
 constexpr std::chrono::milliseconds meanLifetime{200}; ///< the pool's mean load is refreshed this often
 constexpr double coldCount = 40.0; ///< below this many counted requests no key's share is trusted
+constexpr std::size_t heldSetsPerCountedKey = 3; ///< widths remembered, for each key a sketch counts
 constexpr double shrinkBelow = 8.0; ///< a replica set this many times too wide is halved
 constexpr double negligible = 0.01; ///< a decayed count below this is forgotten
 constexpr double cautionSigmas = 1.0; ///< standard errors taken off a count before it is trusted
@@ -224,12 +225,25 @@
     }
     if (k > 1) {
         m_replicas[sharedKey] = k;
+        forgetColdSets();
     } else if (held != m_replicas.end()) {
         m_replicas.erase(held);
     }
     return std::min(k, n);
 }
 
+// Bounds the memory of widths: prompts come in endless variety. Once there
+// are too many, those of keys that are no longer counted go.
+void PrefixAffinity::forgetColdSets()
+{
+    if (m_replicas.size() <= heldSetsPerCountedKey * m_options.heatKeys) {
+        return;
+    }
+    std::erase_if(m_replicas, [this](const auto &held) {
+        return !m_heat.counts(held.first) && !m_surge.counts(held.first);
+    });
+}
+
 std::optional<std::size_t> PrefixAffinity::pick(const Affinity &affinity, const Usable &usable, TimePoint now)
 {
     m_heat.count(affinity.shared, now);
--- a/tests/test_ring.cpp
+++ b/tests/test_ring.cpp
@@ -378,6 +378,21 @@
     CHECK(p.replicas(ring::hash("w", 100), 64) <= 8);
 }
 
+TEST(AffinityThroughChurn, AnEndlessVarietyOfPromptsTakesBoundedMemory)
+{
+    placement::AffinityOptions o;
+    o.heatKeys = 64;
+    placement::PrefixAffinity p(o);
+    p.setMembers(engineIds(32));
+    const placement::Usable all(32, true);
+    placement::TimePoint now{};
+    for (int i = 0; i < 20000; ++i) {
+        now += std::chrono::milliseconds(10);
+        p.placed(*p.pick({ring::hash("w", i / 8), ring::hash("c", i)}, all, now), now);
+        CHECK(p.heldSets() <= 4 * o.heatKeys);
+    }
+}
+
 TEST(AffinityThroughChurn, DifferentialRunAgainstRoundRobinKeepsMoreConversationsHome)
 {
     // The same returning turns through our policy and the naive one, while
--- a/tests/test_router.cpp
+++ b/tests/test_router.cpp
@@ -369,6 +369,25 @@
     LONGS_EQUAL(1, runs);
 }
 
+TEST(Recovery, ConnectionsToEnginesThatHaveGoneAreClosed)
+{
+    const auto answer = [](http::Exchange &ex) -> Task<void> {
+        co_await ex.reply(200, "{}", echo(ex));
+    };
+    FakeEndpoint gone(loop(), answer), stays(loop(), answer);
+    http::Client client;
+    const auto call = [&](uint16_t port) {
+        http::CallOptions options{Clock::now() + std::chrono::seconds(60), http::Repeatable::Yes, nullptr};
+        const auto r = loop().run(client.call({"127.0.0.1", port}, http::makeRequest("GET", "/"), options));
+        LONGS_EQUAL(200, std::get<http::Reply>(r).status);
+    };
+    call(gone.port);
+    call(stays.port);
+    LONGS_EQUAL(2, client.keptConnections());
+    client.closeIdle(loop().io, Clock::now() + std::chrono::minutes(1));
+    LONGS_EQUAL(0, client.keptConnections());
+}
+
 TEST(Recovery, RetriesStopWhenTheBudgetIsSpent)
 {
     int asked = 0;
