One judgement of an engine's answer, one look-up by id, one stop signal

Cause: read once more as a whole, the change had written three things twice: whether an engine's answer may be handed on (whole and streamed), the search of a list sorted by id (twice in router_core.cpp), and waiting for SIGTERM (cli.cpp and serve.cpp, the former in a namespace reopened at the end of the file). Three accessors had no caller.

Change: Router::rejectedBy and failed judge both kinds of answers; findById; cli::stopSignal is a task that both programs await; the unused accessors go. The mismatch event of a stream now also names the id it got.

Conclusion: same behaviour, each decision in one place.

--- a/include/yucca/placement.h
+++ b/include/yucca/placement.h
@@ -110,8 +110,6 @@
     /// A member's own report: the requests in flight on it, from all routers.
     void reported(std::size_t member, int64_t load, TimePoint now);
 
-    /// The estimated load of a member, from all routers.
-    double estimate(std::size_t member, TimePoint now) const;
     /// The size of a shared key's replica set in a pool of n members.
     std::size_t replicas(uint64_t sharedKey, std::size_t n);
     /// The number of shared keys whose width is remembered.
@@ -128,6 +126,7 @@
         int64_t report = -1; ///< -1: none yet
         TimePoint reportedAt{};
     };
+    /// The estimated load of a member, from all routers.
     double estimate(const Member &m, TimePoint now) const;
     double sliverReplicas(std::size_t n) const;
     void forgetColdSets();
--- a/src/admission.cpp
+++ b/src/admission.cpp
@@ -101,13 +101,6 @@
     }
 }
 
-int64_t Admission::inflight(const std::string &workspace) const
-{
-    std::lock_guard lock(m_mutex);
-    auto it = m_workspaces.find(workspace);
-    return it == m_workspaces.end() ? 0 : it->second.inflight;
-}
-
 AdmissionSlot::AdmissionSlot(Admission &admission, std::string workspace)
     : m_admission(admission)
     , m_workspace(std::move(workspace))
--- a/src/admission.h
+++ b/src/admission.h
@@ -75,7 +75,6 @@
     Verdict admit(const std::string &workspace, const catalogue::Limits &limits, Clock::time_point now, Clock::duration &retryAfter);
     /// Ends an admitted request.
     void finished(const std::string &workspace);
-    int64_t inflight(const std::string &workspace) const;
 
 private:
     struct State {
@@ -86,7 +85,7 @@
         TokenBucket bucket;
         int64_t inflight = 0;
     };
-    mutable std::mutex m_mutex;
+    std::mutex m_mutex;
     std::map<std::string, State> m_workspaces;
 };
 
--- a/src/cli.cpp
+++ b/src/cli.cpp
@@ -1,5 +1,8 @@
 #include "cli.h"
 
+#include <boost/asio/signal_set.hpp>
+
+#include <csignal>
 #include <cstdio>
 
 namespace yucca::cli
@@ -42,24 +45,11 @@
     return std::nullopt;
 }
 
-} // namespace yucca::cli
-
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/signal_set.hpp>
-
-namespace yucca::cli
-{
-
-int awaitStopSignal()
+Task<void> stopSignal()
 {
-    boost::asio::io_context io;
-    boost::asio::signal_set signals(io, SIGTERM, SIGINT);
-    int caught = 0;
-    signals.async_wait([&](const boost::system::error_code &, int sig) {
-        caught = sig;
-    });
-    io.run();
-    return caught;
+    asio::signal_set signals(co_await asio::this_coro::executor, SIGTERM, SIGINT);
+    boost::system::error_code ec;
+    co_await signals.async_wait(asio::redirect_error(asio::use_awaitable, ec));
 }
 
 } // namespace yucca::cli
--- a/src/cli.h
+++ b/src/cli.h
@@ -3,6 +3,7 @@
 
 #include "findings.h"
 #include "settings.h"
+#include "task.h"
 
 #include <popt.h>
 
@@ -48,10 +49,7 @@
     return value;
 }
 
-} // namespace yucca::cli
+/// Waits until SIGTERM or SIGINT arrives.
+Task<void> stopSignal();
 
-namespace yucca::cli
-{
-/// Blocks until SIGTERM or SIGINT arrives; returns the signal number.
-int awaitStopSignal();
 } // namespace yucca::cli
--- a/src/placement.cpp
+++ b/src/placement.cpp
@@ -156,11 +156,6 @@
     return std::max(floor, weight * corrected + (1 - weight) * m_mean);
 }
 
-double PrefixAffinity::estimate(std::size_t member, TimePoint now) const
-{
-    return estimate(m_members[member], now);
-}
-
 // The pool's mean load: of the reports, weighted by their age, over the
 // members that may be used; never below the mean of what this router sent.
 void PrefixAffinity::refreshMean(const Usable &usable, TimePoint now)
--- a/src/router_core.cpp
+++ b/src/router_core.cpp
@@ -13,12 +13,21 @@
     return a.id < b.id;
 }
 
-bool contains(const std::vector<Endpoint> &sorted, const std::string &id)
+// The place of an endpoint in a list sorted by id.
+std::optional<std::size_t> findById(const std::vector<Endpoint> &sorted, const std::string &id)
 {
     auto it = std::lower_bound(sorted.begin(), sorted.end(), id, [](const Endpoint &e, const std::string &want) {
         return e.id < want;
     });
-    return it != sorted.end() && it->id == id;
+    if (it == sorted.end() || it->id != id) {
+        return std::nullopt;
+    }
+    return static_cast<std::size_t>(it - sorted.begin());
+}
+
+bool contains(const std::vector<Endpoint> &sorted, const std::string &id)
+{
+    return findById(sorted, id).has_value();
 }
 
 } // namespace
@@ -28,17 +37,6 @@
 {
 }
 
-std::optional<std::size_t> RoutingTable::Pool::find(const std::string &id) const
-{
-    auto it = std::lower_bound(members.begin(), members.end(), id, [](const Endpoint &e, const std::string &want) {
-        return e.id < want;
-    });
-    if (it == members.end() || it->id != id) {
-        return std::nullopt;
-    }
-    return static_cast<std::size_t>(it - members.begin());
-}
-
 bool RoutingTable::setEndpoints(const std::vector<Endpoint> &endpoints)
 {
     std::vector<Endpoint> live;
@@ -189,7 +187,7 @@
     if (pool == m_pools.end()) {
         return nullptr;
     }
-    const auto found = pool->second.find(id);
+    const auto found = findById(pool->second.members, id);
     member = found.value_or(0);
     return found ? &pool->second : nullptr;
 }
@@ -228,13 +226,6 @@
     return m_endpoints;
 }
 
-int64_t RoutingTable::inflight(const std::string &id) const
-{
-    std::lock_guard lock(m_mutex);
-    auto it = m_health.find(id);
-    return it == m_health.end() ? 0 : it->second.inflight;
-}
-
 nlohmann::json RoutingTable::status() const
 {
     std::lock_guard lock(m_mutex);
--- a/src/router_core.h
+++ b/src/router_core.h
@@ -55,7 +55,6 @@
     void release(const std::string &id, Clock::time_point now);
 
     std::vector<Endpoint> endpoints() const;
-    int64_t inflight(const std::string &id) const;
     nlohmann::json status() const;
 
 private:
@@ -63,7 +62,6 @@
     struct Pool {
         Picker picker;
         std::vector<Endpoint> members; ///< sorted by id, as the picker keeps them
-        std::optional<std::size_t> find(const std::string &id) const;
     };
     /// What is known of one endpoint besides its listing.
     struct Health {
--- a/src/router_main.cpp
+++ b/src/router_main.cpp
@@ -10,9 +10,7 @@
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/post.hpp>
-#include <boost/asio/signal_set.hpp>
 
-#include <csignal>
 #include <cstring>
 #include <thread>
 
@@ -84,7 +82,7 @@
         log::event(log::Event::ProgramStarted,
                    "id=" + m_settings.id + " port=" + std::to_string(std::get<uint16_t>(bound))
                        + " policy=" + std::string(nameOf(policyNames, m_settings.policy)));
-        cli::awaitStopSignal();
+        runBlocking(cli::stopSignal());
         const bool clean = stop(server);
         for (auto *loop : loops) {
             loop->stop();
--- a/src/router_traffic.cpp
+++ b/src/router_traffic.cpp
@@ -250,23 +250,56 @@
     }
 }
 
+// Learns from the head of an endpoint's answer: its load, and that it is leaving.
+template <typename Answer> void Router::noteHead(const Endpoint &endpoint, const Answer &answer)
+{
+    m_table.recovered(endpoint.id);
+    if (const auto load = text::number(answer.header("x-engine-load"))) {
+        m_table.reported(endpoint.id, *load, Clock::now());
+    }
+    const std::string draining = answer.header("x-engine-draining");
+    if (!draining.empty() && m_table.setDraining(endpoint.id, draining == "true")) {
+        log::event(log::Event::Draining, "id=" + endpoint.id + " draining=" + draining);
+    }
+}
+
+// What a call that broke off says of the request: refused a connection, it
+// certainly did not run.
+Router::Attempt Router::failed(const Endpoint &endpoint, const http::CallError &error)
+{
+    noteFailure(endpoint, error);
+    return error.stage == http::CallStage::Connect ? Attempt::NotExecuted : Attempt::MayHaveRun;
+}
+
+// Learns from the head of an engine's answer, and says why it may not be
+// handed on, if so: the engine did not run the request, or the answer is
+// another request's.
+template <typename Answer>
+std::optional<Router::Attempt> Router::rejectedBy(const Endpoint &endpoint, const Admitted &admitted, unsigned status, const Answer &answer)
+{
+    noteHead(endpoint, answer);
+    if (notExecuted(status, answer.header("x-not-executed"))) {
+        return Attempt::NotExecuted;
+    }
+    const std::string requestId = answer.header("x-request-id");
+    if (requestId != admitted.requestId) {
+        log::event(log::Event::AnswerMismatched, "engine=" + endpoint.id + " want=" + admitted.requestId + " got=" + requestId);
+        return Attempt::MayHaveRun;
+    }
+    return std::nullopt;
+}
+
 // Forwards a chat and its answer whole.
 Task<Router::Attempt> Router::relayWhole(http::Exchange &ex, Chat &chat, const Endpoint &endpoint, Clock::time_point deadline)
 {
     const auto options = callOptions(deadline, http::Repeatable::Yes, &chat.cancellation);
     auto called = co_await m_client.call(addressOf(endpoint), forwarded(ex, chat.admitted), options);
     if (auto *error = std::get_if<http::CallError>(&called)) {
-        noteFailure(endpoint, *error);
-        co_return error->stage == http::CallStage::Connect ? Attempt::NotExecuted : Attempt::MayHaveRun;
+        co_return failed(endpoint, *error);
     }
     auto &reply = std::get<http::Reply>(called);
-    noteHead(endpoint, reply.header("x-engine-load"), reply.header("x-engine-draining"));
-    if (notExecuted(reply.status, reply.header("x-not-executed"))) {
-        co_return Attempt::NotExecuted;
-    }
-    if (reply.header("x-request-id") != chat.admitted.requestId) {
-        log::event(log::Event::AnswerMismatched, "engine=" + endpoint.id + " want=" + chat.admitted.requestId + " got=" + reply.header("x-request-id"));
-        co_return Attempt::MayHaveRun; // another request's answer: never hand it on
+    if (const auto rejected = rejectedBy(endpoint, chat.admitted, reply.status, reply)) {
+        co_return *rejected;
     }
     co_await ex.reply(reply.status, std::move(reply.body), answerHeaders(chat.admitted.requestId, endpoint.id));
     co_return Attempt::Answered;
@@ -283,17 +316,11 @@
     }
     auto opened = co_await m_client.open(addressOf(endpoint), std::move(request), options);
     if (auto *error = std::get_if<http::CallError>(&opened)) {
-        noteFailure(endpoint, *error);
-        co_return error->stage == http::CallStage::Connect ? Attempt::NotExecuted : Attempt::MayHaveRun;
+        co_return failed(endpoint, *error);
     }
     auto &response = *std::get<std::unique_ptr<http::Response>>(opened);
-    noteHead(endpoint, response.header("x-engine-load"), response.header("x-engine-draining"));
-    if (notExecuted(response.status(), response.header("x-not-executed"))) {
-        co_return Attempt::NotExecuted;
-    }
-    if (response.header("x-request-id") != chat.admitted.requestId) {
-        log::event(log::Event::AnswerMismatched, "engine=" + endpoint.id + " want=" + chat.admitted.requestId);
-        co_return Attempt::MayHaveRun;
+    if (const auto rejected = rejectedBy(endpoint, chat.admitted, response.status(), response)) {
+        co_return *rejected;
     }
     if (response.status() != 200 && chat.headSent) {
         co_return Attempt::MayHaveRun; // it cannot go on with this stream
@@ -430,7 +457,7 @@
             co_return;
         }
         auto &reply = std::get<http::Reply>(called);
-        noteHead(*endpoint, reply.header("x-engine-load"), reply.header("x-engine-draining"));
+        noteHead(*endpoint, reply);
         if (notExecuted(reply.status, reply.header("x-not-executed"))) {
             continue;
         }
@@ -475,18 +502,6 @@
     co_await state->timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
 }
 
-// Learns from the head of an endpoint's answer: its load, and that it is leaving.
-void Router::noteHead(const Endpoint &endpoint, const std::string &loadReport, const std::string &draining)
-{
-    m_table.recovered(endpoint.id);
-    if (const auto load = text::number(loadReport)) {
-        m_table.reported(endpoint.id, *load, Clock::now());
-    }
-    if (!draining.empty() && m_table.setDraining(endpoint.id, draining == "true")) {
-        log::event(log::Event::Draining, "id=" + endpoint.id + " draining=" + draining);
-    }
-}
-
 void Router::noteFailure(const Endpoint &endpoint, const http::CallError &error)
 {
     log::event(log::Event::EndpointUnreachable, "id=" + endpoint.id + " error=\"" + error.message + "\"");
--- a/src/router_traffic.h
+++ b/src/router_traffic.h
@@ -76,6 +76,8 @@
     Task<Attempt> relayWhole(http::Exchange &ex, Chat &chat, const Endpoint &endpoint, Clock::time_point deadline);
     Task<Attempt> relayStream(http::Exchange &ex, Chat &chat, const Endpoint &endpoint, Clock::time_point deadline);
     Task<Attempt> relayEvents(http::Exchange &ex, Chat &chat, http::Response &response);
+    Attempt failed(const Endpoint &endpoint, const http::CallError &error);
+    template <typename Answer> std::optional<Attempt> rejectedBy(const Endpoint &endpoint, const Admitted &admitted, unsigned status, const Answer &answer);
     http::Request forwarded(const http::Exchange &ex, const Admitted &admitted) const;
 
     Task<void> operate(http::Exchange &ex);
@@ -83,7 +85,7 @@
     Task<void> runOnce(http::Exchange &ex, const Admitted &admitted, const idempotency::Claim *claim);
     Task<void> settle(idempotency::Claim claim, nlohmann::json record);
 
-    void noteHead(const Endpoint &endpoint, const std::string &loadReport, const std::string &draining);
+    template <typename Answer> void noteHead(const Endpoint &endpoint, const Answer &answer);
     void noteFailure(const Endpoint &endpoint, const http::CallError &error);
     void noteServed(const Admitted &admitted);
     nlohmann::json status() const;
--- a/src/serve.cpp
+++ b/src/serve.cpp
@@ -3,10 +3,6 @@
 #include "cli.h"
 #include "log.h"
 
-#include <boost/asio/signal_set.hpp>
-
-#include <csignal>
-
 namespace yucca::serve
 {
 
@@ -16,9 +12,7 @@
 // Waits for the stop signal, then for the server to be idle.
 Task<bool> stopGracefully(http::Server &server, Millis grace)
 {
-    asio::signal_set signals(co_await asio::this_coro::executor, SIGTERM, SIGINT);
-    boost::system::error_code ec;
-    co_await signals.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+    co_await cli::stopSignal();
     log::event(log::Event::StopRequested, "inflight=" + std::to_string(server.inflight()));
     server.stopAccepting();
     co_return co_await server.waitIdle(grace);
