Order records are not swept; an engine's 5xx to an order may have acted

An engine that answered an order with a 5xx was taken to have not received it, and the claim was given back, though it may have acted. And the holder's memory of settled orders grew with every change of a class for good.

Change: orders are records of kind "order"; a 5xx is Ack::Unknown, so the record stays "started" and nobody sends it again; only orders that are still wanted are remembered. The pausing fake in test_lease.cpp pauses on the claim of the order's kind, as before on the shared one; its assertions are the same.

The growth of the memory has no test of its own.

Conclusion: an order acts at most once also past the records' retention.

--- a/src/duties.cpp
+++ b/src/duties.cpp
@@ -25,6 +25,18 @@
     return {{"kind", order.kind}, {"argument", order.argument}, {"fence", fence}, {"holder", holder}};
 }
 
+// What an engine's answer to an order says; one that failed may have acted.
+orders::Ack ackOf(unsigned status)
+{
+    if (status == 200) {
+        return orders::Ack::Applied;
+    }
+    if (status == 409) {
+        return orders::Ack::StaleFence;
+    }
+    return status >= 500 ? orders::Ack::Unknown : orders::Ack::NotSent;
+}
+
 // A record name prefix drawn at random.
 std::string randomName()
 {
@@ -130,9 +142,14 @@
 Task<void> Duties::sendOrders()
 {
     const auto snapshot = m_control.snapshot();
+    std::set<std::string> settled; // only of what is still wanted, so that it does not grow
     for (const auto &order : wantedOrders(*snapshot)) {
         const std::string key = order.engine + "/" + order.id;
-        if (m_settledOrders.count(key) || !m_lease.held()) {
+        if (m_settledOrders.count(key)) {
+            settled.insert(key);
+            continue;
+        }
+        if (!m_lease.held()) {
             continue;
         }
         const auto outcome = co_await m_desk.carryOut(order);
@@ -140,9 +157,10 @@
                    "engine=" + order.engine + " kind=" + order.kind + " argument=" + order.argument
                        + " outcome=" + std::string(nameOf(orders::orderResultNames, outcome)));
         if (outcome == orders::OrderResult::Applied || outcome == orders::OrderResult::Refused) {
-            m_settledOrders.insert(key);
+            settled.insert(key);
         }
     }
+    m_settledOrders = std::move(settled);
 }
 
 orders::Sender httpSender(http::Client &client, const router::Control &control, std::string holder)
@@ -163,8 +181,7 @@
         if (auto *error = std::get_if<http::CallError>(&called)) {
             co_return error->stage == http::CallStage::Connect ? orders::Ack::NotSent : orders::Ack::Unknown;
         }
-        const auto status = std::get<http::Reply>(called).status;
-        co_return status == 200 ? orders::Ack::Applied : (status == 409 ? orders::Ack::StaleFence : orders::Ack::NotSent);
+        co_return ackOf(std::get<http::Reply>(called).status);
     };
 }
 
--- a/src/idempotency.cpp
+++ b/src/idempotency.cpp
@@ -30,9 +30,10 @@
 }
 } // namespace
 
-Guard::Guard(platform::ObjectApi &api, std::string owner)
+Guard::Guard(platform::ObjectApi &api, std::string owner, std::string kind)
     : m_api(api)
     , m_owner(std::move(owner))
+    , m_kind(std::move(kind))
     , m_boot(bootId())
 {
 }
@@ -85,7 +86,7 @@
     const nlohmann::json started = startedRecord(m_owner, nonce, requestHash);
     std::optional<uint64_t> ifVersion = 0; // create only
     for (int attempt = 0; attempt < maxTries; ++attempt) {
-        auto put = co_await m_api.put(recordKind, name, started, ifVersion);
+        auto put = co_await m_api.put(m_kind, name, started, ifVersion);
         if (ok(put)) {
             Claim won;
             won.decision = Decision::Run;
@@ -97,7 +98,7 @@
             co_return Claim{}; // the store did not take the claim: not run
         }
         // Conflict, or a lost answer: read what stands now.
-        auto got = co_await m_api.get(recordKind, name);
+        auto got = co_await m_api.get(m_kind, name);
         if (!ok(got)) {
             if (std::get<Error>(got).code == store::NotFound && err.code == store::AnswerLost) {
                 continue; // the lost write did not take effect: try again
@@ -135,7 +136,7 @@
 
 Task<Result<platform::Object>> Guard::settle(Claim claim, nlohmann::json record)
 {
-    auto put = co_await m_api.put(recordKind, claim.record.name, record, claim.record.version);
+    auto put = co_await m_api.put(m_kind, claim.record.name, record, claim.record.version);
     if (ok(put)) {
         co_return std::move(put);
     }
@@ -144,7 +145,7 @@
         co_return error;
     }
     // Our own write may stand, its answer lost now or on an earlier try.
-    auto got = co_await m_api.get(recordKind, claim.record.name);
+    auto got = co_await m_api.get(m_kind, claim.record.name);
     if (ok(got) && std::get<platform::Object>(got).value == record) {
         co_return std::move(got);
     }
--- a/src/idempotency.h
+++ b/src/idempotency.h
@@ -12,7 +12,7 @@
 namespace yucca::idempotency
 {
 
-/// The object kind that holds the records.
+/// The object kind that holds the records of callers' requests.
 inline constexpr const char *recordKind = "idem";
 
 /// What a router may do with a request that carries an idempotency key.
@@ -42,7 +42,8 @@
 class Guard
 {
 public:
-    Guard(platform::ObjectApi &api, std::string owner);
+    /// Records are of the given kind.
+    Guard(platform::ObjectApi &api, std::string owner, std::string kind = recordKind);
 
     /// Claims key for a request whose body hashes to requestHash.
     /// Each attempt is identified by a fresh nonce so that a claim whose
@@ -67,6 +68,7 @@
 
     platform::ObjectApi &m_api;
     std::string m_owner;
+    std::string m_kind;
     std::string m_boot; ///< random per process: nonces never repeat across restarts
     std::atomic<uint64_t> m_attempts{0}; ///< traffic threads claim concurrently
 };
--- a/src/orders.cpp
+++ b/src/orders.cpp
@@ -7,14 +7,14 @@
 
 namespace
 {
-constexpr const char *orderWorkspace = "orders"; ///< keeps order records apart from callers' keys
+constexpr const char *orderWorkspace = "orders"; ///< stands where a caller's record has its workspace
 constexpr unsigned appliedStatus = 200;
 constexpr unsigned refusedStatus = 409;
 } // namespace
 
 Desk::Desk(platform::ObjectApi &api, lease::Lease &lease, std::string holder, Sender sender)
     : m_lease(lease)
-    , m_guard(api, std::move(holder))
+    , m_guard(api, std::move(holder), recordKind)
     , m_sender(std::move(sender))
 {
 }
--- a/src/orders.h
+++ b/src/orders.h
@@ -13,6 +13,11 @@
 namespace yucca::orders
 {
 
+/// The object kind that holds the records of orders: they outlive those of
+/// callers' requests, which are swept, since an order without its record would
+/// be sent again.
+inline constexpr const char *recordKind = "order";
+
 /// One order to one engine.
 struct Order {
     std::string engine; ///< endpoint id
--- a/tests/test_lease.cpp
+++ b/tests/test_lease.cpp
@@ -153,7 +153,7 @@
         Task<Result<platform::Object>> put(std::string kind, std::string name, nlohmann::json value, std::optional<uint64_t> ifVersion) override
         {
             auto written = co_await LocalObjectApi::put(kind, name, value, ifVersion);
-            if (kind == idempotency::recordKind) {
+            if (kind == orders::recordKind) {
                 *pausedNow += term;
             }
             co_return std::move(written);
@@ -189,6 +189,16 @@
     LONGS_EQUAL(1, engine.gate.applied().size());
 }
 
+TEST(FencingLease, AnOrdersRecordIsNotAmongThoseThatAreSweptAway)
+{
+    // Swept with the callers' records after a day, it would let the next
+    // holder send the order a second time.
+    FakeEngine engine(false);
+    CHECK(acquire(a));
+    CHECK(carryOut(a, "a", senderTo(engine)) == OrderResult::Applied);
+    LONGS_EQUAL(0, store.list(idempotency::recordKind).items.size());
+}
+
 TEST(FencingLease, AnOrderWhoseAnswerIsLostIsNotSentAgain)
 {
     FakeEngine engine(false);
--- a/tests/test_router.cpp
+++ b/tests/test_router.cpp
@@ -1,6 +1,7 @@
 // The router's traffic side against small fakes at its interfaces: fake
 // endpoints on loopback and the object API in process, on one event loop.
 // No timing asserts: every wait is on an event.
+#include "duties.h"
 #include "rig.h"
 
 // CppUTest goes last: its memory-leak macros redefine operator new.
@@ -388,6 +389,24 @@
     LONGS_EQUAL(0, client.keptConnections());
 }
 
+TEST(Recovery, AnOrderThatAnEngineFailedOnMayHaveActed)
+{
+    unsigned status = 0;
+    FakeEndpoint engine(loop(), [&](http::Exchange &ex) {
+        return ex.reply(status, "{}");
+    });
+    RouterRig rig(loop(), {endpointAt("e", engine.port, "p", EndpointKind::Engine)});
+    const auto send = duties::httpSender(rig.client, rig.control, "router-1");
+    const auto ack = [&](unsigned answered) {
+        status = answered;
+        return loop().run(send({"e", "load_model", "counsel-v2", "load.1"}, 1));
+    };
+    CHECK(ack(200) == orders::Ack::Applied);
+    CHECK(ack(409) == orders::Ack::StaleFence);
+    CHECK(ack(400) == orders::Ack::NotSent);
+    CHECK(ack(500) == orders::Ack::Unknown);
+}
+
 TEST(Recovery, RetriesStopWhenTheBudgetIsSpent)
 {
     int asked = 0;
