--- a/include/yucca/placement.h
+++ b/include/yucca/placement.h
@@ -169,6 +169,43 @@
     std::vector<int64_t> m_own;
 };
 
+/// The member with the least load for its place: for plain services, which
+/// hold nothing of a caller that a later request would find again.
+class LeastLoaded
+{
+public:
+    explicit LeastLoaded(std::chrono::duration<double> reportLifetime = std::chrono::duration<double>(1.0))
+        : m_reportLifetime(reportLifetime)
+    {
+    }
+
+    void setMembers(std::vector<std::string> ids);
+    const std::vector<std::string> &members() const
+    {
+        return m_ids;
+    }
+    /// Among equally loaded members the key decides, so that routers that
+    /// know as little of a pool do not all pick the same member.
+    std::optional<std::size_t> pick(const Affinity &affinity, const Usable &usable, TimePoint now);
+    void placed(std::size_t member, TimePoint now);
+    void finished(std::size_t member, TimePoint now);
+    void reported(std::size_t member, int64_t load, TimePoint now);
+
+private:
+    struct Member {
+        uint64_t hash = 0;
+        int64_t own = 0; ///< in flight from this router
+        int64_t ownAtReport = 0;
+        int64_t report = 0; ///< in flight on it from all routers
+        TimePoint reportedAt{};
+    };
+    double estimate(const Member &m, TimePoint now) const;
+
+    std::chrono::duration<double> m_reportLifetime;
+    std::vector<std::string> m_ids;
+    std::vector<Member> m_members;
+};
+
 /// The naive baseline: members in turn, no affinity, no bound.
 class RoundRobin
 {
@@ -196,6 +233,7 @@
 
 static_assert(Policy<PrefixAffinity>);
 static_assert(Policy<OwnBound>);
+static_assert(Policy<LeastLoaded>);
 static_assert(Policy<RoundRobin>);
 
 } // namespace yucca::placement
--- /dev/null
+++ b/src/entry/configuration.cpp
@@ -0,0 +1,48 @@
+#include "entry/configuration.h"
+
+#include <algorithm>
+
+namespace yucca::entry
+{
+
+void Configuration::index()
+{
+    m_routesOfHost.clear();
+    for (std::size_t i = 0; i < routes.size(); ++i) {
+        m_routesOfHost[routes[i].host].push_back(i);
+    }
+    for (auto &[host, places] : m_routesOfHost) {
+        std::stable_sort(places.begin(), places.end(), [this](std::size_t a, std::size_t b) {
+            return routes[a].pathPrefix.size() > routes[b].pathPrefix.size();
+        });
+    }
+}
+
+const Route *Configuration::match(std::string_view host, std::string_view path) const
+{
+    const auto it = m_routesOfHost.find(std::string(host));
+    if (it == m_routesOfHost.end()) {
+        return nullptr;
+    }
+    for (const std::size_t place : it->second) {
+        const Route &route = routes[place];
+        if (path.substr(0, route.pathPrefix.size()) == route.pathPrefix) {
+            return &route;
+        }
+    }
+    return nullptr;
+}
+
+const Workspace *Configuration::workspaceFor(const std::string &key) const
+{
+    const auto it = workspaceOfKey.find(key);
+    return it == workspaceOfKey.end() ? nullptr : &workspaces[it->second];
+}
+
+const Service *Configuration::service(const std::string &name) const
+{
+    const auto it = services.find(name);
+    return it == services.end() ? nullptr : &it->second;
+}
+
+} // namespace yucca::entry
--- /dev/null
+++ b/src/entry/control.h
@@ -0,0 +1,171 @@
+// The control side of an entry router: follows the configuration and the
+// endpoints in the store and puts them in force.
+#pragma once
+
+#include "entry/configuration.h"
+#include "entry/follower.h"
+#include "findings.h"
+#include "router_core.h"
+
+#include <atomic>
+#include <concepts>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace yucca::entry
+{
+
+/// How a platform writes its objects: which kinds hold the configuration and
+/// the endpoints, and how to read them. Nothing is returned for what does
+/// not parse; the findings say why.
+template <typename C> concept Codec = requires(const nlohmann::json &value, const std::string &name, Findings &findings)
+{
+    {
+        C::configurationKind
+        } -> std::convertible_to<std::string>;
+    {
+        C::configurationName
+        } -> std::convertible_to<std::string>;
+    {
+        C::endpointKind
+        } -> std::convertible_to<std::string>;
+    {
+        C::configuration(value, findings)
+        } -> std::same_as<std::optional<Configuration>>;
+    {
+        C::endpoint(name, value, findings)
+        } -> std::same_as<std::optional<Endpoint>>;
+};
+
+/// What is in force, published by the control thread for the traffic
+/// threads. A version never gives way to an older one.
+class Published
+{
+public:
+    explicit Published(router::RoutingTable &table)
+        : m_table(table)
+    {
+    }
+    /// Null until the first configuration is known.
+    ConfigurationPtr configuration() const
+    {
+        return m_configuration.load();
+    }
+    /// True once requests can be served.
+    bool ready() const
+    {
+        return m_endpointsKnown && m_configuration.load() != nullptr;
+    }
+
+    /// Puts a configuration in force unless it is no newer than the one in force.
+    void apply(Configuration configuration);
+    /// Puts a listing of the endpoints in force.
+    void replaceEndpoints(std::map<std::string, Endpoint> endpoints);
+    void setEndpoint(const Endpoint &endpoint);
+    void removeEndpoint(const std::string &id);
+    /// Hands the endpoints to the routing table.
+    void publishEndpoints();
+
+private:
+    router::RoutingTable &m_table;
+    std::atomic<ConfigurationPtr> m_configuration;
+    std::atomic<bool> m_endpointsKnown{false};
+    std::map<std::string, Endpoint> m_endpoints;
+};
+
+/// Follows one platform's objects into what is published.
+template <Codec C> class Control
+{
+public:
+    Control(platform::ObjectApi &api, Published &published)
+        : m_configurationSink{published}
+        , m_endpointSink{published}
+        , m_configurations(api, C::configurationKind, m_configurationSink)
+        , m_endpoints(api, C::endpointKind, m_endpointSink)
+    {
+    }
+    Task<void> followConfiguration()
+    {
+        return m_configurations.run();
+    }
+    Task<void> followEndpoints()
+    {
+        return m_endpoints.run();
+    }
+    void stop()
+    {
+        m_configurations.stop();
+        m_endpoints.stop();
+    }
+
+private:
+    struct ConfigurationSink {
+        Published &published;
+        void listed(const platform::Listing &listing)
+        {
+            for (const auto &object : listing.items) {
+                changed(object, false);
+            }
+        }
+        void changed(const platform::Object &object, bool deleted)
+        {
+            if (deleted || object.name != C::configurationName) {
+                return; // a configuration that is gone leaves the last one in force
+            }
+            Findings findings;
+            auto parsed = C::configuration(object.value, findings);
+            if (parsed) {
+                published.apply(std::move(*parsed));
+            } else {
+                log::Line(log::Event::ConfigurationRejected).add("problems", findings.report());
+            }
+        }
+        void batchEnded()
+        {
+        }
+    };
+    struct EndpointSink {
+        Published &published;
+        void listed(const platform::Listing &listing)
+        {
+            std::map<std::string, Endpoint> endpoints;
+            for (const auto &object : listing.items) {
+                if (auto endpoint = parse(object)) {
+                    endpoints.emplace(object.name, std::move(*endpoint));
+                }
+            }
+            published.replaceEndpoints(std::move(endpoints));
+        }
+        void changed(const platform::Object &object, bool deleted)
+        {
+            auto endpoint = deleted ? std::nullopt : parse(object);
+            if (endpoint) {
+                published.setEndpoint(*endpoint);
+            } else {
+                published.removeEndpoint(object.name);
+            }
+        }
+        void batchEnded()
+        {
+            published.publishEndpoints();
+        }
+        static std::optional<Endpoint> parse(const platform::Object &object)
+        {
+            Findings findings;
+            auto endpoint = C::endpoint(object.name, object.value, findings);
+            if (!endpoint) {
+                log::Line(log::Event::CatalogueEntryRejected).add("endpoint", object.name).add("problems", findings.report());
+            }
+            return endpoint;
+        }
+    };
+
+    ConfigurationSink m_configurationSink;
+    EndpointSink m_endpointSink;
+    Follower<ConfigurationSink> m_configurations;
+    Follower<EndpointSink> m_endpoints;
+};
+
+} // namespace yucca::entry
--- /dev/null
+++ b/src/entry/entry_settings.cpp
@@ -0,0 +1,50 @@
+#include "entry/entry_settings.h"
+
+#include "settings.h"
+#include "text.h"
+
+namespace yucca::entry
+{
+
+namespace
+{
+
+constexpr int64_t longestMs = 600000;
+
+// An address written as HOST:PORT.
+void readAddress(settings::Reader &reader, const char *key, http::Address &out, Findings &findings)
+{
+    std::string written = out.host + ":" + std::to_string(out.port);
+    reader.read(key, written);
+    const auto parsed = http::parseAddress(written);
+    if (parsed) {
+        out = *parsed;
+    } else {
+        findings.add(std::string("/") + key, "must be HOST:PORT, is '" + written + "'");
+    }
+}
+
+} // namespace
+
+Settings parseSettings(const nlohmann::json &document, Findings &findings)
+{
+    Settings s;
+    std::string interface;
+    settings::Reader reader(document, "", findings);
+    reader.read("interface", interface); // chosen by the program before
+    reader.read("id", s.id);
+    reader.read("failureDomain", s.failureDomain);
+    readAddress(reader, "traffic", s.traffic, findings);
+    readAddress(reader, "readiness", s.readiness, findings);
+    readAddress(reader, "store", s.store, findings);
+    reader.read("logLevel", s.logLevel);
+    reader.read("retryRatio", s.retryRatio, 0.0, 1.0);
+    reader.read("retrySlack", s.retrySlack, 0, 1000000);
+    reader.read("loadFactor", s.loadFactor, 1.0, 100.0);
+    reader.read("drainMs", s.drainMs, 0, longestMs);
+    reader.read("stopGraceMs", s.stopGraceMs, 0, longestMs);
+    reader.finish();
+    return s;
+}
+
+} // namespace yucca::entry
--- /dev/null
+++ b/src/entry/entry_settings.h
@@ -0,0 +1,34 @@
+// Settings of the entry router, as its settings file holds them.
+#pragma once
+
+#include "findings.h"
+#include "http.h"
+#include "task.h"
+
+#include <nlohmann/json.hpp>
+
+#include <string>
+
+namespace yucca::entry
+{
+
+/// What an entry router is told at its start.
+struct Settings {
+    std::string id = "router-1";
+    std::string failureDomain = "zone-a";
+    http::Address traffic{"127.0.0.1", 7000}; ///< callers connect here
+    http::Address readiness{"127.0.0.1", 7001}; ///< the balancer's probes and the status page
+    http::Address store{"127.0.0.1", 7400}; ///< the platform's object store
+    std::string logLevel = "info";
+    double retryRatio = 0.2; ///< further arrivals per request that a service may get, over all routers
+    int64_t retrySlack = 50; ///< further arrivals on top, in a window, over all routers
+    double loadFactor = 2.0; ///< no engine above this multiple of its service's mean load
+    int64_t drainMs = 2000; ///< after an endpoint's leaving is known, until it must get no more work
+    int64_t stopGraceMs = 8000; ///< from the stop signal to the kill
+};
+
+/// Reads the settings; problems are recorded with their place. Unknown keys
+/// are problems, absent ones keep their defaults.
+Settings parseSettings(const nlohmann::json &document, Findings &findings);
+
+} // namespace yucca::entry
--- /dev/null
+++ b/src/entry/follower.h
@@ -0,0 +1,166 @@
+// Keeps up with one kind of objects in the store: a listing, then one watch
+// after the other, through outages, lost history and silent connections.
+#pragma once
+
+#include "log.h"
+#include "platform_client.h"
+#include "task.h"
+
+#include <algorithm>
+#include <concepts>
+#include <random>
+#include <string>
+
+namespace yucca::entry
+{
+
+/// What takes a follower's news, all on the control thread.
+template <typename S> concept FollowerSink = requires(S s, const platform::Listing &listing, const platform::Object &object, bool deleted)
+{
+    s.listed(listing);
+    s.changed(object, deleted);
+    s.batchEnded();
+};
+
+/// How a follower waits.
+struct FollowerOptions {
+    /// One watch's wait. Short, since a connection that has gone silent
+    /// shows only by the wait passing with no answer.
+    Millis watchWait{2000};
+    Millis callTimeout{1000}; ///< a listing page; the store answers in 4 ms
+    Millis watchMargin{700}; ///< after a watch's wait, until it is given up
+    Millis firstPause{100}; ///< after a failed call; doubled by each next, up to:
+    Millis longestPause{400}; ///< a change is to be in force 2 s after the store is back
+};
+
+/// Follows one kind until stopped.
+template <FollowerSink Sink> class Follower
+{
+public:
+    Follower(platform::ObjectApi &api, std::string kind, Sink &sink, FollowerOptions options = {})
+        : m_api(api)
+        , m_kind(std::move(kind))
+        , m_watchedKinds(1, m_kind)
+        , m_sink(sink)
+        , m_options(options)
+        , m_pause(options.firstPause)
+    {
+    }
+
+    Task<void> run()
+    {
+        while (!m_stopping) {
+            const bool reached = co_await step();
+            if (!reached && !m_stopping) {
+                co_await sleepFor(nextPause());
+            }
+        }
+    }
+    void stop()
+    {
+        m_stopping = true;
+    }
+    /// One listing or one watch; false when the store could not be reached.
+    Task<bool> step()
+    {
+        bool reached = false;
+        if (m_listed) {
+            reached = co_await watch();
+        } else {
+            reached = co_await list();
+        }
+        if (reached) {
+            m_pause = m_options.firstPause;
+        }
+        co_return reached;
+    }
+    /// When the store last answered; the epoch before it has.
+    Clock::time_point lastContact() const
+    {
+        return m_lastContact;
+    }
+
+private:
+    Task<bool> list()
+    {
+        auto result = co_await platform::listAll(m_api, m_kind);
+        if (!ok(result)) {
+            noteLost(std::get<Error>(result));
+            co_return false;
+        }
+        noteContact();
+        const auto &listing = std::get<platform::Listing>(result);
+        m_from = listing.revision;
+        m_listed = true;
+        m_sink.listed(listing);
+        co_return true;
+    }
+
+    Task<bool> watch()
+    {
+        auto result = co_await m_api.watch(m_from, m_options.watchWait, m_watchedKinds);
+        if (!ok(result)) {
+            const auto &error = std::get<Error>(result);
+            if (error.code == store::Gone) {
+                log::Line(log::Event::WatchRestarted).add("kind", m_kind).add("from", static_cast<int64_t>(m_from));
+                m_listed = false;
+                co_return true;
+            }
+            noteLost(error);
+            co_return false;
+        }
+        noteContact();
+        const auto &batch = std::get<platform::WatchBatch>(result);
+        if (batch.revision < m_from) {
+            m_listed = false; // a store that went back
+            co_return true;
+        }
+        m_from = batch.revision;
+        for (const auto &event : batch.events) {
+            m_sink.changed(event.object, event.deleted);
+        }
+        m_sink.batchEnded();
+        co_return true;
+    }
+
+    void noteContact()
+    {
+        m_lastContact = Clock::now();
+        if (m_lost) {
+            m_lost = false;
+            log::Line(log::Event::StoreRegained).add("kind", m_kind);
+        }
+    }
+
+    void noteLost(const Error &error)
+    {
+        if (!m_lost) {
+            m_lost = true;
+            log::Line(log::Event::StoreLost).add("kind", m_kind).add("code", int64_t{error.code}).add("why", error.message);
+        }
+    }
+
+    // Between half and all of the pause, so that routers that lost the store
+    // together do not come back together.
+    Millis nextPause()
+    {
+        const Millis pause = m_pause / 2 + Millis(m_random() % static_cast<uint64_t>(m_pause.count() / 2 + 1));
+        m_pause = std::min(m_pause * 2, m_options.longestPause);
+        return pause;
+    }
+
+    platform::ObjectApi &m_api;
+    std::string m_kind;
+    std::vector<std::string> m_watchedKinds; ///< the one kind, as watch() takes it
+    Sink &m_sink;
+    FollowerOptions m_options;
+    Millis m_pause;
+    std::minstd_rand m_random{std::random_device{}()};
+    uint64_t m_from = 0;
+    bool m_listed = false;
+    bool m_lost = false;
+    bool m_stopping = false;
+    Clock::time_point m_lastContact{};
+};
+
+} // namespace yucca::entry
--- /dev/null
+++ b/src/entry/gateway.h
@@ -0,0 +1,474 @@
+// The pipeline of a request through an entry router: identify, place,
+// attempt, relay, account. It knows no interface's words: a dialect reads
+// callers' requests and endpoints' answers, and writes what goes to them.
+#pragma once
+
+#include "admission.h"
+#include "entry/control.h"
+#include "entry/request_profile.h"
+#include "entry/retry_policy.h"
+#include "entry/entry_settings.h"
+#include "http_client.h"
+#include "http_server.h"
+#include "log.h"
+#include "router_core.h"
+#include "sse.h"
+
+#include <atomic>
+#include <concepts>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <variant>
+
+namespace yucca::entry
+{
+
+/// What differs between the interfaces that callers and endpoints speak.
+template <typename D>
+concept Dialect = requires(const http::Exchange &ex, const ConfigurationPtr &configuration, Clock::time_point now, const RequestProfile &profile,
+                           const Endpoint &endpoint, Millis left, uint64_t resumeAfter, const http::Response &response, Rejection why, Millis comeBack)
+{
+    {
+        D::identify(ex, configuration, now)
+        } -> std::same_as<std::variant<RequestProfile, Rejection>>;
+    {
+        D::requestId(ex)
+        } -> std::same_as<std::string>;
+    {
+        D::forwarded(ex, profile, endpoint, left, resumeAfter)
+        } -> std::same_as<http::Request>;
+    {
+        D::readHead(response, profile)
+        } -> std::same_as<AnswerHead>;
+    {
+        D::rejectionHeaders(why, comeBack)
+        } -> std::same_as<http::Headers>;
+};
+
+/// How the pipeline waits.
+struct GatewayOptions {
+    Millis connectTimeout{300}; ///< an endpoint answers a SYN in about 2 ms; a full backlog drops it for seconds
+    double silencePatience = 1.0; ///< of a route's target latency, until a repeatable request goes elsewhere
+    double gapPatience = 2.0; ///< of a route's event gap target, until a resumable stream goes elsewhere
+    Millis comeBackAfter{100}; ///< told to callers that are turned away for now
+    std::size_t routersPerConnectionCap = 16; ///< routers that share an endpoint's connection cap
+    std::size_t mostKept = 32; ///< connections kept to an endpoint
+    std::size_t mostAnswerBytes = 16 * 1024 * 1024; ///< of an answer that is relayed whole
+};
+
+/// Answers callers' requests through the endpoints. Runs on the traffic thread.
+template <Dialect D> class Gateway
+{
+public:
+    Gateway(const Settings &settings, const Published &published, router::RoutingTable &table, GatewayOptions options = {})
+        : m_settings(settings)
+        , m_published(published)
+        , m_table(table)
+        , m_options(options)
+    {
+    }
+
+    /// Answers one request.
+    Task<void> handle(http::Exchange &ex);
+    /// From now on new requests are turned away: this router is about to end.
+    void turnAway()
+    {
+        m_turningAway = true;
+    }
+
+private:
+    /// An engine's own failure, kept in case no other attempt does better.
+    struct KeptAnswer {
+        unsigned status = 0;
+        http::Headers headers;
+        std::string body;
+    };
+    /// A request on its way through one or more attempts.
+    struct Flight {
+        RequestProfile profile;
+        std::string service;
+        AttemptCount count;
+        std::set<std::string> tried;
+        http::Cancellation cancellation;
+        sse::EventRelay events;
+        bool headSent = false; ///< a streamed answer has begun
+        bool timedOut = false;
+        std::string lastEndpoint;
+        std::optional<KeptAnswer> failure;
+        Clock::time_point firstByte{};
+    };
+
+    Task<void> reject(http::Exchange &ex, const std::string &id, Rejection why);
+    Task<void> attempt(http::Exchange &ex, Flight &flight);
+    Task<AttemptEnd> attemptAt(http::Exchange &ex, Flight &flight, const Endpoint &endpoint, http::Reuse reuse, bool &stale);
+    Task<AttemptEnd> takeAnswer(http::Exchange &ex, Flight &flight, const Endpoint &endpoint, http::Response &response);
+    Task<AttemptEnd> relayWhole(http::Exchange &ex, Flight &flight, const AnswerHead &head, http::Response &response);
+    Task<AttemptEnd> relayStream(http::Exchange &ex, Flight &flight, http::Response &response);
+    Task<void> giveUp(http::Exchange &ex, Flight &flight);
+    Clock::time_point headDeadline(const Flight &flight, Clock::time_point now) const;
+    limits::RetryBudget &budgetOf(const std::string &service);
+    std::string chooseService(const RequestProfile &profile) const;
+    placement::Affinity affinityOf(const RequestProfile &profile) const;
+    void account(const Flight &flight, std::string_view outcome, int64_t status) const;
+
+    const Settings &m_settings;
+    const Published &m_published;
+    router::RoutingTable &m_table;
+    GatewayOptions m_options;
+    http::Client m_client;
+    std::map<std::string, limits::RetryBudget> m_budgets;
+    std::atomic<bool> m_turningAway{false};
+};
+
+/// Milliseconds since a moment, for log lines.
+inline int64_t msSince(Clock::time_point then)
+{
+    return std::chrono::duration_cast<Millis>(Clock::now() - then).count();
+}
+
+template <Dialect D> Task<void> Gateway<D>::handle(http::Exchange &ex)
+{
+    const auto now = Clock::now();
+    const auto configuration = m_published.configuration();
+    if (!m_published.ready() || m_turningAway) {
+        co_await reject(ex, D::requestId(ex), m_turningAway ? Rejection::Stopping : Rejection::NotLoaded);
+        co_return;
+    }
+    auto identified = D::identify(ex, configuration, now);
+    if (const auto *why = std::get_if<Rejection>(&identified)) {
+        co_await reject(ex, D::requestId(ex), *why);
+        co_return;
+    }
+    Flight flight;
+    flight.profile = std::move(std::get<RequestProfile>(identified));
+    flight.service = chooseService(flight.profile);
+    flight.events.startAfter(flight.profile.resumeAfter);
+    budgetOf(flight.service).earn();
+    ex.onCallerGone([&flight] {
+        // A request that may run only once is left to finish once it is sent:
+        // half of its effect is worse than one that nobody waits for.
+        const bool finishes = flight.profile.route->kind == RequestKind::NonIdempotent && flight.count.arrivals > 0;
+        if (!finishes) {
+            flight.cancellation.fire();
+        }
+    });
+    co_await attempt(ex, flight);
+    ex.onCallerGone({});
+}
+
+template <Dialect D> Task<void> Gateway<D>::reject(http::Exchange &ex, const std::string &id, Rejection why)
+{
+    const unsigned status = statusOf(why);
+    log::Line(log::Event::RequestRejected).add("id", id).add("why", nameOf(rejectionNames, why)).add("status", static_cast<int64_t>(status));
+    const auto headers = D::rejectionHeaders(why, m_options.comeBackAfter);
+    const std::string body(nameOf(rejectionNames, why));
+    co_await ex.reply(status, body, headers, "text/plain");
+}
+
+// Tries one endpoint after the other for as long as that is allowed, there
+// is time and the service's retry budget lasts.
+template <Dialect D> Task<void> Gateway<D>::attempt(http::Exchange &ex, Flight &flight)
+{
+    const Route &route = *flight.profile.route;
+    const auto affinity = affinityOf(flight.profile);
+    for (;;) {
+        const auto now = Clock::now();
+        if (now >= flight.profile.answerBy) {
+            flight.timedOut = true;
+            break;
+        }
+        if (flight.count.arrivals > 0 && !budgetOf(flight.service).spend()) {
+            break;
+        }
+        const auto endpoint = m_table.acquire(flight.service, affinity, flight.tried, now);
+        if (!endpoint) {
+            break;
+        }
+        const router::PlacedRequest placed(m_table, *endpoint);
+        flight.lastEndpoint = endpoint->id;
+        flight.tried.insert(endpoint->id);
+        ++flight.count.sends;
+        bool stale = false;
+        AttemptEnd end = co_await attemptAt(ex, flight, *endpoint, http::Reuse::Kept, stale);
+        if (stale && repeatable(route) && !flight.cancellation.fired() && budgetOf(flight.service).spend()) {
+            // The kept connection was closed under the request: the endpoint itself may be well.
+            end = co_await attemptAt(ex, flight, *endpoint, http::Reuse::Never, stale);
+        }
+        if (flight.cancellation.fired() || ex.callerGone()) {
+            end = AttemptEnd::CallerGone;
+        }
+        flight.count.runs += mayHaveRun(end) ? 1 : 0;
+        const bool again = mayTryAgain(route, end, flight.count);
+        log::Line(log::Event::AttemptEnded)
+            .add("id", flight.profile.id)
+            .add("endpoint", endpoint->id)
+            .add("end", nameOf(attemptEndNames, end))
+            .add("ms", msSince(now))
+            .add("again", again);
+        if (end == AttemptEnd::Delivered || end == AttemptEnd::CallerGone) {
+            account(flight, nameOf(attemptEndNames, end), 0);
+            co_return;
+        }
+        if (!again) {
+            flight.timedOut = Clock::now() >= flight.profile.answerBy;
+            break;
+        }
+    }
+    co_await giveUp(ex, flight);
+}
+
+// The last answer to a request that no attempt could serve.
+template <Dialect D> Task<void> Gateway<D>::giveUp(http::Exchange &ex, Flight &flight)
+{
+    if (flight.headSent) {
+        account(flight, "cut", 0);
+        ex.drop(); // what was sent must not look complete
+        co_return;
+    }
+    if (flight.failure) {
+        account(flight, "engine_failed", flight.failure->status);
+        co_await ex.reply(flight.failure->status, std::move(flight.failure->body), std::move(flight.failure->headers), "");
+        co_return;
+    }
+    Rejection why = Rejection::NoEndpoint;
+    if (flight.count.runs > 0) {
+        why = flight.timedOut ? Rejection::TimedOut : Rejection::AnswerLost;
+    } else if (flight.count.arrivals > 0) {
+        why = Rejection::NotExecuted;
+    }
+    account(flight, "given_up", statusOf(why));
+    co_await reject(ex, flight.profile.id, why);
+}
+
+// Until when an endpoint may take to begin its answer: a repeatable request
+// that has an attempt left does not wait for a silent endpoint to the end.
+template <Dialect D> Clock::time_point Gateway<D>::headDeadline(const Flight &flight, Clock::time_point now) const
+{
+    const Route &route = *flight.profile.route;
+    const auto end = flight.profile.answerBy;
+    if (!repeatable(route) || flight.count.runs + 1 >= route.maxAttempts) {
+        return end;
+    }
+    const auto patience = Millis(static_cast<int64_t>(static_cast<double>(route.targetLatency.count()) * m_options.silencePatience));
+    return std::min(now + patience, now + (end - now) / 2);
+}
+
+// Sends the request to one endpoint and relays its answer. Sets stale when a
+// kept connection broke before anything came back on it.
+template <Dialect D>
+Task<AttemptEnd> Gateway<D>::attemptAt(http::Exchange &ex, Flight &flight, const Endpoint &endpoint, http::Reuse reuse, bool &stale)
+{
+    const auto now = Clock::now();
+    const auto *service = flight.profile.configuration->service(flight.service);
+    http::CallOptions options;
+    options.deadline = headDeadline(flight, now);
+    options.reuse = reuse;
+    options.cancellation = &flight.cancellation;
+    options.connectTimeout = m_options.connectTimeout;
+    const std::size_t share = service ? static_cast<std::size_t>(service->maxConnections) / m_options.routersPerConnectionCap : 1;
+    options.mostKept = std::clamp<std::size_t>(share, 2, m_options.mostKept);
+    const auto left = std::chrono::duration_cast<Millis>(flight.profile.answerBy - now);
+    auto request = D::forwarded(ex, flight.profile, endpoint, left, flight.events.lastId());
+    const http::Address address{endpoint.host, endpoint.port};
+    stale = false;
+    auto opened = co_await m_client.open(address, std::move(request), options);
+    if (const auto *error = std::get_if<http::CallError>(&opened)) {
+        if (error->stage == http::CallStage::Connect) {
+            m_table.suspect(endpoint.id, Clock::now());
+            co_return AttemptEnd::Unreached;
+        }
+        ++flight.count.arrivals;
+        stale = error->reused && Clock::now() < options.deadline;
+        co_return Clock::now() >= options.deadline ? AttemptEnd::Silent : AttemptEnd::Broken;
+    }
+    ++flight.count.arrivals;
+    auto &response = *std::get<std::unique_ptr<http::Response>>(opened);
+    co_return co_await takeAnswer(ex, flight, endpoint, response);
+}
+
+// Judges the head of an answer and relays what belongs to the caller. An
+// answer to another request may stand before this one's on the connection.
+template <Dialect D>
+Task<AttemptEnd> Gateway<D>::takeAnswer(http::Exchange &ex, Flight &flight, const Endpoint &endpoint, http::Response &response)
+{
+    constexpr int mostForeignAnswers = 3;
+    AnswerHead head = D::readHead(response, flight.profile);
+    for (int foreign = 0; !head.ownAnswer && !head.notExecuted && !head.wrongInstance; ++foreign) {
+        log::Line(log::Event::AnswerMismatched).add("id", flight.profile.id).add("endpoint", endpoint.id);
+        if (foreign == mostForeignAnswers) {
+            co_return AttemptEnd::Broken;
+        }
+        const auto failed = co_await response.skipToNext();
+        if (failed) {
+            co_return AttemptEnd::Broken;
+        }
+        head = D::readHead(response, flight.profile);
+    }
+    m_table.recovered(endpoint.id);
+    if (head.load >= 0) {
+        m_table.reported(endpoint.id, head.load, Clock::now());
+    }
+    if (head.wrongInstance) {
+        m_table.setDraining(endpoint.id, true);
+        co_return AttemptEnd::NotExecuted;
+    }
+    if (head.notExecuted) {
+        co_return AttemptEnd::NotExecuted;
+    }
+    if (!head.authentic) {
+        co_return AttemptEnd::Broken;
+    }
+    flight.firstByte = Clock::now();
+    const bool streams = flight.profile.route->kind == RequestKind::Stream && head.status == 200;
+    // GCC 12 evaluates both arms of a conditional with co_await in each.
+    if (streams) {
+        co_return co_await relayStream(ex, flight, response);
+    }
+    co_return co_await relayWhole(ex, flight, head, response);
+}
+
+// Takes an answer whole before any of it goes on, so that one that breaks
+// off can still be asked for elsewhere.
+template <Dialect D> Task<AttemptEnd> Gateway<D>::relayWhole(http::Exchange &ex, Flight &flight, const AnswerHead &head, http::Response &response)
+{
+    auto headers = response.endToEndHeaders();
+    response.setDeadline(flight.profile.answerBy);
+    std::string body;
+    for (bool more = true; more;) {
+        auto read = co_await response.read();
+        if (std::holds_alternative<http::CallError>(read)) {
+            co_return Clock::now() >= flight.profile.answerBy ? AttemptEnd::Silent : AttemptEnd::Broken;
+        }
+        const auto &bytes = std::get<std::string>(read);
+        more = !bytes.empty();
+        body += bytes;
+        if (body.size() > m_options.mostAnswerBytes) {
+            co_return AttemptEnd::Broken;
+        }
+    }
+    if (flight.headSent) {
+        co_return AttemptEnd::EngineFailed; // it cannot go on with the stream
+    }
+    if (head.status >= 500 && repeatable(*flight.profile.route)) {
+        flight.failure = KeptAnswer{head.status, std::move(headers), std::move(body)};
+        co_return AttemptEnd::EngineFailed;
+    }
+    co_await ex.reply(head.status, std::move(body), std::move(headers), "");
+    co_return AttemptEnd::Delivered;
+}
+
+// Relays a stream event by event as they arrive.
+template <Dialect D> Task<AttemptEnd> Gateway<D>::relayStream(http::Exchange &ex, Flight &flight, http::Response &response)
+{
+    const Route &route = *flight.profile.route;
+    if (!flight.headSent) {
+        flight.headSent = true;
+        auto headers = response.endToEndHeaders();
+        co_await ex.beginStream(response.status(), "", std::move(headers));
+    }
+    const auto patience = Millis(static_cast<int64_t>(static_cast<double>(route.eventGapTarget.count()) * m_options.gapPatience));
+    const bool mayResume = repeatable(route) && flight.count.runs + 1 < route.maxAttempts;
+    for (;;) {
+        response.setDeadline(mayResume ? std::min(flight.profile.answerBy, Clock::now() + patience) : flight.profile.answerBy);
+        auto read = co_await response.read();
+        if (ex.callerGone()) {
+            co_return AttemptEnd::CallerGone;
+        }
+        if (std::holds_alternative<http::CallError>(read)) {
+            flight.events.runEnded();
+            co_return AttemptEnd::Broken;
+        }
+        const auto &bytes = std::get<std::string>(read);
+        if (bytes.empty()) {
+            break;
+        }
+        std::string whole;
+        for (auto &event : flight.events.push(bytes)) {
+            whole += event;
+        }
+        if (!whole.empty()) {
+            const bool delivered = co_await ex.sendChunk(std::move(whole));
+            if (!delivered) {
+                co_return AttemptEnd::CallerGone;
+            }
+        }
+        if (flight.events.gap()) {
+            co_return AttemptEnd::Broken;
+        }
+    }
+    if (flight.events.midEvent()) {
+        flight.events.runEnded();
+        co_return AttemptEnd::Broken; // it ended in the middle of an event
+    }
+    co_await ex.endStream();
+    co_return AttemptEnd::Delivered;
+}
+
+template <Dialect D> limits::RetryBudget &Gateway<D>::budgetOf(const std::string &service)
+{
+    const auto it = m_budgets.find(service);
+    if (it != m_budgets.end()) {
+        return it->second;
+    }
+    const double reserve = static_cast<double>(m_settings.retrySlack) / static_cast<double>(m_options.routersPerConnectionCap);
+    return m_budgets.try_emplace(service, m_settings.retryRatio, reserve).first->second;
+}
+
+// A split route's requests are dealt by their affinity key, so that requests
+// that share a prompt stay together; without one, by their id.
+template <Dialect D> std::string Gateway<D>::chooseService(const RequestProfile &profile) const
+{
+    const auto &ways = profile.route->destinations;
+    if (ways.size() == 1) {
+        return ways.front().service;
+    }
+    double total = 0;
+    for (const auto &way : ways) {
+        total += way.weight;
+    }
+    const double unit = static_cast<double>(ring::hash(profile.id) >> 11) * 0x1.0p-53;
+    double at = unit * total;
+    for (const auto &way : ways) {
+        at -= way.weight;
+        if (at < 0) {
+            return way.service;
+        }
+    }
+    return ways.empty() ? std::string() : ways.back().service;
+}
+
+// Requests with the same first part share a replica set; those that also
+// share the parts up to their own last one go to the same member of it.
+template <Dialect D> placement::Affinity Gateway<D>::affinityOf(const RequestProfile &profile) const
+{
+    const auto &parts = profile.prompt.parts;
+    if (parts.size() < 2) {
+        const uint64_t key = ring::hash(profile.id);
+        return {key, key};
+    }
+    return {parts[parts.size() - 2].id, parts[parts.size() - 2].id};
+}
+
+template <Dialect D> void Gateway<D>::account(const Flight &flight, std::string_view outcome, int64_t status) const
+{
+    const auto &p = flight.profile;
+    log::Line(log::Event::RequestFinished)
+        .add("id", p.id)
+        .add("outcome", outcome)
+        .add("status", status)
+        .add("route", p.route->name)
+        .add("service", flight.service)
+        .add("workspace", p.workspace)
+        .add("config", p.configuration->version)
+        .add("endpoint", flight.lastEndpoint)
+        .add("sends", int64_t{flight.count.sends})
+        .add("runs", int64_t{flight.count.runs})
+        .add("events", static_cast<int64_t>(flight.events.lastId()))
+        .add("first_ms", flight.firstByte == Clock::time_point{} ? -1 : std::chrono::duration_cast<Millis>(flight.firstByte - p.arrived).count())
+        .add("ms", msSince(p.arrived));
+}
+
+} // namespace yucca::entry
--- /dev/null
+++ b/src/entry/process.h
@@ -0,0 +1,155 @@
+// An entry router as a process: the control side under its supervisor on a
+// thread of its own, traffic on another, stop and reload by signals.
+#pragma once
+
+#include "cli.h"
+#include "entry/gateway.h"
+#include "supervisor.h"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/signal_set.hpp>
+
+#include <csignal>
+#include <thread>
+
+namespace yucca::entry
+{
+
+/// How a stop goes, within the grace of the settings.
+struct StopOptions {
+    Millis takingFor{3000}; ///< new requests are taken: the balancer needs two probes, a second apart, to look elsewhere
+    Millis reserve{400}; ///< before the grace ends, for the end of the process itself
+    Millis pollInterval{20};
+};
+
+/// Runs one entry router until it is told to stop.
+template <Dialect D, Codec C> class Process
+{
+public:
+    Process(const Settings &settings, platform::ObjectApi &store)
+        : m_settings(settings)
+        , m_table(tableOptions(settings))
+        , m_published(m_table)
+        , m_control(store, m_published)
+        , m_gateway(m_settings, m_published, m_table)
+        , m_supervisor(m_controlLoop, noteFailure)
+        , m_callers({&m_trafficLoop}, settings.traffic.host, settings.traffic.port, [this](http::Exchange &ex) { return m_gateway.handle(ex); })
+        , m_probes({&m_trafficLoop}, settings.readiness.host, settings.readiness.port, [this](http::Exchange &ex) { return answerProbe(ex); })
+    {
+    }
+
+    /// Runs until a stop signal; returns the exit code.
+    int run()
+    {
+        for (auto *server : {&m_callers, &m_probes}) {
+            auto bound = server->start();
+            if (!ok(bound)) {
+                log::Line(log::Event::SettingsRejected).add("why", std::get<Error>(bound).message);
+                return cli::ExitFailure;
+            }
+        }
+        startControl();
+        std::thread control([this] { m_controlLoop.run(); });
+        const auto work = asio::make_work_guard(m_trafficLoop);
+        std::thread traffic([this] { m_trafficLoop.run(); });
+        log::Line(log::Event::ProgramStarted).add("id", m_settings.id).add("zone", m_settings.failureDomain);
+        runBlocking(untilStopped());
+        m_trafficLoop.stop();
+        m_controlLoop.stop();
+        traffic.join();
+        control.join();
+        log::Line(log::Event::ProgramStopped).add("inflight", m_callers.inflight());
+        return m_callers.inflight() == 0 ? cli::ExitOk : cli::ExitFailure;
+    }
+
+private:
+    static router::TableOptions tableOptions(const Settings &s)
+    {
+        router::TableOptions options;
+        options.servicePolicy = Policy::LeastLoaded;
+        options.affinity.loadFactor = std::min(s.loadFactor, router::TableOptions().affinity.loadFactor);
+        return options;
+    }
+    static void noteFailure(const std::string &child, const std::string &error, int failures)
+    {
+        log::Line(log::Event::ChildFailed).add("child", child).add("failures", int64_t{failures}).add("error", error);
+    }
+
+    void startControl()
+    {
+        const auto stop = [this] { m_control.stop(); };
+        m_supervisor.start({"configuration", [this] { return m_control.followConfiguration(); }, stop});
+        m_supervisor.start({"endpoints", [this] { return m_control.followEndpoints(); }, stop});
+        m_supervisor.start({"caller-limits", [this] { return followCallerLimits(); }, {}});
+    }
+
+    // Puts the limits on callers of each new configuration in force.
+    Task<void> followCallerLimits()
+    {
+        ConfigurationPtr seen;
+        for (;;) {
+            const auto configuration = m_published.configuration();
+            if (configuration != seen) {
+                seen = configuration;
+                m_callers.setLimits(configuration->callerLimits);
+            }
+            co_await sleepFor(limitsPollInterval);
+        }
+    }
+
+    Task<void> answerProbe(http::Exchange &ex)
+    {
+        const bool ready = m_published.ready() && !m_stopping;
+        co_await ex.reply(ready ? 200 : 503, ready ? "ready\n" : "not ready\n", {}, "text/plain");
+    }
+
+    // Not ready first; requests are taken for a while, as the balancer still
+    // sends some; then those in flight are finished.
+    Task<void> untilStopped()
+    {
+        co_await stopSignal();
+        const auto began = Clock::now();
+        m_stopping = true;
+        m_callers.askCallersToLeave();
+        log::Line(log::Event::StopRequested).add("inflight", m_callers.inflight());
+        co_await sleepFor(std::min(m_stop.takingFor, Millis(m_settings.stopGraceMs) / 2));
+        m_gateway.turnAway();
+        m_callers.stopAccepting();
+        const auto end = began + Millis(m_settings.stopGraceMs) - m_stop.reserve;
+        while (m_callers.inflight() > 0 && Clock::now() < end) {
+            co_await sleepFor(m_stop.pollInterval);
+        }
+    }
+
+    // Waits for SIGTERM or SIGINT; SIGHUP reloads on the way.
+    Task<void> stopSignal()
+    {
+        asio::signal_set signals(co_await asio::this_coro::executor, SIGTERM, SIGINT, SIGHUP);
+        for (;;) {
+            boost::system::error_code ec;
+            const int signal = co_await signals.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+            if (!ec && signal != SIGHUP) {
+                co_return;
+            }
+            log::Line(log::Event::SettingsReloaded);
+        }
+    }
+
+    static constexpr Millis limitsPollInterval{500}; ///< new limits on callers are in force this soon
+
+    Settings m_settings;
+    StopOptions m_stop;
+    asio::io_context m_controlLoop{1};
+    asio::io_context m_trafficLoop{1};
+    router::RoutingTable m_table;
+    Published m_published;
+    Control<C> m_control;
+    Gateway<D> m_gateway;
+    Supervisor m_supervisor;
+    http::Server m_callers;
+    http::Server m_probes;
+    std::atomic<bool> m_stopping{false};
+};
+
+} // namespace yucca::entry
--- a/src/experiment.cpp
+++ b/src/experiment.cpp
@@ -90,9 +90,9 @@
     return {{"x-workspace", "scheduler"}, {"idempotency-key", key}};
 }
 
-http::CallOptions callOptions(Clock::duration timeout, http::Repeatable repeatable)
+http::CallOptions callOptions(Clock::duration timeout, http::Reuse reuse)
 {
-    return {Clock::now() + timeout, repeatable, nullptr};
+    return {Clock::now() + timeout, reuse, nullptr};
 }
 
 http::Address addressOf(const Endpoint &e)
@@ -332,7 +332,7 @@
 {
     Answer answer;
     const auto began = Clock::now();
-    const auto options = callOptions(callerTimeout, http::Repeatable::Yes);
+    const auto options = callOptions(callerTimeout, http::Reuse::KeptOrAgain);
     auto request = http::makeRequest("POST", "/v1/chat/completions", std::move(body), chatHeaders(workspace, requestId));
     auto opened = co_await m_client.open(std::move(to), std::move(request), options);
     if (auto *error = std::get_if<http::CallError>(&opened)) {
@@ -412,7 +412,7 @@
     const std::string key = m_o.label + "-book-" + std::to_string(household) + "-" + std::to_string(slot);
     const json body = bookingBody(household, slot);
     for (int copy = 0; copy < 2; ++copy) {
-        const auto options = callOptions(callerTimeout, http::Repeatable::No);
+        const auto options = callOptions(callerTimeout, http::Reuse::Never);
         auto request = http::makeRequest("POST", "/v1/ops/book", body.dump(), bookingHeaders(key));
         auto called = co_await m_client.call(router(household + copy), std::move(request), options);
         auto *reply = std::get_if<http::Reply>(&called);
@@ -428,7 +428,7 @@
 
 Task<json> Experiment::fetch(http::Address from, std::string path)
 {
-    const auto options = callOptions(probeTimeout, http::Repeatable::Yes);
+    const auto options = callOptions(probeTimeout, http::Reuse::KeptOrAgain);
     auto called = co_await m_client.call(std::move(from), http::makeRequest("GET", path), options);
     auto *reply = std::get_if<http::Reply>(&called);
     json parsed = reply ? json::parse(reply->body, nullptr, false) : json();
@@ -437,7 +437,7 @@
 
 Task<bool> Experiment::send(http::Address to, std::string method, std::string path, json body)
 {
-    const auto options = callOptions(probeTimeout, http::Repeatable::No);
+    const auto options = callOptions(probeTimeout, http::Reuse::Never);
     auto called = co_await m_client.call(std::move(to), http::makeRequest(method, path, body.dump()), options);
     auto *reply = std::get_if<http::Reply>(&called);
     co_return reply && reply->status == 200;
--- /dev/null
+++ b/src/forwarding.h
@@ -0,0 +1,61 @@
+// Which header fields go on from one connection to the next (RFC 9110, 7.6.1).
+#pragma once
+
+#include "http.h"
+
+#include <algorithm>
+#include <array>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace yucca::http
+{
+
+/// Fields that concern one connection only. Content-Length is among them, as
+/// each message states its own.
+inline constexpr std::array<std::string_view, 11> connectionFields{"connection", "keep-alive", "proxy-connection", "te",     "trailer", "transfer-encoding",
+                                                                   "upgrade",    "http2-settings", "content-length", "expect", "proxy-authenticate"};
+
+/// Compares header names or tokens, ASCII case ignored.
+inline bool sameName(std::string_view a, std::string_view b)
+{
+    return boost::beast::iequals(beastView(a), beastView(b));
+}
+
+/// True for a name in a table.
+template <typename Table> bool contains(const Table &names, std::string_view name)
+{
+    return std::any_of(names.begin(), names.end(), [name](std::string_view known) {
+        return sameName(known, name);
+    });
+}
+
+/// The fields that the message's own Connection header names as hop-by-hop.
+template <typename Fields> std::vector<std::string> namedByConnection(const Fields &fields)
+{
+    std::vector<std::string> names;
+    const auto range = fields.equal_range(bhttp::field::connection);
+    for (auto it = range.first; it != range.second; ++it) {
+        for (const auto &token : bhttp::token_list(it->value())) {
+            names.emplace_back(token);
+        }
+    }
+    return names;
+}
+
+/// The end-to-end fields of a message, in their order, repeated ones repeated.
+template <typename Fields> Headers endToEnd(const Fields &fields)
+{
+    const auto dropped = namedByConnection(fields);
+    Headers out;
+    for (const auto &field : fields) {
+        const std::string_view name(field.name_string().data(), field.name_string().size());
+        if (!contains(connectionFields, name) && !contains(dropped, name)) {
+            out.emplace_back(std::string(name), std::string(field.value()));
+        }
+    }
+    return out;
+}
+
+} // namespace yucca::http
--- a/src/http.cpp
+++ b/src/http.cpp
@@ -1,5 +1,7 @@
 #include "http.h"
 
+#include "text.h"
+
 namespace yucca::http
 {
 
@@ -16,4 +18,17 @@
     return req;
 }
 
+std::optional<Address> parseAddress(std::string_view text)
+{
+    const auto colon = text.rfind(':');
+    if (colon == std::string_view::npos || colon == 0) {
+        return std::nullopt;
+    }
+    const auto port = text::number<uint16_t>(text.substr(colon + 1));
+    if (!port) {
+        return std::nullopt;
+    }
+    return Address{std::string(text.substr(0, colon)), *port};
+}
+
 } // namespace yucca::http
--- a/src/http.h
+++ b/src/http.h
@@ -6,6 +6,7 @@
 
 #include <boost/beast/http.hpp>
 
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -27,6 +28,9 @@
     auto operator<=>(const Address &) const = default;
 };
 
+/// Reads an address written as HOST:PORT, or nothing.
+std::optional<Address> parseAddress(std::string_view text);
+
 /// Where a failed call broke off: decides whether the request may have run.
 enum class CallStage {
     Connect, ///< nothing was sent: the request certainly did not run
@@ -38,6 +42,7 @@
 struct CallError {
     CallStage stage = CallStage::Connect;
     std::string message;
+    bool reused = false; ///< the request went out on a kept connection
 };
 
 template <typename T> using CallResult = std::variant<T, CallError>;
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -29,10 +29,14 @@
     std::string header(std::string_view name) const;
 };
 
-/// Whether a request may be sent on a kept connection. One that must not
-/// run twice may not: a kept connection can be closed by the peer while the
-/// request is on its way, and then nobody can tell whether it ran.
-enum class Repeatable { No, Yes };
+/// Which connection a request goes out on. A kept connection can be closed
+/// by its peer while a request is on its way; then nobody can tell whether
+/// that request ran.
+enum class Reuse {
+    Never, ///< a new connection
+    Kept, ///< a kept one when there is one; its failure is the call's
+    KeptOrAgain, ///< the same, but sent once more on a new one when the kept one fails: idempotent requests only
+};
 
 /// Lets the owner of a call end it early, from the same event loop.
 class Cancellation
@@ -54,8 +58,10 @@
 /// How one call is made.
 struct CallOptions {
     Clock::time_point deadline;
-    Repeatable repeatable = Repeatable::No;
+    Reuse reuse = Reuse::Never;
     Cancellation *cancellation = nullptr; ///< must outlive the call and its Response
+    Millis connectTimeout{1000}; ///< a peer that does not answer a SYN is passed by
+    std::size_t mostKept = 32; ///< connections kept to the peer
 };
 
 struct ClientConnection {
@@ -65,7 +71,10 @@
     }
     boost::beast::tcp_stream stream;
     boost::beast::flat_buffer buffer;
+    Request request; ///< the one being sent; lives here, as its write may outlast the call
+    bool writing = false; ///< a peer may answer before it has read the request whole
     Clock::time_point idleSince;
+    Clock::time_point closeAt; ///< unless used again, before the peer closes it
 };
 
 class Client;
@@ -76,7 +85,7 @@
 class Response
 {
 public:
-    Response(Client &client, Address peer, std::unique_ptr<ClientConnection> connection, Cancellation *cancellation);
+    Response(Client &client, Address peer, std::shared_ptr<ClientConnection> connection, const CallOptions &options);
     ~Response();
     Response(const Response &) = delete;
     Response &operator=(const Response &) = delete;
@@ -85,20 +94,32 @@
     std::string header(std::string_view name) const;
     /// All header fields.
     Headers headers() const;
+    /// The fields that go on to another connection.
+    Headers endToEndHeaders() const;
     /// The next piece of the body; empty at its complete end.
     Task<CallResult<std::string>> read();
+    /// Reads this response to its end and then the head of the one behind
+    /// it: for an answer that was another request's, late on this connection.
+    /// The connection is not kept.
+    Task<std::optional<CallError>> skipToNext();
+
     /// Bounds the reads that follow.
     void setDeadline(Clock::time_point deadline);
 
 private:
     friend class Client;
+    Task<std::optional<CallError>> readHead();
+    Task<CallResult<std::string>> readPiece();
+    void startParser();
     void finish();
 
     Client &m_client;
     Address m_peer;
-    std::unique_ptr<ClientConnection> m_connection;
-    Cancellation *m_cancellation;
-    bhttp::response_parser<bhttp::buffer_body> m_parser;
+    std::shared_ptr<ClientConnection> m_connection;
+    CallOptions m_options;
+    bool m_reused = false;
+    bool m_keepable = true;
+    std::optional<bhttp::response_parser<bhttp::buffer_body>> m_parser;
     std::array<char, 8192> m_piece;
 };
 
@@ -137,13 +158,13 @@
     friend class Response;
     using PoolKey = std::pair<asio::execution_context *, Address>;
 
-    std::unique_ptr<ClientConnection> takeKept(const asio::any_io_executor &ex, const Address &to);
-    void keep(const Address &peer, std::unique_ptr<ClientConnection> connection);
-    Task<std::optional<CallError>> connect(ClientConnection &c, Address to, Clock::time_point deadline);
-    Task<CallResult<std::unique_ptr<Response>>> exchange(std::unique_ptr<Response> response, Request &request, CallOptions options);
+    std::shared_ptr<ClientConnection> takeKept(const asio::any_io_executor &ex, const Address &to);
+    void keep(const Address &peer, std::shared_ptr<ClientConnection> connection, std::size_t most);
+    Task<std::optional<CallError>> connect(ClientConnection &c, Address to, CallOptions options);
+    Task<CallResult<std::unique_ptr<Response>>> exchange(std::unique_ptr<Response> response, Request request);
 
     std::mutex m_mutex;
-    std::map<PoolKey, std::deque<std::unique_ptr<ClientConnection>>> m_kept;
+    std::map<PoolKey, std::deque<std::shared_ptr<ClientConnection>>> m_kept;
     Clock::time_point m_nextCloseIdle{};
     std::atomic<uint64_t> m_opened{0};
 };
--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -4,6 +4,8 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/chunk_encode.hpp>
 
+#include <array>
+
 #include <sys/socket.h>
 
 namespace yucca::http
@@ -13,13 +15,45 @@
 {
 
 constexpr Millis idlePollInterval{10}; ///< how often a planned stop looks whether the server is idle
+constexpr std::size_t readBytes = 4096; ///< of the first read of a request: most heads fit
+constexpr Millis rejectGrace{500}; ///< for a rejected caller to read its answer
+constexpr std::size_t rejectReadBytes = 256 * 1024; ///< read on after a rejection, at the most
+constexpr std::string_view continueHead = "HTTP/1.1 100 Continue\r\n\r\n";
 
 void setHeaders(bhttp::fields &fields, std::string_view contentType, const Headers &headers)
 {
-    fields.set(bhttp::field::content_type, beastView(contentType));
+    if (!contentType.empty()) {
+        fields.set(bhttp::field::content_type, beastView(contentType));
+    }
     for (const auto &[name, value] : headers) {
-        fields.set(name, value);
+        fields.insert(name, value); // a repeated field stays repeated, in its order
+    }
+}
+
+// Why a parsed head is no proper request, or null. Beast's parser is lenient
+// in what RFC 9112 (3.2, 6.1, 6.3) makes a reason to reject: a message whose
+// end two readers may see in different places would let one caller smuggle a
+// request past the checks inside another.
+const char *improperHead(const bhttp::request_parser<bhttp::string_body> &parser)
+{
+    const auto &request = parser.get();
+    if (request.count(bhttp::field::host) != 1 && request.version() >= 11) {
+        return "exactly one Host is needed";
+    }
+    if (request.count(bhttp::field::content_length) > 1) {
+        return "more than one Content-Length";
+    }
+    const auto codings = request.count(bhttp::field::transfer_encoding);
+    if (codings == 0) {
+        return nullptr;
+    }
+    if (request.count(bhttp::field::content_length) > 0) {
+        return "both Transfer-Encoding and Content-Length";
+    }
+    if (codings > 1 || !boost::beast::iequals(request[bhttp::field::transfer_encoding], "chunked")) {
+        return "a transfer coding other than chunked";
     }
+    return request.version() < 11 ? "a transfer coding in HTTP/1.0" : nullptr;
 }
 
 // True when the peer has closed its end: a peek finds the end of the stream
@@ -150,7 +184,7 @@
     , m_host(std::move(host))
     , m_port(port)
     , m_handler(std::move(handler))
-    , m_limits(limits)
+    , m_limits(std::make_shared<const ServerLimits>(limits))
     , m_acceptor(*m_loops.front())
 {
 }
@@ -209,13 +243,19 @@
     }
 }
 
-// Reads one request; false when the connection is over.
+void Server::setLimits(const ServerLimits &limits)
+{
+    m_limits = std::make_shared<const ServerLimits>(limits);
+}
+
+// Waits for a request and reads it; false when the connection is over.
 Task<bool> Server::readRequest(Connection &c, Request &out)
 {
-    boost::system::error_code ec;
+    const auto limits = m_limits.load();
     if (c.buffer.size() == 0) {
-        c.stream.expires_after(m_limits.idleTimeout);
-        auto into = c.buffer.prepare(4096);
+        c.stream.expires_after(limits->idleTimeout);
+        boost::system::error_code ec;
+        auto into = c.buffer.prepare(readBytes);
         const auto n = co_await c.stream.async_read_some(into, asio::redirect_error(asio::use_awaitable, ec));
         if (ec) {
             co_return false;
@@ -224,25 +264,70 @@
     }
     c.idle = false;
     ++m_inflight;
-    c.stream.expires_after(m_limits.headerTimeout);
-    bhttp::request_parser<bhttp::string_body> parser;
-    parser.header_limit(static_cast<uint32_t>(m_limits.headerBytes));
-    parser.body_limit(m_limits.bodyBytes);
-    co_await bhttp::async_read(c.stream, c.buffer, parser, asio::redirect_error(asio::use_awaitable, ec));
-    if (ec) {
+    const bool read = co_await readMessage(c, *limits, out);
+    if (!read) {
         --m_inflight;
-        if (ec == bhttp::error::body_limit || ec == bhttp::error::header_limit) {
-            bhttp::response<bhttp::string_body> res{
-                ec == bhttp::error::body_limit ? bhttp::status::payload_too_large : bhttp::status::request_header_fields_too_large, 11};
-            res.keep_alive(false);
-            res.prepare_payload();
-            boost::system::error_code ignored;
-            co_await bhttp::async_write(c.stream, res, asio::redirect_error(asio::use_awaitable, ignored));
+    }
+    co_return read;
+}
+
+// Reads the head and body of one request; a message that is no proper
+// request is rejected and ends the connection.
+Task<bool> Server::readMessage(Connection &c, const ServerLimits &limits, Request &out)
+{
+    boost::system::error_code ec;
+    c.stream.expires_after(limits.headerTimeout);
+    bhttp::request_parser<bhttp::string_body> parser;
+    parser.header_limit(static_cast<uint32_t>(limits.headerBytes));
+    parser.body_limit(limits.bodyBytes);
+    co_await bhttp::async_read_header(c.stream, c.buffer, parser, asio::redirect_error(asio::use_awaitable, ec));
+    if (!ec) {
+        if (const char *why = improperHead(parser)) {
+            co_await rejectMessage(c, bhttp::status::bad_request, why);
+            co_return false;
+        }
+        if (boost::beast::iequals(parser.get()[bhttp::field::expect], "100-continue")) {
+            co_await asio::async_write(c.stream, asio::buffer(continueHead), asio::redirect_error(asio::use_awaitable, ec));
         }
-        co_return false;
     }
-    out = parser.release();
-    co_return true;
+    if (!ec) {
+        co_await bhttp::async_read(c.stream, c.buffer, parser, asio::redirect_error(asio::use_awaitable, ec));
+    }
+    if (!ec) {
+        out = parser.release();
+        co_return true;
+    }
+    if (ec == bhttp::error::body_limit) {
+        co_await rejectMessage(c, bhttp::status::payload_too_large, "the body is too large");
+    } else if (ec == bhttp::error::header_limit) {
+        co_await rejectMessage(c, bhttp::status::request_header_fields_too_large, "the head is too large");
+    } else if (ec == boost::beast::error::timeout) {
+        co_await rejectMessage(c, bhttp::status::request_timeout, "the request took too long to arrive");
+    } else if (ec.category() == bhttp::make_error_code(bhttp::error::bad_method).category() && ec != bhttp::error::end_of_stream
+               && ec != bhttp::error::partial_message) {
+        co_await rejectMessage(c, bhttp::status::bad_request, "the message is not HTTP/1.1");
+    }
+    co_return false;
+}
+
+// Answers a message that cannot be taken and ends the connection: what
+// follows on it cannot be told apart from the message itself. Reads on for a
+// moment, since closing with unread bytes would reset the answer away.
+Task<void> Server::rejectMessage(Connection &c, bhttp::status status, const char *why)
+{
+    bhttp::response<bhttp::string_body> res{status, 11};
+    res.set(bhttp::field::content_type, "text/plain");
+    res.keep_alive(false);
+    res.body() = why;
+    res.prepare_payload();
+    boost::system::error_code ec;
+    c.stream.expires_after(rejectGrace);
+    co_await bhttp::async_write(c.stream, res, asio::redirect_error(asio::use_awaitable, ec));
+    c.stream.socket().shutdown(tcp::socket::shutdown_send, ec);
+    std::array<char, readBytes> ignored;
+    for (std::size_t n = 0; !ec && n < rejectReadBytes;) {
+        n += co_await c.stream.async_read_some(asio::buffer(ignored), asio::redirect_error(asio::use_awaitable, ec));
+    }
 }
 
 // Serves the requests of one connection, one after the other.
@@ -258,9 +343,9 @@
         if (!more) {
             break;
         }
-        co_await answer(c, request);
+        const bool kept = co_await answer(c, request);
         --m_inflight;
-        if (!c->stream.socket().is_open() || !request.keep_alive() || m_stopping) {
+        if (!kept) {
             break;
         }
     }
@@ -270,10 +355,12 @@
 }
 
 // Runs the handler for one request while watching for the caller to leave.
-Task<void> Server::answer(ConnectionPtr c, const Request &request)
+// True when the connection may carry another request.
+Task<bool> Server::answer(ConnectionPtr c, const Request &request)
 {
     c->stream.expires_never();
-    Exchange exchange(c->stream, request, request.keep_alive() && !m_stopping, m_limits.writeTimeout);
+    const bool keepAlive = request.keep_alive() && !m_stopping && !m_leaving;
+    Exchange exchange(c->stream, request, keepAlive, m_limits.load()->writeTimeout);
     auto watched = std::make_shared<Exchange *>(&exchange);
     watchCaller(c, watched);
     bool failed = false;
@@ -289,6 +376,7 @@
     if (!exchange.answered() || exchange.callerGone()) {
         c->stream.close();
     }
+    co_return keepAlive && c->stream.socket().is_open();
 }
 
 // Tells the exchange when its caller closes the connection. Stops by itself
--- a/src/http_server.h
+++ b/src/http_server.h
@@ -40,7 +40,8 @@
         return headerOf(m_request, name);
     }
 
-    /// Answers the whole response at once.
+    /// Answers the whole response at once. An empty content type sends none
+    /// but what the headers hold.
     Task<void> reply(unsigned status, std::string body, Headers headers = {}, std::string contentType = "application/json");
     /// Starts a chunked response; then sendChunk() and endStream(). False when the caller has gone.
     Task<bool> beginStream(unsigned status, std::string contentType, Headers headers = {});
@@ -89,6 +90,7 @@
     Millis headerTimeout{10000}; ///< from a request's first byte to its last
     Millis idleTimeout{30000}; ///< between requests on a kept connection
     Millis writeTimeout{30000}; ///< for one write to a caller that does not read
+    bool operator==(const ServerLimits &) const = default;
 };
 
 /// Accepts connections and runs the handler for each request. Counts
@@ -101,6 +103,14 @@
 
     /// Binds and starts accepting; an error when the address is taken. Returns the port.
     Result<uint16_t> start();
+    /// Puts other limits in force: for connections that are open, from their next request on.
+    void setLimits(const ServerLimits &limits);
+    /// From now on each answer asks its caller to use another connection.
+    /// Requests are still taken; stopAccepting() follows.
+    void askCallersToLeave()
+    {
+        m_leaving = true;
+    }
     /// Stops accepting, closes idle connections; requests in flight go on.
     void stopAccepting();
     /// Waits until no request is in flight or the grace has passed; true when idle.
@@ -125,15 +135,18 @@
     Task<void> acceptLoop();
     Task<void> serve(ConnectionPtr connection);
     Task<bool> readRequest(Connection &c, Request &out);
-    Task<void> answer(ConnectionPtr c, const Request &request);
+    Task<bool> readMessage(Connection &c, const ServerLimits &limits, Request &out);
+    Task<void> rejectMessage(Connection &c, bhttp::status status, const char *why);
+    Task<bool> answer(ConnectionPtr c, const Request &request);
     static void watchCaller(ConnectionPtr c, std::shared_ptr<Exchange *> exchange);
 
     std::vector<asio::io_context *> m_loops;
     std::string m_host;
     uint16_t m_port;
     Handler m_handler;
-    ServerLimits m_limits;
+    std::atomic<std::shared_ptr<const ServerLimits>> m_limits;
     tcp::acceptor m_acceptor;
+    std::atomic<bool> m_leaving{false};
     std::atomic<bool> m_stopping{false};
     std::atomic<int64_t> m_inflight{0};
     std::mutex m_mutex;
--- a/src/log.cpp
+++ b/src/log.cpp
@@ -1,10 +1,19 @@
 #include "log.h"
 
+#include <log4cxx/appenderskeleton.h>
 #include <log4cxx/consoleappender.h>
 #include <log4cxx/logger.h>
 #include <log4cxx/patternlayout.h>
 
 #include <array>
+#include <atomic>
+#include <charconv>
+#include <chrono>
+
+#include <climits>
+
+#include <poll.h>
+#include <unistd.h>
 
 namespace yucca::log
 {
@@ -12,7 +21,7 @@
 namespace
 {
 
-constexpr std::array<EventInfo, 28> catalogue{{
+constexpr std::array<EventInfo, 41> catalogue{{
     {Event::ProgramStarted, "ProgramStarted", Level::Info},
     {Event::StopRequested, "StopRequested", Level::Info},
     {Event::ProgramStopped, "ProgramStopped", Level::Info},
@@ -34,6 +43,19 @@
     {Event::LeaseLost, "LeaseLost", Level::Warn},
     {Event::OrderSent, "OrderSent", Level::Info},
     {Event::RecordsSwept, "RecordsSwept", Level::Info},
+    {Event::RequestFinished, "RequestFinished", Level::Info},
+    {Event::AttemptEnded, "AttemptEnded", Level::Info},
+    {Event::RequestRejected, "RequestRejected", Level::Info},
+    {Event::ConfigurationApplied, "ConfigurationApplied", Level::Info},
+    {Event::ConfigurationRejected, "ConfigurationRejected", Level::Error},
+    {Event::EndpointJoined, "EndpointJoined", Level::Info},
+    {Event::EndpointLeft, "EndpointLeft", Level::Info},
+    {Event::StoreLost, "StoreLost", Level::Warn},
+    {Event::StoreRegained, "StoreRegained", Level::Info},
+    {Event::EndpointEjected, "EndpointEjected", Level::Warn},
+    {Event::EndpointReturned, "EndpointReturned", Level::Info},
+    {Event::SettingsReloaded, "SettingsReloaded", Level::Info},
+    {Event::LinesLeftOut, "LinesLeftOut", Level::Warn},
     {Event::OrderAccepted, "OrderAccepted", Level::Info},
     {Event::OrderRefused, "OrderRefused", Level::Warn},
     {Event::Draining, "Draining", Level::Info},
@@ -49,6 +71,111 @@
     return l;
 }
 
+// Set once by init(), before other threads start.
+Output outputForm = Output::Text;
+std::string programName;
+
+// Writes whole lines to standard output, or leaves them out when the reader
+// of the pipe is behind: a write must never hold up traffic. A pipe that
+// polls as writable takes PIPE_BUF bytes at once.
+class PipeAppender : public log4cxx::AppenderSkeleton
+{
+public:
+    const log4cxx::helpers::Class &getClass() const override
+    {
+        return log4cxx::AppenderSkeleton::getStaticClass();
+    }
+    void close() override
+    {
+    }
+    bool requiresLayout() const override
+    {
+        return false;
+    }
+
+protected:
+    void append(const log4cxx::spi::LoggingEventPtr &event, log4cxx::helpers::Pool &) override
+    {
+        std::string line = event->getRenderedMessage();
+        line += '\n';
+        pollfd out{STDOUT_FILENO, POLLOUT, 0};
+        const bool writable = line.size() <= PIPE_BUF && ::poll(&out, 1, 0) == 1 && (out.revents & POLLOUT) != 0;
+        if (!writable || ::write(STDOUT_FILENO, line.data(), line.size()) < 0) {
+            ++m_leftOut;
+        } else if (m_leftOut > 0) {
+            noteLeftOut();
+        }
+    }
+
+private:
+    void noteLeftOut();
+
+    int64_t m_leftOut = 0;
+};
+
+log4cxx::LevelPtr levelOf(Level level)
+{
+    switch (level) {
+    case Level::Debug:
+        return log4cxx::Level::getDebug();
+    case Level::Info:
+        return log4cxx::Level::getInfo();
+    case Level::Warn:
+        return log4cxx::Level::getWarn();
+    case Level::Error:
+        break;
+    }
+    return log4cxx::Level::getError();
+}
+
+// Appends a JSON string; bytes outside printable ASCII are escaped, as what
+// callers send may be any bytes.
+void appendQuoted(std::string &out, std::string_view value)
+{
+    constexpr std::string_view hex = "0123456789abcdef";
+    out += '"';
+    for (const char c : value) {
+        const auto byte = static_cast<unsigned char>(c);
+        if (c == '"' || c == '\\') {
+            out += '\\';
+            out += c;
+        } else if (byte >= 0x20 && byte < 0x7f) {
+            out += c;
+        } else {
+            out += "\\u00";
+            out += hex[byte >> 4];
+            out += hex[byte & 15];
+        }
+    }
+    out += '"';
+}
+
+// The head of a JSON line: when, which event, how grave, of which program.
+std::string jsonHead(const EventInfo &row)
+{
+    using namespace std::chrono;
+    static constexpr std::array<std::string_view, 4> levelNames{"debug", "info", "warn", "error"};
+    const auto now = duration_cast<milliseconds>(system_clock::now().time_since_epoch()).count();
+    std::string line = "{\"ms\":" + std::to_string(now) + ",\"event\":" + std::to_string(static_cast<int>(row.event)) + ",\"name\":\"";
+    line += row.name;
+    line += "\",\"level\":\"";
+    line += levelNames[static_cast<std::size_t>(row.level)];
+    line += "\",\"program\":\"" + programName + '"';
+    return line;
+}
+
+void emit(const EventInfo &row, const std::string &text)
+{
+    LOG4CXX_LOG(logger(), levelOf(row.level), text);
+}
+
+void PipeAppender::noteLeftOut()
+{
+    std::string line = jsonHead(info(Event::LinesLeftOut)) + ",\"lines\":" + std::to_string(m_leftOut) + "}\n";
+    m_leftOut = 0;
+    [[maybe_unused]] const auto n = ::write(STDOUT_FILENO, line.data(), line.size());
+}
+
 } // namespace
 
 const EventInfo &info(Event e)
@@ -61,36 +188,96 @@
     return catalogue[0];
 }
 
-void init(std::string_view program, std::string_view level)
+void init(std::string_view program, std::string_view level, Output output)
 {
-    auto layout = std::make_shared<log4cxx::PatternLayout>(LOG4CXX_STR("%d{ISO8601} %-5p ") + log4cxx::LogString(program) + LOG4CXX_STR(" %m%n"));
-    auto appender = std::make_shared<log4cxx::ConsoleAppender>(layout, LOG4CXX_STR("System.err"));
+    outputForm = output;
+    programName = program;
     auto root = log4cxx::Logger::getRootLogger();
     root->removeAllAppenders();
-    root->addAppender(appender);
+    if (output == Output::Json) {
+        root->addAppender(std::make_shared<PipeAppender>());
+    } else {
+        auto layout = std::make_shared<log4cxx::PatternLayout>(LOG4CXX_STR("%d{ISO8601} %-5p ") + log4cxx::LogString(program) + LOG4CXX_STR(" %m%n"));
+        root->addAppender(std::make_shared<log4cxx::ConsoleAppender>(layout, LOG4CXX_STR("System.err")));
+    }
     root->setLevel(log4cxx::Level::toLevel(log4cxx::LogString(level), log4cxx::Level::getInfo()));
 }
 
 void event(Event e, const std::string &detail)
 {
-    const auto &row = info(e);
-    std::string line = "E" + std::to_string(static_cast<int>(e)) + " " + std::string(row.name);
-    if (!detail.empty()) {
-        line += " " + detail;
+    Line line(e);
+    if (outputForm == Output::Json && !detail.empty()) {
+        line.add("detail", detail);
+    } else if (!detail.empty()) {
+        line.text(detail);
     }
-    switch (row.level) {
-    case Level::Debug:
-        LOG4CXX_DEBUG(logger(), line);
-        break;
-    case Level::Info:
-        LOG4CXX_INFO(logger(), line);
-        break;
-    case Level::Warn:
-        LOG4CXX_WARN(logger(), line);
-        break;
-    case Level::Error:
-        LOG4CXX_ERROR(logger(), line);
-        break;
+}
+
+Line::Line(Event e)
+    : m_event(e)
+    , m_enabled(logger()->isEnabledFor(levelOf(info(e).level)))
+{
+}
+
+Line::~Line()
+{
+    if (!m_enabled) {
+        return;
+    }
+    const auto &row = info(m_event);
+    if (outputForm == Output::Json) {
+        emit(row, jsonHead(row) + m_fields + "}");
+    } else {
+        emit(row, "E" + std::to_string(static_cast<int>(m_event)) + " " + std::string(row.name) + m_fields);
+    }
+}
+
+void Line::text(const std::string &detail)
+{
+    if (m_enabled) {
+        m_fields += " " + detail;
+    }
+}
+
+Line &Line::add(std::string_view key, std::string_view value)
+{
+    if (!m_enabled) {
+        return *this;
+    }
+    begin(key);
+    appendQuoted(m_fields, value);
+    return *this;
+}
+
+Line &Line::add(std::string_view key, int64_t value)
+{
+    if (m_enabled) {
+        begin(key);
+        m_fields += std::to_string(value);
+    }
+    return *this;
+}
+
+Line &Line::add(std::string_view key, bool value)
+{
+    if (m_enabled) {
+        begin(key);
+        m_fields += value ? "true" : "false";
+    }
+    return *this;
+}
+
+// Starts a field: its key and what stands between key and value.
+void Line::begin(std::string_view key)
+{
+    if (outputForm == Output::Json) {
+        m_fields += ",\"";
+        m_fields += key;
+        m_fields += "\":";
+    } else {
+        m_fields += ' ';
+        m_fields += key;
+        m_fields += '=';
     }
 }
 
--- a/src/log.h
+++ b/src/log.h
@@ -1,6 +1,7 @@
 // Logging: numbered events through log4cxx; the catalogue is docs/EVENTS.md.
 #pragma once
 
+#include <cstdint>
 #include <string>
 #include <string_view>
 
@@ -30,6 +31,19 @@
     LeaseLost = 2016,
     OrderSent = 2017,
     RecordsSwept = 2018,
+    RequestFinished = 2020,
+    AttemptEnded = 2021,
+    RequestRejected = 2022,
+    ConfigurationApplied = 2030,
+    ConfigurationRejected = 2031,
+    EndpointJoined = 2032,
+    EndpointLeft = 2033,
+    StoreLost = 2034,
+    StoreRegained = 2035,
+    EndpointEjected = 2036,
+    EndpointReturned = 2037,
+    SettingsReloaded = 2038,
+    LinesLeftOut = 2039,
     OrderAccepted = 3001,
     OrderRefused = 3002,
     Draining = 3003,
@@ -51,10 +65,44 @@
 /// The name and level of an event.
 const EventInfo &info(Event e);
 
-/// Sets up log4cxx for a program: one line per event on stderr.
-void init(std::string_view program, std::string_view level);
+/// How the lines are written.
+enum class Output {
+    Text, ///< for people, on standard error: time, level, program, event, detail
+    Json, ///< for log pipelines, on standard output: one JSON object a line; lines that a full pipe cannot take are counted and left out
+};
+
+/// Sets up log4cxx for a program: one line per event.
+void init(std::string_view program, std::string_view level, Output output = Output::Text);
 
 /// Logs an event with its number, name and a key=value detail string.
 void event(Event e, const std::string &detail = {});
 
+/// One event with typed fields, logged at the end of its scope. Costs next
+/// to nothing when the event's level is off.
+class Line
+{
+public:
+    explicit Line(Event e);
+    ~Line();
+    Line(const Line &) = delete;
+    Line &operator=(const Line &) = delete;
+
+    Line &add(std::string_view key, std::string_view value);
+    Line &add(std::string_view key, const char *value)
+    {
+        return add(key, std::string_view(value));
+    }
+    Line &add(std::string_view key, int64_t value);
+    Line &add(std::string_view key, bool value);
+
+private:
+    friend void event(Event e, const std::string &detail);
+    void text(const std::string &detail);
+    void begin(std::string_view key);
+
+    Event m_event;
+    bool m_enabled;
+    std::string m_fields; ///< JSON members, each with a comma before it, or key=value pairs
+};
+
 } // namespace yucca::log
--- a/src/placement.cpp
+++ b/src/placement.cpp
@@ -306,6 +306,62 @@
     m_own[member] = std::max<int64_t>(0, m_own[member] - 1);
 }
 
+void LeastLoaded::setMembers(std::vector<std::string> ids)
+{
+    std::sort(ids.begin(), ids.end());
+    m_members = carryOver(m_ids, m_members, ids);
+    m_ids = std::move(ids);
+    for (std::size_t i = 0; i < m_ids.size(); ++i) {
+        m_members[i].hash = ring::hash(m_ids[i]);
+    }
+}
+
+// What others had in flight at the last report fades with its age: plain
+// calls are short, and an old report says nothing of now.
+double LeastLoaded::estimate(const Member &m, TimePoint now) const
+{
+    const double age = std::chrono::duration<double>(now - m.reportedAt).count();
+    const double others = static_cast<double>(std::max<int64_t>(0, m.report - m.ownAtReport));
+    return static_cast<double>(m.own) + others * std::exp(-std::max(0.0, age) / m_reportLifetime.count());
+}
+
+std::optional<std::size_t> LeastLoaded::pick(const Affinity &affinity, const Usable &usable, TimePoint now)
+{
+    std::optional<std::size_t> best;
+    double bestLoad = 0;
+    for (std::size_t i = 0; i < m_members.size(); ++i) {
+        if (!usable[i]) {
+            continue;
+        }
+        const auto &m = m_members[i];
+        const double load = estimate(m, now);
+        const bool tie = best && load == bestLoad;
+        if (!best || load < bestLoad || (tie && rank(m.hash, affinity.conversation) > rank(m_members[*best].hash, affinity.conversation))) {
+            best = i;
+            bestLoad = load;
+        }
+    }
+    return best;
+}
+
+void LeastLoaded::placed(std::size_t member, TimePoint)
+{
+    ++m_members[member].own;
+}
+
+void LeastLoaded::finished(std::size_t member, TimePoint)
+{
+    m_members[member].own = std::max<int64_t>(0, m_members[member].own - 1);
+}
+
+void LeastLoaded::reported(std::size_t member, int64_t load, TimePoint now)
+{
+    auto &m = m_members[member];
+    m.report = load;
+    m.ownAtReport = m.own;
+    m.reportedAt = now;
+}
+
 void RoundRobin::setMembers(std::vector<std::string> ids)
 {
     std::sort(ids.begin(), ids.end());
--- a/src/platform_client.cpp
+++ b/src/platform_client.cpp
@@ -82,7 +82,7 @@
     options.deadline = Clock::now() + timeout;
     // Writes are conditional, and a lost answer is resolved by reading: they
     // may go over a kept connection like reads, but are not sent twice.
-    options.repeatable = read ? http::Repeatable::Yes : http::Repeatable::No;
+    options.reuse = read ? http::Reuse::KeptOrAgain : http::Reuse::Never;
     auto called = co_await m_client.call(m_address, http::makeRequest(method, target, std::move(body)), options);
     if (auto *err = std::get_if<http::CallError>(&called)) {
         const bool mayHaveRun = err->stage != http::CallStage::Connect && !read;
--- a/src/router_core.cpp
+++ b/src/router_core.cpp
@@ -93,14 +93,16 @@
     health.suspectUntil = {};
 }
 
-// A picker of the router's policy, empty.
-RoutingTable::Picker RoutingTable::makePicker() const
+// A picker of the router's policy for a kind of endpoints, empty.
+RoutingTable::Picker RoutingTable::makePicker(EndpointKind kind) const
 {
-    switch (m_options.policy) {
+    switch (kind == EndpointKind::Service ? m_options.servicePolicy : m_options.policy) {
     case Policy::Affinity:
         return placement::PrefixAffinity(m_options.affinity);
     case Policy::Bounded:
         return placement::OwnBound(m_options.virtualNodes, m_options.affinity.loadFactor);
+    case Policy::LeastLoaded:
+        return placement::LeastLoaded();
     case Policy::RoundRobin:
         break;
     }
@@ -122,7 +124,7 @@
         }
         auto it = m_pools.find(e.pool);
         if (it == m_pools.end()) {
-            it = m_pools.emplace(e.pool, Pool{makePicker(), {}}).first;
+            it = m_pools.emplace(e.pool, Pool{makePicker(e.kind), {}}).first;
         }
         it->second.members.push_back(e);
     }
--- a/src/router_core.h
+++ b/src/router_core.h
@@ -22,6 +22,7 @@
 /// How the table places requests.
 struct TableOptions {
     Policy policy = Policy::Affinity;
+    Policy servicePolicy = Policy::Affinity; ///< of pools of plain services
     placement::AffinityOptions affinity;
     int virtualNodes = 64; ///< of Policy::Bounded
     Millis suspectFor{500}; ///< an endpoint is passed by after its first failed connection; doubled by each next
@@ -58,7 +59,7 @@
     nlohmann::json status() const;
 
 private:
-    using Picker = std::variant<placement::PrefixAffinity, placement::OwnBound, placement::RoundRobin>;
+    using Picker = std::variant<placement::PrefixAffinity, placement::OwnBound, placement::LeastLoaded, placement::RoundRobin>;
     struct Pool {
         Picker picker;
         std::vector<Endpoint> members; ///< sorted by id, as the picker keeps them
@@ -71,7 +72,7 @@
         int64_t inflight = 0;
         int64_t placed = 0;
     };
-    Picker makePicker() const;
+    Picker makePicker(EndpointKind kind) const;
     void rebuild();
     Pool *poolOf(const std::string &id, std::size_t &member);
 
--- a/src/router_main.cpp
+++ b/src/router_main.cpp
@@ -4,8 +4,10 @@
 #include "bench.h"
 #include "cli.h"
 #include "duties.h"
+#include "entry/entry_settings.h"
 #include "log.h"
 #include "router_traffic.h"
+#include "run.h"
 #include "supervisor.h"
 
 #include <boost/asio/executor_work_guard.hpp>
@@ -19,6 +21,24 @@
 namespace
 {
 
+/// Which interface a router offers its callers.
+enum class Interface {
+    Own, ///< chat completions and operations, with the catalogue of yucca-ctl
+    Platform, ///< the platform's requests and configuration
+};
+
+constexpr NameTable<Interface, 2> interfaceNames{{{Interface::Own, "own"}, {Interface::Platform, "platform"}}};
+
+// The interface that a settings file asks for; the rest of the file is read
+// and checked by that interface's own parser.
+Interface interfaceOf(const char *path)
+{
+    Findings ignored;
+    const auto document = settings::loadFile(path, ignored);
+    const auto name = document.is_object() && document.contains("interface") ? document["interface"] : nlohmann::json();
+    return name.is_string() ? parseName(interfaceNames, name.get<std::string>()).value_or(Interface::Own) : Interface::Own;
+}
+
 /// One router process: the control side with its supervisor on a thread of
 /// its own, and the traffic side on one or more others.
 class RouterProcess
@@ -181,6 +201,14 @@
     if (auto rc = cli::parse("yucca-router", argc, argv, own, common, rest, "[bench [--help]]")) {
         return *rc;
     }
+    if (common.config && interfaceOf(common.config) == Interface::Platform) {
+        const auto entrySettings = cli::loadSettings<entry::Settings>(common, entry::parseSettings);
+        if (!entrySettings) {
+            return cli::ExitUsage;
+        }
+        log::init("yucca-router", entrySettings->logLevel, log::Output::Json);
+        return platform::runEntryRouter(*entrySettings);
+    }
     auto s = cli::loadSettings<settings::RouterSettings>(common, settings::parseRouter);
     if (!s) {
         return cli::ExitUsage;
--- a/src/router_traffic.cpp
+++ b/src/router_traffic.cpp
@@ -54,9 +54,9 @@
     return {{"x-idempotent-replay", "true"}, {"x-request-id", requestId}};
 }
 
-http::CallOptions callOptions(Clock::time_point deadline, http::Repeatable repeatable, http::Cancellation *cancellation = nullptr)
+http::CallOptions callOptions(Clock::time_point deadline, http::Reuse reuse, http::Cancellation *cancellation = nullptr)
 {
-    return {deadline, repeatable, cancellation};
+    return {deadline, reuse, cancellation};
 }
 
 json readiness(bool ready)
@@ -292,7 +292,7 @@
 // Forwards a chat and its answer whole.
 Task<Router::Attempt> Router::relayWhole(http::Exchange &ex, Chat &chat, const Endpoint &endpoint, Clock::time_point deadline)
 {
-    const auto options = callOptions(deadline, http::Repeatable::Yes, &chat.cancellation);
+    const auto options = callOptions(deadline, http::Reuse::KeptOrAgain, &chat.cancellation);
     auto called = co_await m_client.call(addressOf(endpoint), forwarded(ex, chat.admitted), options);
     if (auto *error = std::get_if<http::CallError>(&called)) {
         co_return failed(endpoint, *error);
@@ -309,7 +309,7 @@
 // earlier engine broke off goes on after the last event the caller has.
 Task<Router::Attempt> Router::relayStream(http::Exchange &ex, Chat &chat, const Endpoint &endpoint, Clock::time_point deadline)
 {
-    const auto options = callOptions(deadline, http::Repeatable::Yes, &chat.cancellation);
+    const auto options = callOptions(deadline, http::Reuse::KeptOrAgain, &chat.cancellation);
     auto request = forwarded(ex, chat.admitted);
     if (chat.events.lastId() > 0) {
         request.set("last-event-id", std::to_string(chat.events.lastId()));
@@ -445,7 +445,7 @@
         if (!key.empty()) {
             request.set("idempotency-key", key);
         }
-        const auto options = callOptions(admitted.deadline, http::Repeatable::No);
+        const auto options = callOptions(admitted.deadline, http::Reuse::Never);
         auto called = co_await m_client.call(addressOf(*endpoint), std::move(request), options);
         if (auto *error = std::get_if<http::CallError>(&called)) {
             noteFailure(*endpoint, *error);
--- a/src/sse.h
+++ b/src/sse.h
@@ -19,6 +19,16 @@
     /// Takes bytes as they arrive; returns the whole events among them, as
     /// they are to be sent on.
     std::vector<std::string> push(std::string_view bytes);
+    /// The caller has the events up to this one from an earlier stream.
+    void startAfter(uint64_t lastId)
+    {
+        m_lastId = lastId;
+    }
+    /// True while an event has begun and not ended.
+    bool midEvent() const
+    {
+        return !m_partial.empty();
+    }
     /// Forgets a half event: its run broke off, another goes on after lastId().
     void runEnded()
     {
--- a/tests/test_router.cpp
+++ b/tests/test_router.cpp
@@ -335,7 +335,7 @@
     const auto port = std::get<uint16_t>(server.start());
     asio::ip::tcp::socket caller(loop().io);
     caller.connect({asio::ip::make_address("127.0.0.1"), port});
-    auto request = http::makeRequest("GET", "/");
+    auto request = http::makeRequest("GET", "/", "", {{"Host", "server"}});
     http::bhttp::write(caller, request); // and never reads
     loop().until([&] {
         return ended.fired();
@@ -378,7 +378,7 @@
     FakeEndpoint gone(loop(), answer), stays(loop(), answer);
     http::Client client;
     const auto call = [&](uint16_t port) {
-        http::CallOptions options{Clock::now() + std::chrono::seconds(60), http::Repeatable::Yes, nullptr};
+        http::CallOptions options{Clock::now() + std::chrono::seconds(60), http::Reuse::KeptOrAgain, nullptr};
         const auto r = loop().run(client.call({"127.0.0.1", port}, http::makeRequest("GET", "/"), options));
         LONGS_EQUAL(200, std::get<http::Reply>(r).status);
     };
