One home a prompt; a prompt read elsewhere is fetched, not read again

Change: placement::PromptHome (rendezvous order by the prompt, the next member while one is at 1.3 x the mean + 2), plain services by least load; the engine is told which other likely holds the prompt (the one last sent to, the prompt's home, the home before one that has just joined). What is known of a member's load is one class, ObservedLoad, for all policies.

--- a/include/yucca/placement.h
+++ b/include/yucca/placement.h
@@ -42,6 +42,52 @@
     p.reported(m, load, now);
 };
 
+/// What a router knows of one member's load: what it has in flight there
+/// itself, and the member's last report of what it has from all routers.
+class ObservedLoad
+{
+public:
+    void placed()
+    {
+        ++m_own;
+    }
+    void finished()
+    {
+        m_own = m_own > 0 ? m_own - 1 : 0;
+    }
+    void reported(int64_t load, TimePoint now);
+    int64_t own() const
+    {
+        return m_own;
+    }
+    /// The last report, or -1 before the first.
+    int64_t report() const
+    {
+        return m_report;
+    }
+    /// How much the last report still weighs: 1 when fresh, less by e with each lifetime; 0 without one.
+    double weight(TimePoint now, std::chrono::duration<double> lifetime) const;
+    /// The load from all routers. A fresh report counts as it is, corrected
+    /// by what this router has sent and finished since; with age it gives
+    /// way to the prior. Never below what this router has there.
+    double estimate(double prior, TimePoint now, std::chrono::duration<double> lifetime) const;
+
+private:
+    int64_t m_own = 0;
+    int64_t m_ownAtReport = 0;
+    int64_t m_report = -1;
+    TimePoint m_reportedAt{};
+};
+
+/// The mean load of the members that may be used: of the reports, weighted
+/// by their age, and never below the mean of what this router has in flight.
+/// Reports age slower here than in a member's own estimate: a pool's mean
+/// moves slowly, and many reports average out.
+double meanLoad(const std::vector<ObservedLoad> &loads, const Usable &usable, TimePoint now, std::chrono::duration<double> lifetime);
+
+/// A member's rank in a key's rendezvous order; the highest is the key's home.
+uint64_t rankOf(const std::string &memberId, uint64_t key);
+
 /// How often keys occur, for the few that occur most: a space-saving sketch
 /// (Metwally, Agrawal and El Abbadi, 2005) with exponential decay.
 class HeatSketch
@@ -119,22 +165,18 @@
     }
 
 private:
-    struct Member {
-        uint64_t hash = 0;
-        int64_t own = 0; ///< in flight from this router
-        int64_t ownAtReport = 0;
-        int64_t report = -1; ///< -1: none yet
-        TimePoint reportedAt{};
-    };
-    /// The estimated load of a member, from all routers.
-    double estimate(const Member &m, TimePoint now) const;
+    double estimate(std::size_t member, TimePoint now) const
+    {
+        return m_loads[member].estimate(m_mean, now, m_options.reportLifetime);
+    }
     double sliverReplicas(std::size_t n) const;
     void forgetColdSets();
     void refreshMean(const Usable &usable, TimePoint now);
 
     AffinityOptions m_options;
     std::vector<std::string> m_ids;
-    std::vector<Member> m_members;
+    std::vector<uint64_t> m_hashes; ///< of the ids
+    std::vector<ObservedLoad> m_loads;
     HeatSketch m_heat;
     HeatSketch m_surge;
     std::unordered_map<uint64_t, std::size_t> m_replicas; ///< the sets wider than one, by shared key
@@ -192,18 +234,48 @@
     void reported(std::size_t member, int64_t load, TimePoint now);
 
 private:
-    struct Member {
-        uint64_t hash = 0;
-        int64_t own = 0; ///< in flight from this router
-        int64_t ownAtReport = 0;
-        int64_t report = 0; ///< in flight on it from all routers
-        TimePoint reportedAt{};
-    };
-    double estimate(const Member &m, TimePoint now) const;
-
     std::chrono::duration<double> m_reportLifetime;
     std::vector<std::string> m_ids;
-    std::vector<Member> m_members;
+    std::vector<uint64_t> m_hashes; ///< of the ids
+    std::vector<ObservedLoad> m_loads;
+};
+
+/// Settings of PromptHome.
+struct HomeOptions {
+    /// No member above this multiple of the mean load, plus the slack. Below
+    /// the bound that must hold, as reports come late.
+    double loadFactor = 1.3;
+    double slack = 2.0; ///< requests: below a few in flight a late report's noise is no overload
+    std::chrono::duration<double> reportLifetime{3.0};
+};
+
+/// One home for each prompt: the member that ranks first in the prompt's
+/// rendezvous order, which every router computes alike; the next in that
+/// order while the ones before are at the bound. A prompt that is read at
+/// two members is read twice, and takes the room of another.
+class PromptHome
+{
+public:
+    explicit PromptHome(HomeOptions options = {})
+        : m_options(options)
+    {
+    }
+
+    void setMembers(std::vector<std::string> ids);
+    const std::vector<std::string> &members() const
+    {
+        return m_ids;
+    }
+    std::optional<std::size_t> pick(const Affinity &affinity, const Usable &usable, TimePoint now);
+    void placed(std::size_t member, TimePoint now);
+    void finished(std::size_t member, TimePoint now);
+    void reported(std::size_t member, int64_t load, TimePoint now);
+
+private:
+    HomeOptions m_options;
+    std::vector<std::string> m_ids;
+    std::vector<uint64_t> m_hashes; ///< of the ids
+    std::vector<ObservedLoad> m_loads;
 };
 
 /// The naive baseline: members in turn, no affinity, no bound.
@@ -234,6 +306,7 @@
 static_assert(Policy<PrefixAffinity>);
 static_assert(Policy<OwnBound>);
 static_assert(Policy<LeastLoaded>);
+static_assert(Policy<PromptHome>);
 static_assert(Policy<RoundRobin>);
 
 } // namespace yucca::placement
--- a/src/entry/gateway.h
+++ b/src/entry/gateway.h
@@ -8,6 +8,7 @@
 #include "entry/request_profile.h"
 #include "entry/retry_policy.h"
 #include "entry/entry_settings.h"
+#include "entry/prompt_holders.h"
 #include "http_client.h"
 #include "http_server.h"
 #include "log.h"
@@ -29,7 +30,7 @@
 /// What differs between the interfaces that callers and endpoints speak.
 template <typename D>
 concept Dialect = requires(const http::Exchange &ex, const ConfigurationPtr &configuration, Clock::time_point now, const RequestProfile &profile,
-                           const Endpoint &endpoint, Millis left, uint64_t resumeAfter, const http::Response &response, Rejection why, Millis comeBack)
+                           const ForwardOptions &options, const http::Response &response, Rejection why, Millis comeBack)
 {
     {
         D::identify(ex, configuration, now)
@@ -38,7 +39,7 @@
         D::requestId(ex)
         } -> std::same_as<std::string>;
     {
-        D::forwarded(ex, profile, endpoint, left, resumeAfter)
+        D::forwarded(ex, profile, options)
         } -> std::same_as<http::Request>;
     {
         D::readHead(response, profile)
@@ -53,6 +54,7 @@
     Millis connectTimeout{300}; ///< an endpoint answers a SYN in about 2 ms; a full backlog drops it for seconds
     double silencePatience = 1.0; ///< of a route's target latency, until a repeatable request goes elsewhere
     double gapPatience = 2.0; ///< of a route's event gap target, until a resumable stream goes elsewhere
+    Millis newlyJoined{15000}; ///< an endpoint that joined so lately does not yet hold what its place would make it hold
     Millis comeBackAfter{100}; ///< told to callers that are turned away for now
     std::size_t routersPerConnectionCap = 16; ///< routers that share an endpoint's connection cap
     std::size_t mostKept = 32; ///< connections kept to an endpoint
@@ -112,6 +114,7 @@
     limits::RetryBudget &budgetOf(const std::string &service);
     std::string chooseService(const RequestProfile &profile) const;
     placement::Affinity affinityOf(const RequestProfile &profile) const;
+    std::optional<Endpoint> promptHolder(const Flight &flight, const Endpoint &endpoint, Clock::time_point now);
     void account(const Flight &flight, std::string_view outcome, int64_t status) const;
 
     const Settings &m_settings;
@@ -120,6 +123,7 @@
     GatewayOptions m_options;
     http::Client m_client;
     std::map<std::string, limits::RetryBudget> m_budgets;
+    PromptHolders m_holders;
     std::atomic<bool> m_turningAway{false};
 };
 
@@ -271,7 +275,8 @@
     const std::size_t share = service ? static_cast<std::size_t>(service->maxConnections) / m_options.routersPerConnectionCap : 1;
     options.mostKept = std::clamp<std::size_t>(share, 2, m_options.mostKept);
     const auto left = std::chrono::duration_cast<Millis>(flight.profile.answerBy - now);
-    auto request = D::forwarded(ex, flight.profile, endpoint, left, flight.events.lastId());
+    ForwardOptions forward{endpoint, left, flight.events.lastId(), promptHolder(flight, endpoint, now)};
+    auto request = D::forwarded(ex, flight.profile, forward);
     const http::Address address{endpoint.host, endpoint.port};
     stale = false;
     auto opened = co_await m_client.open(address, std::move(request), options);
@@ -322,6 +327,9 @@
         co_return AttemptEnd::Broken;
     }
     flight.firstByte = Clock::now();
+    if (sharesPrompt(flight.profile.prompt)) {
+        m_holders.note(promptKey(flight.profile.prompt), endpoint, flight.firstByte);
+    }
     const bool streams = flight.profile.route->kind == RequestKind::Stream && head.status == 200;
     // GCC 12 evaluates both arms of a conditional with co_await in each.
     if (streams) {
@@ -440,16 +448,36 @@
     return ways.empty() ? std::string() : ways.back().service;
 }
 
-// Requests with the same first part share a replica set; those that also
-// share the parts up to their own last one go to the same member of it.
+// Requests that share their prompt up to their own last part have one home.
 template <Dialect D> placement::Affinity Gateway<D>::affinityOf(const RequestProfile &profile) const
 {
-    const auto &parts = profile.prompt.parts;
-    if (parts.size() < 2) {
-        const uint64_t key = ring::hash(profile.id);
-        return {key, key};
+    const uint64_t key = sharesPrompt(profile.prompt) ? promptKey(profile.prompt) : ring::hash(profile.id);
+    return {key, key};
+}
+
+// Another endpoint that likely holds the prompt, when the one it goes to
+// likely does not: the one this router last sent it to; else the prompt's
+// home; for an endpoint that is the home because it has just joined, the
+// home before that.
+template <Dialect D> std::optional<Endpoint> Gateway<D>::promptHolder(const Flight &flight, const Endpoint &endpoint, Clock::time_point now)
+{
+    if (!sharesPrompt(flight.profile.prompt)) {
+        return std::nullopt;
+    }
+    const uint64_t prompt = promptKey(flight.profile.prompt);
+    const auto last = m_holders.find(prompt, now);
+    const auto alive = last ? m_table.find(last->id, now) : std::nullopt;
+    if (alive) {
+        return alive->id == endpoint.id ? std::nullopt : alive;
+    }
+    const auto home = m_table.homeOf(flight.service, prompt, "");
+    if (home && home->id != endpoint.id) {
+        return home;
+    }
+    if (now - m_table.joinedAt(endpoint.id) > m_options.newlyJoined) {
+        return std::nullopt;
     }
-    return {parts[parts.size() - 2].id, parts[parts.size() - 2].id};
+    return m_table.homeOf(flight.service, prompt, endpoint.id);
 }
 
 template <Dialect D> void Gateway<D>::account(const Flight &flight, std::string_view outcome, int64_t status) const
--- a/src/entry/process.h
+++ b/src/entry/process.h
@@ -67,8 +67,9 @@
     static router::TableOptions tableOptions(const Settings &s)
     {
         router::TableOptions options;
+        options.policy = Policy::Home;
         options.servicePolicy = Policy::LeastLoaded;
-        options.affinity.loadFactor = std::min(s.loadFactor, router::TableOptions().affinity.loadFactor);
+        options.home.loadFactor = std::min(s.loadFactor, options.home.loadFactor);
         return options;
     }
     static void noteFailure(const std::string &child, const std::string &error, int failures)
--- a/src/entry/request_profile.h
+++ b/src/entry/request_profile.h
@@ -24,6 +24,18 @@
     std::vector<PromptPart> parts; ///< in order; the last is the request's or its session's own
 };
 
+/// True when a prompt has parts that other requests may share.
+inline bool sharesPrompt(const Prompt &prompt)
+{
+    return prompt.parts.size() >= 2;
+}
+
+/// The same for prompts that share all parts but their own last one.
+inline uint64_t promptKey(const Prompt &prompt)
+{
+    return prompt.parts[prompt.parts.size() - 2].id;
+}
+
 /// A request that may go on: who sent it, under which route, how long it has.
 struct RequestProfile {
     std::string id; ///< of this attempt of the caller's
@@ -81,6 +93,14 @@
     }
 }
 
+/// How a request goes to one endpoint.
+struct ForwardOptions {
+    Endpoint endpoint;
+    Millis left; ///< until the answer must be there
+    uint64_t resumeAfter = 0; ///< of a stream: the last event that the caller has
+    std::optional<Endpoint> promptHolder; ///< where the endpoint may fetch the read prompt from, instead of reading it
+};
+
 /// What an endpoint's answer says, as read off its head.
 struct AnswerHead {
     unsigned status = 0;
--- a/src/placement.cpp
+++ b/src/placement.cpp
@@ -44,8 +44,67 @@
     return out;
 }
 
+// The hashes that members are ranked by.
+std::vector<uint64_t> hashesOf(const std::vector<std::string> &ids)
+{
+    std::vector<uint64_t> hashes(ids.size());
+    std::transform(ids.begin(), ids.end(), hashes.begin(), [](const std::string &id) {
+        return ring::hash(id);
+    });
+    return hashes;
+}
+
 } // namespace
 
+uint64_t rankOf(const std::string &memberId, uint64_t key)
+{
+    return rank(ring::hash(memberId), key);
+}
+
+void ObservedLoad::reported(int64_t load, TimePoint now)
+{
+    m_report = load;
+    m_ownAtReport = m_own;
+    m_reportedAt = now;
+}
+
+double ObservedLoad::weight(TimePoint now, std::chrono::duration<double> lifetime) const
+{
+    if (m_report < 0) {
+        return 0;
+    }
+    const double age = std::chrono::duration<double>(now - m_reportedAt).count();
+    return std::exp(-std::max(0.0, age) / lifetime.count());
+}
+
+double ObservedLoad::estimate(double prior, TimePoint now, std::chrono::duration<double> lifetime) const
+{
+    const double fresh = weight(now, lifetime);
+    const double corrected = static_cast<double>(m_report + m_own - m_ownAtReport);
+    return std::max(static_cast<double>(m_own), fresh * corrected + (1 - fresh) * prior);
+}
+
+double meanLoad(const std::vector<ObservedLoad> &loads, const Usable &usable, TimePoint now, std::chrono::duration<double> lifetime)
+{
+    constexpr double meanLifetimes = 5; // of a member's own estimate
+    double sum = 0;
+    double weights = 0;
+    int64_t own = 0;
+    std::size_t n = 0;
+    for (std::size_t i = 0; i < loads.size(); ++i) {
+        if (!usable[i]) {
+            continue;
+        }
+        ++n;
+        own += loads[i].own();
+        const double w = loads[i].weight(now, meanLifetimes * lifetime);
+        sum += w * static_cast<double>(std::max<int64_t>(0, loads[i].report()));
+        weights += w;
+    }
+    const double ownMean = n ? static_cast<double>(own) / static_cast<double>(n) : 0;
+    return weights > 0 ? std::max(ownMean, sum / weights) : ownMean;
+}
+
 HeatSketch::HeatSketch(std::size_t capacity, std::chrono::duration<double> halfLife)
     : m_capacity(capacity)
     , m_halfLifeS(halfLife.count())
@@ -109,55 +168,33 @@
 void PrefixAffinity::setMembers(std::vector<std::string> ids)
 {
     std::sort(ids.begin(), ids.end());
-    m_members = carryOver(m_ids, m_members, ids);
+    m_loads = carryOver(m_ids, m_loads, ids);
     m_ids = std::move(ids);
+    m_hashes = hashesOf(m_ids);
     m_ownTotal = 0;
-    for (std::size_t i = 0; i < m_ids.size(); ++i) {
-        m_members[i].hash = ring::hash(m_ids[i]);
-        m_ownTotal += m_members[i].own;
+    for (const auto &load : m_loads) {
+        m_ownTotal += load.own();
     }
     m_meanStale = true;
 }
 
 void PrefixAffinity::placed(std::size_t member, TimePoint)
 {
-    ++m_members[member].own;
+    m_loads[member].placed();
     ++m_ownTotal;
 }
 
 void PrefixAffinity::finished(std::size_t member, TimePoint)
 {
-    auto &own = m_members[member].own;
-    if (own > 0) {
-        --own;
-        --m_ownTotal;
-    }
+    m_ownTotal -= m_loads[member].own() > 0 ? 1 : 0;
+    m_loads[member].finished();
 }
 
 void PrefixAffinity::reported(std::size_t member, int64_t load, TimePoint now)
 {
-    auto &m = m_members[member];
-    m.report = load;
-    m.ownAtReport = m.own;
-    m.reportedAt = now;
+    m_loads[member].reported(load, now);
 }
 
-// A fresh report counts as it is, corrected by what this router has sent
-// and finished since; with age it gives way to the pool's mean.
-double PrefixAffinity::estimate(const Member &m, TimePoint now) const
-{
-    const double floor = static_cast<double>(m.own);
-    if (m.report < 0) {
-        return std::max(floor, m_mean);
-    }
-    const double age = std::chrono::duration<double>(now - m.reportedAt).count();
-    const double weight = std::exp(-std::max(0.0, age) / m_options.reportLifetime.count());
-    const double corrected = static_cast<double>(m.report + m.own - m.ownAtReport);
-    return std::max(floor, weight * corrected + (1 - weight) * m_mean);
-}
-
-// The pool's mean load: of the reports, weighted by their age, over the
-// members that may be used; never below the mean of what this router sent.
 void PrefixAffinity::refreshMean(const Usable &usable, TimePoint now)
 {
     if (!m_meanStale && now - m_meanAt < meanLifetime) {
@@ -165,29 +202,7 @@
     }
     m_meanStale = false;
     m_meanAt = now;
-    // Reports age slower here than in a member's own estimate: the mean of a
-    // pool moves slowly, and many reports average out.
-    const double lifetime = 5 * m_options.reportLifetime.count();
-    double sum = 0;
-    double weights = 0;
-    int64_t own = 0;
-    std::size_t n = 0;
-    for (std::size_t i = 0; i < m_members.size(); ++i) {
-        if (!usable[i]) {
-            continue;
-        }
-        const auto &m = m_members[i];
-        ++n;
-        own += m.own;
-        if (m.report >= 0) {
-            const double age = std::chrono::duration<double>(now - m.reportedAt).count();
-            const double w = std::exp(-std::max(0.0, age) / lifetime);
-            sum += w * static_cast<double>(m.report);
-            weights += w;
-        }
-    }
-    const double ownMean = n ? static_cast<double>(own) / static_cast<double>(n) : 0;
-    m_mean = weights > 0 ? std::max(ownMean, sum / weights) : ownMean;
+    m_mean = meanLoad(m_loads, usable, now, m_options.reportLifetime);
 }
 
 // A key that surges reaches every router at once, and each sends its first
@@ -244,10 +259,10 @@
     m_heat.count(affinity.shared, now);
     m_surge.count(affinity.shared, now);
     std::vector<std::pair<uint64_t, uint32_t>> order;
-    order.reserve(m_members.size());
-    for (uint32_t i = 0; i < m_members.size(); ++i) {
+    order.reserve(m_hashes.size());
+    for (uint32_t i = 0; i < m_hashes.size(); ++i) {
         if (usable[i]) {
-            order.emplace_back(rank(m_members[i].hash, affinity.shared), i);
+            order.emplace_back(rank(m_hashes[i], affinity.shared), i);
         }
     }
     if (order.empty()) {
@@ -257,20 +272,20 @@
     const std::size_t walk = std::min(order.size(), k + spillWalk);
     std::partial_sort(order.begin(), order.begin() + static_cast<std::ptrdiff_t>(walk), order.end(), std::greater<>());
     std::sort(order.begin(), order.begin() + static_cast<std::ptrdiff_t>(k), [&](const auto &a, const auto &b) {
-        return rank(m_members[a.second].hash, affinity.conversation) > rank(m_members[b.second].hash, affinity.conversation);
+        return rank(m_hashes[a.second], affinity.conversation) > rank(m_hashes[b.second], affinity.conversation);
     });
     refreshMean(usable, now);
     const double limit = m_options.loadFactor * m_mean + m_options.slack;
     const auto ownLimit = ring::BoundedRing::bound(m_ownTotal, order.size(), m_options.loadFactor);
     for (std::size_t step = 0; step < walk; ++step) {
-        const auto &m = m_members[order[step].second];
-        if (m.own + 1 <= ownLimit && estimate(m, now) + 1 <= limit) {
-            return order[step].second;
+        const std::size_t member = order[step].second;
+        if (m_loads[member].own() + 1 <= ownLimit && estimate(member, now) + 1 <= limit) {
+            return member;
         }
     }
     // All of them are at the bound: the least loaded of the pool.
     auto least = std::min_element(order.begin(), order.end(), [&](const auto &a, const auto &b) {
-        return estimate(m_members[a.second], now) < estimate(m_members[b.second], now);
+        return estimate(a.second, now) < estimate(b.second, now);
     });
     return least->second;
 }
@@ -309,34 +324,24 @@
 void LeastLoaded::setMembers(std::vector<std::string> ids)
 {
     std::sort(ids.begin(), ids.end());
-    m_members = carryOver(m_ids, m_members, ids);
+    m_loads = carryOver(m_ids, m_loads, ids);
     m_ids = std::move(ids);
-    for (std::size_t i = 0; i < m_ids.size(); ++i) {
-        m_members[i].hash = ring::hash(m_ids[i]);
-    }
-}
-
-// What others had in flight at the last report fades with its age: plain
-// calls are short, and an old report says nothing of now.
-double LeastLoaded::estimate(const Member &m, TimePoint now) const
-{
-    const double age = std::chrono::duration<double>(now - m.reportedAt).count();
-    const double others = static_cast<double>(std::max<int64_t>(0, m.report - m.ownAtReport));
-    return static_cast<double>(m.own) + others * std::exp(-std::max(0.0, age) / m_reportLifetime.count());
+    m_hashes = hashesOf(m_ids);
 }
 
 std::optional<std::size_t> LeastLoaded::pick(const Affinity &affinity, const Usable &usable, TimePoint now)
 {
     std::optional<std::size_t> best;
     double bestLoad = 0;
-    for (std::size_t i = 0; i < m_members.size(); ++i) {
+    for (std::size_t i = 0; i < m_loads.size(); ++i) {
         if (!usable[i]) {
             continue;
         }
-        const auto &m = m_members[i];
-        const double load = estimate(m, now);
+        // What others had in flight at the last report fades with its age:
+        // plain calls are short, and an old report says nothing of now.
+        const double load = m_loads[i].estimate(static_cast<double>(m_loads[i].own()), now, m_reportLifetime);
         const bool tie = best && load == bestLoad;
-        if (!best || load < bestLoad || (tie && rank(m.hash, affinity.conversation) > rank(m_members[*best].hash, affinity.conversation))) {
+        if (!best || load < bestLoad || (tie && rank(m_hashes[i], affinity.conversation) > rank(m_hashes[*best], affinity.conversation))) {
             best = i;
             bestLoad = load;
         }
@@ -346,20 +351,63 @@
 
 void LeastLoaded::placed(std::size_t member, TimePoint)
 {
-    ++m_members[member].own;
+    m_loads[member].placed();
 }
 
 void LeastLoaded::finished(std::size_t member, TimePoint)
 {
-    m_members[member].own = std::max<int64_t>(0, m_members[member].own - 1);
+    m_loads[member].finished();
 }
 
 void LeastLoaded::reported(std::size_t member, int64_t load, TimePoint now)
 {
-    auto &m = m_members[member];
-    m.report = load;
-    m.ownAtReport = m.own;
-    m.reportedAt = now;
+    m_loads[member].reported(load, now);
+}
+
+void PromptHome::setMembers(std::vector<std::string> ids)
+{
+    std::sort(ids.begin(), ids.end());
+    m_loads = carryOver(m_ids, m_loads, ids);
+    m_ids = std::move(ids);
+    m_hashes = hashesOf(m_ids);
+}
+
+std::optional<std::size_t> PromptHome::pick(const Affinity &affinity, const Usable &usable, TimePoint now)
+{
+    const double mean = meanLoad(m_loads, usable, now, m_options.reportLifetime);
+    const double limit = m_options.loadFactor * mean + m_options.slack;
+    std::optional<std::size_t> home;
+    std::optional<std::size_t> least;
+    double leastLoad = 0;
+    for (std::size_t i = 0; i < m_loads.size(); ++i) {
+        if (!usable[i]) {
+            continue;
+        }
+        const double load = m_loads[i].estimate(mean, now, m_options.reportLifetime);
+        if (load + 1 <= limit && (!home || rank(m_hashes[i], affinity.conversation) > rank(m_hashes[*home], affinity.conversation))) {
+            home = i;
+        }
+        if (!least || load < leastLoad) {
+            least = i;
+            leastLoad = load;
+        }
+    }
+    return home ? home : least;
+}
+
+void PromptHome::placed(std::size_t member, TimePoint)
+{
+    m_loads[member].placed();
+}
+
+void PromptHome::finished(std::size_t member, TimePoint)
+{
+    m_loads[member].finished();
+}
+
+void PromptHome::reported(std::size_t member, int64_t load, TimePoint now)
+{
+    m_loads[member].reported(load, now);
 }
 
 void RoundRobin::setMembers(std::vector<std::string> ids)
--- a/src/router_core.cpp
+++ b/src/router_core.cpp
@@ -44,7 +44,13 @@
         return e.state == EndpointState::Live;
     });
     std::sort(live.begin(), live.end(), byId);
+    std::vector<Endpoint> leaving;
+    std::copy_if(endpoints.begin(), endpoints.end(), std::back_inserter(leaving), [](const Endpoint &e) {
+        return e.state == EndpointState::Leaving;
+    });
+    std::sort(leaving.begin(), leaving.end(), byId);
     std::lock_guard lock(m_mutex);
+    m_leaving = std::move(leaving);
     if (live == m_endpoints) {
         return false;
     }
@@ -59,6 +65,11 @@
         }
         it = !listed && it->second.inflight == 0 ? m_health.erase(it) : std::next(it);
     }
+    for (const auto &e : live) {
+        if (!m_endpoints.empty() && !contains(m_endpoints, e.id)) {
+            m_health[e.id].joinedAt = Clock::now();
+        }
+    }
     m_endpoints = std::move(live);
     rebuild();
     return true;
@@ -101,6 +112,8 @@
         return placement::PrefixAffinity(m_options.affinity);
     case Policy::Bounded:
         return placement::OwnBound(m_options.virtualNodes, m_options.affinity.loadFactor);
+    case Policy::Home:
+        return placement::PromptHome(m_options.home);
     case Policy::LeastLoaded:
         return placement::LeastLoaded();
     case Policy::RoundRobin:
@@ -146,38 +159,82 @@
     }
 }
 
-std::optional<Endpoint> RoutingTable::acquire(const std::string &pool, const placement::Affinity &affinity, const std::set<std::string> &exclude,
-                                              Clock::time_point now)
+// The place of the member that a pool's policy picks.
+std::optional<std::size_t> RoutingTable::pickIn(Pool &pool, const placement::Affinity &affinity, const std::set<std::string> &exclude, Clock::time_point now)
 {
-    std::lock_guard lock(m_mutex);
-    auto it = m_pools.find(pool);
-    if (it == m_pools.end()) {
-        return std::nullopt;
-    }
-    auto &p = it->second;
     placement::Usable usable;
-    usable.reserve(p.members.size());
-    for (const auto &m : p.members) {
+    usable.reserve(pool.members.size());
+    for (const auto &m : pool.members) {
         usable.push_back(!exclude.count(m.id) && m_health[m.id].suspectUntil <= now);
     }
-    auto index = std::visit(
+    return std::visit(
         [&](auto &picker) {
-            auto picked = picker.pick(affinity, usable, now);
-            if (picked) {
-                picker.placed(*picked, now);
-            }
-            return picked;
+            return picker.pick(affinity, usable, now);
         },
-        p.picker);
+        pool.picker);
+}
+
+std::optional<Endpoint> RoutingTable::acquire(const std::string &pool, const placement::Affinity &affinity, const std::set<std::string> &exclude,
+                                              Clock::time_point now)
+{
+    std::lock_guard lock(m_mutex);
+    auto it = m_pools.find(pool);
+    const auto index = it == m_pools.end() ? std::nullopt : pickIn(it->second, affinity, exclude, now);
     if (!index) {
         return std::nullopt;
     }
-    const Endpoint &chosen = p.members[*index];
+    std::visit(
+        [&](auto &picker) {
+            picker.placed(*index, now);
+        },
+        it->second.picker);
+    const Endpoint &chosen = it->second.members[*index];
     ++m_health[chosen.id].inflight;
     ++m_health[chosen.id].placed;
     return chosen;
 }
 
+std::optional<Endpoint> RoutingTable::homeOf(const std::string &pool, uint64_t prompt, const std::string &except) const
+{
+    std::lock_guard lock(m_mutex);
+    const auto it = m_pools.find(pool);
+    if (it == m_pools.end()) {
+        return std::nullopt;
+    }
+    const Endpoint *home = nullptr;
+    uint64_t best = 0;
+    for (const auto &member : it->second.members) {
+        const uint64_t rank = placement::rankOf(member.id, prompt);
+        if (member.id != except && (!home || rank > best)) {
+            home = &member;
+            best = rank;
+        }
+    }
+    return home ? std::optional(*home) : std::nullopt;
+}
+
+std::optional<Endpoint> RoutingTable::find(const std::string &id, Clock::time_point now) const
+{
+    std::lock_guard lock(m_mutex);
+    const auto health = m_health.find(id);
+    if (health != m_health.end() && health->second.suspectUntil > now) {
+        return std::nullopt;
+    }
+    for (const auto *list : {&m_endpoints, &m_leaving}) {
+        if (const auto place = findById(*list, id)) {
+            return (*list)[*place];
+        }
+    }
+    return std::nullopt;
+}
+
+Clock::time_point RoutingTable::joinedAt(const std::string &id) const
+{
+    std::lock_guard lock(m_mutex);
+    const auto it = m_health.find(id);
+    return it == m_health.end() ? Clock::time_point{} : it->second.joinedAt;
+}
+
 // The pool an endpoint takes new work in and its place there, or null.
 RoutingTable::Pool *RoutingTable::poolOf(const std::string &id, std::size_t &member)
 {
--- a/src/router_core.h
+++ b/src/router_core.h
@@ -24,6 +24,7 @@
     Policy policy = Policy::Affinity;
     Policy servicePolicy = Policy::Affinity; ///< of pools of plain services
     placement::AffinityOptions affinity;
+    placement::HomeOptions home;
     int virtualNodes = 64; ///< of Policy::Bounded
     Millis suspectFor{500}; ///< an endpoint is passed by after its first failed connection; doubled by each next
     Millis suspectForMost{8000};
@@ -52,6 +53,12 @@
     /// Picks an endpoint of a pool, skipping those in exclude, and counts
     /// one request in flight on it.
     std::optional<Endpoint> acquire(const std::string &pool, const placement::Affinity &affinity, const std::set<std::string> &exclude, Clock::time_point now);
+    /// The home of a prompt, whatever its load: the first in its rendezvous order, but for one endpoint.
+    std::optional<Endpoint> homeOf(const std::string &pool, uint64_t prompt, const std::string &except) const;
+    /// An endpoint that is listed and answers, as far as known; also one that is leaving.
+    std::optional<Endpoint> find(const std::string &id, Clock::time_point now) const;
+    /// When an endpoint joined the ones known before; the epoch for those of the first listing.
+    Clock::time_point joinedAt(const std::string &id) const;
     /// Counts one request out of flight.
     void release(const std::string &id, Clock::time_point now);
 
@@ -59,7 +66,7 @@
     nlohmann::json status() const;
 
 private:
-    using Picker = std::variant<placement::PrefixAffinity, placement::OwnBound, placement::LeastLoaded, placement::RoundRobin>;
+    using Picker = std::variant<placement::PrefixAffinity, placement::OwnBound, placement::PromptHome, placement::LeastLoaded, placement::RoundRobin>;
     struct Pool {
         Picker picker;
         std::vector<Endpoint> members; ///< sorted by id, as the picker keeps them
@@ -67,18 +74,21 @@
     /// What is known of one endpoint besides its listing.
     struct Health {
         bool draining = false;
+        Clock::time_point joinedAt{};
         int failures = 0; ///< connections failed in a row
         Clock::time_point suspectUntil{};
         int64_t inflight = 0;
         int64_t placed = 0;
     };
     Picker makePicker(EndpointKind kind) const;
+    std::optional<std::size_t> pickIn(Pool &pool, const placement::Affinity &affinity, const std::set<std::string> &exclude, Clock::time_point now);
     void rebuild();
     Pool *poolOf(const std::string &id, std::size_t &member);
 
     mutable std::mutex m_mutex;
     TableOptions m_options;
     std::vector<Endpoint> m_endpoints; ///< live ones, sorted by id
+    std::vector<Endpoint> m_leaving; ///< listed as leaving, sorted by id
     std::map<std::string, Pool> m_pools;
     std::map<std::string, std::string> m_poolNames; ///< by endpoint id
     std::map<std::string, Health> m_health;
