--- a/include/yucca/placement.h
+++ b/include/yucca/placement.h
@@ -79,11 +79,17 @@
     TimePoint m_reportedAt{};
 };
 
+/// What a member without a report counts for in a mean.
+enum class Unreported {
+    LeaveOut, ///< nothing: the mean is that of the others
+    CountOwn, ///< what this router has there: a few busy members do not pass for the mean of an idle pool
+};
+
 /// The mean load of the members that may be used: of the reports, weighted
 /// by their age, and never below the mean of what this router has in flight.
 /// Reports age slower here than in a member's own estimate: a pool's mean
 /// moves slowly, and many reports average out.
-double meanLoad(const std::vector<ObservedLoad> &loads, const Usable &usable, TimePoint now, std::chrono::duration<double> lifetime);
+double meanLoad(const std::vector<ObservedLoad> &loads, const Usable &usable, TimePoint now, std::chrono::duration<double> lifetime, Unreported unreported);
 
 /// A member's rank in a key's rendezvous order; the highest is the key's home.
 uint64_t rankOf(const std::string &memberId, uint64_t key);
--- a/src/entry/process.h
+++ b/src/entry/process.h
@@ -11,6 +11,7 @@
 #include <boost/asio/signal_set.hpp>
 
 #include <csignal>
+#include <cstdlib>
 #include <thread>
 
 namespace yucca::entry
@@ -34,12 +35,17 @@
         , m_control(store, m_published)
         , m_gateway(m_settings, m_published, m_table)
         , m_supervisor(m_controlLoop, noteFailure)
-        , m_callers({&m_trafficLoop}, settings.traffic.host, settings.traffic.port, [this](http::Exchange &ex) { return m_gateway.handle(ex); })
-        , m_probes({&m_trafficLoop}, settings.readiness.host, settings.readiness.port, [this](http::Exchange &ex) { return answerProbe(ex); })
+        , m_callers({&m_trafficLoop}, settings.traffic.host, settings.traffic.port,
+                    [this](http::Exchange &ex) {
+                        return m_gateway.handle(ex);
+                    })
+        , m_probes({&m_trafficLoop}, settings.readiness.host, settings.readiness.port, [this](http::Exchange &ex) {
+            return answerProbe(ex);
+        })
     {
     }
 
-    /// Runs until a stop signal; returns the exit code.
+    /// Runs until a stop signal and ends the process; returns only when it could not start.
     int run()
     {
         for (auto *server : {&m_callers, &m_probes}) {
@@ -50,9 +56,13 @@
             }
         }
         startControl();
-        std::thread control([this] { m_controlLoop.run(); });
+        std::thread control([this] {
+            m_controlLoop.run();
+        });
         const auto work = asio::make_work_guard(m_trafficLoop);
-        std::thread traffic([this] { m_trafficLoop.run(); });
+        std::thread traffic([this] {
+            m_trafficLoop.run();
+        });
         log::Line(log::Event::ProgramStarted).add("id", m_settings.id).add("zone", m_settings.failureDomain);
         runBlocking(untilStopped());
         m_trafficLoop.stop();
@@ -60,7 +70,9 @@
         traffic.join();
         control.join();
         log::Line(log::Event::ProgramStopped).add("inflight", m_callers.inflight());
-        return m_callers.inflight() == 0 ? cli::ExitOk : cli::ExitFailure;
+        // Without destructors: requests that the end of the grace cuts off are
+        // suspended in the loops, and refer to what would be destroyed before.
+        std::_Exit(m_callers.inflight() == 0 ? cli::ExitOk : cli::ExitFailure);
     }
 
 private:
@@ -79,10 +91,24 @@
 
     void startControl()
     {
-        const auto stop = [this] { m_control.stop(); };
-        m_supervisor.start({"configuration", [this] { return m_control.followConfiguration(); }, stop});
-        m_supervisor.start({"endpoints", [this] { return m_control.followEndpoints(); }, stop});
-        m_supervisor.start({"caller-limits", [this] { return followCallerLimits(); }, {}});
+        const auto stop = [this] {
+            m_control.stop();
+        };
+        m_supervisor.start({"configuration",
+                            [this] {
+                                return m_control.followConfiguration();
+                            },
+                            stop});
+        m_supervisor.start({"endpoints",
+                            [this] {
+                                return m_control.followEndpoints();
+                            },
+                            stop});
+        m_supervisor.start({"caller-limits",
+                            [this] {
+                                return followCallerLimits();
+                            },
+                            {}});
     }
 
     // Puts the limits on callers of each new configuration in force.
--- a/src/http.cpp
+++ b/src/http.cpp
@@ -8,11 +8,11 @@
 Request makeRequest(std::string_view method, std::string_view target, std::string body, const Headers &headers)
 {
     Request req{bhttp::string_to_verb(beastView(method)), beastView(target), 11};
-    if (!body.empty()) {
-        req.set(bhttp::field::content_type, "application/json");
-    }
     for (const auto &[name, value] : headers) {
-        req.set(name, value);
+        req.insert(name, value); // a repeated field stays repeated
+    }
+    if (!body.empty() && req.count(bhttp::field::content_type) == 0) {
+        req.set(bhttp::field::content_type, "application/json");
     }
     req.body() = std::move(body);
     return req;
--- a/src/placement.cpp
+++ b/src/placement.cpp
@@ -84,7 +84,7 @@
     return std::max(static_cast<double>(m_own), fresh * corrected + (1 - fresh) * prior);
 }
 
-double meanLoad(const std::vector<ObservedLoad> &loads, const Usable &usable, TimePoint now, std::chrono::duration<double> lifetime)
+double meanLoad(const std::vector<ObservedLoad> &loads, const Usable &usable, TimePoint now, std::chrono::duration<double> lifetime, Unreported unreported)
 {
     constexpr double meanLifetimes = 5; // of a member's own estimate
     double sum = 0;
@@ -97,6 +97,11 @@
         }
         ++n;
         own += loads[i].own();
+        if (loads[i].report() < 0 && unreported == Unreported::CountOwn) {
+            sum += static_cast<double>(loads[i].own());
+            weights += 1;
+            continue;
+        }
         const double w = loads[i].weight(now, meanLifetimes * lifetime);
         sum += w * static_cast<double>(std::max<int64_t>(0, loads[i].report()));
         weights += w;
@@ -202,7 +207,7 @@
     }
     m_meanStale = false;
     m_meanAt = now;
-    m_mean = meanLoad(m_loads, usable, now, m_options.reportLifetime);
+    m_mean = meanLoad(m_loads, usable, now, m_options.reportLifetime, Unreported::LeaveOut);
 }
 
 // A key that surges reaches every router at once, and each sends its first
@@ -374,7 +379,7 @@
 
 std::optional<std::size_t> PromptHome::pick(const Affinity &affinity, const Usable &usable, TimePoint now)
 {
-    const double mean = meanLoad(m_loads, usable, now, m_options.reportLifetime);
+    const double mean = meanLoad(m_loads, usable, now, m_options.reportLifetime, Unreported::CountOwn);
     const double limit = m_options.loadFactor * mean + m_options.slack;
     std::optional<std::size_t> home;
     std::optional<std::size_t> least;
--- /dev/null
+++ b/tests/entry_rig.h
@@ -0,0 +1,265 @@
+// Helpers of the entry router's tests: endpoints that answer with bytes of
+// the test's choice, and a gateway between them and a caller, all on one
+// event loop in one thread.
+#pragma once
+
+#include "codec.h"
+#include "dialect.h"
+#include "entry/gateway.h"
+#include "rig.h"
+
+#include <boost/asio/detached.hpp>
+#include <boost/asio/write.hpp>
+
+#include <algorithm>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace yucca::rig
+{
+
+using tcp = asio::ip::tcp;
+
+/// A request's head and body as an endpoint saw them.
+struct SeenRequest {
+    std::string head; ///< as sent, with its last empty line
+    std::string body;
+    std::string connection; ///< which connection it came on: 1, 2, …
+
+    /// A header's value, or "(none)".
+    std::string header(const std::string &name) const
+    {
+        const auto at = head.find("\r\n" + name + ": ");
+        if (at == std::string::npos) {
+            return "(none)";
+        }
+        const auto from = at + name.size() + 4;
+        return head.substr(from, head.find("\r\n", from) - from);
+    }
+};
+
+/// An endpoint that speaks raw bytes: each request goes to a script, which
+/// writes what it likes and may close the connection.
+class RawEndpoint
+{
+public:
+    using Script = std::function<Task<void>(tcp::socket &, const SeenRequest &)>;
+
+    RawEndpoint(Loop &loop, Script script)
+        : m_script(std::move(script))
+        , m_acceptor(loop.io, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0))
+        , port(m_acceptor.local_endpoint().port())
+    {
+        asio::co_spawn(loop.io, accept(), asio::detached);
+    }
+
+    std::vector<SeenRequest> seen;
+    int connections = 0;
+
+private:
+    Task<void> accept()
+    {
+        for (;;) {
+            boost::system::error_code ec;
+            auto socket = std::make_shared<tcp::socket>(co_await m_acceptor.async_accept(asio::redirect_error(asio::use_awaitable, ec)));
+            if (ec) {
+                co_return;
+            }
+            ++connections;
+            asio::co_spawn(m_acceptor.get_executor(), serve(socket, std::to_string(connections)), asio::detached);
+        }
+    }
+
+    // Reads requests with a Content-Length or none, one after the other.
+    Task<void> serve(std::shared_ptr<tcp::socket> socket, std::string connection)
+    {
+        std::string bytes;
+        for (;;) {
+            std::size_t end;
+            while ((end = bytes.find("\r\n\r\n")) == std::string::npos) {
+                const bool more = co_await readMore(*socket, bytes);
+                if (!more) {
+                    co_return;
+                }
+            }
+            SeenRequest request;
+            request.head = bytes.substr(0, end + 4);
+            request.connection = connection;
+            bytes.erase(0, end + 4);
+            const std::string length = request.header("Content-Length");
+            const std::size_t wanted = length == "(none)" ? 0 : std::stoul(length);
+            while (bytes.size() < wanted) {
+                const bool more = co_await readMore(*socket, bytes);
+                if (!more) {
+                    co_return;
+                }
+            }
+            request.body = bytes.substr(0, wanted);
+            bytes.erase(0, wanted);
+            seen.push_back(request);
+            co_await m_script(*socket, request);
+            if (!socket->is_open()) {
+                co_return;
+            }
+        }
+    }
+
+    static Task<bool> readMore(tcp::socket &socket, std::string &bytes)
+    {
+        char buffer[4096];
+        boost::system::error_code ec;
+        const auto n = co_await socket.async_read_some(asio::buffer(buffer), asio::redirect_error(asio::use_awaitable, ec));
+        bytes.append(buffer, n);
+        co_return !ec;
+    }
+
+    Script m_script;
+    tcp::acceptor m_acceptor;
+
+public:
+    uint16_t port;
+};
+
+/// Writes bytes to a socket; a peer that has gone is no error of a test's.
+inline Task<void> sendBytes(tcp::socket &socket, std::string bytes)
+{
+    boost::system::error_code ec;
+    co_await asio::async_write(socket, asio::buffer(bytes), asio::redirect_error(asio::use_awaitable, ec));
+}
+
+/// Closes a connection with a reset, as a process that dies does.
+inline void resetConnection(tcp::socket &socket)
+{
+    boost::system::error_code ec;
+    socket.set_option(asio::socket_base::linger(true, 0), ec);
+    socket.close(ec);
+}
+
+/// A whole answer of an endpoint on the platform.
+inline std::string signedAnswer(const std::string &id, const std::string &body, const std::string &status = "200 OK", const std::string &extra = {})
+{
+    return "HTTP/1.1 " + status + "\r\nYuccasaddle-Attempt-Id: " + id + "\r\nYuccasaddle-Response-Signature: sig-" + id + "\r\n" + extra
+        + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+/// The head of a chunked event stream, and one of its events as a chunk.
+inline std::string streamHead(const std::string &id)
+{
+    return "HTTP/1.1 200 OK\r\nYuccasaddle-Attempt-Id: " + id + "\r\nYuccasaddle-Response-Signature: sig-" + id
+        + "\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+}
+
+inline std::string chunk(const std::string &bytes)
+{
+    char size[16];
+    std::snprintf(size, sizeof size, "%zx\r\n", bytes.size());
+    return size + bytes + "\r\n";
+}
+
+inline std::string eventNumber(int id)
+{
+    return "id: " + std::to_string(id) + "\ndata: token" + std::to_string(id) + "\n\n";
+}
+
+/// A configuration with one route of each kind to service "s" (plain) or "m" (model engines).
+inline nlohmann::json entryConfiguration(int64_t version = 1)
+{
+    return nlohmann::json::parse(R"({
+        "routes": [
+            {"name": "book", "host": "h.example", "path_prefix": "/book/", "kind": "non_idempotent", "timeout_ms": 5000,
+             "target_latency_ms": 300, "priority": 2, "service": "s", "max_attempts": 1, "public": false},
+            {"name": "remind", "host": "h.example", "path_prefix": "/remind/", "kind": "idempotent", "timeout_ms": 5000,
+             "target_latency_ms": 300, "priority": 2, "service": "s", "max_attempts": 2, "public": false},
+            {"name": "chat", "host": "h.example", "path_prefix": "/chat/", "kind": "streaming", "timeout_ms": 5000, "gap_aim_ms": 600,
+             "target_latency_ms": 1000, "priority": 0, "service": "m", "max_attempts": 2, "public": false, "sticky": true, "resumable": true},
+            {"name": "once", "host": "h.example", "path_prefix": "/once/", "kind": "streaming", "timeout_ms": 5000, "gap_aim_ms": 600,
+             "target_latency_ms": 1000, "priority": 1, "service": "m", "max_attempts": 1, "public": false, "sticky": true, "resumable": false},
+            {"name": "deep", "host": "h.example", "path_prefix": "/book/deep/", "kind": "idempotent", "timeout_ms": 5000,
+             "target_latency_ms": 300, "service": "s", "max_attempts": 2, "public": true}],
+        "services": [{"name": "s", "health_path": "/health", "max_conns": 100},
+                     {"name": "m", "health_path": "/health", "max_conns": 360, "engine": {"slots": 64, "kv_tokens": 400000}}],
+        "limits": {"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+        "tenants": [{"name": "north", "api_keys": ["key-n"], "priority": 1}, {"name": "south", "api_keys": ["key-s"]}]})")
+        .patch(nlohmann::json::array({{{"op", "add"}, {"path", "/version"}, {"value", version}}}));
+}
+
+/// An entry router between a caller and endpoints.
+class EntryRig
+{
+public:
+    explicit EntryRig(Loop &loop, std::map<std::string, std::pair<std::string, uint16_t>> endpoints, entry::GatewayOptions options = {})
+        : loop(loop)
+        , gateway(settings, published, table, options)
+    {
+        configure(entryConfiguration());
+        std::map<std::string, Endpoint> listed;
+        for (const auto &[id, place] : endpoints) {
+            listed.emplace(id, endpointAt(id, place.second, place.first, EndpointKind::Service));
+        }
+        published.replaceEndpoints(listed);
+        port = std::get<uint16_t>(server.start());
+    }
+
+    void configure(const nlohmann::json &written)
+    {
+        Findings findings;
+        auto parsed = platform::ObjectCodec::configuration(written, findings);
+        if (!parsed) {
+            throw std::runtime_error(findings.report());
+        }
+        published.apply(std::move(*parsed));
+    }
+
+    /// Sends one request on a connection of its own and reads its answer.
+    Task<http::CallResult<http::Reply>> send(std::string method, std::string target, http::Headers headers, std::string body)
+    {
+        http::CallOptions options;
+        options.deadline = Clock::now() + std::chrono::seconds(30);
+        const http::Address to{"127.0.0.1", port};
+        auto request = http::makeRequest(method, target, std::move(body), headers);
+        co_return co_await client.call(to, std::move(request), options);
+    }
+
+    /// The headers of a caller of workspace "north".
+    static http::Headers caller(const std::string &id, http::Headers extra = {})
+    {
+        http::Headers headers{{"Host", "h.example"}, {"Yuccasaddle-Attempt-Id", id}, {"X-Api-Key", "key-n"}};
+        headers.insert(headers.end(), extra.begin(), extra.end());
+        return headers;
+    }
+
+    http::CallResult<http::Reply> call(const std::string &method, const std::string &target, const std::string &id, http::Headers extra = {},
+                                       const std::string &body = {})
+    {
+        return loop.run(send(method, target, caller(id, std::move(extra)), body));
+    }
+    /// The answer, or a 0 status when the connection closed without a whole one.
+    http::Reply reply(const std::string &method, const std::string &target, const std::string &id, http::Headers extra = {}, const std::string &body = {})
+    {
+        auto result = call(method, target, id, std::move(extra), body);
+        return std::holds_alternative<http::Reply>(result) ? std::get<http::Reply>(result) : http::Reply{};
+    }
+
+    Loop &loop;
+    entry::Settings settings;
+    router::RoutingTable table{tableOptions()};
+    entry::Published published{table};
+    entry::Gateway<platform::CallerDialect> gateway;
+    http::Server server{{&loop.io}, "127.0.0.1", 0, [this](http::Exchange &ex) {
+                            return gateway.handle(ex);
+                        }};
+    http::Client client;
+    uint16_t port = 0;
+
+private:
+    static router::TableOptions tableOptions()
+    {
+        router::TableOptions options;
+        options.policy = Policy::Home;
+        options.servicePolicy = Policy::LeastLoaded;
+        return options;
+    }
+};
+
+} // namespace yucca::rig
--- /dev/null
+++ b/tests/test_entry.cpp
@@ -0,0 +1,511 @@
+// The entry router against endpoints that answer with bytes of the test's
+// choice. No timing asserts: every wait is on an event.
+#include "entry_rig.h"
+
+#include "loop_group.h"
+
+using namespace yucca;
+using namespace yucca::rig;
+
+namespace
+{
+
+// The id of a request, as the endpoint echoes it.
+std::string idOf(const SeenRequest &request)
+{
+    return request.header("Yuccasaddle-Attempt-Id");
+}
+
+RawEndpoint::Script answering(const std::string &body, const std::string &status = "200 OK", const std::string &extra = {})
+{
+    return [=](tcp::socket &socket, const SeenRequest &request) -> Task<void> {
+        co_await sendBytes(socket, signedAnswer(idOf(request), body, status, extra));
+    };
+}
+
+RawEndpoint::Script shedding()
+{
+    return [](tcp::socket &socket, const SeenRequest &) -> Task<void> {
+        co_await sendBytes(socket, "HTTP/1.1 503 Service Unavailable\r\nYuccasaddle-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+    };
+}
+
+RawEndpoint::Script resetting()
+{
+    return [](tcp::socket &socket, const SeenRequest &) -> Task<void> {
+        resetConnection(socket);
+        co_return;
+    };
+}
+
+// Streams events after the caller's last one up to a last; breaks off in the middle of the event after cutAfter.
+RawEndpoint::Script streaming(int last, int cutAfter = 1000)
+{
+    return [=](tcp::socket &socket, const SeenRequest &request) -> Task<void> {
+        const std::string resume = request.header("Last-Event-Id");
+        const int after = resume == "(none)" ? 0 : std::stoi(resume);
+        co_await sendBytes(socket, streamHead(idOf(request)));
+        for (int i = after + 1; i <= last; ++i) {
+            if (i > cutAfter) {
+                co_await sendBytes(socket, chunk("id: " + std::to_string(i) + "\nda"));
+                resetConnection(socket);
+                co_return;
+            }
+            co_await sendBytes(socket, chunk(eventNumber(i)));
+        }
+        co_await sendBytes(socket, "0\r\n\r\n");
+    };
+}
+
+std::string events(int last)
+{
+    std::string out;
+    for (int i = 1; i <= last; ++i) {
+        out += eventNumber(i);
+    }
+    return out;
+}
+
+} // namespace
+
+LOOP_GROUP(EntryForwarding);
+
+TEST(EntryForwarding, WhatTheCallerSentArrivesUnchanged)
+{
+    RawEndpoint engine(loop(), answering("ok"));
+    EntryRig rig(loop(), {{"e1", {"s", engine.port}}});
+    const auto reply =
+        rig.reply("POST", "/book/2f?x=1&y=%20", "a1", {{"X-Trace", "one"}, {"X-Trace", "two"}, {"Yuccasaddle-Deadline-Ms", "3000"}}, "{\"a\":1}");
+    LONGS_EQUAL(200, reply.status);
+    STRCMP_EQUAL("ok", reply.body.c_str());
+    STRCMP_EQUAL("sig-a1", reply.header("Yuccasaddle-Response-Signature").c_str());
+    LONGS_EQUAL(1, engine.seen.size());
+    const auto &seen = engine.seen[0];
+    CHECK(seen.head.find("POST /book/2f?x=1&y=%20 HTTP/1.1\r\n") == 0);
+    CHECK(seen.head.find("X-Trace: one\r\nX-Trace: two\r\n") != std::string::npos);
+    STRCMP_EQUAL("{\"a\":1}", seen.body.c_str());
+    STRCMP_EQUAL("h.example", seen.header("Host").c_str());
+    STRCMP_EQUAL("a1", idOf(seen).c_str());
+}
+
+TEST(EntryForwarding, TheRoutersOwnHeadersAreNeverTakenFromTheCaller)
+{
+    RawEndpoint engine(loop(), answering("ok"));
+    EntryRig rig(loop(), {{"e1", {"s", engine.port}}});
+    const http::Headers forged{{"Yuccasaddle-Tenant", "south"}, {"Yuccasaddle-Expected-Instance", "other"}, {"Yuccasaddle-Hold", "h"},
+                               {"Yuccasaddle-Pin-Ms", "9"},     {"Yuccasaddle-Kv-Backup", "1.2.3.4:5"},     {"Kv-From", "1.2.3.4:5/6"},
+                               {"Kv-Fetch", "1.2.3.4:5"},       {"Yuccasaddle-Request-Priority", "0"}};
+    rig.reply("POST", "/book/1", "a1", forged);
+    LONGS_EQUAL(1, engine.seen.size());
+    const auto &seen = engine.seen[0];
+    STRCMP_EQUAL("north", seen.header("Yuccasaddle-Tenant").c_str());
+    STRCMP_EQUAL("e1", seen.header("Yuccasaddle-Expected-Instance").c_str());
+    for (const char *name : {"Yuccasaddle-Hold", "Yuccasaddle-Pin-Ms", "Yuccasaddle-Kv-Backup", "Kv-From", "Kv-Fetch", "X-Api-Key"}) {
+        STRCMP_EQUAL("(none)", seen.header(name).c_str());
+    }
+}
+
+TEST(EntryForwarding, HopByHopFieldsAreDroppedAlsoThoseThatConnectionNames)
+{
+    RawEndpoint engine(loop(), answering("ok", "200 OK", "Connection: X-Hop\r\nX-Hop: 1\r\nX-Kept: 2\r\n"));
+    EntryRig rig(loop(), {{"e1", {"s", engine.port}}});
+    const auto reply = rig.reply("POST", "/book/1", "a1", {{"Connection", "X-Private"}, {"X-Private", "1"}, {"TE", "trailers"}});
+    STRCMP_EQUAL("(none)", engine.seen[0].header("X-Private").c_str());
+    STRCMP_EQUAL("(none)", engine.seen[0].header("TE").c_str());
+    STRCMP_EQUAL("", reply.header("X-Hop").c_str());
+    STRCMP_EQUAL("2", reply.header("X-Kept").c_str());
+}
+
+TEST(EntryForwarding, TheTimeHandedOnIsWhatIsLeft)
+{
+    RawEndpoint engine(loop(), answering("ok"));
+    EntryRig rig(loop(), {{"e1", {"s", engine.port}}});
+    rig.reply("POST", "/book/1", "a1", {{"Yuccasaddle-Deadline-Ms", "700"}});
+    rig.reply("POST", "/book/1", "a2", {{"Yuccasaddle-Deadline-Ms", "90000"}});
+    const int left = std::stoi(engine.seen[0].header("Yuccasaddle-Deadline-Ms"));
+    CHECK(left > 0 && left <= 700);
+    const int routeTimeout = std::stoi(engine.seen[1].header("Yuccasaddle-Deadline-Ms"));
+    CHECK(routeTimeout > 700 && routeTimeout <= 5000);
+}
+
+TEST(EntryForwarding, AKeptConnectionIsUsedAgain)
+{
+    RawEndpoint engine(loop(), answering("ok", "200 OK", "Keep-Alive: timeout=5\r\n"));
+    EntryRig rig(loop(), {{"e1", {"s", engine.port}}});
+    rig.reply("POST", "/book/1", "a1");
+    rig.reply("POST", "/book/1", "a2");
+    LONGS_EQUAL(2, engine.seen.size());
+    LONGS_EQUAL(1, engine.connections);
+}
+
+TEST(EntryForwarding, AnAnswerBeforeTheBodyIsReadGetsThroughAndItsConnectionIsNotUsedAgain)
+{
+    // Answers at the head of a body too large for the sockets' buffers, and reads none of it.
+    tcp::acceptor acceptor(loop().io, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+    int connections = 0;
+    const auto serve = [&]() -> Task<void> {
+        std::vector<std::shared_ptr<tcp::socket>> held;
+        for (;;) {
+            boost::system::error_code ec;
+            auto socket = std::make_shared<tcp::socket>(co_await acceptor.async_accept(asio::redirect_error(asio::use_awaitable, ec)));
+            if (ec) {
+                co_return;
+            }
+            ++connections;
+            held.push_back(socket);
+            char head[256];
+            co_await socket->async_read_some(asio::buffer(head), asio::redirect_error(asio::use_awaitable, ec));
+            co_await sendBytes(*socket,
+                               "HTTP/1.1 413 Too Large\r\nYuccasaddle-Response-Signature: s\r\nYuccasaddle-Attempt-Id: big\r\nContent-Length: 2\r\n\r\nno");
+        }
+    };
+    asio::co_spawn(loop().io, serve(), asio::detached);
+    EntryRig rig(loop(), {{"e1", {"s", acceptor.local_endpoint().port()}}});
+    http::ServerLimits limits;
+    limits.bodyBytes = 64 * 1024 * 1024;
+    rig.server.setLimits(limits);
+    const std::string body(32 * 1024 * 1024, 'x');
+    LONGS_EQUAL(413, rig.reply("POST", "/book/1", "big", {}, body).status);
+    LONGS_EQUAL(413, rig.reply("POST", "/book/1", "big", {}, body).status);
+    LONGS_EQUAL(2, connections);
+}
+
+LOOP_GROUP(EntryIdentify);
+
+TEST(EntryIdentify, TheLongestPrefixOfTheHostDecides)
+{
+    RawEndpoint engine(loop(), answering("ok"));
+    EntryRig rig(loop(), {{"e1", {"s", engine.port}}});
+    LONGS_EQUAL(404, rig.reply("GET", "/elsewhere/1", "a1").status);
+    LONGS_EQUAL(404, rig.reply("GET", "/book", "a2").status);
+    LONGS_EQUAL(0, engine.seen.size());
+    LONGS_EQUAL(200, rig.reply("GET", "/book/deep/1", "a3").status);
+    LONGS_EQUAL(404, std::get<http::Reply>(loop().run(rig.send("GET", "/book/1", {{"Host", "other.example"}, {"X-Api-Key", "key-n"}}, ""))).status);
+}
+
+TEST(EntryIdentify, AnUnknownKeyIsRefusedUnlessTheRouteIsPublic)
+{
+    RawEndpoint engine(loop(), answering("ok"));
+    EntryRig rig(loop(), {{"e1", {"s", engine.port}}});
+    const auto status = [&](const std::string &target, http::Headers headers) {
+        headers.emplace_back("Host", "H.example:8080");
+        headers.emplace_back("Yuccasaddle-Attempt-Id", "a1");
+        return std::get<http::Reply>(loop().run(rig.send("POST", target, headers, ""))).status;
+    };
+    LONGS_EQUAL(401, status("/book/1", {{"X-Api-Key", "key-x"}}));
+    LONGS_EQUAL(401, status("/book/1", {}));
+    LONGS_EQUAL(401, status("/book/1", {{"X-Api-Key", "key-n"}, {"X-Api-Key", "key-s"}}));
+    LONGS_EQUAL(0, engine.seen.size());
+    LONGS_EQUAL(200, status("/book/deep/1", {}));
+    LONGS_EQUAL(200, status("/book/1", {{"X-Api-Key", "key-s"}}));
+    STRCMP_EQUAL("south", engine.seen.back().header("Yuccasaddle-Tenant").c_str());
+}
+
+TEST(EntryIdentify, ANewVersionIsInForceAtOnceAndAnOlderOneNeverAgain)
+{
+    RawEndpoint engine(loop(), answering("ok"));
+    EntryRig rig(loop(), {{"e1", {"s", engine.port}}});
+    LONGS_EQUAL(200, rig.reply("POST", "/book/1", "a1").status);
+    auto revoked = entryConfiguration(7);
+    revoked["tenants"][0]["api_keys"] = nlohmann::json::array();
+    rig.configure(revoked);
+    LONGS_EQUAL(401, rig.reply("POST", "/book/1", "a2").status);
+    rig.configure(entryConfiguration(3));
+    LONGS_EQUAL(401, rig.reply("POST", "/book/1", "a3").status);
+}
+
+TEST(EntryIdentify, WithoutAConfigurationRequestsAreToldToComeBack)
+{
+    router::RoutingTable table;
+    entry::Settings settings;
+    entry::Published published(table);
+    entry::Gateway<platform::CallerDialect> gateway(settings, published, table);
+    http::Server server({&loop().io}, "127.0.0.1", 0, [&](http::Exchange &ex) {
+        return gateway.handle(ex);
+    });
+    const uint16_t port = std::get<uint16_t>(server.start());
+    http::Client client;
+    http::CallOptions options;
+    options.deadline = Clock::now() + std::chrono::seconds(10);
+    auto result = loop().run(client.call({"127.0.0.1", port}, http::makeRequest("GET", "/book/1"), options));
+    LONGS_EQUAL(503, std::get<http::Reply>(result).status);
+    CHECK(!std::get<http::Reply>(result).header("Retry-After").empty());
+}
+
+LOOP_GROUP(EntryOwnAnswer);
+
+TEST(EntryOwnAnswer, ALateAnswerToAnotherRequestIsPassedOver)
+{
+    RawEndpoint engine(loop(), [](tcp::socket &socket, const SeenRequest &request) -> Task<void> {
+        co_await sendBytes(socket, signedAnswer("somebody", "not yours") + signedAnswer(idOf(request), "mine"));
+    });
+    EntryRig rig(loop(), {{"e1", {"s", engine.port}}});
+    const auto reply = rig.reply("POST", "/book/1", "a1");
+    STRCMP_EQUAL("mine", reply.body.c_str());
+    rig.reply("POST", "/book/1", "a2");
+    LONGS_EQUAL(2, engine.connections); // one that mixed answers is not kept
+}
+
+TEST(EntryOwnAnswer, BytesBehindACompleteAnswerBelongToNobody)
+{
+    RawEndpoint engine(loop(), [](tcp::socket &socket, const SeenRequest &request) -> Task<void> {
+        co_await sendBytes(socket, signedAnswer(idOf(request), "mine") + signedAnswer(idOf(request), "again"));
+    });
+    EntryRig rig(loop(), {{"e1", {"s", engine.port}}});
+    STRCMP_EQUAL("mine", rig.reply("POST", "/book/1", "a1").body.c_str());
+    STRCMP_EQUAL("mine", rig.reply("POST", "/book/1", "a2").body.c_str());
+    LONGS_EQUAL(2, engine.connections);
+}
+
+TEST(EntryOwnAnswer, ASuccessWithoutASignatureOrWithAnEncodingIsNotHandedOn)
+{
+    int answers = 0;
+    RawEndpoint engine(loop(), [&](tcp::socket &socket, const SeenRequest &request) -> Task<void> {
+        const std::string head = "HTTP/1.1 200 OK\r\nYuccasaddle-Attempt-Id: " + idOf(request) + "\r\nContent-Length: 2\r\n";
+        std::string answer = head + "\r\nhi";
+        if (++answers == 2) {
+            answer = head + "Yuccasaddle-Response-Signature: s\r\nContent-Encoding: gzip\r\n\r\nhi";
+        }
+        co_await sendBytes(socket, answer);
+    });
+    EntryRig rig(loop(), {{"e1", {"s", engine.port}}});
+    LONGS_EQUAL(502, rig.reply("POST", "/book/1", "a1").status);
+    LONGS_EQUAL(502, rig.reply("POST", "/book/1", "a2").status);
+}
+
+TEST(EntryOwnAnswer, ATruncatedAnswerIsNeverHandedOnAsComplete)
+{
+    RawEndpoint engine(loop(), [](tcp::socket &socket, const SeenRequest &request) -> Task<void> {
+        std::string answer = signedAnswer(idOf(request), "a whole answer");
+        co_await sendBytes(socket, answer.substr(0, answer.size() - 4));
+        socket.close();
+    });
+    EntryRig rig(loop(), {{"e1", {"s", engine.port}}});
+    LONGS_EQUAL(502, rig.reply("POST", "/book/1", "a1").status);
+    LONGS_EQUAL(1, engine.seen.size());
+}
+
+TEST(EntryOwnAnswer, AnAnswerWithoutLengthEndsWithItsConnectionUnlessThatIsReset)
+{
+    bool reset = false;
+    RawEndpoint engine(loop(), [&](tcp::socket &socket, const SeenRequest &request) -> Task<void> {
+        co_await sendBytes(socket, "HTTP/1.1 200 OK\r\nYuccasaddle-Response-Signature: s\r\nYuccasaddle-Attempt-Id: " + idOf(request) + "\r\n\r\nall of it");
+        if (reset) {
+            co_await sleepFor(Millis(20)); // the bytes arrive, then the reset
+            resetConnection(socket);
+        } else {
+            socket.close();
+        }
+    });
+    EntryRig rig(loop(), {{"e1", {"s", engine.port}}});
+    const auto whole = rig.reply("POST", "/book/1", "a1");
+    LONGS_EQUAL(200, whole.status);
+    STRCMP_EQUAL("all of it", whole.body.c_str());
+    reset = true;
+    LONGS_EQUAL(502, rig.reply("POST", "/book/1", "a2").status);
+}
+
+TEST(EntryOwnAnswer, AnEnginesOwnFailureIsHandedOnUnchanged)
+{
+    RawEndpoint engine(loop(), answering("it broke", "500 Internal Server Error"));
+    EntryRig rig(loop(), {{"e1", {"s", engine.port}}});
+    const auto reply = rig.reply("POST", "/book/1", "a1");
+    LONGS_EQUAL(500, reply.status);
+    STRCMP_EQUAL("it broke", reply.body.c_str());
+    STRCMP_EQUAL("sig-a1", reply.header("Yuccasaddle-Response-Signature").c_str());
+}
+
+LOOP_GROUP(EntryAtMostOnce);
+
+TEST(EntryAtMostOnce, ANonIdempotentRequestIsNotSentAgainAfterItMayHaveRun)
+{
+    RawEndpoint first(loop(), resetting());
+    RawEndpoint second(loop(), resetting());
+    EntryRig rig(loop(), {{"e1", {"s", first.port}}, {"e2", {"s", second.port}}});
+    LONGS_EQUAL(502, rig.reply("POST", "/book/1", "a1").status); // promises nothing
+    LONGS_EQUAL(1, first.seen.size() + second.seen.size());
+}
+
+TEST(EntryAtMostOnce, NotIfItsKeptConnectionBreaksEither)
+{
+    int answered = 0;
+    const auto once = [&](tcp::socket &socket, const SeenRequest &request) -> Task<void> {
+        if (++answered == 1) {
+            co_await sendBytes(socket, signedAnswer(idOf(request), "ok"));
+        } else {
+            resetConnection(socket);
+        }
+    };
+    RawEndpoint engine(loop(), once);
+    EntryRig rig(loop(), {{"e1", {"s", engine.port}}});
+    LONGS_EQUAL(200, rig.reply("POST", "/book/1", "a1").status);
+    LONGS_EQUAL(502, rig.reply("POST", "/book/1", "a2").status);
+    LONGS_EQUAL(2, engine.seen.size());
+}
+
+TEST(EntryAtMostOnce, OneThatAnEngineShedGoesToAnotherAndOnlyThenIsToldNotRun)
+{
+    RawEndpoint full(loop(), shedding());
+    RawEndpoint other(loop(), answering("done"));
+    EntryRig rig(loop(), {{"e1", {"s", full.port}}, {"e2", {"s", other.port}}});
+    for (int i = 0; i < 6; ++i) {
+        LONGS_EQUAL(200, rig.reply("POST", "/book/1", "a" + std::to_string(i)).status);
+    }
+    EntryRig alone(loop(), {{"e1", {"s", full.port}}});
+    const auto refused = alone.reply("POST", "/book/1", "b1");
+    LONGS_EQUAL(503, refused.status);
+    CHECK(std::stod(refused.header("Retry-After")) > 0);
+}
+
+TEST(EntryAtMostOnce, AnotherInstanceAtTheAddressDidNotRunIt)
+{
+    RawEndpoint reused(loop(), [](tcp::socket &socket, const SeenRequest &) -> Task<void> {
+        co_await sendBytes(socket, "HTTP/1.1 421 Misdirected Request\r\nYuccasaddle-Instance-Id: new\r\nContent-Length: 0\r\n\r\n");
+    });
+    RawEndpoint engine(loop(), answering("done"));
+    EntryRig rig(loop(), {{"e1", {"s", reused.port}}, {"e2", {"s", engine.port}}});
+    for (int i = 0; i < 4; ++i) {
+        LONGS_EQUAL(200, rig.reply("POST", "/book/1", "a" + std::to_string(i)).status);
+    }
+    CHECK(reused.seen.size() <= 1); // it gets no more work
+}
+
+TEST(EntryAtMostOnce, IdempotentRequestsGoElsewhereAfterAFailureWithinTheirAttempts)
+{
+    RawEndpoint failing(loop(), answering("it broke", "500 Internal Server Error"));
+    RawEndpoint dying(loop(), resetting());
+    RawEndpoint sound(loop(), answering("done"));
+    EntryRig rig(loop(), {{"e1", {"s", failing.port}}, {"e2", {"s", sound.port}}});
+    for (int i = 0; i < 6; ++i) {
+        LONGS_EQUAL(200, rig.reply("GET", "/remind/1", "a" + std::to_string(i)).status);
+    }
+    EntryRig hopeless(loop(), {{"e1", {"s", failing.port}}, {"e2", {"s", dying.port}}, {"e3", {"s", failing.port}}, {"e4", {"s", dying.port}}});
+    const auto before = failing.seen.size() + dying.seen.size();
+    hopeless.reply("GET", "/remind/1", "b1");
+    CHECK(failing.seen.size() + dying.seen.size() - before <= 2); // max_attempts
+}
+
+TEST(EntryAtMostOnce, RetriesEndWithTheirBudget)
+{
+    RawEndpoint failing(loop(), answering("it broke", "500 Internal Server Error"));
+    EntryRig rig(loop(), {{"e1", {"s", failing.port}}, {"e2", {"s", failing.port}}});
+    const int requests = 100;
+    for (int i = 0; i < requests; ++i) {
+        rig.reply("GET", "/remind/1", "a" + std::to_string(i));
+    }
+    const double allowed = rig.settings.retryRatio * requests + static_cast<double>(rig.settings.retrySlack) / 16 + 1;
+    CHECK(static_cast<double>(failing.seen.size()) <= requests + allowed);
+}
+
+LOOP_GROUP(EntryStreams);
+
+TEST(EntryStreams, EventsArriveInOrderAndWhole)
+{
+    RawEndpoint engine(loop(), streaming(5));
+    EntryRig rig(loop(), {{"e1", {"m", engine.port}}});
+    const auto reply = rig.reply("POST", "/chat/1", "a1");
+    LONGS_EQUAL(200, reply.status);
+    STRCMP_EQUAL(events(5).c_str(), reply.body.c_str());
+    STRCMP_EQUAL("sig-a1", reply.header("Yuccasaddle-Response-Signature").c_str());
+}
+
+TEST(EntryStreams, AResumableStreamGoesOnAtAnotherEngineAfterTheLastWholeEvent)
+{
+    RawEndpoint cutting(loop(), streaming(5, 2));
+    RawEndpoint sound(loop(), streaming(5));
+    EntryRig rig(loop(), {{"e1", {"m", cutting.port}}, {"e2", {"m", sound.port}}});
+    for (int i = 0; i < 6; ++i) {
+        const auto reply = rig.reply("POST", "/chat/1", "a" + std::to_string(i));
+        STRCMP_EQUAL(events(5).c_str(), reply.body.c_str());
+    }
+    CHECK(!cutting.seen.empty());
+    const bool resumed = std::any_of(sound.seen.begin(), sound.seen.end(), [](const SeenRequest &r) {
+        return r.header("Last-Event-Id") == "2";
+    });
+    CHECK(resumed);
+}
+
+TEST(EntryStreams, OneThatMayNotBeResumedIsCutAndDoesNotLookComplete)
+{
+    RawEndpoint cutting(loop(), streaming(5, 2));
+    EntryRig rig(loop(), {{"e1", {"m", cutting.port}}, {"e2", {"m", cutting.port}}});
+    const auto result = rig.call("POST", "/once/1", "a1");
+    CHECK(std::holds_alternative<http::CallError>(result));
+    LONGS_EQUAL(1, cutting.seen.size());
+}
+
+TEST(EntryStreams, ACallersOwnResumptionIsHandedOn)
+{
+    RawEndpoint engine(loop(), streaming(5));
+    EntryRig rig(loop(), {{"e1", {"m", engine.port}}});
+    const auto reply = rig.reply("POST", "/chat/1", "a1", {{"Last-Event-Id", "3"}});
+    STRCMP_EQUAL("3", engine.seen[0].header("Last-Event-Id").c_str());
+    STRCMP_EQUAL((eventNumber(4) + eventNumber(5)).c_str(), reply.body.c_str());
+}
+
+TEST(EntryStreams, ACallerThatLeavesStopsTheEnginesWork)
+{
+    Signal engineSawTheEnd;
+    RawEndpoint engine(loop(), [&](tcp::socket &socket, const SeenRequest &request) -> Task<void> {
+        co_await sendBytes(socket, streamHead(idOf(request)) + chunk(eventNumber(1)));
+        char byte;
+        boost::system::error_code ec;
+        co_await socket.async_read_some(asio::buffer(&byte, 1), asio::redirect_error(asio::use_awaitable, ec));
+        CHECK(ec.failed());
+        engineSawTheEnd.fire();
+    });
+    EntryRig rig(loop(), {{"e1", {"m", engine.port}}});
+    tcp::socket caller(loop().io);
+    caller.connect({asio::ip::make_address("127.0.0.1"), rig.port});
+    auto request = http::makeRequest("POST", "/chat/1", "", EntryRig::caller("a1"));
+    http::bhttp::write(caller, request);
+    loop().until([&] {
+        return !engine.seen.empty();
+    });
+    caller.close();
+    loop().until([&] {
+        return engineSawTheEnd.fired() && rig.server.inflight() == 0;
+    });
+    CHECK(engineSawTheEnd.fired());
+}
+
+LOOP_GROUP(EntryPromptHome);
+
+TEST(EntryPromptHome, RequestsThatShareAPromptGoToOneEngine)
+{
+    RawEndpoint a(loop(), streaming(1));
+    RawEndpoint b(loop(), streaming(1));
+    RawEndpoint c(loop(), streaming(1));
+    EntryRig rig(loop(), {{"e1", {"m", a.port}}, {"e2", {"m", b.port}}, {"e3", {"m", c.port}}});
+    for (int i = 0; i < 12; ++i) {
+        const std::string own = "f" + std::to_string(i);
+        rig.reply("POST", "/chat/1", "a" + std::to_string(i), {{"Yuccasaddle-Prompt-Prefix", "aa:500,beef:9000," + own + ":100"}});
+    }
+    const auto most = std::max({a.seen.size(), b.seen.size(), c.seen.size()});
+    LONGS_EQUAL(12, most);
+}
+
+TEST(EntryPromptHome, AnEngineThatTakesAPromptOverIsToldWhoHoldsIt)
+{
+    RawEndpoint a(loop(), streaming(1));
+    RawEndpoint b(loop(), streaming(1));
+    EntryRig rig(loop(), {{"e1", {"m", a.port}}, {"e2", {"m", b.port}}});
+    const http::Headers prompt{{"Yuccasaddle-Prompt-Prefix", "aa:500,beef:9000,f1:100"}};
+    rig.reply("POST", "/chat/1", "a1", prompt);
+    const bool homeIsA = !a.seen.empty();
+    auto &home = homeIsA ? a : b;
+    auto &other = homeIsA ? b : a;
+    STRCMP_EQUAL("(none)", home.seen[0].header("Kv-Fetch").c_str());
+    // The home begins to leave: it gets no more work, and can still be asked for what it holds.
+    std::map<std::string, Endpoint> listed;
+    for (const auto &e : rig.table.endpoints()) {
+        Endpoint changed = e;
+        changed.state = e.port == home.port ? EndpointState::Leaving : EndpointState::Live;
+        listed.emplace(e.id, changed);
+    }
+    rig.published.replaceEndpoints(listed);
+    rig.reply("POST", "/chat/1", "a2", prompt);
+    LONGS_EQUAL(1, home.seen.size());
+    LONGS_EQUAL(1, other.seen.size());
+    STRCMP_EQUAL(("127.0.0.1:" + std::to_string(home.port)).c_str(), other.seen[0].header("Kv-Fetch").c_str());
+}
--- /dev/null
+++ b/tests/test_home.cpp
@@ -0,0 +1,228 @@
+// The decisions of an entry router that need no network: prompt homes, least
+// load, who holds a prompt, what may be tried again.
+#include "entry/prompt_holders.h"
+#include "entry/retry_policy.h"
+#include "yucca/placement.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <random>
+
+using namespace yucca;
+using placement::TimePoint;
+
+namespace
+{
+
+std::vector<std::string> names(int n)
+{
+    std::vector<std::string> out;
+    for (int i = 0; i < n; ++i) {
+        out.push_back("e" + std::to_string(i));
+    }
+    return out;
+}
+
+constexpr placement::Affinity prompt(uint64_t key)
+{
+    return {key, key};
+}
+
+} // namespace
+
+TEST_GROUP(PromptHome)
+{
+    TimePoint now{std::chrono::hours(1)};
+};
+
+TEST(PromptHome, EveryRouterPicksTheSameHomeAndItOutlastsOtherMembers)
+{
+    placement::PromptHome a;
+    placement::PromptHome b;
+    a.setMembers(names(18));
+    b.setMembers(names(17));
+    int moved = 0;
+    for (uint64_t key = 1; key <= 200; ++key) {
+        const auto atA = a.members()[*a.pick(prompt(key), placement::Usable(18, true), now)];
+        const auto atB = b.members()[*b.pick(prompt(key), placement::Usable(17, true), now)];
+        CHECK(atA == atB || atA == "e17");
+        moved += atA != atB ? 1 : 0;
+    }
+    CHECK(moved > 0 && moved < 30); // about one in eighteen
+}
+
+TEST(PromptHome, AHotPromptSpillsInTheSameOrderEverywhereAndNoMemberPassesTheBound)
+{
+    placement::HomeOptions options;
+    placement::PromptHome policy(options);
+    policy.setMembers(names(10));
+    const placement::Usable usable(10, true);
+    std::vector<int> load(10, 0);
+    for (int i = 0; i < 100; ++i) {
+        const auto m = *policy.pick(prompt(7), usable, now);
+        policy.placed(m, now);
+        ++load[m];
+        policy.reported(m, load[m], now);
+    }
+    const double mean = 10;
+    for (const int l : load) {
+        CHECK(l <= options.loadFactor * mean + options.slack + 1);
+    }
+}
+
+TEST(PromptHome, ManyRoutersWithLateReportsKeepEveryMemberUnderTwiceTheMean)
+{
+    // Seven routers, each with a seventh of the traffic and reports as late
+    // as answers are, a hot prompt with a fifth of all requests.
+    constexpr int routers = 7;
+    constexpr int members = 18;
+    std::vector<placement::PromptHome> policies(routers);
+    for (auto &p : policies) {
+        p.setMembers(names(members));
+    }
+    const placement::Usable usable(members, true);
+    struct Running {
+        TimePoint end;
+        TimePoint report;
+        int router;
+        std::size_t member;
+        bool reported = false;
+    };
+    std::vector<Running> running;
+    std::vector<int> load(members, 0);
+    std::mt19937 random(5);
+    int over = 0;
+    int placed = 0;
+    for (int step = 0; step < 30000; ++step, now += std::chrono::milliseconds(1)) {
+        for (std::size_t i = 0; i < running.size();) {
+            auto &r = running[i];
+            if (!r.reported && r.report <= now) {
+                policies[r.router].reported(r.member, load[r.member], now);
+                r.reported = true;
+            }
+            if (r.end <= now) {
+                policies[r.router].finished(r.member, now);
+                --load[r.member];
+                running[i] = running.back();
+                running.pop_back();
+            } else {
+                ++i;
+            }
+        }
+        if (random() % 11 != 0) {
+            continue; // 92 requests a second
+        }
+        const int router = static_cast<int>(random() % routers);
+        const uint64_t key = random() % 5 == 0 ? 1 : 2 + random() % 270;
+        const auto m = *policies[router].pick(prompt(key), usable, now);
+        policies[router].placed(m, now);
+        ++load[m];
+        ++placed;
+        int total = 0;
+        for (const int l : load) {
+            total += l;
+        }
+        over += load[m] > 2.0 * total / members + 3 ? 1 : 0;
+        running.push_back({now + std::chrono::milliseconds(400 + random() % 2200), now + std::chrono::milliseconds(60), router, m});
+    }
+    CHECK(placed > 2000);
+    CHECK(over * 100 < 3 * placed);
+}
+
+TEST_GROUP(LeastLoaded)
+{
+    TimePoint now{std::chrono::hours(1)};
+};
+
+TEST(LeastLoaded, TheLeastLoadedMemberIsPickedAndOldReportsFade)
+{
+    placement::LeastLoaded policy;
+    policy.setMembers(names(3));
+    const placement::Usable usable(3, true);
+    policy.reported(0, 6, now);
+    policy.reported(1, 0, now);
+    policy.reported(2, 6, now);
+    LONGS_EQUAL(1, *policy.pick(prompt(1), usable, now));
+    policy.placed(1, now);
+    policy.placed(1, now);
+    LONGS_EQUAL(1, *policy.pick(prompt(1), usable, now));
+    now += std::chrono::seconds(30); // what the others had is long done
+    CHECK(*policy.pick(prompt(1), usable, now) != 1);
+}
+
+TEST(LeastLoaded, UnusableMembersAreNeverPicked)
+{
+    placement::LeastLoaded policy;
+    policy.setMembers(names(2));
+    LONGS_EQUAL(1, *policy.pick(prompt(1), {false, true}, now));
+    CHECK(!policy.pick(prompt(1), {false, false}, now).has_value());
+}
+
+TEST_GROUP(PromptHolders)
+{
+    Clock::time_point now{std::chrono::hours(1)};
+    Endpoint at(const std::string &id)
+    {
+        Endpoint e;
+        e.id = id;
+        return e;
+    }
+};
+
+TEST(PromptHolders, TheLastEndpointIsKnownForAWhile)
+{
+    entry::PromptHolders holders(10, std::chrono::seconds(30));
+    holders.note(1, at("a"), now);
+    holders.note(1, at("b"), now);
+    STRCMP_EQUAL("b", holders.find(1, now)->id.c_str());
+    CHECK(!holders.find(2, now).has_value());
+    CHECK(!holders.find(1, now + std::chrono::seconds(31)).has_value());
+}
+
+TEST(PromptHolders, AnEndlessVarietyOfPromptsTakesBoundedMemory)
+{
+    entry::PromptHolders holders(100);
+    for (uint64_t i = 0; i < 10000; ++i) {
+        holders.note(i, at("a"), now);
+    }
+    LONGS_EQUAL(100, holders.size());
+    CHECK(holders.find(9999, now).has_value());
+    CHECK(!holders.find(1, now).has_value());
+}
+
+TEST_GROUP(RetryPolicy)
+{
+    entry::Route route;
+};
+
+TEST(RetryPolicy, OnlyWhatMayRunAgainIsTriedAfterItMayHaveRun)
+{
+    using entry::AttemptEnd;
+    const entry::AttemptCount once{1, 1, 1};
+    for (const auto end : {AttemptEnd::EngineFailed, AttemptEnd::Broken, AttemptEnd::Silent}) {
+        route.maxAttempts = 2;
+        route.kind = entry::RequestKind::NonIdempotent;
+        CHECK(!entry::mayTryAgain(route, end, once));
+        route.kind = entry::RequestKind::Idempotent;
+        CHECK(entry::mayTryAgain(route, end, once));
+        route.kind = entry::RequestKind::Stream;
+        route.resumable = false;
+        CHECK(!entry::mayTryAgain(route, end, once));
+        route.resumable = true;
+        CHECK(entry::mayTryAgain(route, end, once));
+        route.maxAttempts = 1;
+        CHECK(!entry::mayTryAgain(route, end, once));
+    }
+}
+
+TEST(RetryPolicy, WhatDidNotRunMayAlwaysBeTriedAgainButNotWithoutEnd)
+{
+    using entry::AttemptEnd;
+    route.kind = entry::RequestKind::NonIdempotent;
+    for (const auto end : {AttemptEnd::Unreached, AttemptEnd::NotExecuted}) {
+        CHECK(entry::mayTryAgain(route, end, {1, 0, 0}));
+        CHECK(!entry::mayTryAgain(route, end, {1 + entry::mostExtraSends, 0, 0}));
+    }
+    CHECK(!entry::mayTryAgain(route, AttemptEnd::Delivered, {1, 1, 0}));
+    CHECK(!entry::mayTryAgain(route, AttemptEnd::CallerGone, {1, 1, 0}));
+}
--- /dev/null
+++ b/tests/test_http.cpp
@@ -0,0 +1,120 @@
+// What the HTTP server takes for a request and what it rejects: messages
+// whose end two readers could see in different places (RFC 9112).
+#include "entry_rig.h"
+
+#include "loop_group.h"
+
+using namespace yucca;
+using namespace yucca::rig;
+
+namespace
+{
+
+// Sends raw bytes to a server and reads until it closes.
+Task<std::string> exchangeBytes(uint16_t port, std::string bytes)
+{
+    tcp::socket socket(co_await asio::this_coro::executor);
+    const tcp::endpoint to(asio::ip::make_address("127.0.0.1"), port);
+    boost::system::error_code ec;
+    co_await socket.async_connect(to, asio::redirect_error(asio::use_awaitable, ec));
+    co_await sendBytes(socket, bytes);
+    std::string answer;
+    while (!ec) {
+        char buffer[2048];
+        const auto n = co_await socket.async_read_some(asio::buffer(buffer), asio::redirect_error(asio::use_awaitable, ec));
+        answer.append(buffer, n);
+    }
+    co_return answer;
+}
+
+struct EchoServer {
+    explicit EchoServer(Loop &loop, http::ServerLimits limits = {})
+        : server(
+            {&loop.io}, "127.0.0.1", 0,
+            [this](http::Exchange &ex) -> Task<void> {
+                paths.push_back(ex.path());
+                co_await ex.reply(200, ex.request().body());
+            },
+            limits)
+        , port(std::get<uint16_t>(server.start()))
+    {
+    }
+    std::vector<std::string> paths;
+    http::Server server;
+    uint16_t port;
+};
+
+std::string statusLine(const std::string &answer)
+{
+    return answer.substr(0, answer.find("\r\n"));
+}
+
+} // namespace
+
+LOOP_GROUP(StrictHttp);
+
+TEST(StrictHttp, AmbiguousMessagesAreRejectedAndTheConnectionEnds)
+{
+    const std::string smuggled = "GET /smuggled HTTP/1.1\r\nHost: a\r\n\r\n";
+    const std::vector<std::string> improper{
+        "POST /a HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\nContent-Length: 4\r\n\r\n0\r\n\r\n" + smuggled,
+        "POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + smuggled,
+        "POST /a HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: xchunked\r\n\r\n" + smuggled,
+        "POST /a HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n" + smuggled,
+        "POST /a HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: identity\r\n\r\n0\r\n\r\n" + smuggled,
+        "POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\nContent-Length: 40\r\n\r\n" + smuggled,
+        "POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 1x\r\n\r\n" + smuggled,
+        "POST /a HTTP/1.1\r\nHost: a\r\nContent-Length : 0\r\n\r\n" + smuggled,
+        "GET /a HTTP/1.1\r\n\r\n" + smuggled,
+        "GET /a HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n" + smuggled,
+        "NONSENSE\r\n\r\n" + smuggled,
+    };
+    for (const auto &message : improper) {
+        EchoServer echo(loop());
+        const auto answer = loop().run(exchangeBytes(echo.port, message));
+        STRCMP_EQUAL("HTTP/1.1 400 Bad Request", statusLine(answer).c_str());
+        LONGS_EQUAL(0, echo.paths.size());
+        CHECK(answer.find("HTTP/1.1 ", 1) == std::string::npos); // nothing behind it was answered
+    }
+}
+
+TEST(StrictHttp, ProperMessagesArriveWhole)
+{
+    EchoServer echo(loop());
+    const auto answer = loop().run(exchangeBytes(echo.port,
+                                                 "POST /a HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n"
+                                                 "GET /b HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"));
+    CHECK(answer.find("abcde") != std::string::npos);
+    LONGS_EQUAL(2, echo.paths.size());
+}
+
+TEST(StrictHttp, WhatIsTooLargeIsSaidSo)
+{
+    http::ServerLimits limits;
+    limits.headerBytes = 1024;
+    limits.bodyBytes = 1000;
+    EchoServer echo(loop(), limits);
+    const auto head = loop().run(exchangeBytes(echo.port, "GET /a HTTP/1.1\r\nHost: a\r\nX: " + std::string(2000, 'x') + "\r\n\r\n"));
+    STRCMP_EQUAL("HTTP/1.1 431 Request Header Fields Too Large", statusLine(head).c_str());
+    const auto body = loop().run(exchangeBytes(echo.port, "POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 2000\r\n\r\n" + std::string(2000, 'x')));
+    STRCMP_EQUAL("HTTP/1.1 413 Payload Too Large", statusLine(body).c_str());
+    LONGS_EQUAL(0, echo.paths.size());
+}
+
+TEST(StrictHttp, ACallerThatAsksFirstIsToldToContinue)
+{
+    EchoServer echo(loop());
+    const auto answer =
+        loop().run(exchangeBytes(echo.port, "POST /a HTTP/1.1\r\nHost: a\r\nExpect: 100-continue\r\nContent-Length: 2\r\nConnection: close\r\n\r\nhi"));
+    STRCMP_EQUAL("HTTP/1.1 100 Continue", statusLine(answer).c_str());
+    CHECK(answer.find("200 OK") != std::string::npos);
+}
+
+TEST(StrictHttp, CallersAreAskedToLeaveBeforeAStop)
+{
+    EchoServer echo(loop());
+    echo.server.askCallersToLeave();
+    const auto answer = loop().run(exchangeBytes(echo.port, "GET /a HTTP/1.1\r\nHost: a\r\n\r\n"));
+    CHECK(answer.find("Connection: close") != std::string::npos);
+    LONGS_EQUAL(1, echo.paths.size());
+}
--- a/tests/test_router.cpp
+++ b/tests/test_router.cpp
@@ -5,10 +5,7 @@
 #include "rig.h"
 
 // CppUTest goes last: its memory-leak macros redefine operator new.
-#include <CppUTest/TestHarness.h>
-// The plugin's header needs TestHarness.h first; the blank line keeps the order.
-
-#include <CppUTest/MemoryLeakWarningPlugin.h>
+#include "loop_group.h"
 
 #include <fstream>
 #include <sstream>
@@ -48,29 +45,6 @@
 
 } // namespace
 
-// Asio caches coroutine frames per thread, which CppUTest's per-test leak
-// count takes for leaks: it is off in the groups that run an event loop,
-// from before the loop is made until after it is gone.
-#define LOOP_GROUP(name)                                                                                                                                       \
-    TEST_GROUP(name)                                                                                                                                           \
-    {                                                                                                                                                          \
-        std::unique_ptr<Loop> m_loop;                                                                                                                          \
-        Loop &loop()                                                                                                                                           \
-        {                                                                                                                                                      \
-            return *m_loop;                                                                                                                                    \
-        }                                                                                                                                                      \
-        void setup() override                                                                                                                                  \
-        {                                                                                                                                                      \
-            MemoryLeakWarningPlugin::saveAndDisableNewDeleteOverloads();                                                                                       \
-            m_loop = std::make_unique<Loop>();                                                                                                                 \
-        }                                                                                                                                                      \
-        void teardown() override                                                                                                                               \
-        {                                                                                                                                                      \
-            m_loop.reset();                                                                                                                                    \
-            MemoryLeakWarningPlugin::restoreNewDeleteOverloads();                                                                                              \
-        }                                                                                                                                                      \
-    }
-
 LOOP_GROUP(InvariantOwnAnswer);
 
 TEST(InvariantOwnAnswer, AnswersArrivingOutOfOrderReachTheirOwnCallers)
