One store client and one store form; emulators apart from what ships

Cause: the object API stood twice, in the platform's published form and in a dialect of our own; the stand-ins, the load tool and the bench lay among the router's sources.

Ruled out: keeping the old dialect for yucca-ctl (a second client, tested by nothing the users run).

--- a/src/experiment.h
+++ b/emulators/experiment.h
@@ -3,7 +3,7 @@
 #pragma once
 
 #include "http_client.h"
-#include "platform_client.h"
+#include "object_store.h"
 #include "sse.h"
 #include "task.h"
 
@@ -133,7 +133,7 @@
     Options m_o;
     asio::any_io_executor m_executor;
     http::Client m_client;
-    platform::HttpObjectApi m_platform;
+    platform::StoreClient m_platform;
     Tally m_tally;
     Clock::time_point m_started;
     int m_issued = 0;
--- /dev/null
+++ b/emulators/local_object_api.cpp
@@ -0,0 +1,74 @@
+#include "local_object_api.h"
+
+namespace yucca::platform
+{
+
+namespace
+{
+
+constexpr int pageLimit = 500; ///< objects a page
+
+const Error outageError{store::Unavailable, "outage"};
+
+} // namespace
+
+LocalObjectApi::LocalObjectApi(store::ObjectStore &store)
+    : m_store(store)
+{
+}
+
+// Counts a write that took effect, and loses its answer when told to.
+Result<Object> LocalObjectApi::written(Result<Object> result)
+{
+    if (!ok(result)) {
+        return result;
+    }
+    ++writes;
+    if (loseAnswers > 0) {
+        --loseAnswers;
+        return Error{store::AnswerLost, "answer lost after the write"};
+    }
+    return result;
+}
+
+Task<Result<Object>> LocalObjectApi::get(std::string kind, std::string name)
+{
+    if (outage) {
+        co_return outageError;
+    }
+    co_return m_store.get(kind, name);
+}
+
+Task<Result<Listing>> LocalObjectApi::list(std::string kind, std::string after)
+{
+    if (outage) {
+        co_return outageError;
+    }
+    co_return m_store.list(kind, after, pageLimit);
+}
+
+Task<Result<Object>> LocalObjectApi::put(std::string kind, std::string name, nlohmann::json value, std::optional<uint64_t> ifVersion)
+{
+    if (outage) {
+        co_return outageError;
+    }
+    co_return written(m_store.put(kind, name, value, ifVersion));
+}
+
+Task<Result<Object>> LocalObjectApi::remove(std::string kind, std::string name, std::optional<uint64_t> ifVersion)
+{
+    if (outage) {
+        co_return outageError;
+    }
+    co_return written(m_store.remove(kind, name, ifVersion));
+}
+
+Task<Result<WatchBatch>> LocalObjectApi::watch(std::string kind, uint64_t from, Millis)
+{
+    if (outage) {
+        co_return outageError;
+    }
+    co_return m_store.since(from, {kind});
+}
+
+} // namespace yucca::platform
--- /dev/null
+++ b/emulators/local_object_api.h
@@ -0,0 +1,34 @@
+// The object API in process, over a store in memory: for tests.
+#pragma once
+
+#include "memory_store.h"
+#include "object_api.h"
+
+namespace yucca::platform
+{
+
+/// The object API in process, over an ObjectStore, with faults a test can
+/// switch: an outage, and answers lost after the write took effect.
+class LocalObjectApi : public ObjectApi
+{
+public:
+    explicit LocalObjectApi(store::ObjectStore &store);
+
+    Task<Result<Object>> get(std::string kind, std::string name) override;
+    Task<Result<Listing>> list(std::string kind, std::string after) override;
+    Task<Result<Object>> put(std::string kind, std::string name, nlohmann::json value, std::optional<uint64_t> ifVersion) override;
+    Task<Result<Object>> remove(std::string kind, std::string name, std::optional<uint64_t> ifVersion) override;
+    /// Answers at once, also when nothing has changed.
+    Task<Result<WatchBatch>> watch(std::string kind, uint64_t from, Millis timeout) override;
+
+    bool outage = false;
+    int loseAnswers = 0; ///< the next N writes take effect, then report AnswerLost
+    int writes = 0; ///< writes that took effect
+
+private:
+    Result<Object> written(Result<Object> result);
+
+    store::ObjectStore &m_store;
+};
+
+} // namespace yucca::platform
--- a/src/objstore.cpp
+++ b/emulators/memory_store.cpp
@@ -1,25 +1,10 @@
-#include "objstore.h"
+#include "memory_store.h"
 
 #include <algorithm>
 
 namespace yucca::store
 {
 
-nlohmann::json toJson(const Object &o)
-{
-    return {{"kind", o.kind}, {"name", o.name}, {"version", o.version}, {"value", o.value}};
-}
-
-Object objectFromJson(const nlohmann::json &j)
-{
-    Object o;
-    o.kind = j.value("kind", "");
-    o.name = j.value("name", "");
-    o.version = j.value("version", uint64_t{0});
-    o.value = j.contains("value") ? j["value"] : nlohmann::json();
-    return o;
-}
-
 ObjectStore::ObjectStore(std::size_t history)
     : m_historyLimit(history)
 {
--- a/src/platform_server.cpp
+++ b/emulators/platform_server.cpp
@@ -1,7 +1,8 @@
 #include "platform_server.h"
 
 #include "log.h"
-#include "platform_client.h"
+#include "object_api.h"
+#include "object_form.h"
 #include "text.h"
 
 #include <boost/asio/detached.hpp>
@@ -16,10 +17,10 @@
 namespace
 {
 
-constexpr std::string_view objectsPrefix = "/v1/objects/";
 constexpr std::string_view adminPrefix = "/admin/";
 constexpr std::string_view vmAdminPrefix = "/admin/vms/";
 constexpr Millis longestWatch{30000};
+constexpr std::size_t pageLimit = 500; ///< objects a page, as the platform has it
 
 // GCC 12 cannot keep braced lists in a coroutine's frame, so JSON bodies and
 // headers are made in plain functions.
@@ -33,18 +34,18 @@
 {
     json items = json::array();
     for (const auto &o : page.items) {
-        items.push_back(store::toJson(o));
+        items.push_back(toWire(o));
     }
-    return {{"revision", page.revision}, {"items", items}, {"more", page.more}};
+    return {{"items", items}, {"has_more", page.more}, {"store_revision", page.revision}};
 }
 
 json batchOf(const store::WatchBatch &batch)
 {
     json events = json::array();
     for (const auto &e : batch.events) {
-        events.push_back({{"deleted", e.deleted}, {"revision", e.revision}, {"object", store::toJson(e.object)}});
+        events.push_back({{"deleted", e.deleted}, {"object", toWire(e.object)}});
     }
-    return {{"revision", batch.revision}, {"events", events}};
+    return {{"events", events}, {"store_revision", batch.revision}};
 }
 
 Task<void> replyError(http::Exchange &ex, Error e)
@@ -88,22 +89,24 @@
         co_await ex.reply(429, R"({"error":"rate limited"})", comeBack());
         co_return;
     }
-    if (path.rfind(objectsPrefix, 0) == 0) {
-        co_await objects(ex, path.substr(objectsPrefix.size()));
-    } else if (path == "/v1/watch") {
-        co_await watch(ex);
+    if (path.rfind(objectsPath, 0) == 0) {
+        co_await objects(ex, path.substr(objectsPath.size()));
     } else {
         co_await ex.reply(404, R"({"error":"no such path"})");
     }
 }
 
-// GET, PUT and DELETE of /v1/objects/{kind}[/{name}].
+// The calls on a kind and on one object of it.
 Task<void> PlatformServer::objects(http::Exchange &ex, std::string rest)
 {
     const auto slash = rest.find('/');
     const std::string kind = rest.substr(0, slash);
     const std::string name = slash == std::string::npos ? "" : rest.substr(slash + 1);
     const bool write = ex.request().method() != http::bhttp::verb::get;
+    if (!write && !ex.query("watch").empty()) {
+        co_await watch(ex, kind);
+        co_return;
+    }
     if (name.empty() && !write) {
         co_await listing(ex, kind);
         co_return;
@@ -121,50 +124,54 @@
         co_await replyError(ex, std::get<Error>(result));
         co_return;
     }
-    co_await ex.reply(200, store::toJson(std::get<store::Object>(result)).dump());
+    co_await ex.reply(200, toWire(std::get<store::Object>(result)).dump());
 }
 
-// Carries out a call on one object.
+// Carries out a call on one object. A revision in the body or the query
+// makes it conditional.
 Result<store::Object> PlatformServer::apply(const http::Exchange &ex, const std::string &kind, const std::string &name)
 {
-    std::optional<uint64_t> ifVersion;
-    if (const auto version = ex.query("ifVersion"); !version.empty()) {
-        ifVersion = text::number<uint64_t>(version).value_or(0);
-    }
-    switch (ex.request().method()) {
-    case http::bhttp::verb::get:
+    const auto method = ex.request().method();
+    if (method == http::bhttp::verb::get) {
         return m_store.get(kind, name);
-    case http::bhttp::verb::delete_:
-        return m_store.remove(kind, name, ifVersion);
-    case http::bhttp::verb::put:
-        break;
-    default:
-        return Error{405, "method not allowed"};
     }
     if (kind == vmKind) {
         return Error{403, "the VM list is the platform's"};
     }
-    json value = json::parse(ex.request().body(), nullptr, false);
-    if (value.is_discarded()) {
-        return Error{400, "body is not JSON"};
+    auto ifVersion = text::number<uint64_t>(ex.query("revision"));
+    if (method == http::bhttp::verb::delete_) {
+        return m_store.remove(kind, name, ifVersion);
+    }
+    const json body = json::parse(ex.request().body(), nullptr, false);
+    if (!body.is_object()) {
+        return Error{400, "body is not a JSON object"};
+    }
+    auto object = fromWire(kind, body);
+    if (method == http::bhttp::verb::post) {
+        return m_store.put(kind, object.name, object.value, 0);
+    }
+    if (method != http::bhttp::verb::put) {
+        return Error{405, "method not allowed"};
+    }
+    if (object.version > 0) {
+        ifVersion = object.version;
     }
-    return m_store.put(kind, name, value, ifVersion);
+    return m_store.put(kind, name, object.value, ifVersion);
 }
 
-// One page of a kind: ?after=NAME&limit=N.
+// One page of a kind, those after a name.
 Task<void> PlatformServer::listing(http::Exchange &ex, std::string kind)
 {
-    const auto page = m_store.list(kind, ex.query("after"), text::number<uint64_t>(ex.query("limit")).value_or(0));
+    const auto page = m_store.list(kind, ex.query("after_rev"), pageLimit);
     co_await ex.reply(200, pageOf(page).dump());
 }
 
-// A long-polling watch: the changes after ?from= of ?kinds=a,b (all when
-// absent), waiting up to ?timeoutMs=.
-Task<void> PlatformServer::watch(http::Exchange &ex)
+// A long-polling watch: the changes of a kind after a revision.
+Task<void> PlatformServer::watch(http::Exchange &ex, std::string kind)
 {
-    const uint64_t from = text::number<uint64_t>(ex.query("from")).value_or(0);
-    const auto kinds = text::items(ex.query("kinds"));
-    const auto deadline = Clock::now() + std::min(Millis(text::number<uint64_t>(ex.query("timeoutMs")).value_or(1000)), longestWatch);
+    const uint64_t from = text::number<uint64_t>(ex.query("watch")).value_or(0);
+    const std::vector<std::string> kinds(1, kind);
+    const auto deadline = Clock::now() + std::min(Millis(text::number<uint64_t>(ex.query("wait_ms")).value_or(1000)), longestWatch);
     ex.onCallerGone([this] {
         m_changed.notifyAll();
     });
--- a/src/platform_server.h
+++ b/emulators/platform_server.h
@@ -4,8 +4,8 @@
 
 #include "admission.h"
 #include "http_server.h"
+#include "memory_store.h"
 #include "notifier.h"
-#include "objstore.h"
 #include "settings.h"
 
 #include <nlohmann/json.hpp>
@@ -34,7 +34,7 @@
 private:
     Task<void> objects(http::Exchange &ex, std::string rest);
     Task<void> listing(http::Exchange &ex, std::string kind);
-    Task<void> watch(http::Exchange &ex);
+    Task<void> watch(http::Exchange &ex, std::string kind);
     Task<void> admin(http::Exchange &ex, std::string path);
     Task<void> publishVm(std::string id, std::optional<nlohmann::json> entry);
     Result<store::Object> apply(const http::Exchange &ex, const std::string &kind, const std::string &name);
--- /dev/null
+++ b/emulators/sim_main.cpp
@@ -0,0 +1,15 @@
+// yucca-sim: the model of a fleet. Its bench plays returning conversations
+// through every placement policy and prints a signature of the decisions.
+#include "bench.h"
+
+#include <cstdio>
+#include <cstring>
+
+int main(int argc, const char **argv)
+{
+    if (argc >= 2 && std::strcmp(argv[1], "bench") == 0) {
+        return yucca::bench::run(argc - 1, argv + 1);
+    }
+    std::fprintf(stderr, "usage: yucca-sim bench [--help]\n");
+    return 2;
+}
--- a/scripts/capacity.sh
+++ b/scripts/capacity.sh
@@ -17,14 +17,16 @@
 import http.client, json, sys
 base, endpoints, workspaces = map(int, sys.argv[1:4])
 c = http.client.HTTPConnection("127.0.0.1", base)
-def put(path, body):
-    c.request("PUT", path, json.dumps(body))
+def call(method, path, body):
+    c.request(method, path, json.dumps(body))
     c.getresponse().read()
-put("/v1/objects/class/counsel", {"pool": "counsel-a", "kind": "engine"})
+def create(kind, name, spec):
+    call("POST", f"/api/objects/{kind}", {"metadata": {"name": name}, "spec": spec})
+create("class", "counsel", {"pool": "counsel-a", "kind": "engine"})
 for i in range(workspaces):
-    put(f"/v1/objects/workspace/w{i}", {"owner": f"owner-{i}", "class": "counsel", "limits": {"maxInflight": 64, "requestsPerS": 100}})
+    create("workspace", f"w{i}", {"owner": f"owner-{i}", "class": "counsel", "limits": {"maxInflight": 64, "requestsPerS": 100}})
 for i in range(endpoints):
-    put(f"/admin/vms/e{i}", {"host": "127.0.0.1", "port": 1, "pool": "counsel-a", "kind": "engine"})
+    call("PUT", f"/admin/vms/e{i}", {"host": "127.0.0.1", "port": 1, "pool": "counsel-a", "kind": "engine"})
 PY
 }
 
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -46,7 +46,7 @@
 
 # Behaviour drift: the routing bench's signature hashes every decision of
 # both policies; a change that alters routing must update tests/bench.signature.
-sig=$(build/yucca-router bench | awk '/^signature/ {print $2}')
+sig=$(build/yucca-sim bench | awk '/^signature/ {print $2}')
 if [ "$sig" = "$(cat tests/bench.signature)" ]; then
     echo "bench signature: ok ($sig)"
     e2e_passed=$((e2e_passed + 1))
--- a/src/catalogue.cpp
+++ b/src/catalogue.cpp
@@ -1,6 +1,6 @@
 #include "catalogue.h"
 
-#include "platform_client.h"
+#include "object_api.h"
 #include "settings.h"
 
 #include <set>
--- a/src/catalogue.h
+++ b/src/catalogue.h
@@ -4,7 +4,7 @@
 #pragma once
 
 #include "findings.h"
-#include "objstore.h"
+#include "store.h"
 #include "yucca/types.h"
 
 #include <functional>
--- a/src/ctl.h
+++ b/src/ctl.h
@@ -3,7 +3,7 @@
 #pragma once
 
 #include "findings.h"
-#include "platform_client.h"
+#include "object_api.h"
 #include "task.h"
 
 #include <nlohmann/json.hpp>
--- a/src/ctl_main.cpp
+++ b/src/ctl_main.cpp
@@ -2,6 +2,7 @@
 #include "catalogue.h"
 #include "cli.h"
 #include "ctl.h"
+#include "object_store.h"
 
 #include <nlohmann/json.hpp>
 
@@ -14,6 +15,12 @@
 using namespace yucca;
 using nlohmann::json;
 
+// An object as yucca-ctl prints it.
+json shown(const store::Object &o)
+{
+    return {{"kind", o.kind}, {"name", o.name}, {"version", o.version}, {"value", o.value}};
+}
+
 constexpr const char *usage = "COMMAND ...\n"
                               "  get KIND NAME              print an entry with its version\n"
                               "  list KIND                  print all entries of a kind\n"
@@ -85,7 +92,7 @@
     if (!ok(r)) {
         return printError(std::get<Error>(r));
     }
-    printf("%s\n", store::toJson(std::get<platform::Object>(r)).dump(2).c_str());
+    printf("%s\n", shown(std::get<platform::Object>(r)).dump(2).c_str());
     return cli::ExitOk;
 }
 
@@ -96,7 +103,7 @@
         return printError(std::get<Error>(r));
     }
     for (const auto &object : std::get<platform::Listing>(r).items) {
-        printf("%s\n", store::toJson(object).dump().c_str());
+        printf("%s\n", shown(object).dump().c_str());
     }
     return cli::ExitOk;
 }
@@ -226,7 +233,7 @@
         s->author.name = author ? author : (user ? user : "unknown");
     }
     s->author.reason = reason ? reason : "";
-    platform::HttpObjectApi api(s->platform);
+    platform::StoreClient api(s->platform);
     const std::string command = args.empty() ? "" : args[0];
     if (command == "get" && args.size() == 3) {
         return get(api, args[1], args[2]);
--- a/src/duties.h
+++ b/src/duties.h
@@ -5,9 +5,10 @@
 // grows with the fleet.
 #pragma once
 
+#include "http_client.h"
 #include "lease.h"
+#include "object_api.h"
 #include "orders.h"
-#include "platform_client.h"
 #include "router_control.h"
 #include "settings.h"
 
--- a/src/entry/control.h
+++ b/src/entry/control.h
@@ -3,8 +3,8 @@
 #pragma once
 
 #include "entry/configuration.h"
-#include "entry/follower.h"
 #include "findings.h"
+#include "follower.h"
 #include "router_core.h"
 
 #include <atomic>
--- a/src/entry/follower.h
+++ b/src/follower.h
@@ -3,7 +3,7 @@
 #pragma once
 
 #include "log.h"
-#include "platform_client.h"
+#include "object_api.h"
 #include "task.h"
 
 #include <algorithm>
@@ -11,7 +11,7 @@
 #include <random>
 #include <string>
 
-namespace yucca::entry
+namespace yucca
 {
 
 /// What takes a follower's news, all on the control thread.
@@ -40,7 +40,6 @@
     Follower(platform::ObjectApi &api, std::string kind, Sink &sink, FollowerOptions options = {})
         : m_api(api)
         , m_kind(std::move(kind))
-        , m_watchedKinds(1, m_kind)
         , m_sink(sink)
         , m_options(options)
         , m_pause(options.firstPause)
@@ -98,7 +97,7 @@
 
     Task<bool> watch()
     {
-        auto result = co_await m_api.watch(m_from, m_options.watchWait, m_watchedKinds);
+        auto result = co_await m_api.watch(m_kind, m_from, m_options.watchWait);
         if (!ok(result)) {
             const auto &error = std::get<Error>(result);
             if (error.code == store::Gone) {
@@ -151,7 +150,6 @@
 
     platform::ObjectApi &m_api;
     std::string m_kind;
-    std::vector<std::string> m_watchedKinds; ///< the one kind, as watch() takes it
     Sink &m_sink;
     FollowerOptions m_options;
     Millis m_pause;
@@ -163,4 +161,4 @@
     Clock::time_point m_lastContact{};
 };
 
-} // namespace yucca::entry
+} // namespace yucca
--- a/src/idempotency.h
+++ b/src/idempotency.h
@@ -3,7 +3,7 @@
 // the stored answer.
 #pragma once
 
-#include "platform_client.h"
+#include "object_api.h"
 #include "task.h"
 
 #include <atomic>
--- a/src/lease.h
+++ b/src/lease.h
@@ -2,7 +2,7 @@
 // each with a fencing number higher than every holder before it.
 #pragma once
 
-#include "platform_client.h"
+#include "object_api.h"
 #include "task.h"
 
 #include <chrono>
--- /dev/null
+++ b/src/object_api.cpp
@@ -0,0 +1,51 @@
+#include "object_api.h"
+
+namespace yucca::platform
+{
+
+Task<Result<Listing>> listAll(ObjectApi &api, std::string kind)
+{
+    Listing whole;
+    std::string after;
+    for (bool first = true;; first = false) {
+        auto listed = co_await api.list(kind, after);
+        if (!ok(listed)) {
+            co_return std::get<Error>(listed);
+        }
+        auto &page = std::get<Listing>(listed);
+        if (first) {
+            whole.revision = page.revision;
+        }
+        std::move(page.items.begin(), page.items.end(), std::back_inserter(whole.items));
+        if (!page.more || page.items.empty()) {
+            co_return whole;
+        }
+        after = whole.items.back().name;
+    }
+}
+
+nlohmann::json toJson(const Endpoint &e)
+{
+    return {{"id", e.id},
+            {"host", e.host},
+            {"port", e.port},
+            {"pool", e.pool},
+            {"zone", e.zone},
+            {"kind", nameOf(endpointKindNames, e.kind)},
+            {"state", nameOf(endpointStateNames, e.state)}};
+}
+
+Endpoint endpointFromJson(const nlohmann::json &j)
+{
+    Endpoint e;
+    e.id = j.value("id", "");
+    e.host = j.value("host", "127.0.0.1");
+    e.port = j.value("port", uint16_t{0});
+    e.pool = j.value("pool", "");
+    e.zone = j.value("zone", "");
+    e.kind = parseName(endpointKindNames, j.value("kind", "engine")).value_or(EndpointKind::Engine);
+    e.state = parseName(endpointStateNames, j.value("state", "live")).value_or(EndpointState::Live);
+    return e;
+}
+
+} // namespace yucca::platform
--- a/src/router_control.cpp
+++ b/src/router_control.cpp
@@ -2,28 +2,14 @@
 
 #include "log.h"
 
-#include <algorithm>
-#include <random>
-
 namespace yucca::router
 {
 
 namespace
 {
 
-constexpr Millis firstRetryPause{100}; ///< after the platform could not be reached
 constexpr Millis longestRetryPause{2000}; ///< a change is in force within seconds of the platform's return
 
-const std::vector<std::string> watchedKinds{catalogue::workspaceKind, catalogue::classKind, platform::vmKind};
-
-// A pause between half and all of the given one, so that routers that lost
-// the platform at the same moment do not all come back at the same moment.
-Millis jittered(Millis pause)
-{
-    static thread_local std::minstd_rand rng(std::random_device{}());
-    return pause / 2 + Millis(rng() % static_cast<uint64_t>(pause.count() / 2 + 1));
-}
-
 void logRejected(const std::string &entry, const Findings &findings)
 {
     log::event(log::Event::CatalogueEntryRejected,
@@ -35,88 +21,75 @@
 
 Control::Control(const settings::RouterSettings &settings, platform::ObjectApi &api, RoutingTable &table)
     : m_settings(settings)
-    , m_api(api)
     , m_table(table)
     , m_view(logRejected)
     , m_snapshot(std::make_shared<catalogue::Snapshot>())
 {
+    FollowerOptions options;
+    options.watchWait = Millis(settings.watchTimeoutMs);
+    options.longestPause = longestRetryPause;
+    for (const auto &kind : kinds()) {
+        m_followed.push_back(std::make_unique<Followed>(*this, api, kind, options));
+    }
 }
 
-Task<void> Control::run()
+Control::Followed::Followed(Control &control, platform::ObjectApi &api, const std::string &kind, FollowerOptions options)
+    : sink{control, kind}
+    , follower(api, kind, sink, options)
 {
-    Millis pause = firstRetryPause;
-    while (!m_stopping) {
-        const bool reached = co_await step();
-        if (reached) {
-            pause = firstRetryPause;
-        } else if (!m_stopping) {
-            co_await sleepFor(jittered(pause));
-            pause = std::min(pause * 2, longestRetryPause);
-        }
-    }
+}
+
+const std::vector<std::string> &Control::kinds()
+{
+    static const std::vector<std::string> followed{catalogue::workspaceKind, catalogue::classKind, platform::vmKind};
+    return followed;
+}
+
+Task<void> Control::run(std::size_t n)
+{
+    return m_followed[n]->follower.run();
 }
 
 void Control::stop()
 {
-    m_stopping = true;
+    for (const auto &followed : m_followed) {
+        followed->follower.stop();
+    }
 }
 
 Task<bool> Control::step()
 {
-    if (m_loaded) {
-        co_return co_await watchOnce();
+    bool reached = true;
+    for (const auto &followed : m_followed) {
+        const bool one = co_await followed->follower.step();
+        reached = reached && one;
     }
-    co_return co_await load();
+    co_return reached;
 }
 
-// Lists every watched kind and starts watching from the oldest listing.
-Task<bool> Control::load()
+void Control::Sink::listed(const platform::Listing &listing)
 {
-    uint64_t from = UINT64_MAX;
-    for (const auto &kind : watchedKinds) {
-        auto listed = co_await platform::listAll(m_api, kind);
-        if (!ok(listed)) {
-            log::event(log::Event::PlatformUnreachable, "op=list kind=" + kind + " code=" + std::to_string(std::get<Error>(listed).code));
-            co_return false;
+    control.m_view.applyListing(kind, listing);
+    for (const auto &followed : control.m_followed) {
+        if (followed->sink.kind == kind && !followed->loaded) {
+            followed->loaded = true;
+            ++control.m_loaded;
         }
-        const auto &listing = std::get<platform::Listing>(listed);
-        m_view.applyListing(kind, listing);
-        from = std::min(from, listing.revision);
     }
-    m_watchFrom = from;
-    m_loaded = true;
-    publish();
-    co_return true;
+    control.publish();
 }
 
-// One long poll of the watch; a gap (410) makes the router list again.
-Task<bool> Control::watchOnce()
+void Control::Sink::changed(const platform::Object &object, bool deleted)
 {
-    auto watched = co_await m_api.watch(m_watchFrom, Millis(m_settings.watchTimeoutMs), watchedKinds);
-    if (!ok(watched)) {
-        const auto &error = std::get<Error>(watched);
-        if (error.code == store::Gone) {
-            log::event(log::Event::WatchRestarted, "from=" + std::to_string(m_watchFrom));
-            m_loaded = false;
-            co_return true;
-        }
-        log::event(log::Event::PlatformUnreachable, "op=watch code=" + std::to_string(error.code));
-        co_return false;
-    }
-    const auto &batch = std::get<platform::WatchBatch>(watched);
-    if (batch.revision < m_watchFrom) {
-        m_loaded = false; // a store that went back: list it, the view keeps what is newer
-        co_return true;
-    }
-    bool changed = false;
-    for (const auto &event : batch.events) {
-        changed = m_view.apply(event.object, event.deleted) || changed;
-    }
-    m_watchFrom = batch.revision;
-    if (changed) {
-        publish();
+    dirty = control.m_view.apply(object, deleted) || dirty;
+}
+
+void Control::Sink::batchEnded()
+{
+    if (dirty) {
+        dirty = false;
+        control.publish();
     }
-    co_return true;
 }
 
 // Puts the view in force: the endpoints in the routing table, the rest for
@@ -135,7 +108,7 @@
         std::lock_guard lock(m_mutex);
         m_snapshot = snapshot;
     }
-    m_ready = !snapshot->endpoints.empty();
+    m_ready = m_loaded == m_followed.size() && !snapshot->endpoints.empty();
     log::event(log::Event::CatalogueApplied,
                "revision=" + std::to_string(snapshot->revision) + " workspaces=" + std::to_string(snapshot->workspaces.size())
                    + " classes=" + std::to_string(snapshot->classes.size()));
--- a/src/router_control.h
+++ b/src/router_control.h
@@ -3,7 +3,8 @@
 #pragma once
 
 #include "catalogue.h"
-#include "platform_client.h"
+#include "follower.h"
+#include "object_api.h"
 #include "router_core.h"
 #include "settings.h"
 
@@ -21,12 +22,13 @@
 public:
     Control(const settings::RouterSettings &settings, platform::ObjectApi &api, RoutingTable &table);
 
-    /// Loads and watches until stopped.
-    Task<void> run();
+    /// The kinds of objects that are followed.
+    static const std::vector<std::string> &kinds();
+    /// Follows the n-th of kinds() until stopped.
+    Task<void> run(std::size_t n);
     /// Asks run() to return; from the control thread.
     void stop();
-    /// One round: a listing when nothing is loaded, else one watch. False
-    /// when the platform could not be reached.
+    /// One listing or one watch of each kind. False when the platform could not be reached.
     Task<bool> step();
 
     /// True once the catalogue is loaded and an endpoint is known.
@@ -37,17 +39,28 @@
     std::shared_ptr<const catalogue::Snapshot> snapshot() const;
 
 private:
-    Task<bool> load();
-    Task<bool> watchOnce();
+    /// Takes the news of one kind.
+    struct Sink {
+        Control &control;
+        std::string kind;
+        bool dirty = false;
+        void listed(const platform::Listing &listing);
+        void changed(const platform::Object &object, bool deleted);
+        void batchEnded();
+    };
+    struct Followed {
+        Followed(Control &control, platform::ObjectApi &api, const std::string &kind, FollowerOptions options);
+        Sink sink;
+        Follower<Sink> follower;
+        bool loaded = false;
+    };
     void publish();
 
     settings::RouterSettings m_settings;
-    platform::ObjectApi &m_api;
     RoutingTable &m_table;
     catalogue::View m_view;
-    uint64_t m_watchFrom = 0;
-    bool m_loaded = false;
-    bool m_stopping = false;
+    std::vector<std::unique_ptr<Followed>> m_followed; ///< one for each of kinds()
+    std::size_t m_loaded = 0; ///< kinds that have been listed
     std::atomic<bool> m_ready{false};
     mutable std::mutex m_mutex;
     std::shared_ptr<const catalogue::Snapshot> m_snapshot;
--- a/src/router_main.cpp
+++ b/src/router_main.cpp
@@ -1,11 +1,11 @@
 // yucca-router: the entry router. Routes each conversation to an engine
 // that likely holds its prompt prefix, within a bound on every engine's
 // load; runs non-idempotent service calls at most once.
-#include "bench.h"
 #include "cli.h"
 #include "duties.h"
 #include "entry/entry_settings.h"
 #include "log.h"
+#include "object_store.h"
 #include "router_traffic.h"
 #include "run.h"
 #include "supervisor.h"
@@ -13,7 +13,6 @@
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/post.hpp>
 
-#include <cstring>
 #include <thread>
 
 using namespace yucca;
@@ -74,13 +73,15 @@
             fprintf(stderr, "yucca-router: %s\n", std::get<Error>(bound).message.c_str());
             return cli::ExitFailure;
         }
-        m_supervisor.start({"control",
-                            [this] {
-                                return m_control.run();
-                            },
-                            [this] {
-                                m_control.stop();
-                            }});
+        for (std::size_t n = 0; n < router::Control::kinds().size(); ++n) {
+            m_supervisor.start({"control " + router::Control::kinds()[n],
+                                [this, n] {
+                                    return m_control.run(n);
+                                },
+                                [this] {
+                                    m_control.stop();
+                                }});
+        }
         m_supervisor.start({"duties",
                             [this] {
                                 return m_duties.run();
@@ -157,10 +158,10 @@
         }
     }
 
-    // True when only the waiting watch may be left.
+    // True when only the waiting watches may be left.
     bool dutiesDone() const
     {
-        return m_supervisor.running() <= 1;
+        return m_supervisor.running() <= router::Control::kinds().size();
     }
 
     static constexpr Millis controlStopGrace{1000};
@@ -169,8 +170,8 @@
     asio::io_context m_controlLoop{1};
     std::vector<std::unique_ptr<asio::io_context>> m_trafficLoops;
     http::Client m_orderClient;
-    platform::HttpObjectApi m_controlApi;
-    platform::HttpObjectApi m_recordsApi;
+    platform::StoreClient m_controlApi;
+    platform::StoreClient m_recordsApi;
     router::RoutingTable m_table;
     router::Control m_control;
     duties::Duties m_duties;
@@ -182,9 +183,6 @@
 
 int main(int argc, const char **argv)
 {
-    if (argc >= 2 && std::strcmp(argv[1], "bench") == 0) {
-        return bench::run(argc - 1, argv + 1);
-    }
     cli::Common common;
     int port = -1;
     int platformPort = -1;
@@ -198,7 +196,7 @@
         POPT_TABLEEND,
     };
     std::vector<std::string> rest;
-    if (auto rc = cli::parse("yucca-router", argc, argv, own, common, rest, "[bench [--help]]")) {
+    if (auto rc = cli::parse("yucca-router", argc, argv, own, common, rest)) {
         return *rc;
     }
     if (common.config && interfaceOf(common.config) == Interface::Platform) {
--- a/tests/rig.h
+++ b/tests/rig.h
@@ -5,6 +5,7 @@
 
 #include "http_client.h"
 #include "http_server.h"
+#include "local_object_api.h"
 #include "notifier.h"
 #include "router_traffic.h"
 
--- a/tests/test_catalogue.cpp
+++ b/tests/test_catalogue.cpp
@@ -2,7 +2,7 @@
 // moves back through late, repeated or re-listed changes.
 #include "catalogue.h"
 #include "ctl.h"
-#include "platform_client.h"
+#include "local_object_api.h"
 #include "router_control.h"
 
 #include <CppUTest/TestHarness.h>
--- a/tests/test_idempotency.cpp
+++ b/tests/test_idempotency.cpp
@@ -1,6 +1,7 @@
 // At most once: the claim protocol of idempotency::Guard against the
 // object API fake, under retries, crashes, lost answers, outages and races.
 #include "idempotency.h"
+#include "local_object_api.h"
 
 #include <CppUTest/TestHarness.h>
 
--- a/tests/test_lease.cpp
+++ b/tests/test_lease.cpp
@@ -2,6 +2,7 @@
 // clock in the test's hand.
 #include "engine_core.h"
 #include "lease.h"
+#include "local_object_api.h"
 #include "orders.h"
 
 #include <CppUTest/TestHarness.h>
--- a/tests/test_objstore.cpp
+++ b/tests/test_objstore.cpp
@@ -1,5 +1,5 @@
 // The object store stand-in: versions, conditional writes, watches.
-#include "objstore.h"
+#include "memory_store.h"
 
 #include <CppUTest/TestHarness.h>
 
