Outliers, lapsed endpoints, reload, metrics; a request explained from its logs

Cause: an engine that fails half of its requests kept a full share of the work while its status check passed; endpoints whose entries lapsed in a store outage were dropped on its return; SIGHUP read nothing; on-call engineers had no way from an id to a cause.

Ruled out: status checks (priced, and they pass at a grey engine); ejecting on a rate alone (reminders fail 0.14 of the time everywhere: the others' rate is what counts); a Prometheus client library (Debian 12 has none for C++: the histograms are Boost's, the text is written here).

--- /dev/null
+++ b/emulators/endpoint_main.cpp
@@ -0,0 +1,71 @@
+// yucca-endpoint: the stand-in for an endpoint on the users' platform.
+#include "cli.h"
+#include "endpoint_server.h"
+#include "log.h"
+
+#include <boost/asio/detached.hpp>
+
+using namespace yucca;
+
+namespace
+{
+
+// After a stop signal an endpoint serves on until its callers have seen it leave.
+Task<void> untilStopped(emulators::EndpointServer &endpoint, http::Server &server, Millis linger)
+{
+    co_await cli::stopSignal();
+    endpoint.leave();
+    co_await sleepFor(linger);
+    server.stopAccepting();
+    co_await server.waitIdle(linger);
+}
+
+} // namespace
+
+int main(int argc, const char **argv)
+{
+    cli::Common common;
+    emulators::EndpointOptions options;
+    char *id = nullptr;
+    char *service = nullptr;
+    int port = options.listen.port;
+    int storePort = options.store.port;
+    int streams = 0;
+    const poptOption own[] = {
+        {"id", 0, POPT_ARG_STRING, &id, 0, "the endpoint's id", "ID"},
+        {"service", 0, POPT_ARG_STRING, &service, 0, "the service it belongs to", "NAME"},
+        {"port", 'p', POPT_ARG_INT, &port, 0, "listen port", "PORT"},
+        {"store-port", 0, POPT_ARG_INT, &storePort, 0, "the object store's port", "PORT"},
+        {"streams", 0, POPT_ARG_NONE, &streams, 0, "answer with event streams", nullptr},
+        {"events", 0, POPT_ARG_INT, &options.events, 0, "events of a stream", "N"},
+        POPT_TABLEEND,
+    };
+    std::vector<std::string> rest;
+    if (auto rc = cli::parse("yucca-endpoint", argc, argv, own, common, rest)) {
+        return *rc;
+    }
+    options.id = id ? id : options.id;
+    options.service = service ? service : options.service;
+    options.listen.port = static_cast<uint16_t>(port);
+    options.store.port = static_cast<uint16_t>(storePort);
+    options.streams = streams != 0;
+    log::init("yucca-endpoint", "info");
+    asio::io_context loop(1);
+    emulators::EndpointServer endpoint(options);
+    http::Server server({&loop}, options.listen.host, options.listen.port, [&](http::Exchange &ex) {
+        return endpoint.handle(ex);
+    });
+    const auto bound = server.start();
+    if (!ok(bound)) {
+        fprintf(stderr, "yucca-endpoint: %s\n", std::get<Error>(bound).message.c_str());
+        return cli::ExitFailure;
+    }
+    log::event(log::Event::ProgramStarted, "id=" + options.id);
+    asio::co_spawn(loop, endpoint.heartbeat(), asio::detached);
+    asio::co_spawn(loop, untilStopped(endpoint, server, options.linger), [&](std::exception_ptr) {
+        loop.stop();
+    });
+    loop.run();
+    log::event(log::Event::ProgramStopped);
+    return cli::ExitOk;
+}
--- /dev/null
+++ b/emulators/endpoint_server.cpp
@@ -0,0 +1,152 @@
+#include "endpoint_server.h"
+
+#include "text.h"
+#include "yucca/ring.h"
+
+namespace yucca::emulators
+{
+
+using json = nlohmann::json;
+
+namespace
+{
+
+constexpr const char *attemptIdHeader = "Yuccasaddle-Attempt-Id";
+constexpr const char *instanceHeader = "Yuccasaddle-Instance-Id";
+
+// A signature that a test can recompute from the id and the endpoint.
+std::string signatureOf(const std::string &requestId, const std::string &endpoint)
+{
+    char text[32];
+    std::snprintf(text, sizeof text, "%016llx", static_cast<unsigned long long>(ring::hash(requestId + "@" + endpoint)));
+    return text;
+}
+
+std::string eventText(int number)
+{
+    return "id: " + std::to_string(number) + "\ndata: token" + std::to_string(number) + "\n\n";
+}
+
+http::Headers notExecutedHeaders(const std::string &endpoint)
+{
+    return {{"Yuccasaddle-Not-Executed", "1"}, {instanceHeader, endpoint}};
+}
+
+json entryOf(const EndpointOptions &o, bool leaving, int64_t sequence)
+{
+    return {{"service", o.service},   {"address", o.listen.host + ":" + std::to_string(o.listen.port)},
+            {"zone", o.zone},         {"version", "v1"},
+            {"slots", o.slots},       {"state", leaving ? "draining" : "ready"},
+            {"cold_remaining_ms", 0}, {"sequence", sequence}};
+}
+
+} // namespace
+
+EndpointServer::EndpointServer(EndpointOptions options)
+    : m_options(std::move(options))
+    , m_store(m_options.store)
+{
+}
+
+Task<void> EndpointServer::heartbeat()
+{
+    for (;;) {
+        const json entry = entryOf(m_options, m_leaving, ++m_sequence);
+        co_await m_store.put("servers", m_options.id, entry, std::nullopt);
+        co_await sleepFor(m_options.heartbeat);
+    }
+}
+
+http::Headers EndpointServer::answerHeaders(const http::Exchange &ex) const
+{
+    const std::string id = ex.header(attemptIdHeader);
+    return {{attemptIdHeader, id},
+            {"Yuccasaddle-Response-Signature", signatureOf(id, m_options.id)},
+            {"Yuccasaddle-Server-Load", std::to_string(m_running) + ",0," + std::to_string(m_options.slots)},
+            {"Keep-Alive", "timeout=5"}};
+}
+
+Task<void> EndpointServer::refuse(http::Exchange &ex, unsigned status)
+{
+    const auto headers = notExecutedHeaders(m_options.id);
+    co_await ex.reply(status, "", headers, "");
+}
+
+Task<void> EndpointServer::handle(http::Exchange &ex)
+{
+    if (ex.path().rfind("/admin/", 0) == 0) {
+        co_await admin(ex);
+        co_return;
+    }
+    const std::string expected = ex.header("Yuccasaddle-Expected-Instance");
+    if (ex.path() == "/health") {
+        co_await ex.reply(m_leaving ? 503 : 200, "", notExecutedHeaders(m_options.id), "");
+    } else if (!expected.empty() && expected != m_options.id) {
+        co_await refuse(ex, 421);
+    } else if (ex.header(attemptIdHeader).empty()) {
+        co_await refuse(ex, 400);
+    } else if (m_faults.shed || m_running >= m_options.slots) {
+        co_await refuse(ex, 503);
+    } else {
+        ++m_running;
+        ++m_runs[ex.header(attemptIdHeader)];
+        if (m_options.streams) {
+            co_await answerStream(ex);
+        } else {
+            co_await answerCall(ex);
+        }
+        --m_running;
+    }
+}
+
+Task<void> EndpointServer::answerCall(http::Exchange &ex)
+{
+    co_await sleepFor(m_options.work);
+    if (m_faults.loseAnswers) {
+        ex.drop();
+        co_return;
+    }
+    const auto headers = answerHeaders(ex);
+    co_await ex.reply(m_faults.fail ? 500 : 200, "answer of " + m_options.id + " to " + ex.header(attemptIdHeader), headers, "text/plain");
+}
+
+Task<void> EndpointServer::answerStream(http::Exchange &ex)
+{
+    const int after = text::number<int>(ex.header("Last-Event-Id")).value_or(0);
+    const auto headers = answerHeaders(ex);
+    co_await ex.beginStream(200, "text/event-stream", headers);
+    for (int i = after + 1; i <= m_options.events; ++i) {
+        co_await sleepFor(m_options.eventGap);
+        if (m_faults.cutAfter >= 0 && i > m_faults.cutAfter) {
+            co_await ex.sendChunk("id: " + std::to_string(i)); // breaks off mid-event
+            ex.drop();
+            co_return;
+        }
+        const bool delivered = co_await ex.sendChunk(eventText(i));
+        if (!delivered) {
+            co_return;
+        }
+    }
+    co_await ex.endStream();
+}
+
+// POST /admin/faults, and GET /admin/runs: how often each request ran here.
+Task<void> EndpointServer::admin(http::Exchange &ex)
+{
+    if (ex.path() == "/admin/runs") {
+        const json runs = m_runs;
+        co_await ex.reply(200, runs.dump());
+        co_return;
+    }
+    const auto body = json::parse(ex.request().body(), nullptr, false);
+    m_faults = {};
+    if (body.is_object()) {
+        m_faults.shed = body.value("shed", false);
+        m_faults.loseAnswers = body.value("loseAnswers", false);
+        m_faults.fail = body.value("fail", false);
+        m_faults.cutAfter = body.value("cutAfter", -1);
+    }
+    co_await ex.reply(200, "{}");
+}
+
+} // namespace yucca::emulators
--- /dev/null
+++ b/emulators/endpoint_server.h
@@ -0,0 +1,70 @@
+// The stand-in for an endpoint on the users' platform: a model engine or a
+// plain service that registers itself in the store, with faults a test can
+// switch.
+#pragma once
+
+#include "http_server.h"
+#include "object_store.h"
+
+#include <atomic>
+#include <string>
+
+namespace yucca::emulators
+{
+
+/// What an endpoint is.
+struct EndpointOptions {
+    std::string id = "i-1";
+    std::string service = "service-1";
+    std::string zone = "zone-a";
+    http::Address listen{"127.0.0.1", 7300};
+    http::Address store{"127.0.0.1", 7400};
+    bool streams = false; ///< answers with an event stream
+    int events = 5; ///< of a stream
+    Millis eventGap{20};
+    Millis work{10}; ///< of a plain call
+    int slots = 6;
+    Millis heartbeat{500};
+    Millis linger{1500}; ///< serves on after a stop signal
+};
+
+/// Faults, switched by POST /admin/faults with a JSON object of these names.
+struct EndpointFaults {
+    bool shed = false; ///< refuses every request without running it
+    bool loseAnswers = false; ///< runs requests and closes without an answer
+    bool fail = false; ///< runs requests and answers 500
+    int cutAfter = -1; ///< breaks off streams after this event; -1: never
+};
+
+/// One endpoint's handlers. One event loop.
+class EndpointServer
+{
+public:
+    explicit EndpointServer(EndpointOptions options);
+
+    Task<void> handle(http::Exchange &ex);
+    /// Registers the endpoint and keeps its entry fresh until told to leave.
+    Task<void> heartbeat();
+    /// From now on the entry says that the endpoint is leaving.
+    void leave()
+    {
+        m_leaving = true;
+    }
+
+private:
+    Task<void> admin(http::Exchange &ex);
+    Task<void> refuse(http::Exchange &ex, unsigned status);
+    Task<void> answerCall(http::Exchange &ex);
+    Task<void> answerStream(http::Exchange &ex);
+    http::Headers answerHeaders(const http::Exchange &ex) const;
+
+    EndpointOptions m_options;
+    platform::StoreClient m_store;
+    EndpointFaults m_faults;
+    bool m_leaving = false;
+    int m_running = 0;
+    int64_t m_sequence = 0;
+    std::map<std::string, int> m_runs; ///< by request id
+};
+
+} // namespace yucca::emulators
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -6,37 +6,58 @@
 scripts/setup.sh
 scripts/build.sh
 
-unit_ok=1
 e2e_passed=0
 e2e_failed=0
 
-# Unit and invariant tests (CppUTest). Tests named in KNOWN-RED.txt are
-# excluded here and printed, as the standing request allows.
-excludes=()
+# A test named in KNOWN-RED.txt runs like the others; it may fail, and is
+# printed either way. Each line: the test (GROUP.NAME or a script's name),
+# then its command and seed, cause and issue.
+known_red() { # test
+    [ -s KNOWN-RED.txt ] && grep -qE "^$1([[:space:]]|$)" KNOWN-RED.txt
+}
 if [ -s KNOWN-RED.txt ]; then
-    echo "known red (not run):"
-    while IFS= read -r line; do
-        [ -z "$line" ] && continue
-        echo "  $line"
-        excludes+=(-xn "$(echo "$line" | cut -d' ' -f1)")
-    done <KNOWN-RED.txt
+    echo "known red:"
+    sed 's/^/  /' KNOWN-RED.txt
 fi
-build/yucca-tests -v "${excludes[@]}" >build/unit.log 2>&1 || unit_ok=0
+
+# Unit and invariant tests (CppUTest).
+known_failed=0
+timeout 300 build/yucca-tests -v >build/unit.log 2>&1 || true
 grep -E "^(OK|Errors) \(" build/unit.log || true
-[ "$unit_ok" -eq 1 ] || grep -B2 -A6 "Failure in\|error:" build/unit.log | head -80
 unit_ran=$(grep -oE '[0-9]+ ran' build/unit.log | tail -1 | cut -d' ' -f1 || true)
-unit_failed=$(grep -oE '[0-9]+ failures?' build/unit.log | tail -1 | cut -d' ' -f1 || true)
 unit_ran=${unit_ran:-0}
-unit_failed=${unit_failed:-0}
-[ "$unit_ok" -eq 1 ] || [ "$unit_failed" -gt 0 ] || unit_failed=1
+unit_failed=0
+failed_tests=$(grep -oE 'Failure in TEST\([A-Za-z0-9_]+, [A-Za-z0-9_]+\)' build/unit.log | sed -E 's/.*\((.*), (.*)\)/\1.\2/' | sort -u || true)
+for t in $failed_tests; do
+    if known_red "$t"; then
+        echo "known red, failed as listed: $t"
+        known_failed=$((known_failed + 1))
+    else
+        unit_failed=$((unit_failed + 1))
+    fi
+done
+if [ "$unit_failed" -gt 0 ]; then
+    grep -A6 "Failure in" build/unit.log | head -80
+fi
+# A run that ended early, or without a word, is a failure too.
+if ! grep -qE "^(OK|Errors) \(" build/unit.log; then
+    tail -5 build/unit.log
+    unit_failed=$((unit_failed + 1))
+fi
+for t in $(cut -d' ' -f1 KNOWN-RED.txt 2>/dev/null | grep -F . || true); do
+    echo "$failed_tests" | grep -qx "$t" || echo "known red, but it passed: $t"
+done
 
 # End-to-end tests: separate processes on loopback.
 for t in tests/e2e/*.sh; do
     [ -e "$t" ] || continue
     log="build/$(basename "$t" .sh).log"
-    if bash "$t" >"$log" 2>&1; then
+    if timeout 300 bash "$t" >"$log" 2>&1; then
         echo "e2e $(basename "$t"): ok"
         e2e_passed=$((e2e_passed + 1))
+    elif known_red "$(basename "$t")"; then
+        echo "e2e $(basename "$t"): known red, failed as listed"
+        known_failed=$((known_failed + 1))
     else
         echo "e2e $(basename "$t"): FAILED"
         tail -n 30 "$log"
@@ -70,8 +91,12 @@
 
 run_check proofs scripts/proofs.sh
 # clang-format (KDE Frameworks style) leaves every file as it is; clang-tidy finds nothing.
-run_check format clang-format --dry-run --Werror src/*.cpp src/*.h include/yucca/*.h tests/*.cpp tests/*.h tests/fuzz/*.cpp
+run_check format clang-format --dry-run --Werror $(git ls-files '*.cpp' '*.h')
+# The platform's words stay in platform/; the emulators of the outside speak them too.
+run_check names scripts/names.sh
 run_check lint scripts/lint.sh
 
-echo "$((unit_ran - unit_failed + e2e_passed)) passed, $((unit_failed + e2e_failed)) failed"
-[ "$unit_ok" -eq 1 ] && [ "$e2e_failed" -eq 0 ]
+passed=$((unit_ran - $(echo "$failed_tests" | grep -c . || true) + e2e_passed))
+[ "$known_failed" -eq 0 ] || echo "$known_failed known red"
+echo "$passed passed, $((unit_failed + e2e_failed)) failed"
+[ "$((unit_failed + e2e_failed))" -eq 0 ]
--- a/src/ctl_main.cpp
+++ b/src/ctl_main.cpp
@@ -2,12 +2,14 @@
 #include "catalogue.h"
 #include "cli.h"
 #include "ctl.h"
+#include "explain.h"
 #include "object_store.h"
 
 #include <nlohmann/json.hpp>
 
 #include <cstdio>
 #include <cstdlib>
+#include <fstream>
 
 namespace
 {
@@ -29,6 +31,7 @@
                               "  edit KIND NAME PATH VALUE  set one field, e.g. edit workspace ws-0 /limits/maxInflight 32\n"
                               "  remove KIND NAME VERSION   remove an entry that is at VERSION\n"
                               "  history KIND NAME          print the audit records of an entry\n"
+                              "  explain ID FILE...         tell what became of a request, from routers' logs\n"
                               "KIND is workspace or class. Every change is conditional on the version read;\n"
                               "a lost race exits 3 and writes nothing.";
 
@@ -198,6 +201,22 @@
     return cli::ExitOk;
 }
 
+int explainRequest(const std::vector<std::string> &args)
+{
+    explain::Reader reader(args[1]);
+    for (std::size_t i = 2; i < args.size(); ++i) {
+        std::ifstream log(args[i]);
+        if (!log) {
+            fprintf(stderr, "yucca-ctl: cannot read %s\n", args[i].c_str());
+            return cli::ExitFailure;
+        }
+        reader.read(log, args[i]);
+    }
+    const auto story = reader.finish();
+    printf("%s", explain::format(story).c_str());
+    return story.entries.empty() ? cli::ExitFailure : cli::ExitOk;
+}
+
 } // namespace
 
 int main(int argc, const char **argv)
@@ -253,6 +272,9 @@
     if (command == "remove" && args.size() == 4) {
         return removeEntry(api, args);
     }
+    if (command == "explain" && args.size() >= 3) {
+        return explainRequest(args);
+    }
     if (command == "history" && args.size() == 3) {
         return history(api, args[1], args[2]);
     }
--- a/src/entry/gateway.h
+++ b/src/entry/gateway.h
@@ -112,6 +112,7 @@
         std::string lastEndpoint;
         std::string holder; ///< where the last endpoint was told to fetch the read prompt from
         bool atHome = false; ///< the last endpoint is the prompt's home
+        unsigned lastStatus = 0; ///< of the last endpoint's own answer
         int64_t lastLoad = -1; ///< what the last endpoint reported of itself
         std::optional<KeptAnswer> failure;
         Clock::time_point firstByte{};
@@ -130,6 +131,7 @@
     placement::Affinity affinityOf(const RequestProfile &profile) const;
     std::optional<Endpoint> promptHolder(const Flight &flight, const Endpoint &endpoint, Clock::time_point now);
     void noteAttempt(const Flight &flight, const Endpoint &endpoint, AttemptEnd end, Clock::time_point began, bool again);
+    static RequestEnd endOf(const Flight &flight, AttemptEnd end);
     bool takeRetry(const std::string &service);
     void account(const Flight &flight, RequestEnd end, int64_t status);
 
@@ -237,7 +239,7 @@
         const bool again = mayTryAgain(route, end, flight.count);
         noteAttempt(flight, *endpoint, end, now, again);
         if (end == AttemptEnd::Delivered || end == AttemptEnd::CallerGone) {
-            account(flight, end == AttemptEnd::Delivered ? RequestEnd::Delivered : RequestEnd::CallerGone, 0);
+            account(flight, endOf(flight, end), flight.lastStatus);
             co_return;
         }
         if (!again) {
@@ -351,6 +353,7 @@
         co_return AttemptEnd::Broken;
     }
     flight.firstByte = Clock::now();
+    flight.lastStatus = head.status;
     if (sharesPrompt(flight.profile.prompt)) {
         m_holders.note(promptKey(flight.profile.prompt), endpoint, flight.firstByte);
     }
@@ -504,6 +507,15 @@
     return m_table.homeOf(flight.service, prompt, endpoint.id);
 }
 
+// What became of a request whose last attempt needed no other.
+template <Dialect D> RequestEnd Gateway<D>::endOf(const Flight &flight, AttemptEnd end)
+{
+    if (end == AttemptEnd::CallerGone) {
+        return RequestEnd::CallerGone;
+    }
+    return flight.lastStatus >= 500 ? RequestEnd::EngineFailed : RequestEnd::Delivered;
+}
+
 // Takes one further arrival at a service from its budget.
 template <Dialect D> bool Gateway<D>::takeRetry(const std::string &service)
 {
@@ -518,7 +530,8 @@
     const auto now = Clock::now();
     m_metrics.attemptEnded(end);
     if (end != AttemptEnd::CallerGone) {
-        const auto ejection = m_outliers[flight.service].record(endpoint.id, end != AttemptEnd::Delivered, m_table.poolSize(flight.service), now);
+        const bool failed = end != AttemptEnd::Delivered || flight.lastStatus >= 500;
+        const auto ejection = m_outliers[flight.service].record(endpoint.id, failed, m_table.poolSize(flight.service), now);
         if (ejection) {
             ++m_metrics.ejections;
             m_table.eject(endpoint.id, ejection->until);
--- a/src/log.cpp
+++ b/src/log.cpp
@@ -21,7 +21,7 @@
 namespace
 {
 
-constexpr std::array<EventInfo, 41> catalogue{{
+constexpr std::array<EventInfo, 40> catalogue{{
     {Event::ProgramStarted, "ProgramStarted", Level::Info},
     {Event::StopRequested, "StopRequested", Level::Info},
     {Event::ProgramStopped, "ProgramStopped", Level::Info},
@@ -53,7 +53,6 @@
     {Event::StoreLost, "StoreLost", Level::Warn},
     {Event::StoreRegained, "StoreRegained", Level::Info},
     {Event::EndpointEjected, "EndpointEjected", Level::Warn},
-    {Event::EndpointReturned, "EndpointReturned", Level::Info},
     {Event::SettingsReloaded, "SettingsReloaded", Level::Info},
     {Event::LinesLeftOut, "LinesLeftOut", Level::Warn},
     {Event::OrderAccepted, "OrderAccepted", Level::Info},
@@ -178,6 +177,11 @@
 
 } // namespace
 
+std::span<const EventInfo> events()
+{
+    return catalogue;
+}
+
 const EventInfo &info(Event e)
 {
     for (const auto &row : catalogue) {
--- a/src/log.h
+++ b/src/log.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <span>
 #include <string>
 #include <string_view>
 
@@ -41,7 +42,6 @@
     StoreLost = 2034,
     StoreRegained = 2035,
     EndpointEjected = 2036,
-    EndpointReturned = 2037,
     SettingsReloaded = 2038,
     LinesLeftOut = 2039,
     OrderAccepted = 3001,
@@ -62,6 +62,8 @@
     Level level;
 };
 
+/// The catalogue of all events.
+std::span<const EventInfo> events();
 /// The name and level of an event.
 const EventInfo &info(Event e);
 
--- /dev/null
+++ b/tests/e2e/entry.sh
@@ -0,0 +1,166 @@
+#!/usr/bin/env bash
+# The entry router on the platform's stand-ins, as separate processes: the
+# whole path, a change of the configuration, three failed requests found out
+# from the logs alone, a store outage, a reload and a planned stop.
+source "$(dirname "$0")/lib.bash"
+P=18800
+STORE=127.0.0.1:$P
+
+settings() { # number
+    cat <<JSON
+{
+  // an entry router of the end-to-end test
+  "interface": "platform", "id": "router-$1", "failureDomain": "zone-a",
+  "traffic": "127.0.0.1:$((P + 10 * $1))", "readiness": "127.0.0.1:$((P + 10 * $1 + 1))",
+  "metrics": "127.0.0.1:$((P + 10 * $1 + 2))", "store": "$STORE", "stopGraceMs": 8000
+}
+JSON
+}
+
+configuration() { # version, the north workspace's key
+    cat <<JSON
+{"metadata": {"name": "main"}, "spec": {"version": $1,
+ "routes": [
+  {"name": "book", "host": "h.example", "path_prefix": "/book/", "kind": "non_idempotent", "timeout_ms": 3000, "target_latency_ms": 300,
+   "priority": 2, "service": "s", "max_attempts": 1},
+  {"name": "remind", "host": "h.example", "path_prefix": "/remind/", "kind": "idempotent", "timeout_ms": 3000, "target_latency_ms": 300,
+   "priority": 2, "service": "s", "max_attempts": 2},
+  {"name": "chat", "host": "h.example", "path_prefix": "/chat/", "kind": "streaming", "timeout_ms": 9000, "gap_aim_ms": 600,
+   "target_latency_ms": 1000, "priority": 0, "service": "m", "max_attempts": 2, "sticky": true, "resumable": true},
+  {"name": "once", "host": "h.example", "path_prefix": "/once/", "kind": "streaming", "timeout_ms": 9000, "gap_aim_ms": 600,
+   "target_latency_ms": 1000, "priority": 1, "service": "m", "max_attempts": 1, "sticky": true}],
+ "services": [{"name": "s", "health_path": "/health", "max_conns": 100},
+              {"name": "m", "health_path": "/health", "max_conns": 360, "engine": {"slots": 64, "kv_tokens": 400000}}],
+ "limits": {"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+ "tenants": [{"name": "north", "api_keys": ["$2"], "priority": 1}]}}
+JSON
+}
+
+ask() { # router, method, path, id [curl options]: prints the status, the body goes to $RUN/body
+    curl -s -o "$RUN/body" -D "$RUN/head" -w '%{http_code}' -X "$2" "127.0.0.1:$((P + 10 * $1))$3" -H 'Host: h.example' \
+        -H "Yuccasaddle-Attempt-Id: $4" -H 'X-Api-Key: key-1' "${@:5}" || true
+}
+
+expect() { # what, wanted, got
+    [ "$2" = "$3" ] || fail "$1: wanted $2, got $3"
+}
+
+faults() { # endpoint port offset, faults
+    curl -sf -X POST "127.0.0.1:$((P + $1))/admin/faults" -d "$2" >/dev/null
+}
+
+endpoint() { # id service port-offset [options]
+    start "$1" $B/yucca-endpoint --id "$1" --service "$2" --port $((P + $3)) --store-port $P "${@:4}"
+}
+
+router() { # number
+    settings "$1" >"$RUN/router-$1.json"
+    $B/yucca-router --config "$RUN/router-$1.json" >>"$RUN/router-$1.jsonl" 2>"$RUN/router-$1.log" &
+    PIDS+=($!)
+    LAST_PID=$!
+}
+
+start platform $B/yucca-platform --port $P
+wait_ok "$STORE/healthz"
+configuration 3 key-1 | curl -sf -X POST "$STORE/api/objects/config" -d @- >/dev/null
+endpoint i-s1 s 101
+endpoint i-s2 s 102
+endpoint i-m1 m 103 --streams --events 40
+endpoint i-m2 m 104 --streams --events 40
+router 1
+R1=$LAST_PID
+router 2
+for r in 1 2; do wait_ok "127.0.0.1:$((P + 10 * r + 1))/ready"; done
+sleep 0.5 # the endpoints' entries
+
+expect "a booking" 200 "$(ask 1 POST /book/1 b1 -d '{}')"
+grep -q 'answer of i-s. to b1' "$RUN/body" || fail "a booking's answer"
+expect "a reminder" 200 "$(ask 2 GET /remind/1 r1)"
+expect "a chat" 200 "$(ask 1 POST /chat/1 c1 -d '{}')"
+expect "a chat's events" 40 "$(grep -c '^id:' "$RUN/body")"
+expect "an unknown path" 404 "$(ask 1 GET /nowhere/ n1)"
+pass "the path serves each kind of request"
+
+configuration 5 key-2 | curl -sf -X PUT "$STORE/api/objects/config/main" -d @- >/dev/null
+for r in 1 2; do
+    for _ in $(seq 1 40); do
+        status=$(ask $r GET /remind/1 k$r)
+        [ "$status" = 401 ] && break
+        sleep 0.05
+    done
+    expect "a key that was taken away, at router $r" 401 "$status"
+done
+configuration 6 key-1 | curl -sf -X PUT "$STORE/api/objects/config/main" -d @- >/dev/null
+for r in 1 2; do
+    for _ in $(seq 1 40); do
+        [ "$(ask $r GET /remind/1 l$r)" = 200 ] && break
+        sleep 0.05
+    done
+done
+pass "a change of the configuration is in force on both routers"
+
+# Three failed requests, and what the logs alone say of them.
+explained() { # id, words of the cause
+    $B/yucca-ctl explain "$1" "$RUN/router-1.jsonl" "$RUN/router-2.jsonl" >"$RUN/story" || fail "explain $1"
+    grep -q "^cause: .*$2" "$RUN/story" || { cat "$RUN/story"; fail "the cause of $1"; }
+}
+faults 101 '{"shed": true}'; faults 102 '{"shed": true}'
+expect "a booking that every endpoint refuses" 503 "$(ask 1 POST /book/1 x1 -d '{}')"
+grep -qi '^retry-after: 0\.' "$RUN/head" || fail "when to come back"
+explained x1 'every endpoint that was asked refused it'
+faults 101 '{"loseAnswers": true}'; faults 102 '{"loseAnswers": true}'
+expect "a booking whose answer is lost" 502 "$(ask 2 POST /book/1 x2 -d '{}')"
+runs=$(for port in 101 102; do curl -s "127.0.0.1:$((P + port))/admin/runs"; echo; done | grep -o '"x2":[0-9]*' || true)
+expect "how often it ran" '"x2":1' "$runs"
+explained x2 'its answer was lost'
+faults 101 '{}'; faults 102 '{}'
+faults 103 '{"cutAfter": 3}'; faults 104 '{"cutAfter": 3}'
+ask 1 POST /once/1 x3 -d '{}' >/dev/null
+expect "events before a stream broke" 3 "$(grep -c '^id:' "$RUN/body")"
+explained x3 'the stream broke after event 3'
+faults 103 '{}'; faults 104 '{}'
+pass "three failed requests are explained from the logs"
+
+curl -sf -X POST "$STORE/admin/faults" -d '{"outage": true}' >/dev/null
+expect "a booking while the store is down" 200 "$(ask 1 POST /book/1 o1 -d '{}')"
+curl -sf -X POST "$STORE/admin/faults" -d '{"compact": true}' >/dev/null
+configuration 9 key-3 | curl -sf -X PUT "$STORE/api/objects/config/main" -d @- >/dev/null
+for _ in $(seq 1 80); do
+    status=$(ask 1 GET /remind/1 o2)
+    [ "$status" = 401 ] && break
+    sleep 0.05
+done
+expect "a change after the outage and lost history" 401 "$status"
+configuration 10 key-1 | curl -sf -X PUT "$STORE/api/objects/config/main" -d @- >/dev/null
+sleep 0.5
+pass "requests flow while the store is down, and changes after it are in force"
+
+curl -sf "127.0.0.1:$((P + 12))/metrics" >"$RUN/metrics" || fail "metrics"
+grep -q '^yucca_requests_total{kind="non_idempotent",end="delivered"} [1-9]' "$RUN/metrics" || fail "a counter of the metrics"
+pass "metrics are served"
+
+cp "$RUN/router-1.json" "$RUN/good.json"
+echo '{"interface": "platform", "retryRatio": 9}' >"$RUN/router-1.json"
+$B/yucca-router --check-config --config "$RUN/router-1.json" 2>"$RUN/check" && fail "a wrong settings file was accepted"
+grep -q '/retryRatio' "$RUN/check" || fail "the place of a wrong setting"
+kill -HUP $R1
+for _ in $(seq 1 40); do grep -q SettingsRejected "$RUN/router-1.jsonl" && break; sleep 0.05; done
+grep -q SettingsRejected "$RUN/router-1.jsonl" || fail "a wrong file on reload"
+cp "$RUN/good.json" "$RUN/router-1.json"
+kill -HUP $R1
+for _ in $(seq 1 40); do grep -q SettingsReloaded "$RUN/router-1.jsonl" && break; sleep 0.05; done
+expect "a booking after a reload" 200 "$(ask 1 POST /book/1 h1 -d '{}')"
+pass "a reload keeps the old settings when the file is wrong, and never ends the process"
+
+# A planned stop while a stream runs: not ready first, the stream ends whole.
+ask 1 POST /chat/1 s1 -d '{}' >"$RUN/status" &
+ASK=$!
+sleep 0.2
+kill -TERM $R1
+sleep 0.1
+expect "readiness of a router that stops" 503 "$(curl -s -o /dev/null -w '%{http_code}' "127.0.0.1:$((P + 11))/ready")"
+wait $ASK
+expect "a stream across a stop" 40 "$(grep -c '^id:' "$RUN/body")"
+wait $R1 && code=0 || code=$?
+expect "the exit code of a clean stop" 0 "$code"
+pass "a planned stop cuts nothing"
--- /dev/null
+++ b/tests/test_entry_state.cpp
@@ -0,0 +1,361 @@
+// What an entry router believes and how that changes: configurations,
+// endpoints and their lapse, outliers, followers of the store; all with the
+// time passed in or on one event loop.
+#include "codec.h"
+#include "entry/entry_metrics.h"
+#include "entry/entry_settings.h"
+#include "entry/line_budget.h"
+#include "entry/outlier_detector.h"
+#include "entry_rig.h"
+#include "local_object_api.h"
+
+#include <fstream>
+#include <sstream>
+
+#include "loop_group.h"
+
+using namespace yucca;
+using namespace yucca::rig;
+
+TEST_GROUP(OutlierDetector)
+{
+    Clock::time_point now{std::chrono::hours(1)};
+    entry::OutlierDetector detector;
+    std::optional<entry::Ejection> last;
+
+    // Lets each of n endpoints take requests for a while; those below the
+    // first sound one fail with a probability of one in two.
+    int ejectionsOf(int endpoints, int firstSound, int requests)
+    {
+        int ejections = 0;
+        for (int i = 0; i < requests; ++i) {
+            now += std::chrono::milliseconds(50);
+            const int e = i % endpoints;
+            const bool failed = e < firstSound ? (i / endpoints) % 2 == 0 : (i / endpoints) % 10 == 0;
+            if (auto ejection = detector.record("e" + std::to_string(e), failed, static_cast<std::size_t>(endpoints), now)) {
+                last = ejection;
+                ++ejections;
+                CHECK(e < firstSound);
+            }
+        }
+        return ejections;
+    }
+};
+
+TEST(OutlierDetector, OneThatFailsHalfOfItsRequestsIsPassedBy)
+{
+    CHECK(ejectionsOf(4, 1, 200) > 0);
+    CHECK(last->until > now - std::chrono::seconds(8));
+    CHECK(last->rate >= 0.35);
+}
+
+TEST(OutlierDetector, WhatFailsEverywhereIsNoEndpointsFault)
+{
+    for (int i = 0; i < 400; ++i) {
+        now += std::chrono::milliseconds(20);
+        const bool failed = (i / 4) % 2 == 0;
+        CHECK(!detector.record("e" + std::to_string(i % 4), failed, 4, now).has_value());
+    }
+}
+
+TEST(OutlierDetector, NeverMoreThanAThirdOfAServiceIsPassedBy)
+{
+    int out = 0;
+    for (int round = 0; round < 12; ++round) {
+        for (int e = 0; e < 9; ++e) {
+            now += std::chrono::milliseconds(2);
+            const bool failing = e < 6;
+            out += detector.record("e" + std::to_string(e), failing, 9, now) ? 1 : 0;
+        }
+    }
+    CHECK(out <= 3);
+    CHECK(!detector.record("alone", true, 1, now).has_value());
+}
+
+TEST(OutlierDetector, EachNextEjectionIsLongerUntilItIsForgiven)
+{
+    const auto failUntilEjected = [&] {
+        for (int i = 0; i < 100; ++i) {
+            now += std::chrono::milliseconds(10);
+            detector.record("good", false, 3, now);
+            if (const auto ejection = detector.record("bad", true, 3, now)) {
+                const auto pause = ejection->until - now;
+                now = ejection->until + std::chrono::milliseconds(1);
+                return pause;
+            }
+        }
+        return Clock::duration::zero();
+    };
+    const auto first = failUntilEjected();
+    const auto second = failUntilEjected();
+    CHECK(first > Clock::duration::zero());
+    CHECK(second == 2 * first);
+    now += std::chrono::seconds(20);
+    CHECK(failUntilEjected() == first);
+}
+
+TEST_GROUP(EntryPublished)
+{
+    router::RoutingTable table;
+    entry::Published published{table};
+
+    static Endpoint endpoint(const std::string &id, EndpointState state = EndpointState::Live)
+    {
+        auto e = endpointAt(id, 80, "s", EndpointKind::Service);
+        e.state = state;
+        return e;
+    }
+    static std::map<std::string, Endpoint> listing(std::initializer_list<std::string> ids)
+    {
+        std::map<std::string, Endpoint> out;
+        for (const auto &id : ids) {
+            out.emplace(id, endpoint(id));
+        }
+        return out;
+    }
+};
+
+TEST(EntryPublished, EndpointsThatLapsedInAnOutageAreKeptForAWhile)
+{
+    published.replaceEndpoints(listing({"a", "b"}));
+    const auto back = Clock::now();
+    published.storeRegained(std::chrono::seconds(8), back);
+    published.replaceEndpoints(listing({"c"}));
+    LONGS_EQUAL(3, table.endpoints().size());
+    published.setEndpoint(endpoint("a")); // its entry is back
+    published.publishEndpoints();
+    published.dropLapsed(back + std::chrono::milliseconds(100));
+    LONGS_EQUAL(3, table.endpoints().size());
+}
+
+TEST(EntryPublished, ThoseStillMissingAfterThatAreGone)
+{
+    published.replaceEndpoints(listing({"a", "b"}));
+    // The outage ended so long ago that the time to keep them is over.
+    const auto back = Clock::now() - std::chrono::seconds(5);
+    published.storeRegained(std::chrono::seconds(8), back);
+    published.replaceEndpoints(listing({"a"}));
+    LONGS_EQUAL(1, table.endpoints().size());
+}
+
+TEST(EntryPublished, AShortOutageLapsesNobodyAndLeavingIsAlwaysBelieved)
+{
+    published.replaceEndpoints(listing({"a", "b"}));
+    published.storeRegained(std::chrono::milliseconds(500), Clock::now());
+    published.removeEndpoint("a");
+    published.publishEndpoints();
+    LONGS_EQUAL(1, table.endpoints().size());
+    published.storeRegained(std::chrono::seconds(8), Clock::now());
+    published.setEndpoint(endpoint("b", EndpointState::Leaving));
+    published.publishEndpoints();
+    LONGS_EQUAL(0, table.endpoints().size());
+    CHECK(table.find("b", Clock::now()).has_value()); // and can still be asked for what it holds
+}
+
+TEST_GROUP(EntrySettings){};
+
+TEST(EntrySettings, EveryProblemIsReportedWithItsPlace)
+{
+    Findings findings;
+    entry::parseSettings(nlohmann::json::parse(R"({"traffic": "nowhere", "retryRatio": 7, "stopGraceMs": "long", "colour": "red"})"), findings);
+    LONGS_EQUAL(4, findings.items().size());
+    const auto report = findings.report();
+    for (const char *place : {"/traffic", "/retryRatio", "/stopGraceMs", "/colour"}) {
+        CHECK(report.find(place) != std::string::npos);
+    }
+}
+
+TEST(EntrySettings, TheDeploymentsTemplateGivesSettingsThatParse)
+{
+    std::ifstream file("deploy/router.json.template");
+    std::stringstream text;
+    text << file.rdbuf();
+    std::string filled = text.str();
+    const std::vector<std::pair<std::string, std::string>> values{
+        {"{{node}}", "front-1"},
+        {"{{zone}}", "z"},
+        {"{{ip}}", "10.1.0.4"},
+        {"{{internal_ports.0}}", "7340"},
+        {"{{listen.front}}", "10.1.0.4:8227"},
+        {"{{listen.ready}}", "10.1.0.4:8220"},
+        {"{{platform.address}}", "10.200.1.7:8223"},
+        {"{{bounds.retry_budget_ratio|json}}", "0.2"},
+        {"{{bounds.retry_budget_slack|json}}", "54"},
+        {"{{bounds.cap_x|json}}", "2"},
+        {"{{bounds.drain_ms|json}}", "2000"},
+        {"{{bounds.grace_s|json}}", "8"},
+    };
+    for (const auto &[placeholder, value] : values) {
+        const auto at = filled.find(placeholder);
+        CHECK(at != std::string::npos);
+        filled.replace(at, placeholder.size(), value);
+    }
+    CHECK(filled.find("{{") == std::string::npos);
+    Findings findings;
+    const auto settings = entry::parseSettings(nlohmann::json::parse(filled, nullptr, true, true), findings);
+    STRCMP_EQUAL("", findings.report().c_str());
+    LONGS_EQUAL(8000, settings.stopGraceMs);
+    LONGS_EQUAL(8227, settings.traffic.port);
+    LONGS_EQUAL(7340, settings.metrics.port);
+}
+
+TEST_GROUP(EntryMetrics){};
+
+TEST(EntryMetrics, TheTextHasEverySeriesOnceAndCumulativeBuckets)
+{
+    entry::Metrics metrics;
+    metrics.requestEnded(entry::RequestKind::Stream, entry::RequestEnd::Delivered, 0.4, 0.04);
+    metrics.requestEnded(entry::RequestKind::Stream, entry::RequestEnd::Cut, 20, -1);
+    metrics.rejected(entry::Rejection::UnknownKey);
+    entry::Gauges gauges;
+    gauges.configurationVersion = 7;
+    const std::string text = metrics.text(gauges);
+    for (const char *line :
+         {"yucca_requests_total{kind=\"streaming\",end=\"delivered\"} 1\n", "yucca_request_seconds_bucket{kind=\"streaming\",le=\"0.3\"} 0\n",
+          "yucca_request_seconds_bucket{kind=\"streaming\",le=\"0.5\"} 1\n", "yucca_request_seconds_bucket{kind=\"streaming\",le=\"+Inf\"} 2\n",
+          "yucca_request_seconds_count{kind=\"streaming\"} 2\n", "yucca_first_byte_seconds_count{kind=\"streaming\"} 1\n",
+          "yucca_rejections_total{why=\"unknown_key\"} 1\n", "yucca_configuration_version 7\n"}) {
+        CHECK(text.find(line) != std::string::npos);
+    }
+}
+
+TEST_GROUP(EntryLineBudget){};
+
+TEST(EntryLineBudget, SuccessesNeverCrowdOutFailures)
+{
+    entry::LineBudget budget(10);
+    const auto now = Clock::now();
+    int successes = 0;
+    for (int i = 0; i < 100; ++i) {
+        successes += budget.take(false, now) ? 1 : 0;
+    }
+    CHECK(successes >= 10 && successes <= 11);
+    CHECK(budget.take(true, now));
+}
+
+TEST_GROUP(PlatformCodec){};
+
+TEST(PlatformCodec, AConfigurationIsReadWholeAndWhatIsUnknownIsLeftAlone)
+{
+    auto written = entryConfiguration(12);
+    written["news"] = 1;
+    written["routes"][0]["split"] = nlohmann::json::parse(R"([{"service": "s", "weight": 90}, {"service": "m", "weight": 10}])");
+    Findings findings;
+    const auto parsed = platform::ObjectCodec::configuration(written, findings);
+    CHECK(parsed.has_value());
+    LONGS_EQUAL(12, parsed->version);
+    LONGS_EQUAL(2, parsed->routes[0].destinations.size());
+    CHECK(parsed->routes[2].resumable && parsed->routes[2].hasPrompt);
+    CHECK(parsed->service("m")->engine.has_value() && !parsed->service("s")->engine.has_value());
+    LONGS_EQUAL(15000, parsed->callerLimits.idleTimeout.count());
+    CHECK(parsed->workspaceFor("key-s") && !parsed->workspaceFor("key-s")->priority.has_value());
+}
+
+TEST(PlatformCodec, WhatCannotBeReadIsReportedWithItsPlace)
+{
+    auto written = entryConfiguration(12);
+    written["routes"][1]["kind"] = "sometimes";
+    written["routes"][2].erase("host");
+    written["tenants"][0]["api_keys"][0] = 5;
+    Findings findings;
+    CHECK(!platform::ObjectCodec::configuration(written, findings).has_value());
+    const auto report = findings.report();
+    for (const char *place : {"/routes/1/kind", "/routes/2/host", "/tenants/0/api_keys/0"}) {
+        CHECK(report.find(place) != std::string::npos);
+    }
+    CHECK(!platform::ObjectCodec::endpoint("i-1", nlohmann::json::parse(R"({"service": "s", "address": "here"})"), findings).has_value());
+}
+
+TEST(PlatformCodec, PromptPartsAreReadInOrder)
+{
+    const auto parts = platform::parsePromptParts("5c1e07a2:800,91bd3f06:410,e4402b7d:250");
+    LONGS_EQUAL(3, parts->size());
+    CHECK((*parts)[1].id == 0x91bd3f06 && (*parts)[1].tokens == 410);
+    for (const char *wrong : {"xyz:1", "12:", "12", "12:-3", ":5"}) {
+        CHECK(!platform::parsePromptParts(wrong).has_value());
+    }
+    CHECK(platform::parsePromptParts("")->empty());
+}
+
+LOOP_GROUP(EntryFollower);
+
+namespace
+{
+
+struct RecordingSink {
+    std::vector<std::string> news;
+    void listed(const platform::Listing &listing)
+    {
+        news.push_back("listed " + std::to_string(listing.items.size()));
+    }
+    void changed(const platform::Object &object, bool deleted)
+    {
+        news.push_back((deleted ? "gone " : "set ") + object.name);
+    }
+    void batchEnded()
+    {
+    }
+    void regained(Clock::duration)
+    {
+        news.push_back("regained");
+    }
+};
+
+} // namespace
+
+TEST(EntryFollower, ChangesFollowTheListingAndLostHistoryIsListedAgain)
+{
+    store::ObjectStore store(2);
+    platform::LocalObjectApi api(store);
+    RecordingSink sink;
+    Follower<RecordingSink> follower(api, "k", sink);
+    store.put("k", "a", 1, std::nullopt);
+    CHECK(loop().run(follower.step()));
+    store.put("k", "b", 1, std::nullopt);
+    store.put("other", "x", 1, std::nullopt);
+    store.remove("k", "a", std::nullopt);
+    CHECK(loop().run(follower.step())); // three changes, two kept: the history is gone
+    CHECK(loop().run(follower.step()));
+    store.put("k", "c", 1, std::nullopt);
+    CHECK(loop().run(follower.step()));
+    const std::vector<std::string> expected{"listed 1", "listed 1", "set c"};
+    CHECK(sink.news == expected);
+}
+
+TEST(EntryFollower, AfterAnOutageItGoesOnWhereItWas)
+{
+    store::ObjectStore store;
+    platform::LocalObjectApi api(store);
+    RecordingSink sink;
+    Follower<RecordingSink> follower(api, "k", sink);
+    CHECK(loop().run(follower.step()));
+    api.outage = true;
+    CHECK(!loop().run(follower.step()));
+    store.put("k", "a", 1, std::nullopt);
+    api.outage = false;
+    CHECK(loop().run(follower.step()));
+    const std::vector<std::string> expected{"listed 0", "regained", "set a"};
+    CHECK(sink.news == expected);
+}
+
+LOOP_GROUP(EntryHealth);
+
+TEST(EntryHealth, AnEndpointThatFailsPartOfItsRequestsGetsLittleWork)
+{
+    int asked = 0;
+    RawEndpoint grey(loop(), [&](tcp::socket &socket, const SeenRequest &request) -> Task<void> {
+        const std::string status = ++asked % 2 == 0 ? "200 OK" : "500 Internal Server Error";
+        co_await sendBytes(socket, signedAnswer(request.header("Yuccasaddle-Attempt-Id"), "x", status));
+    });
+    const RawEndpoint::Script sound = [](tcp::socket &socket, const SeenRequest &request) -> Task<void> {
+        co_await sendBytes(socket, signedAnswer(request.header("Yuccasaddle-Attempt-Id"), "x"));
+    };
+    RawEndpoint a(loop(), sound);
+    RawEndpoint b(loop(), sound);
+    EntryRig rig(loop(), {{"grey", {"s", grey.port}}, {"a", {"s", a.port}}, {"b", {"s", b.port}}});
+    for (int i = 0; i < 120; ++i) {
+        rig.reply("POST", "/book/1", "a" + std::to_string(i));
+    }
+    CHECK(grey.seen.size() < 25); // a third would be 40
+    CHECK(grey.seen.size() >= 4);
+}
--- /dev/null
+++ b/tests/test_explain.cpp
@@ -0,0 +1,81 @@
+// A request's story out of logs: in order, across routers, with its cause.
+#include "explain.h"
+#include "log.h"
+
+#include <fstream>
+#include <set>
+#include <sstream>
+
+// CppUTest goes last: its memory-leak macros redefine operator new.
+#include <CppUTest/TestHarness.h>
+
+using namespace yucca;
+
+TEST_GROUP(Explain){static explain::Story storyOf(const std::string &id, const std::vector<std::string> &logs){explain::Reader reader(id);
+int n = 0;
+for (const auto &log : logs) {
+    std::istringstream in(log);
+    reader.read(in, "router-" + std::to_string(++n));
+}
+return reader.finish();
+}
+}
+;
+
+TEST(Explain, AttemptsAcrossRoutersStandInOrderAndForeignLinesAreCounted)
+{
+    const auto story = storyOf("q1",
+                               {"{\"ms\":30,\"name\":\"RequestFinished\",\"id\":\"q1\",\"end\":\"cut\",\"events\":7,\"endpoint\":\"e2\"}\n"
+                                "not ours\n{\"half\":\n{\"ms\":5,\"name\":\"RequestFinished\",\"id\":\"other\",\"end\":\"delivered\"}\n",
+                                "{\"ms\":10,\"name\":\"AttemptEnded\",\"id\":\"q1\",\"endpoint\":\"e1\",\"end\":\"broken\",\"again\":true}\n"});
+    LONGS_EQUAL(2, story.entries.size());
+    STRCMP_EQUAL("AttemptEnded", story.entries[0].event.c_str());
+    STRCMP_EQUAL("router-2", story.entries[0].source.c_str());
+    LONGS_EQUAL(2, story.skipped);
+    CHECK(story.cause.find("after event 7 at endpoint e2") != std::string::npos);
+}
+
+TEST(Explain, WhatItsEndpointDidShortlyBeforeBelongsToTheStory)
+{
+    const auto story = storyOf("q1",
+                               {"{\"ms\":9000,\"name\":\"EndpointLeft\",\"endpoint\":\"e1\"}\n"
+                                "{\"ms\":9000,\"name\":\"EndpointLeft\",\"endpoint\":\"e9\"}\n"
+                                "{\"ms\":9100,\"name\":\"AttemptEnded\",\"id\":\"q1\",\"endpoint\":\"e1\",\"end\":\"broken\",\"again\":false}\n"
+                                "{\"ms\":9100,\"name\":\"RequestRejected\",\"id\":\"q1\",\"why\":\"answer_lost\",\"status\":502}\n"});
+    LONGS_EQUAL(3, story.entries.size());
+    STRCMP_EQUAL("EndpointLeft", story.entries[0].event.c_str());
+    CHECK(story.cause.find("its answer was lost") != std::string::npos);
+}
+
+TEST(Explain, AnIdThatNoLogKnowsIsSaidSo)
+{
+    const auto story = storyOf("q1", {"{\"ms\":1,\"name\":\"RequestFinished\",\"id\":\"q2\"}\n"});
+    CHECK(story.entries.empty());
+    CHECK(story.cause.find("no line") != std::string::npos);
+}
+
+TEST_GROUP(EventCatalogue){};
+
+TEST(EventCatalogue, EveryEventOfTheCodeIsInTheDocsAndTheOtherWayRound)
+{
+    std::ifstream file("docs/EVENTS.md");
+    std::set<std::string> documented;
+    for (std::string line; std::getline(file, line);) {
+        std::istringstream row(line);
+        std::string bar, number, bar2, name;
+        if (row >> bar >> number >> bar2 >> name && bar == "|" && number.find_first_not_of("0123456789") == std::string::npos) {
+            documented.insert(number + " " + name);
+        }
+    }
+    std::set<std::string> known;
+    for (const auto &row : log::events()) {
+        known.insert(std::to_string(static_cast<int>(row.event)) + " " + std::string(row.name));
+    }
+    CHECK(!known.empty());
+    for (const auto &event : known) {
+        CHECK_TEXT(documented.count(event), ("not in docs/EVENTS.md: " + event).c_str());
+    }
+    for (const auto &event : documented) {
+        CHECK_TEXT(known.count(event), ("not in the code: " + event).c_str());
+    }
+}
