A pool whose kind is told after its endpoints is placed by its own policy

Cause: a router that is started again lists the endpoints before it knows the configuration; it took all of them for plain services, made their pools' picker accordingly, and kept it when the configuration came.

Change: a pool's picker is made anew when its kind changes.

--- a/src/router_core.cpp
+++ b/src/router_core.cpp
@@ -150,7 +150,10 @@
         }
         auto it = m_pools.find(e.pool);
         if (it == m_pools.end()) {
-            it = m_pools.emplace(e.pool, Pool{makePicker(e.kind), {}}).first;
+            it = m_pools.emplace(e.pool, Pool{e.kind, makePicker(e.kind), {}}).first;
+        } else if (it->second.kind != e.kind) {
+            it->second.kind = e.kind; // told after its endpoints were: a listing may come before the configuration
+            it->second.picker = makePicker(e.kind);
         }
         it->second.members.push_back(e);
     }
--- a/src/router_core.h
+++ b/src/router_core.h
@@ -72,6 +72,7 @@
 private:
     using Picker = std::variant<placement::PrefixAffinity, placement::OwnBound, placement::PromptHome, placement::LeastLoaded, placement::RoundRobin>;
     struct Pool {
+        EndpointKind kind = EndpointKind::Engine; ///< that the picker is for
         Picker picker;
         std::vector<Endpoint> members; ///< sorted by id, as the picker keeps them
     };
--- a/tests/test_entry_state.cpp
+++ b/tests/test_entry_state.cpp
@@ -152,6 +152,29 @@
     CHECK(table.find("b", Clock::now()).has_value()); // and can still be asked for what it holds
 }
 
+TEST(EntryPublished, EndpointsThatAreListedBeforeTheConfigurationArePlacedByItAsWell)
+{
+    router::TableOptions options;
+    options.policy = Policy::Home;
+    options.servicePolicy = Policy::LeastLoaded;
+    router::RoutingTable placing(options);
+    entry::Published late(placing);
+    std::map<std::string, Endpoint> engines;
+    for (int i = 0; i < 9; ++i) {
+        const std::string id = "m" + std::to_string(i);
+        engines.emplace(id, endpointAt(id, 80, "m", EndpointKind::Service));
+    }
+    late.replaceEndpoints(engines);
+    Findings findings;
+    late.apply(*platform::ObjectCodec::configuration(entryConfiguration(), findings));
+    for (uint64_t prompt = 1; prompt < 20; ++prompt) {
+        const auto home = placing.homeOf("m", prompt, "");
+        const auto placed = placing.acquire("m", {prompt, prompt}, {}, Clock::now());
+        STRCMP_EQUAL(home->id.c_str(), placed->id.c_str());
+        placing.release(placed->id, Clock::now());
+    }
+}
+
 TEST_GROUP(EntrySettings){};
 
 TEST(EntrySettings, EveryProblemIsReportedWithItsPlace)
