--- /dev/null
+++ b/src/entry/gateway_account.h
@@ -0,0 +1,104 @@
+// What the pipeline learns, counts and logs of attempts and requests.
+#pragma once
+
+#include "entry/gateway.h"
+
+namespace yucca::entry
+{
+
+template <Dialect D> limits::RetryBudget &Gateway<D>::budgetOf(const std::string &service)
+{
+    const auto it = m_budgets.find(service);
+    if (it != m_budgets.end()) {
+        return it->second;
+    }
+    const double reserve = static_cast<double>(m_settings.retrySlack) / static_cast<double>(m_options.routersPerConnectionCap);
+    return m_budgets.try_emplace(service, m_settings.retryRatio, reserve).first->second;
+}
+
+// Takes one further arrival at a service from its budget.
+template <Dialect D> bool Gateway<D>::takeRetry(const std::string &service)
+{
+    const bool taken = budgetOf(service).spend();
+    ++(taken ? m_metrics.retries : m_metrics.retriesDenied);
+    return taken;
+}
+
+// What became of a request whose last attempt needed no other.
+template <Dialect D> RequestEnd Gateway<D>::endOf(const Flight &flight, AttemptEnd end)
+{
+    if (end == AttemptEnd::CallerGone) {
+        return RequestEnd::CallerGone;
+    }
+    return flight.lastStatus >= 500 ? RequestEnd::EngineFailed : RequestEnd::Delivered;
+}
+
+// Learns from an attempt's end, and logs one that did not deliver.
+template <Dialect D> void Gateway<D>::noteAttempt(const Flight &flight, const Endpoint &endpoint, AttemptEnd end, Clock::time_point began, bool again)
+{
+    const auto now = Clock::now();
+    m_metrics.attemptEnded(end);
+    if (end != AttemptEnd::CallerGone) {
+        const bool failed = end != AttemptEnd::Delivered || flight.lastStatus >= 500;
+        const auto ejection = m_outliers[flight.service].record(endpoint.id, failed, m_table.poolSize(flight.service), now);
+        if (ejection) {
+            ++m_metrics.ejections;
+            m_table.eject(endpoint.id, ejection->until);
+            log::Line{log::Event::EndpointEjected}
+                .add("endpoint", endpoint.id)
+                .add("service", flight.service)
+                .add("for_ms", std::chrono::duration_cast<Millis>(ejection->until - now).count())
+                .add("failing_pct", static_cast<int64_t>(100 * ejection->rate))
+                .add("others_pct", static_cast<int64_t>(100 * ejection->othersRate));
+        }
+    }
+    if (end != AttemptEnd::Delivered && m_lines.take(true, now)) {
+        log::Line{log::Event::AttemptEnded}
+            .add("id", flight.profile.id)
+            .add("endpoint", endpoint.id)
+            .add("end", nameOf(attemptEndNames, end))
+            .add("ms", msSince(began))
+            .add("events", static_cast<int64_t>(flight.events.lastId()))
+            .add("again", again);
+    }
+}
+
+template <Dialect D> void Gateway<D>::applySettings(const Settings &settings)
+{
+    m_settings = settings;
+    m_budgets.clear(); // made anew with the new ratio and slack
+}
+
+// Counts a request's end and logs its one line.
+template <Dialect D> void Gateway<D>::account(const Flight &flight, RequestEnd end, int64_t status)
+{
+    const auto &p = flight.profile;
+    const auto now = Clock::now();
+    const auto seconds = [&](Clock::time_point t) {
+        return std::chrono::duration<double>(t - p.arrived).count();
+    };
+    const double firstByte = flight.firstByte == Clock::time_point{} ? -1 : seconds(flight.firstByte);
+    m_metrics.requestEnded(p.route->kind, end, seconds(now), firstByte);
+    if (!m_lines.take(end != RequestEnd::Delivered, now)) {
+        return;
+    }
+    log::Line{log::Event::RequestFinished}
+        .add("id", p.id)
+        .add("end", nameOf(requestEndNames, end))
+        .add("status", status)
+        .add("route", p.route->name)
+        .add("service", flight.service)
+        .add("workspace", p.workspace)
+        .add("config", p.configuration->version)
+        .add("endpoint", flight.lastEndpoint)
+        .add("load", flight.lastLoad)
+        .add("at_home", flight.atHome)
+        .add("holder", flight.holder)
+        .add("sends", int64_t{flight.count.sends})
+        .add("runs", int64_t{flight.count.runs})
+        .add("events", static_cast<int64_t>(flight.events.lastId()))
+        .add("first_ms", static_cast<int64_t>(firstByte * 1000))
+        .add("ms", msSince(p.arrived));
+}
+
+} // namespace yucca::entry
--- /dev/null
+++ b/src/entry/gateway_attempt.h
@@ -0,0 +1,178 @@
+// The pipeline's attempt at one endpoint: send, judge the answer, relay it.
+#pragma once
+
+#include "entry/gateway.h"
+
+namespace yucca::entry
+{
+
+// Until when an endpoint may take to begin its answer: a repeatable request
+// that has an attempt left does not wait for a silent endpoint to the end.
+template <Dialect D> Clock::time_point Gateway<D>::headDeadline(const Flight &flight, Clock::time_point now) const
+{
+    const Route &route = *flight.profile.route;
+    const auto end = flight.profile.answerBy;
+    if (!repeatable(route) || flight.count.runs + 1 >= route.maxAttempts) {
+        return end;
+    }
+    const auto patience = Millis(static_cast<int64_t>(static_cast<double>(route.targetLatency.count()) * m_options.silencePatience));
+    return std::min(now + patience, now + (end - now) / 2);
+}
+
+// Sends the request to one endpoint and relays its answer. Sets stale when a
+// kept connection broke before anything came back on it.
+template <Dialect D> Task<AttemptEnd> Gateway<D>::attemptAt(http::Exchange &ex, Flight &flight, const Endpoint &endpoint, http::Reuse reuse, bool &stale)
+{
+    const auto now = Clock::now();
+    const auto *service = flight.profile.configuration->service(flight.service);
+    http::CallOptions options;
+    options.deadline = headDeadline(flight, now);
+    options.reuse = reuse;
+    options.cancellation = &flight.cancellation;
+    options.connectTimeout = m_options.connectTimeout;
+    const std::size_t share = service ? static_cast<std::size_t>(service->maxConnections) / m_options.routersPerConnectionCap : 1;
+    options.mostKept = std::clamp<std::size_t>(share, 2, m_options.mostKept);
+    const auto left = std::chrono::duration_cast<Millis>(flight.profile.answerBy - now);
+    ForwardOptions forward{endpoint, left, flight.events.lastId(), promptHolder(flight, endpoint, now)};
+    flight.holder = forward.promptHolder ? forward.promptHolder->id : "";
+    auto request = D::forwarded(ex, flight.profile, forward);
+    const http::Address address{endpoint.host, endpoint.port};
+    stale = false;
+    auto opened = co_await m_client.open(address, std::move(request), options);
+    if (const auto *error = std::get_if<http::CallError>(&opened)) {
+        if (error->stage == http::CallStage::Connect) {
+            m_table.suspect(endpoint.id, Clock::now());
+            co_return AttemptEnd::Unreached;
+        }
+        ++flight.count.arrivals;
+        stale = error->reused && Clock::now() < options.deadline;
+        co_return Clock::now() >= options.deadline ? AttemptEnd::Silent : AttemptEnd::Broken;
+    }
+    ++flight.count.arrivals;
+    auto &response = *std::get<std::unique_ptr<http::Response>>(opened);
+    co_return co_await takeAnswer(ex, flight, endpoint, response);
+}
+
+// Judges the head of an answer and relays what belongs to the caller. An
+// answer to another request may stand before this one's on the connection.
+template <Dialect D> Task<AttemptEnd> Gateway<D>::takeAnswer(http::Exchange &ex, Flight &flight, const Endpoint &endpoint, http::Response &response)
+{
+    constexpr int mostForeignAnswers = 3;
+    AnswerHead head = D::readHead(response, flight.profile);
+    for (int foreign = 0; !head.ownAnswer && !head.notExecuted && !head.wrongInstance; ++foreign) {
+        log::Line{log::Event::AnswerMismatched}.add("id", flight.profile.id).add("endpoint", endpoint.id);
+        if (foreign == mostForeignAnswers) {
+            co_return AttemptEnd::Broken;
+        }
+        const auto failed = co_await response.skipToNext();
+        if (failed) {
+            co_return AttemptEnd::Broken;
+        }
+        head = D::readHead(response, flight.profile);
+    }
+    m_table.recovered(endpoint.id);
+    flight.lastLoad = head.load;
+    if (head.load >= 0) {
+        m_table.reported(endpoint.id, head.load, Clock::now());
+    }
+    if (head.wrongInstance) {
+        m_table.setDraining(endpoint.id, true);
+        co_return AttemptEnd::NotExecuted;
+    }
+    if (head.notExecuted) {
+        co_return AttemptEnd::NotExecuted;
+    }
+    if (!head.authentic) {
+        co_return AttemptEnd::Broken;
+    }
+    flight.firstByte = Clock::now();
+    flight.lastStatus = head.status;
+    if (sharesPrompt(flight.profile.prompt)) {
+        m_holders.note(promptKey(flight.profile.prompt), endpoint, flight.firstByte);
+    }
+    const bool streams = flight.profile.route->kind == RequestKind::Stream && head.status == 200;
+    // GCC 12 evaluates both arms of a conditional with co_await in each.
+    if (streams) {
+        co_return co_await relayStream(ex, flight, response);
+    }
+    co_return co_await relayWhole(ex, flight, head, response);
+}
+
+// Takes an answer whole before any of it goes on, so that one that breaks
+// off can still be asked for elsewhere.
+template <Dialect D> Task<AttemptEnd> Gateway<D>::relayWhole(http::Exchange &ex, Flight &flight, const AnswerHead &head, http::Response &response)
+{
+    auto headers = response.endToEndHeaders();
+    response.setDeadline(flight.profile.answerBy);
+    std::string body;
+    for (bool more = true; more;) {
+        auto read = co_await response.read();
+        if (std::holds_alternative<http::CallError>(read)) {
+            co_return Clock::now() >= flight.profile.answerBy ? AttemptEnd::Silent : AttemptEnd::Broken;
+        }
+        const auto &bytes = std::get<std::string>(read);
+        more = !bytes.empty();
+        body += bytes;
+        if (body.size() > m_options.mostAnswerBytes) {
+            co_return AttemptEnd::Broken;
+        }
+    }
+    if (flight.headSent) {
+        co_return AttemptEnd::EngineFailed; // it cannot go on with the stream
+    }
+    if (head.status >= 500 && repeatable(*flight.profile.route)) {
+        flight.failure = KeptAnswer{head.status, std::move(headers), std::move(body)};
+        co_return AttemptEnd::EngineFailed;
+    }
+    co_await ex.reply(head.status, std::move(body), std::move(headers), "");
+    co_return AttemptEnd::Delivered;
+}
+
+// Relays a stream event by event as they arrive.
+template <Dialect D> Task<AttemptEnd> Gateway<D>::relayStream(http::Exchange &ex, Flight &flight, http::Response &response)
+{
+    const Route &route = *flight.profile.route;
+    if (!flight.headSent) {
+        flight.headSent = true;
+        auto headers = response.endToEndHeaders();
+        co_await ex.beginStream(response.status(), "", std::move(headers));
+    }
+    const auto patience = Millis(static_cast<int64_t>(static_cast<double>(route.eventGapTarget.count()) * m_options.gapPatience));
+    const bool mayResume = repeatable(route) && flight.count.runs + 1 < route.maxAttempts;
+    for (;;) {
+        response.setDeadline(mayResume ? std::min(flight.profile.answerBy, Clock::now() + patience) : flight.profile.answerBy);
+        auto read = co_await response.read();
+        if (ex.callerGone()) {
+            co_return AttemptEnd::CallerGone;
+        }
+        if (std::holds_alternative<http::CallError>(read)) {
+            flight.events.runEnded();
+            co_return AttemptEnd::Broken;
+        }
+        const auto &bytes = std::get<std::string>(read);
+        if (bytes.empty()) {
+            break;
+        }
+        std::string whole;
+        for (auto &event : flight.events.push(bytes)) {
+            whole += event;
+        }
+        if (!whole.empty()) {
+            const bool delivered = co_await ex.sendChunk(std::move(whole));
+            if (!delivered) {
+                co_return AttemptEnd::CallerGone;
+            }
+        }
+        if (flight.events.gap()) {
+            co_return AttemptEnd::Broken;
+        }
+    }
+    if (flight.events.midEvent()) {
+        flight.events.runEnded();
+        co_return AttemptEnd::Broken; // it ended in the middle of an event
+    }
+    co_await ex.endStream();
+    co_return AttemptEnd::Delivered;
+}
+
+} // namespace yucca::entry
--- a/src/forwarding.h
+++ b/src/forwarding.h
@@ -14,8 +14,9 @@
 
 /// Fields that concern one connection only. Content-Length is among them, as
 /// each message states its own.
-inline constexpr std::array<std::string_view, 11> connectionFields{"connection", "keep-alive", "proxy-connection", "te",     "trailer", "transfer-encoding",
-                                                                   "upgrade",    "http2-settings", "content-length", "expect", "proxy-authenticate"};
+inline constexpr std::array<std::string_view, 11> connectionFields{
+    "connection", "keep-alive",     "proxy-connection", "te",     "trailer",           "transfer-encoding",
+    "upgrade",    "http2-settings", "content-length",   "expect", "proxy-authenticate"};
 
 /// Compares header names or tokens, ASCII case ignored.
 inline bool sameName(std::string_view a, std::string_view b)
