Callers are told to come back when what is in the way can have changed

Ruled out: holding the requests until the store is back (nobody knows when); readiness (no router was ready, so the balancer used all of them).

Change: the wait depends on the reason (ComeBackOptions), 1.5 s where the router has tried to load for longer than it takes, spread by 0.3 either way.

--- a/src/entry/gateway.h
+++ b/src/entry/gateway.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "admission.h"
+#include "entry/come_back.h"
 #include "entry/control.h"
 #include "entry/entry_metrics.h"
 #include "entry/entry_settings.h"
@@ -23,6 +24,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <random>
 #include <set>
 #include <string>
 #include <variant>
@@ -58,7 +60,7 @@
     double silencePatience = 1.0; ///< of a route's target latency, until a repeatable request goes elsewhere
     double gapPatience = 2.0; ///< of a route's event gap target, until a resumable stream goes elsewhere
     Millis newlyJoined{15000}; ///< an endpoint that joined so lately does not yet hold what its place would make it hold
-    Millis comeBackAfter{100}; ///< told to callers that are turned away for now
+    ComeBackOptions comeBack;
     std::size_t routersPerConnectionCap = 16; ///< routers that share an endpoint's connection cap
     std::size_t mostKept = 32; ///< connections kept to an endpoint
     std::size_t mostAnswerBytes = 16 * 1024 * 1024; ///< of an answer that is relayed whole
@@ -145,6 +147,8 @@
     PromptHolders m_holders;
     Metrics m_metrics;
     LineBudget m_lines;
+    std::minstd_rand m_random{std::random_device{}()};
+    Clock::time_point m_startedAt = Clock::now();
     std::atomic<bool> m_turningAway{false};
 };
 
@@ -196,7 +200,7 @@
             .add("status", static_cast<int64_t>(status))
             .add("config", configuration ? configuration->version : -1);
     }
-    const auto headers = D::rejectionHeaders(why, m_options.comeBackAfter);
+    const auto headers = D::rejectionHeaders(why, comeBackAfter(why, Clock::now() - m_startedAt, m_options.comeBack, m_random));
     const std::string body(nameOf(rejectionNames, why));
     co_await ex.reply(status, body, headers, "text/plain");
 }
--- a/tests/test_home.cpp
+++ b/tests/test_home.cpp
@@ -1,5 +1,6 @@
 // The decisions of an entry router that need no network: prompt homes, least
 // load, who holds a prompt, what may be tried again.
+#include "entry/come_back.h"
 #include "entry/prompt_holders.h"
 #include "entry/retry_policy.h"
 #include "yucca/placement.h"
@@ -226,3 +227,32 @@
     CHECK(!entry::mayTryAgain(route, AttemptEnd::Delivered, {1, 1, 0}));
     CHECK(!entry::mayTryAgain(route, AttemptEnd::CallerGone, {1, 1, 0}));
 }
+
+TEST_GROUP(ComeBack)
+{
+    std::minstd_rand random{1};
+    entry::ComeBackOptions options;
+    Millis after(entry::Rejection why, Millis sinceStart = Millis(60000))
+    {
+        return entry::comeBackAfter(why, sinceStart, options, random);
+    }
+};
+
+TEST(ComeBack, ACallerIsToldToWaitForWhatHasToChange)
+{
+    CHECK(after(entry::Rejection::Stopping) < after(entry::Rejection::NotExecuted));
+    CHECK(after(entry::Rejection::NotLoaded, Millis(100)) < Millis(500));
+    CHECK(after(entry::Rejection::NotLoaded, Millis(2000)) > Millis(1000)); // the store is away
+}
+
+TEST(ComeBack, ThoseTurnedAwayTogetherDoNotComeBackTogether)
+{
+    const auto first = after(entry::Rejection::NotExecuted);
+    int different = 0;
+    for (int i = 0; i < 20; ++i) {
+        const auto next = after(entry::Rejection::NotExecuted);
+        different += next != first ? 1 : 0;
+        CHECK(next >= Millis(100) && next <= Millis(200));
+    }
+    CHECK(different > 10);
+}
