A log line's time and a request's duration no longer share a key

Cause: both stood as "ms" in one JSON object, so yucca-ctl explain ordered the lines by duration (times of 0, 10 and 82 in the stories of three requests).

Change: the line's time is "at_ms"; entry.sh checks that every line of the routers is one object whose keys stand once. A request without an answer has first_ms -1, not -1000. The unit tests' sample lines follow the form.

--- a/src/entry/gateway_account.h
+++ b/src/entry/gateway_account.h
@@ -97,7 +97,7 @@
         .add("sends", int64_t{flight.count.sends})
         .add("runs", int64_t{flight.count.runs})
         .add("events", static_cast<int64_t>(flight.events.lastId()))
-        .add("first_ms", static_cast<int64_t>(firstByte * 1000))
+        .add("first_ms", firstByte < 0 ? int64_t{-1} : static_cast<int64_t>(firstByte * 1000))
         .add("ms", msSince(p.arrived));
 }
 
--- a/src/explain.cpp
+++ b/src/explain.cpp
@@ -94,11 +94,11 @@
     std::string text;
     while (std::getline(log, text)) {
         const auto line = json::parse(text, nullptr, false);
-        if (!line.is_object() || !line.contains("name") || !line.contains("ms") || !line["ms"].is_number()) {
+        if (!line.is_object() || !line.contains("name") || !line.contains("at_ms") || !line["at_ms"].is_number()) {
             ++m_story.skipped;
             continue;
         }
-        Entry entry{line["ms"].get<int64_t>(), source, field(line, "name"), ""};
+        Entry entry{line["at_ms"].get<int64_t>(), source, field(line, "name"), ""};
         if (entry.event == "EndpointEjected" || entry.event == "EndpointLeft") {
             entry.text = "endpoint " + field(line, "endpoint")
                 + (entry.event == "EndpointLeft"
--- a/src/log.cpp
+++ b/src/log.cpp
@@ -155,7 +155,7 @@
     using namespace std::chrono;
     static constexpr std::array<std::string_view, 4> levelNames{"debug", "info", "warn", "error"};
     const auto now = duration_cast<milliseconds>(system_clock::now().time_since_epoch()).count();
-    std::string line = "{\"ms\":" + std::to_string(now) + ",\"event\":" + std::to_string(static_cast<int>(row.event)) + ",\"name\":\"";
+    std::string line = "{\"at_ms\":" + std::to_string(now) + ",\"event\":" + std::to_string(static_cast<int>(row.event)) + ",\"name\":\"";
     line += row.name;
     line += "\",\"level\":\"";
     line += levelNames[static_cast<std::size_t>(row.level)];
--- a/tests/e2e/entry.sh
+++ b/tests/e2e/entry.sh
@@ -119,6 +119,17 @@
 expect "events before a stream broke" 3 "$(grep -c '^id:' "$RUN/body")"
 explained x3 'the stream broke after event 3'
 faults 103 '{}'; faults 104 '{}'
+# Every line is one JSON object whose keys stand once.
+python3 - "$RUN"/router-*.jsonl <<'PY' || fail "a log line is no proper JSON object"
+import json, sys
+def once(pairs):
+    keys = [k for k, _ in pairs]
+    assert len(keys) == len(set(keys)), keys
+    return dict(pairs)
+for path in sys.argv[1:]:
+    for line in open(path):
+        assert json.loads(line, object_pairs_hook=once)["at_ms"] > 0
+PY
 pass "three failed requests are explained from the logs"
 
 curl -sf -X POST "$STORE/admin/faults" -d '{"outage": true}' >/dev/null
--- a/tests/test_explain.cpp
+++ b/tests/test_explain.cpp
@@ -25,9 +25,9 @@
 TEST(Explain, AttemptsAcrossRoutersStandInOrderAndForeignLinesAreCounted)
 {
     const auto story = storyOf("q1",
-                               {"{\"ms\":30,\"name\":\"RequestFinished\",\"id\":\"q1\",\"end\":\"cut\",\"events\":7,\"endpoint\":\"e2\"}\n"
-                                "not ours\n{\"half\":\n{\"ms\":5,\"name\":\"RequestFinished\",\"id\":\"other\",\"end\":\"delivered\"}\n",
-                                "{\"ms\":10,\"name\":\"AttemptEnded\",\"id\":\"q1\",\"endpoint\":\"e1\",\"end\":\"broken\",\"again\":true}\n"});
+                               {"{\"at_ms\":30,\"name\":\"RequestFinished\",\"id\":\"q1\",\"end\":\"cut\",\"events\":7,\"endpoint\":\"e2\"}\n"
+                                "not ours\n{\"half\":\n{\"at_ms\":5,\"name\":\"RequestFinished\",\"id\":\"other\",\"end\":\"delivered\"}\n",
+                                "{\"at_ms\":10,\"name\":\"AttemptEnded\",\"id\":\"q1\",\"endpoint\":\"e1\",\"end\":\"broken\",\"ms\":99,\"again\":true}\n"});
     LONGS_EQUAL(2, story.entries.size());
     STRCMP_EQUAL("AttemptEnded", story.entries[0].event.c_str());
     STRCMP_EQUAL("router-2", story.entries[0].source.c_str());
@@ -38,10 +38,10 @@
 TEST(Explain, WhatItsEndpointDidShortlyBeforeBelongsToTheStory)
 {
     const auto story = storyOf("q1",
-                               {"{\"ms\":9000,\"name\":\"EndpointLeft\",\"endpoint\":\"e1\"}\n"
-                                "{\"ms\":9000,\"name\":\"EndpointLeft\",\"endpoint\":\"e9\"}\n"
-                                "{\"ms\":9100,\"name\":\"AttemptEnded\",\"id\":\"q1\",\"endpoint\":\"e1\",\"end\":\"broken\",\"again\":false}\n"
-                                "{\"ms\":9100,\"name\":\"RequestRejected\",\"id\":\"q1\",\"why\":\"answer_lost\",\"status\":502}\n"});
+                               {"{\"at_ms\":9000,\"name\":\"EndpointLeft\",\"endpoint\":\"e1\"}\n"
+                                "{\"at_ms\":9000,\"name\":\"EndpointLeft\",\"endpoint\":\"e9\"}\n"
+                                "{\"at_ms\":9100,\"name\":\"AttemptEnded\",\"id\":\"q1\",\"endpoint\":\"e1\",\"end\":\"broken\",\"again\":false}\n"
+                                "{\"at_ms\":9100,\"name\":\"RequestRejected\",\"id\":\"q1\",\"why\":\"answer_lost\",\"status\":502}\n"});
     LONGS_EQUAL(3, story.entries.size());
     STRCMP_EQUAL("EndpointLeft", story.entries[0].event.c_str());
     CHECK(story.cause.find("its answer was lost") != std::string::npos);
@@ -49,7 +49,7 @@
 
 TEST(Explain, AnIdThatNoLogKnowsIsSaidSo)
 {
-    const auto story = storyOf("q1", {"{\"ms\":1,\"name\":\"RequestFinished\",\"id\":\"q2\"}\n"});
+    const auto story = storyOf("q1", {"{\"at_ms\":1,\"name\":\"RequestFinished\",\"id\":\"q2\"}\n"});
     CHECK(story.entries.empty());
     CHECK(story.cause.find("no line") != std::string::npos);
 }
