--- a/scripts/capacity.sh
+++ b/scripts/capacity.sh
@@ -56,3 +56,63 @@
         'BEGIN {printf "| %d | %d | %d | %d | %.0f | %.2f | %d |\n", e, w, b0, t0 * 10, (b1 - b0) / s, (t1 - t0) / s, rss}'
     stop_all
 done
+
+# The same for an entry router on the platform's form: one configuration
+# object of that many workspaces, one entry an endpoint, ten endpoints whose
+# entries change each second.
+fill_entry() { # endpoints workspaces
+    python3 - "$BASE" "$1" "$2" <<'PY'
+import http.client, json, sys
+base, endpoints, workspaces = map(int, sys.argv[1:4])
+c = http.client.HTTPConnection("127.0.0.1", base)
+def create(kind, name, spec):
+    c.request("POST", f"/api/objects/{kind}", json.dumps({"metadata": {"name": name}, "spec": spec}))
+    c.getresponse().read()
+routes = [{"name": f"r{i}", "host": "h.example", "path_prefix": f"/p{i}/", "kind": "streaming", "timeout_ms": 12000, "target_latency_ms": 1200,
+           "priority": 0, "service": "m", "max_attempts": 2, "sticky": True, "resumable": True, "gap_aim_ms": 600} for i in range(28)]
+tenants = [{"name": f"w{i}", "api_keys": [f"key-of-workspace-{i}"], "priority": 1} for i in range(workspaces)]
+spec = {"version": 1, "routes": routes, "services": [{"name": "m", "max_conns": 360, "engine": {"slots": 64, "kv_tokens": 444862}}],
+        "limits": {"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000}, "tenants": tenants}
+create("config", "main", spec)
+for i in range(endpoints):
+    create("servers", f"i-{i}", {"service": "m", "address": "127.0.0.1:1", "zone": "z", "slots": 64, "state": "ready", "sequence": 1})
+print(len(json.dumps(spec)))
+PY
+}
+churn_entry() { # seconds
+    python3 - "$BASE" "$1" <<'PY'
+import http.client, json, sys, time
+base, seconds = map(int, sys.argv[1:3])
+c = http.client.HTTPConnection("127.0.0.1", base)
+for s in range(seconds):
+    for i in range(10):
+        c.request("PUT", f"/api/objects/servers/i-{i}", json.dumps({"metadata": {"name": f"i-{i}"}, "spec": {
+            "service": "m", "address": "127.0.0.1:1", "zone": "z", "slots": 64, "state": "ready", "sequence": s}}))
+        c.getresponse().read()
+    time.sleep(1)
+PY
+}
+echo "| endpoints | workspaces | configuration bytes | start: CPU ms | steady CPU % of a core, ten entries a second | resident KB |"
+echo "|---|---|---|---|---|---|"
+for size in "${SIZES[@]}"; do
+    endpoints=${size%:*} workspaces=${size#*:}
+    start platform $B/yucca-platform --port "$BASE" --config "$RUN/platform.json"
+    wait_ready "127.0.0.1:$BASE/healthz"
+    bytes=$(fill_entry "$endpoints" "$workspaces")
+    cat >"$RUN/entry.json" <<JSON
+{"interface": "platform", "traffic": "127.0.0.1:$((BASE + 10))", "readiness": "127.0.0.1:$((BASE + 11))",
+ "metrics": "127.0.0.1:$((BASE + 12))", "store": "127.0.0.1:$BASE"}
+JSON
+    $B/yucca-router --config "$RUN/entry.json" >"$RUN/entry.jsonl" 2>&1 &
+    router=$!
+    PIDS+=($router)
+    wait_ready "127.0.0.1:$((BASE + 11))/ready"
+    sleep 1
+    ticks0=$(ticks $router)
+    churn_entry 10
+    ticks1=$(ticks $router)
+    rss=$(awk '/VmRSS/ {print $2}' "/proc/$router/status")
+    awk -v e="$endpoints" -v w="$workspaces" -v b="$bytes" -v t0="$ticks0" -v t1="$ticks1" -v rss="$rss" \
+        'BEGIN {printf "| %d | %d | %d | %d | %.2f | %d |\n", e, w, b, t0 * 10, (t1 - t0) / 10, rss}'
+    stop_all
+done
--- /dev/null
+++ b/scripts/days.sh
@@ -0,0 +1,14 @@
+#!/usr/bin/env bash
+# Plays the days of tests/days on the users' bench, on every site given:
+#   scripts/days.sh BENCH WHY SITE...
+# BENCH is the bench's program. Needs the users' kit; not part of the tests.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+bench=$1 why=$2
+shift 2
+for site in "$@"; do
+    for day in tests/days/*.toml; do
+        echo "== $(basename "$site" .toml) $(basename "$day" .toml)"
+        "$bench" run "$site" "$day" --jobs 4 --why "$why" | grep -E "^($(basename "$day" .toml)|rules|short|[A-Z]+ at)" || true
+    done
+done
