--- a/include/yucca/types.h
+++ b/include/yucca/types.h
@@ -59,8 +59,11 @@
 /// A pair table mapping an enum to its wire name.
 template <typename E, std::size_t N> using NameTable = std::array<std::pair<E, std::string_view>, N>;
 
-inline constexpr NameTable<Policy, 5> policyNames{
-    {{Policy::Affinity, "affinity"}, {Policy::Bounded, "bounded"}, {Policy::Home, "home"}, {Policy::LeastLoaded, "leastloaded"}, {Policy::RoundRobin, "roundrobin"}}};
+inline constexpr NameTable<Policy, 5> policyNames{{{Policy::Affinity, "affinity"},
+                                                   {Policy::Bounded, "bounded"},
+                                                   {Policy::Home, "home"},
+                                                   {Policy::LeastLoaded, "leastloaded"},
+                                                   {Policy::RoundRobin, "roundrobin"}}};
 inline constexpr NameTable<EndpointKind, 2> endpointKindNames{{{EndpointKind::Engine, "engine"}, {EndpointKind::Service, "service"}}};
 inline constexpr NameTable<EndpointState, 2> endpointStateNames{{{EndpointState::Live, "live"}, {EndpointState::Leaving, "leaving"}}};
 inline constexpr NameTable<Outcome, 3> outcomeNames{{{Outcome::Done, "done"}, {Outcome::NotRun, "not_run"}, {Outcome::Unknown, "unknown"}}};
