Longer watches, and a cheap question whether the store answers

Ruled out: longer watches alone (a lost answer would leave a change out of force for their whole wait); TCP keep-alive (the connection lives, the answer does not come).

Change: watches of 6 s; once a second a stale read of an object that does not exist; when the store answers again after a silence, both watches start anew.

Measured: the test with watches whose answers never come failed without the question (they end after 6.7 s); yucca-tests 167 of 167.

--- a/emulators/local_object_api.cpp
+++ b/emulators/local_object_api.cpp
@@ -63,7 +63,7 @@
     co_return written(m_store.remove(kind, name, ifVersion));
 }
 
-Task<Result<WatchBatch>> LocalObjectApi::watch(std::string kind, uint64_t from, Millis)
+Task<Result<WatchBatch>> LocalObjectApi::watch(std::string kind, uint64_t from, Millis, http::Cancellation *)
 {
     if (outage) {
         co_return outageError;
@@ -71,4 +71,9 @@
     co_return m_store.since(from, {kind});
 }
 
+Task<bool> LocalObjectApi::answers(std::string)
+{
+    co_return !outage;
+}
+
 } // namespace yucca::platform
--- a/emulators/local_object_api.h
+++ b/emulators/local_object_api.h
@@ -19,7 +19,8 @@
     Task<Result<Object>> put(std::string kind, std::string name, nlohmann::json value, std::optional<uint64_t> ifVersion) override;
     Task<Result<Object>> remove(std::string kind, std::string name, std::optional<uint64_t> ifVersion) override;
     /// Answers at once, also when nothing has changed.
-    Task<Result<WatchBatch>> watch(std::string kind, uint64_t from, Millis timeout) override;
+    Task<Result<WatchBatch>> watch(std::string kind, uint64_t from, Millis timeout, http::Cancellation *cancellation) override;
+    Task<bool> answers(std::string kind) override;
 
     bool outage = false;
     int loseAnswers = 0; ///< the next N writes take effect, then report AnswerLost
--- a/src/entry/control.h
+++ b/src/entry/control.h
@@ -106,12 +106,16 @@
 /// An outage shorter than this lapses nobody: entries live for three heartbeats, of 1.2 s each at the users' sites.
 inline constexpr Millis shortestLapse{2500};
 
+inline constexpr Millis askEvery{1000}; ///< a change is to be in force 2 s after it is made, also where a watch has died
+inline constexpr Millis askAgainAfter{200}; ///< the store does not answer: its return is to be noticed soon
+
 /// Follows one platform's objects into what is published.
 template <Codec C> class Control
 {
 public:
     Control(platform::ObjectApi &api, Published &published)
-        : m_configurationSink{published}
+        : m_api(api)
+        , m_configurationSink{published}
         , m_endpointSink{published}
         , m_configurations(api, C::configurationKind, m_configurationSink)
         , m_endpoints(api, C::endpointKind, m_endpointSink)
@@ -125,8 +129,24 @@
     {
         return m_endpoints.run();
     }
+    /// Asks the store now and then whether it answers; once it does after a
+    /// silence, the watches are started anew: what they wait for may be lost.
+    Task<void> watchStore()
+    {
+        bool answered = true;
+        while (!m_stopping) {
+            co_await sleepFor(answered ? askEvery : askAgainAfter);
+            const bool answers = co_await m_api.answers(C::configurationKind);
+            if (answers && !answered) {
+                m_configurations.restartWatch();
+                m_endpoints.restartWatch();
+            }
+            answered = answers;
+        }
+    }
     void stop()
     {
+        m_stopping = true;
         m_configurations.stop();
         m_endpoints.stop();
     }
@@ -202,6 +222,8 @@
         }
     };
 
+    platform::ObjectApi &m_api;
+    bool m_stopping = false;
     ConfigurationSink m_configurationSink;
     EndpointSink m_endpointSink;
     Follower<ConfigurationSink> m_configurations;
--- a/src/entry/process.h
+++ b/src/entry/process.h
@@ -112,6 +112,11 @@
                                 return m_control.followEndpoints();
                             },
                             stop});
+        m_supervisor.start({"store",
+                            [this] {
+                                return m_control.watchStore();
+                            },
+                            {}});
         m_supervisor.start({"upkeep",
                             [this] {
                                 return upkeep();
--- a/src/follower.h
+++ b/src/follower.h
@@ -25,9 +25,9 @@
 
 /// How a follower waits.
 struct FollowerOptions {
-    /// One watch's wait. Short, since a connection that has gone silent
-    /// shows only by the wait passing with no answer.
-    Millis watchWait{2000};
+    /// One watch's wait. An answer that never comes shows only when it has
+    /// passed; restartWatch() is for who knows earlier.
+    Millis watchWait{6000};
     Millis callTimeout{1000}; ///< a listing page; the store answers in 4 ms
     Millis watchMargin{700}; ///< after a watch's wait, until it is given up
     Millis firstPause{100}; ///< after a failed call; doubled by each next, up to:
@@ -60,6 +60,14 @@
     {
         m_stopping = true;
     }
+    /// Ends the watch that waits, if any, and starts another: it may have
+    /// been lost in an outage that is over.
+    void restartWatch()
+    {
+        if (m_cancellation) {
+            m_cancellation->fire();
+        }
+    }
     /// One listing or one watch; false when the store could not be reached.
     Task<bool> step()
     {
@@ -98,7 +106,13 @@
 
     Task<bool> watch()
     {
-        auto result = co_await m_api.watch(m_kind, m_from, m_options.watchWait);
+        http::Cancellation cancellation;
+        m_cancellation = &cancellation;
+        auto result = co_await m_api.watch(m_kind, m_from, m_options.watchWait, &cancellation);
+        m_cancellation = nullptr;
+        if (!ok(result) && cancellation.fired()) {
+            co_return true;
+        }
         if (!ok(result)) {
             const auto &error = std::get<Error>(result);
             if (error.code == store::Gone) {
@@ -158,6 +172,7 @@
     FollowerOptions m_options;
     Millis m_pause;
     std::minstd_rand m_random{std::random_device{}()};
+    http::Cancellation *m_cancellation = nullptr; ///< of the watch that waits
     uint64_t m_from = 0;
     bool m_listed = false;
     bool m_lost = false;
--- a/src/object_api.h
+++ b/src/object_api.h
@@ -1,6 +1,7 @@
 // The platform's object API as the fleet sees it.
 #pragma once
 
+#include "http_client.h"
 #include "store.h"
 #include "task.h"
 #include "yucca/types.h"
@@ -35,7 +36,10 @@
     virtual Task<Result<Object>> put(std::string kind, std::string name, nlohmann::json value, std::optional<uint64_t> ifVersion) = 0;
     virtual Task<Result<Object>> remove(std::string kind, std::string name, std::optional<uint64_t> ifVersion) = 0;
     /// Changes of a kind after revision from, waiting up to timeout for one.
-    virtual Task<Result<WatchBatch>> watch(std::string kind, uint64_t from, Millis timeout) = 0;
+    /// Fired, the cancellation ends the wait early with an error.
+    virtual Task<Result<WatchBatch>> watch(std::string kind, uint64_t from, Millis timeout, http::Cancellation *cancellation) = 0;
+    /// True when the store answers calls: the cheapest question it takes.
+    virtual Task<bool> answers(std::string kind) = 0;
 };
 
 /// Lists a kind whole, page by page. Its revision is the first page's, so a
--- a/tests/test_entry_state.cpp
+++ b/tests/test_entry_state.cpp
@@ -361,6 +361,64 @@
     CHECK(sink.news == expected);
 }
 
+namespace
+{
+
+// A store whose watches wait until they are cancelled, as they do when their
+// answers are lost.
+class SilentWatches : public platform::LocalObjectApi
+{
+public:
+    using LocalObjectApi::LocalObjectApi;
+    Task<Result<platform::WatchBatch>> watch(std::string kind, uint64_t from, Millis timeout, http::Cancellation *cancellation) override
+    {
+        ++watches;
+        co_await sleepFor(Millis(1)); // a watch without news waits; the test's loop must go on
+        while (silent && !cancellation->fired()) {
+            co_await sleepFor(Millis(1));
+        }
+        if (cancellation->fired()) {
+            co_return Error{store::Unavailable, "cancelled"};
+        }
+        co_return co_await LocalObjectApi::watch(kind, from, timeout, cancellation);
+    }
+    bool silent = true;
+    int watches = 0;
+};
+
+} // namespace
+
+TEST(EntryFollower, AWatchThatWasLostInAnOutageIsStartedAnewOnceTheStoreAnswers)
+{
+    store::ObjectStore store;
+    SilentWatches api(store);
+    router::RoutingTable table;
+    entry::Published published(table);
+    store.put("config", "main", entryConfiguration(1), std::nullopt);
+    entry::Control<platform::ObjectCodec> control(api, published);
+    asio::co_spawn(loop().io, control.followConfiguration(), asio::detached);
+    asio::co_spawn(loop().io, control.watchStore(), asio::detached);
+    loop().until([&] {
+        return api.watches == 1;
+    });
+    api.outage = true; // for long enough that a question goes unanswered
+    const auto asked = Clock::now();
+    loop().until([&] {
+        return Clock::now() - asked > entry::askEvery + entry::askAgainAfter;
+    });
+    store.put("config", "main", entryConfiguration(2), std::nullopt);
+    api.outage = false;
+    loop().until([&] {
+        api.silent = api.silent && api.watches == 1;
+        return published.configuration() && published.configuration()->version == 2;
+    });
+    LONGS_EQUAL(2, published.configuration()->version);
+    control.stop();
+    loop().until([&] {
+        return Clock::now() - asked > std::chrono::seconds(4) || api.watches > 2;
+    });
+}
+
 LOOP_GROUP(EntryHealth);
 
 TEST(EntryHealth, AnEndpointThatFailsPartOfItsRequestsGetsLittleWork)
