--- a/include/yucca/placement.h
+++ b/include/yucca/placement.h
@@ -3,6 +3,7 @@
 // consistent hashing with bounded loads, and the naive round robin.
 #pragma once
 
+#include "yucca/observed_load.h"
 #include "yucca/ring.h"
 
 #include <chrono>
@@ -16,8 +17,6 @@
 namespace yucca::placement
 {
 
-using TimePoint = std::chrono::steady_clock::time_point;
-
 /// The two affinity keys of a request. Requests with an equal shared key
 /// start with the same prompt parts (a workspace's system prompt); turns of
 /// one conversation have equal keys of both kinds.
@@ -26,9 +25,6 @@
     uint64_t conversation = 0;
 };
 
-/// Which members a request may go to, in the order of the members.
-using Usable = std::vector<bool>;
-
 /// A placement policy: keeps the members of one pool and what this router
 /// knows of their load, and picks a member for each request.
 template <typename P> concept Policy = requires(P p, std::vector<std::string> ids, Affinity a, const Usable &usable, TimePoint now, std::size_t m, int64_t load)
@@ -42,58 +38,6 @@
     p.reported(m, load, now);
 };
 
-/// What a router knows of one member's load: what it has in flight there
-/// itself, and the member's last report of what it has from all routers.
-class ObservedLoad
-{
-public:
-    void placed()
-    {
-        ++m_own;
-    }
-    void finished()
-    {
-        m_own = m_own > 0 ? m_own - 1 : 0;
-    }
-    void reported(int64_t load, TimePoint now);
-    int64_t own() const
-    {
-        return m_own;
-    }
-    /// The last report, or -1 before the first.
-    int64_t report() const
-    {
-        return m_report;
-    }
-    /// How much the last report still weighs: 1 when fresh, less by e with each lifetime; 0 without one.
-    double weight(TimePoint now, std::chrono::duration<double> lifetime) const;
-    /// The load from all routers. A fresh report counts as it is, corrected
-    /// by what this router has sent and finished since; with age it gives
-    /// way to the prior. Never below what this router has there.
-    double estimate(double prior, TimePoint now, std::chrono::duration<double> lifetime) const;
-
-private:
-    int64_t m_own = 0;
-    int64_t m_ownAtReport = 0;
-    int64_t m_report = -1;
-    TimePoint m_reportedAt{};
-};
-
-/// What a member without a report counts for in a mean.
-enum class Unreported {
-    LeaveOut, ///< nothing: the mean is that of the others
-    CountOwn, ///< what this router has there: a few busy members do not pass for the mean of an idle pool
-};
-
-/// The mean load of the members that may be used: of the reports, weighted
-/// by their age, and never below the mean of what this router has in flight.
-/// Reports age slower here than in a member's own estimate: a pool's mean
-/// moves slowly, and many reports average out.
-double meanLoad(const std::vector<ObservedLoad> &loads, const Usable &usable, TimePoint now, std::chrono::duration<double> lifetime, Unreported unreported);
-
-/// A member's rank in a key's rendezvous order; the highest is the key's home.
-uint64_t rankOf(const std::string &memberId, uint64_t key);
-
 /// How often keys occur, for the few that occur most: a space-saving sketch
 /// (Metwally, Agrawal and El Abbadi, 2005) with exponential decay.
 class HeatSketch
@@ -219,7 +163,7 @@
 
 /// The member with the least load for its place: for plain services, which
 /// hold nothing of a caller that a later request would find again.
-class LeastLoaded
+class LeastLoaded : public ObservedMembers
 {
 public:
     explicit LeastLoaded(std::chrono::duration<double> reportLifetime = std::chrono::duration<double>(1.0))
@@ -227,23 +171,12 @@
     {
     }
 
-    void setMembers(std::vector<std::string> ids);
-    const std::vector<std::string> &members() const
-    {
-        return m_ids;
-    }
     /// Among equally loaded members the key decides, so that routers that
     /// know as little of a pool do not all pick the same member.
     std::optional<std::size_t> pick(const Affinity &affinity, const Usable &usable, TimePoint now);
-    void placed(std::size_t member, TimePoint now);
-    void finished(std::size_t member, TimePoint now);
-    void reported(std::size_t member, int64_t load, TimePoint now);
 
 private:
     std::chrono::duration<double> m_reportLifetime;
-    std::vector<std::string> m_ids;
-    std::vector<uint64_t> m_hashes; ///< of the ids
-    std::vector<ObservedLoad> m_loads;
 };
 
 /// Settings of PromptHome.
@@ -259,7 +192,7 @@
 /// rendezvous order, which every router computes alike; the next in that
 /// order while the ones before are at the bound. A prompt that is read at
 /// two members is read twice, and takes the room of another.
-class PromptHome
+class PromptHome : public ObservedMembers
 {
 public:
     explicit PromptHome(HomeOptions options = {})
@@ -267,21 +200,10 @@
     {
     }
 
-    void setMembers(std::vector<std::string> ids);
-    const std::vector<std::string> &members() const
-    {
-        return m_ids;
-    }
     std::optional<std::size_t> pick(const Affinity &affinity, const Usable &usable, TimePoint now);
-    void placed(std::size_t member, TimePoint now);
-    void finished(std::size_t member, TimePoint now);
-    void reported(std::size_t member, int64_t load, TimePoint now);
 
 private:
     HomeOptions m_options;
-    std::vector<std::string> m_ids;
-    std::vector<uint64_t> m_hashes; ///< of the ids
-    std::vector<ObservedLoad> m_loads;
 };
 
 /// The naive baseline: members in turn, no affinity, no bound.
--- /dev/null
+++ b/src/observed_load.cpp
@@ -0,0 +1,87 @@
+#include "yucca/observed_load.h"
+
+#include "member_state.h"
+
+#include <cmath>
+
+namespace yucca::placement
+{
+
+uint64_t rankOf(const std::string &memberId, uint64_t key)
+{
+    return rank(ring::hash(memberId), key);
+}
+
+void ObservedLoad::reported(int64_t load, TimePoint now)
+{
+    m_report = load;
+    m_ownAtReport = m_own;
+    m_reportedAt = now;
+}
+
+double ObservedLoad::weight(TimePoint now, std::chrono::duration<double> lifetime) const
+{
+    if (m_report < 0) {
+        return 0;
+    }
+    const double age = std::chrono::duration<double>(now - m_reportedAt).count();
+    return std::exp(-std::max(0.0, age) / lifetime.count());
+}
+
+double ObservedLoad::estimate(double prior, TimePoint now, std::chrono::duration<double> lifetime) const
+{
+    const double fresh = weight(now, lifetime);
+    const double corrected = static_cast<double>(m_report + m_own - m_ownAtReport);
+    return std::max(static_cast<double>(m_own), fresh * corrected + (1 - fresh) * prior);
+}
+
+double meanLoad(const std::vector<ObservedLoad> &loads, const Usable &usable, TimePoint now, std::chrono::duration<double> lifetime, Unreported unreported)
+{
+    constexpr double meanLifetimes = 5; // of a member's own estimate
+    double sum = 0;
+    double weights = 0;
+    int64_t own = 0;
+    std::size_t n = 0;
+    for (std::size_t i = 0; i < loads.size(); ++i) {
+        if (!usable[i]) {
+            continue;
+        }
+        ++n;
+        own += loads[i].own();
+        if (loads[i].report() < 0 && unreported == Unreported::CountOwn) {
+            sum += static_cast<double>(loads[i].own());
+            weights += 1;
+            continue;
+        }
+        const double w = loads[i].weight(now, meanLifetimes * lifetime);
+        sum += w * static_cast<double>(std::max<int64_t>(0, loads[i].report()));
+        weights += w;
+    }
+    const double ownMean = n ? static_cast<double>(own) / static_cast<double>(n) : 0;
+    return weights > 0 ? std::max(ownMean, sum / weights) : ownMean;
+}
+
+void ObservedMembers::setMembers(std::vector<std::string> ids)
+{
+    std::sort(ids.begin(), ids.end());
+    m_loads = carryOver(m_ids, m_loads, ids);
+    m_ids = std::move(ids);
+    m_hashes = hashesOf(m_ids);
+}
+
+void ObservedMembers::placed(std::size_t member, TimePoint)
+{
+    m_loads[member].placed();
+}
+
+void ObservedMembers::finished(std::size_t member, TimePoint)
+{
+    m_loads[member].finished();
+}
+
+void ObservedMembers::reported(std::size_t member, int64_t load, TimePoint now)
+{
+    m_loads[member].reported(load, now);
+}
+
+} // namespace yucca::placement
--- a/src/placement.cpp
+++ b/src/placement.cpp
@@ -1,5 +1,7 @@
 #include "yucca/placement.h"
 
+#include "member_state.h"
+
 #include <algorithm>
 #include <cmath>
 #include <numeric>
@@ -19,97 +21,8 @@
 constexpr double negligible = 0.01; ///< a decayed count below this is forgotten
 constexpr double cautionSigmas = 1.0; ///< standard errors taken off a count before it is trusted
 
-// Mixes a member's hash with a key: the member's rank in the key's
-// rendezvous order (the finalizer of SplitMix64).
-uint64_t rank(uint64_t member, uint64_t key)
-{
-    uint64_t x = member ^ (key * 0x9e3779b97f4a7c15ULL);
-    x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9ULL;
-    x = (x ^ (x >> 27)) * 0x94d049bb133111ebULL;
-    return x ^ (x >> 31);
-}
-
-// Moves per-member state to the new order of the members: what stays keeps
-// its state, what is new starts empty.
-template <typename State>
-std::vector<State> carryOver(const std::vector<std::string> &oldIds, const std::vector<State> &old, const std::vector<std::string> &newIds)
-{
-    std::vector<State> out(newIds.size());
-    for (std::size_t i = 0; i < newIds.size(); ++i) {
-        const auto at = std::lower_bound(oldIds.begin(), oldIds.end(), newIds[i]);
-        if (at != oldIds.end() && *at == newIds[i]) {
-            out[i] = old[static_cast<std::size_t>(at - oldIds.begin())];
-        }
-    }
-    return out;
-}
-
-// The hashes that members are ranked by.
-std::vector<uint64_t> hashesOf(const std::vector<std::string> &ids)
-{
-    std::vector<uint64_t> hashes(ids.size());
-    std::transform(ids.begin(), ids.end(), hashes.begin(), [](const std::string &id) {
-        return ring::hash(id);
-    });
-    return hashes;
-}
-
 } // namespace
 
-uint64_t rankOf(const std::string &memberId, uint64_t key)
-{
-    return rank(ring::hash(memberId), key);
-}
-
-void ObservedLoad::reported(int64_t load, TimePoint now)
-{
-    m_report = load;
-    m_ownAtReport = m_own;
-    m_reportedAt = now;
-}
-
-double ObservedLoad::weight(TimePoint now, std::chrono::duration<double> lifetime) const
-{
-    if (m_report < 0) {
-        return 0;
-    }
-    const double age = std::chrono::duration<double>(now - m_reportedAt).count();
-    return std::exp(-std::max(0.0, age) / lifetime.count());
-}
-
-double ObservedLoad::estimate(double prior, TimePoint now, std::chrono::duration<double> lifetime) const
-{
-    const double fresh = weight(now, lifetime);
-    const double corrected = static_cast<double>(m_report + m_own - m_ownAtReport);
-    return std::max(static_cast<double>(m_own), fresh * corrected + (1 - fresh) * prior);
-}
-
-double meanLoad(const std::vector<ObservedLoad> &loads, const Usable &usable, TimePoint now, std::chrono::duration<double> lifetime, Unreported unreported)
-{
-    constexpr double meanLifetimes = 5; // of a member's own estimate
-    double sum = 0;
-    double weights = 0;
-    int64_t own = 0;
-    std::size_t n = 0;
-    for (std::size_t i = 0; i < loads.size(); ++i) {
-        if (!usable[i]) {
-            continue;
-        }
-        ++n;
-        own += loads[i].own();
-        if (loads[i].report() < 0 && unreported == Unreported::CountOwn) {
-            sum += static_cast<double>(loads[i].own());
-            weights += 1;
-            continue;
-        }
-        const double w = loads[i].weight(now, meanLifetimes * lifetime);
-        sum += w * static_cast<double>(std::max<int64_t>(0, loads[i].report()));
-        weights += w;
-    }
-    const double ownMean = n ? static_cast<double>(own) / static_cast<double>(n) : 0;
-    return weights > 0 ? std::max(ownMean, sum / weights) : ownMean;
-}
-
 HeatSketch::HeatSketch(std::size_t capacity, std::chrono::duration<double> halfLife)
     : m_capacity(capacity)
     , m_halfLifeS(halfLife.count())
@@ -326,14 +239,6 @@
     m_own[member] = std::max<int64_t>(0, m_own[member] - 1);
 }
 
-void LeastLoaded::setMembers(std::vector<std::string> ids)
-{
-    std::sort(ids.begin(), ids.end());
-    m_loads = carryOver(m_ids, m_loads, ids);
-    m_ids = std::move(ids);
-    m_hashes = hashesOf(m_ids);
-}
-
 std::optional<std::size_t> LeastLoaded::pick(const Affinity &affinity, const Usable &usable, TimePoint now)
 {
     std::optional<std::size_t> best;
@@ -354,29 +259,6 @@
     return best;
 }
 
-void LeastLoaded::placed(std::size_t member, TimePoint)
-{
-    m_loads[member].placed();
-}
-
-void LeastLoaded::finished(std::size_t member, TimePoint)
-{
-    m_loads[member].finished();
-}
-
-void LeastLoaded::reported(std::size_t member, int64_t load, TimePoint now)
-{
-    m_loads[member].reported(load, now);
-}
-
-void PromptHome::setMembers(std::vector<std::string> ids)
-{
-    std::sort(ids.begin(), ids.end());
-    m_loads = carryOver(m_ids, m_loads, ids);
-    m_ids = std::move(ids);
-    m_hashes = hashesOf(m_ids);
-}
-
 std::optional<std::size_t> PromptHome::pick(const Affinity &affinity, const Usable &usable, TimePoint now)
 {
     const double mean = meanLoad(m_loads, usable, now, m_options.reportLifetime, Unreported::CountOwn);
@@ -400,21 +282,6 @@
     return home ? home : least;
 }
 
-void PromptHome::placed(std::size_t member, TimePoint)
-{
-    m_loads[member].placed();
-}
-
-void PromptHome::finished(std::size_t member, TimePoint)
-{
-    m_loads[member].finished();
-}
-
-void PromptHome::reported(std::size_t member, int64_t load, TimePoint now)
-{
-    m_loads[member].reported(load, now);
-}
-
 void RoundRobin::setMembers(std::vector<std::string> ids)
 {
     std::sort(ids.begin(), ids.end());
