A closed log pipe or an early reload does not end a router

Cause: on the last read: a write to a log pipe whose reader has gone raises SIGPIPE, and SIGHUP ends a process that has not set up its signals yet.

Change: both are ignored from the first line of main on; the reload's handler takes its place. A stream's first_ms is that of its first answer, not of the run that resumed it.

Measured: entry.sh's new check failed with the program before (the router was never ready) and passes now; yucca-tests 167 of 167.

--- a/src/entry/gateway_attempt.h
+++ b/src/entry/gateway_attempt.h
@@ -85,10 +85,11 @@
     if (!head.authentic) {
         co_return AttemptEnd::Broken;
     }
-    flight.firstByte = Clock::now();
+    const auto now = Clock::now();
+    flight.firstByte = flight.firstByte == Clock::time_point{} ? now : flight.firstByte;
     flight.lastStatus = head.status;
     if (sharesPrompt(flight.profile.prompt)) {
-        m_holders.note(promptKey(flight.profile.prompt), endpoint, flight.firstByte);
+        m_holders.note(promptKey(flight.profile.prompt), endpoint, now);
     }
     const bool streams = flight.profile.route->kind == RequestKind::Stream && head.status == 200;
     // GCC 12 evaluates both arms of a conditional with co_await in each.
--- a/src/router_main.cpp
+++ b/src/router_main.cpp
@@ -13,6 +13,7 @@
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/post.hpp>
 
+#include <csignal>
 #include <thread>
 
 using namespace yucca;
@@ -183,6 +184,10 @@
 
 int main(int argc, const char **argv)
 {
+    // Until the process handles them: a reload that is asked for while it
+    // starts must not end it, nor a log reader that has gone.
+    std::signal(SIGHUP, SIG_IGN);
+    std::signal(SIGPIPE, SIG_IGN);
     cli::Common common;
     int port = -1;
     int platformPort = -1;
--- a/tests/e2e/entry.sh
+++ b/tests/e2e/entry.sh
@@ -163,6 +163,18 @@
 expect "a booking after a reload" 200 "$(ask 1 POST /book/1 h1 -d '{}')"
 pass "a reload keeps the old settings when the file is wrong, and never ends the process"
 
+# A reload asked for while it starts, and a log reader that goes, end nothing.
+settings 3 >"$RUN/router-3.json"
+$B/yucca-router --config "$RUN/router-3.json" 2>"$RUN/router-3.log" > >(head -n 1 >/dev/null) &
+R3=$!
+PIDS+=($R3)
+sleep 0.1 # the program itself has begun
+for _ in $(seq 1 20); do kill -HUP $R3 2>/dev/null || true; sleep 0.02; done
+wait_ok "127.0.0.1:$((P + 31))/ready"
+expect "a booking without a log reader" 200 "$(ask 3 POST /book/1 p1 -d '{}')"
+kill -0 $R3 || fail "the router ended"
+pass "signals and a closed log pipe end nothing"
+
 # A planned stop while a stream runs: not ready first, the stream ends whole.
 ask 1 POST /chat/1 s1 -d '{}' >"$RUN/status" &
 ASK=$!
