Watches of two seconds again: a dropped history can leave one silent

The store dropped its history at 15.6 s and left the watch of the configuration waiting without a word; it answered the question whether it answers all the while. Version 7, acknowledged at 15.7 s, was in force at 20.85 s on all nine routers.

Change: waits of 2 s; the question stays, as it shortens the end of an outage.

Conclusion: the try of longer watches is taken back but for its question.

--- a/src/follower.h
+++ b/src/follower.h
@@ -25,11 +25,11 @@
 
 /// How a follower waits.
 struct FollowerOptions {
-    /// One watch's wait. An answer that never comes shows only when it has
-    /// passed; restartWatch() is for who knows earlier.
-    Millis watchWait{6000};
+    /// One watch's wait. Short: a store that drops its history may leave a
+    /// watch without a word, and only its wait's passing shows that. A change
+    /// is to be in force three seconds after such an event at the latest.
+    Millis watchWait{2000};
     Millis callTimeout{1000}; ///< a listing page; the store answers in 4 ms
-    Millis watchMargin{700}; ///< after a watch's wait, until it is given up
     Millis firstPause{100}; ///< after a failed call; doubled by each next, up to:
     Millis longestPause{400}; ///< a change is to be in force 2 s after the store is back
 };
--- a/src/object_api.h
+++ b/src/object_api.h
@@ -22,6 +22,9 @@
 /// platform last heard of them. Read-only to the system.
 inline constexpr const char *vmKind = "vm";
 
+/// After a watch's wait, until its answer is given up: the store answers in 4 ms, links take 1 ms.
+inline constexpr Millis watchMargin{700};
+
 /// The object API. Errors use the codes of store.h: 404, 409, 410,
 /// 429 (rate limited), 503 (unavailable: the call had no effect) and
 /// 504 (answer lost: the call may have taken effect).
--- a/tests/test_entry_state.cpp
+++ b/tests/test_entry_state.cpp
@@ -419,6 +419,14 @@
     });
 }
 
+TEST(EntryFollower, AWatchThatHearsNothingIsGivenUpBeforeAChangeIsTooLate)
+{
+    // Longer waits left a version out of force for 5 s after the store had
+    // dropped its history without ending the watches that waited.
+    const FollowerOptions options;
+    CHECK(options.watchWait + platform::watchMargin < std::chrono::seconds(3));
+}
+
 LOOP_GROUP(EntryHealth);
 
 TEST(EntryHealth, AnEndpointThatFailsPartOfItsRequestsGetsLittleWork)
