--- a/src/admission.cpp
+++ b/src/admission.cpp
@@ -67,7 +67,7 @@
     return true;
 }
 
-Verdict Admission::admit(const std::string &workspace, const catalogue::Limits &limits, Clock::time_point now, Clock::duration &retryAfter)
+Verdict Admission::admit(const std::string &workspace, const Limits &limits, Clock::time_point now, Clock::duration &retryAfter)
 {
     // A burst of one second's worth.
     const double rate = static_cast<double>(limits.requestsPerS);
--- a/src/admission.h
+++ b/src/admission.h
@@ -2,8 +2,8 @@
 // buckets, admission by workspace, and the budget of retries.
 #pragma once
 
-#include "catalogue.h"
 #include "task.h"
+#include "yucca/types.h"
 
 #include <map>
 #include <mutex>
@@ -13,6 +13,12 @@
 namespace yucca::limits
 {
 
+/// The limits a workspace runs under.
+struct Limits {
+    int64_t maxInflight = 64; ///< requests in flight per router
+    int64_t requestsPerS = 100; ///< admitted per router a second
+};
+
 /// A token bucket: refills at ratePerS up to burst tokens.
 class TokenBucket
 {
@@ -72,7 +78,7 @@
 {
 public:
     /// Admits one request, or says why not and when to come back.
-    Verdict admit(const std::string &workspace, const catalogue::Limits &limits, Clock::time_point now, Clock::duration &retryAfter);
+    Verdict admit(const std::string &workspace, const Limits &limits, Clock::time_point now, Clock::duration &retryAfter);
     /// Ends an admitted request.
     void finished(const std::string &workspace);
 
--- a/src/catalogue.h
+++ b/src/catalogue.h
@@ -3,6 +3,7 @@
 // the VM list, which only ever moves forward.
 #pragma once
 
+#include "admission.h"
 #include "findings.h"
 #include "store.h"
 #include "yucca/types.h"
@@ -23,17 +24,11 @@
 
 inline constexpr int64_t defaultPriority = 5; ///< of a class of work; 0 is the most urgent, 9 the least
 
-/// The limits a workspace runs under.
-struct Limits {
-    int64_t maxInflight = 64; ///< requests in flight per router
-    int64_t requestsPerS = 100; ///< admitted per router a second
-};
-
 /// A workspace entry: its owner, the class of work it uses, its limits.
 struct Workspace {
     std::string owner;
     std::string workClass;
-    Limits limits;
+    limits::Limits limits;
 };
 
 /// A class of work: which pool of endpoints serves it, of what kind, how
--- a/src/entry/configuration.h
+++ b/src/entry/configuration.h
@@ -2,6 +2,7 @@
 // services they lead to, the workspaces' keys and the limits on callers.
 #pragma once
 
+#include "admission.h"
 #include "http_server.h"
 #include "task.h"
 #include "yucca/types.h"
@@ -64,10 +65,12 @@
     std::optional<EngineTraits> engine; ///< absent: a plain service
 };
 
-/// A workspace and how urgent its requests are.
+/// A workspace, how urgent its requests are and how many it may send.
 struct Workspace {
     std::string name;
     std::optional<int> priority; ///< goes before its routes' priorities
+    std::optional<limits::Limits> limits; ///< absent: this router does not bound it
+    std::string workClass; ///< what its requests are, where the caller's address does not tell; else empty
 };
 
 /// One version of the configuration. Immutable once published.
--- a/src/entry/control.cpp
+++ b/src/entry/control.cpp
@@ -21,13 +21,18 @@
     if (held && configuration.version <= held->version) {
         return;
     }
-    configuration.index();
     log::Line{log::Event::ConfigurationApplied}
         .add("version", configuration.version)
         .add("before", held ? held->version : 0)
         .add("routes", static_cast<int64_t>(configuration.routes.size()))
         .add("services", static_cast<int64_t>(configuration.services.size()))
         .add("keys", static_cast<int64_t>(configuration.workspaceOfKey.size()));
+    put(std::move(configuration));
+}
+
+void Published::put(Configuration configuration)
+{
+    configuration.index();
     m_configuration = std::make_shared<const Configuration>(std::move(configuration));
     publishEndpoints(); // which services are plain ones may have changed
 }
--- a/src/entry/control.h
+++ b/src/entry/control.h
@@ -62,6 +62,8 @@
 
     /// Puts a configuration in force unless it is no newer than the one in force.
     void apply(Configuration configuration);
+    /// Puts a configuration in force whose order the caller has seen to.
+    void put(Configuration configuration);
     /// Puts a listing of the endpoints in force.
     void replaceEndpoints(std::map<std::string, Endpoint> endpoints);
     void setEndpoint(const Endpoint &endpoint);
--- a/src/entry/entry_metrics.cpp
+++ b/src/entry/entry_metrics.cpp
@@ -84,11 +84,32 @@
     const auto k = static_cast<std::size_t>(kind);
     ++m_requests[k][static_cast<std::size_t>(end)];
     m_durations[k].observe(seconds);
+    if (end == RequestEnd::Delivered) {
+        m_latency.add(seconds * 1000);
+    }
     if (firstByteSeconds >= 0) {
         m_firstBytes[k].observe(firstByteSeconds);
     }
 }
 
+uint64_t Metrics::ended(RequestEnd end) const
+{
+    uint64_t n = 0;
+    for (const auto &kind : m_requests) {
+        n += kind[static_cast<std::size_t>(end)];
+    }
+    return n;
+}
+
+uint64_t Metrics::rejectedAs(Outcome outcome) const
+{
+    uint64_t n = 0;
+    for (const auto &[why, name] : rejectionNames) {
+        n += outcomeOf(why) == outcome ? m_rejections[static_cast<std::size_t>(why)] : 0;
+    }
+    return n;
+}
+
 std::string Metrics::text(const Gauges &gauges) const
 {
     std::string out;
@@ -111,6 +132,8 @@
     writeCounters(out, "yucca_attempts_total", "Attempts at endpoints", "end", attemptEndNames, m_attempts);
     writeSingle(out, "yucca_retries_total", "counter", "Further arrivals at endpoints", static_cast<double>(retries));
     writeSingle(out, "yucca_retries_denied_total", "counter", "Requests that ended for want of retry budget", static_cast<double>(retriesDenied));
+    writeSingle(out, "yucca_resumptions_total", "counter", "Streams that went on at another endpoint", static_cast<double>(resumptions));
+    writeSingle(out, "yucca_replays_total", "counter", "Requests answered with a stored answer", static_cast<double>(replays));
     writeSingle(out, "yucca_ejections_total", "counter", "Endpoints passed by for failing more than the others", static_cast<double>(ejections));
     writeSingle(out, "yucca_endpoint_connections_total", "counter", "Connections opened to endpoints", static_cast<double>(gauges.connectionsOpened));
     writeSingle(out, "yucca_configuration_version", "gauge", "The version in force", static_cast<double>(gauges.configurationVersion));
--- a/src/entry/entry_metrics.h
+++ b/src/entry/entry_metrics.h
@@ -4,6 +4,7 @@
 
 #include "entry/request_profile.h"
 #include "entry/retry_policy.h"
+#include "metrics.h"
 
 #include <boost/histogram.hpp>
 
@@ -72,8 +73,19 @@
 
     uint64_t retries = 0; ///< further arrivals at endpoints
     uint64_t retriesDenied = 0; ///< for want of retry budget
+    uint64_t resumptions = 0; ///< streams that went on at another endpoint
+    uint64_t replays = 0; ///< requests answered with the stored answer of an earlier one with their key
     uint64_t ejections = 0; ///< endpoints passed by for failing more than the others
 
+    /// Requests that ended so, of all kinds.
+    uint64_t ended(RequestEnd end) const;
+    /// Requests that the router answered itself with this outcome.
+    uint64_t rejectedAs(Outcome outcome) const;
+    const metrics::LatencyStats &latency() const
+    {
+        return m_latency;
+    }
+
     /// All of it in the text format.
     std::string text(const Gauges &gauges) const;
 
@@ -81,6 +93,7 @@
     std::array<std::array<uint64_t, requestEndNames.size()>, requestKindNames.size()> m_requests{};
     std::array<LatencyHistogram, requestKindNames.size()> m_durations;
     std::array<LatencyHistogram, requestKindNames.size()> m_firstBytes;
+    metrics::LatencyStats m_latency; ///< of requests whose answer was delivered, in milliseconds
     std::array<uint64_t, rejectionNames.size()> m_rejections{};
     std::array<uint64_t, attemptEndNames.size()> m_attempts{};
 };
--- a/src/entry/entry_settings.cpp
+++ b/src/entry/entry_settings.cpp
@@ -3,6 +3,8 @@
 #include "settings.h"
 #include "text.h"
 
+#include <algorithm>
+
 namespace yucca::entry
 {
 
@@ -10,6 +12,8 @@
 {
 
 constexpr int64_t longestMs = 600000;
+constexpr double routersPerRetrySlack = 100; ///< the users' deployments have up to 84
+constexpr double leastRetryReserve = 2; ///< retries: below one a router could never retry at all
 
 // An address written as HOST:PORT.
 void readAddress(settings::Reader &reader, const char *key, http::Address &out, Findings &findings)
@@ -48,4 +52,9 @@
     return s;
 }
 
+double retryReserve(const Settings &settings)
+{
+    return std::max(leastRetryReserve, static_cast<double>(settings.retrySlack) / routersPerRetrySlack);
+}
+
 } // namespace yucca::entry
--- a/src/entry/entry_settings.h
+++ b/src/entry/entry_settings.h
@@ -32,4 +32,8 @@
 /// are problems, absent ones keep their defaults.
 Settings parseSettings(const nlohmann::json &document, Findings &findings);
 
+/// This router's part of the retries that a service may get on top of the
+/// ratio. Nobody tells a router how many share them.
+double retryReserve(const Settings &settings);
+
 } // namespace yucca::entry
--- a/src/entry/gateway.h
+++ b/src/entry/gateway.h
@@ -1,4 +1,4 @@
-// The pipeline of a request through an entry router: identify, place,
+// The pipeline of a request through a router: identify, admit, claim, place,
 // attempt, relay, account. It knows no interface's words: a dialect reads
 // callers' requests and endpoints' answers, and writes what goes to them.
 #pragma once
@@ -15,7 +15,9 @@
 #include "entry/retry_policy.h"
 #include "http_client.h"
 #include "http_server.h"
+#include "idempotency.h"
 #include "log.h"
+#include "notifier.h"
 #include "router_core.h"
 #include "sse.h"
 
@@ -34,58 +36,93 @@
 
 /// What differs between the interfaces that callers and endpoints speak.
 template <typename D>
-concept Dialect = requires(const http::Exchange &ex, const ConfigurationPtr &configuration, Clock::time_point now, const RequestProfile &profile,
-                           const ForwardOptions &options, const http::Response &response, Rejection why, Millis comeBack)
+concept Dialect = requires(D d, const http::Exchange &ex, const ConfigurationPtr &configuration, Clock::time_point now, const RequestProfile &profile,
+                           const ForwardOptions &options, const http::Response &response, const Endpoint &endpoint, Rejection why, Millis comeBack)
 {
     {
-        D::identify(ex, configuration, now)
+        d.identify(ex, configuration, now)
         } -> std::same_as<std::variant<RequestProfile, Rejection>>;
     {
-        D::requestId(ex)
+        d.requestId(ex)
         } -> std::same_as<std::string>;
     {
-        D::forwarded(ex, profile, options)
+        d.forwarded(ex, profile, options)
         } -> std::same_as<http::Request>;
     {
-        D::readHead(response, profile)
+        d.readHead(response, profile)
         } -> std::same_as<AnswerHead>;
     {
-        D::rejectionHeaders(why, comeBack)
+        d.answerHeaders(response, profile, endpoint)
         } -> std::same_as<http::Headers>;
+    {
+        d.replayHeaders(profile)
+        } -> std::same_as<http::Headers>;
+    {
+        d.rejection(why, comeBack)
+        } -> std::same_as<RejectionAnswer>;
+    // Another request's answer may stand before the one that is waited for.
+    {
+        D::answersMayBeLate
+        } -> std::convertible_to<bool>;
+    // A stream is whole only with its terminal event; else its framing tells.
+    {
+        D::streamsEndWithMark
+        } -> std::convertible_to<bool>;
 };
 
-/// How the pipeline waits.
+/// How the pipeline waits and tries again.
 struct GatewayOptions {
+    double retryRatio = 0.2; ///< further arrivals that a service may get, per request of this router
+    double retryReserve = 2; ///< and on top of that
     Millis connectTimeout{300}; ///< an endpoint answers a SYN in about 2 ms; a full backlog drops it for seconds
     double silencePatience = 1.0; ///< of a route's target latency, until a repeatable request goes elsewhere
     double gapPatience = 2.0; ///< of a route's event gap target, until a resumable stream goes elsewhere
     Millis newlyJoined{15000}; ///< an endpoint that joined so lately does not yet hold what its place would make it hold
     ComeBackOptions comeBack;
     std::size_t routersPerConnectionCap = 16; ///< routers that share an endpoint's connection cap
-    /// Routers that may share a service's retry slack. Nobody tells how many
-    /// there are; the users' deployments have up to 84.
-    double routersPerRetrySlack = 100;
-    double leastRetryReserve = 2; ///< retries: below one a router could never retry at all
+    /// A request that may run once only goes out on a new connection: a kept
+    /// one can be closed by its peer while the request is on its way. Costs a
+    /// connection a request.
+    bool newConnectionForSingleRuns = false;
     std::size_t mostKept = 32; ///< connections kept to an endpoint
     std::size_t mostAnswerBytes = 16 * 1024 * 1024; ///< of an answer that is relayed whole
 };
 
-/// Answers callers' requests through the endpoints. Runs on the traffic thread.
+/// What a gateway shares with the rest of its process.
+struct GatewayParts {
+    const Published &published;
+    router::RoutingTable &table;
+    limits::Admission &admission;
+    idempotency::Guard *claims = nullptr; ///< null: no request bears an idempotency key
+};
+
+/// Answers callers' requests through the endpoints. Runs on one traffic thread.
 template <Dialect D> class Gateway
 {
 public:
-    Gateway(const Settings &settings, const Published &published, router::RoutingTable &table, GatewayOptions options = {})
-        : m_settings(settings)
-        , m_published(published)
-        , m_table(table)
+    explicit Gateway(const GatewayParts &parts, GatewayOptions options = {}, D dialect = {})
+        : m_published(parts.published)
+        , m_table(parts.table)
+        , m_admission(parts.admission)
+        , m_claims(parts.claims)
         , m_options(options)
+        , m_dialect(std::move(dialect))
     {
     }
 
     /// Answers one request.
     Task<void> handle(http::Exchange &ex);
-    /// Takes over settings that were read anew; from the traffic thread.
-    void applySettings(const Settings &settings);
+    /// Puts other limits on retries in force; from the traffic thread.
+    void setRetryLimits(double ratio, double reserve);
+    /// What became of the requests so far; from the traffic thread.
+    const Metrics &metrics() const
+    {
+        return m_metrics;
+    }
+    uint64_t connectionsOpened() const
+    {
+        return m_client.connectionsOpened();
+    }
     /// The counters and histograms as text; from the traffic thread.
     std::string metricsText(Gauges gauges) const
     {
@@ -110,6 +147,7 @@
         RequestProfile profile;
         std::string service;
         AttemptCount count;
+        std::optional<idempotency::Claim> claim; ///< of its idempotency key
         std::set<std::string> tried;
         http::Cancellation cancellation;
         sse::EventRelay events;
@@ -124,27 +162,33 @@
         Clock::time_point firstByte{};
     };
 
-    Task<void> reject(http::Exchange &ex, const std::string &id, Rejection why);
+    std::variant<RequestProfile, Rejection> identify(const http::Exchange &ex, Clock::time_point now);
+    std::optional<Millis> overLimits(const RequestProfile &profile, Clock::time_point now, std::optional<limits::AdmissionSlot> &slot);
+    Task<bool> claimKey(http::Exchange &ex, Flight &flight);
+    Task<void> settle(idempotency::Claim claim, nlohmann::json record);
+    Task<void> releaseClaim(Flight &flight);
+    Task<void> reject(http::Exchange &ex, const std::string &id, Rejection why, std::optional<Millis> comeBack = std::nullopt);
     Task<void> attempt(http::Exchange &ex, Flight &flight);
     Task<AttemptEnd> attemptAt(http::Exchange &ex, Flight &flight, const Endpoint &endpoint, http::Reuse reuse, bool &stale);
     Task<AttemptEnd> takeAnswer(http::Exchange &ex, Flight &flight, const Endpoint &endpoint, http::Response &response);
-    Task<AttemptEnd> relayWhole(http::Exchange &ex, Flight &flight, const AnswerHead &head, http::Response &response);
-    Task<AttemptEnd> relayStream(http::Exchange &ex, Flight &flight, http::Response &response);
+    Task<AttemptEnd> relayWhole(http::Exchange &ex, Flight &flight, const Endpoint &endpoint, const AnswerHead &head, http::Response &response);
+    Task<AttemptEnd> relayStream(http::Exchange &ex, Flight &flight, const Endpoint &endpoint, http::Response &response);
     Task<void> giveUp(http::Exchange &ex, Flight &flight);
     Clock::time_point headDeadline(const Flight &flight, Clock::time_point now) const;
     limits::RetryBudget &budgetOf(const std::string &service);
     std::string chooseService(const RequestProfile &profile) const;
-    placement::Affinity affinityOf(const RequestProfile &profile) const;
     std::optional<Endpoint> promptHolder(const Flight &flight, const Endpoint &endpoint, Clock::time_point now);
     void noteAttempt(const Flight &flight, const Endpoint &endpoint, AttemptEnd end, Clock::time_point began, bool again);
     static RequestEnd endOf(const Flight &flight, AttemptEnd end);
     bool takeRetry(const std::string &service);
     void account(const Flight &flight, RequestEnd end, int64_t status);
 
-    Settings m_settings;
     const Published &m_published;
     router::RoutingTable &m_table;
+    limits::Admission &m_admission;
+    idempotency::Guard *m_claims;
     GatewayOptions m_options;
+    D m_dialect;
     http::Client m_client;
     std::map<std::string, limits::RetryBudget> m_budgets; ///< by service
     std::map<std::string, OutlierDetector> m_outliers; ///< by service
@@ -165,26 +209,30 @@
 template <Dialect D> Task<void> Gateway<D>::handle(http::Exchange &ex)
 {
     const auto now = Clock::now();
-    const auto configuration = m_published.configuration();
-    if (!m_published.ready() || m_turningAway) {
-        co_await reject(ex, D::requestId(ex), m_turningAway ? Rejection::Stopping : Rejection::NotLoaded);
-        co_return;
-    }
-    auto identified = D::identify(ex, configuration, now);
+    auto identified = identify(ex, now);
     if (const auto *why = std::get_if<Rejection>(&identified)) {
-        co_await reject(ex, D::requestId(ex), *why);
+        co_await reject(ex, m_dialect.requestId(ex), *why);
         co_return;
     }
     Flight flight;
     flight.profile = std::move(std::get<RequestProfile>(identified));
+    std::optional<limits::AdmissionSlot> slot;
+    const auto comeBack = overLimits(flight.profile, now, slot);
+    if (comeBack) {
+        co_await reject(ex, flight.profile.id, Rejection::OverLimits, comeBack);
+        co_return;
+    }
+    const bool mayRun = co_await claimKey(ex, flight);
+    if (!mayRun) {
+        co_return;
+    }
     flight.service = chooseService(flight.profile);
     flight.events.startAfter(flight.profile.resumeAfter);
     budgetOf(flight.service).earn();
     ex.onCallerGone([&flight] {
-        // A request that may run only once is left to finish once it is sent:
-        // half of its effect is worse than one that nobody waits for.
-        const bool finishes = flight.profile.route->kind == RequestKind::NonIdempotent && flight.count.arrivals > 0;
-        if (!finishes) {
+        // A claimed request is left to finish: its caller is owed the answer
+        // when it asks again with the same key.
+        if (!flight.claim) {
             flight.cancellation.fire();
         }
     });
@@ -192,57 +240,44 @@
     ex.onCallerGone({});
 }
 
-template <Dialect D> Task<void> Gateway<D>::reject(http::Exchange &ex, const std::string &id, Rejection why)
-{
-    const unsigned status = statusOf(why);
-    m_metrics.rejected(why);
-    if (m_lines.take(true, Clock::now())) {
-        const auto configuration = m_published.configuration();
-        log::Line{log::Event::RequestRejected}
-            .add("id", id)
-            .add("why", nameOf(rejectionNames, why))
-            .add("status", static_cast<int64_t>(status))
-            .add("config", configuration ? configuration->version : -1);
-    }
-    const auto headers = D::rejectionHeaders(why, comeBackAfter(why, Clock::now() - m_startedAt, m_options.comeBack, m_random));
-    const std::string body(nameOf(rejectionNames, why));
-    co_await ex.reply(status, body, headers, "text/plain");
-}
-
 // Tries one endpoint after the other for as long as that is allowed, there
 // is time and the service's retry budget lasts.
 template <Dialect D> Task<void> Gateway<D>::attempt(http::Exchange &ex, Flight &flight)
 {
     const Route &route = *flight.profile.route;
-    const auto affinity = affinityOf(flight.profile);
+    const bool single = !repeatable(route) && m_options.newConnectionForSingleRuns;
     for (;;) {
         const auto now = Clock::now();
         if (now >= flight.profile.answerBy) {
             flight.timedOut = true;
             break;
         }
-        if (flight.count.arrivals > 0 && !takeRetry(flight.service)) {
-            break;
-        }
-        const auto endpoint = m_table.acquire(flight.service, affinity, flight.tried, now);
+        const auto endpoint = m_table.acquire(flight.service, flight.profile.affinity, flight.tried, now);
         if (!endpoint) {
             break;
         }
         const router::PlacedRequest placed(m_table, *endpoint);
+        if (flight.count.arrivals > 0 && !takeRetry(flight.service)) {
+            break;
+        }
         flight.lastEndpoint = endpoint->id;
-        flight.home = sharesPrompt(flight.profile.prompt) ? m_table.homeOf(flight.service, affinity.conversation, "") : std::nullopt;
+        flight.home = sharesPrompt(flight.profile.prompt) ? m_table.homeOf(flight.service, flight.profile.affinity.conversation, "") : std::nullopt;
         flight.tried.insert(endpoint->id);
         ++flight.count.sends;
+        m_metrics.resumptions += flight.headSent ? 1 : 0;
         bool stale = false;
-        AttemptEnd end = co_await attemptAt(ex, flight, *endpoint, http::Reuse::Kept, stale);
+        AttemptEnd end = co_await attemptAt(ex, flight, *endpoint, single ? http::Reuse::Never : http::Reuse::Kept, stale);
         if (stale && repeatable(route) && !flight.cancellation.fired() && takeRetry(flight.service)) {
             // The kept connection was closed under the request: the endpoint itself may be well.
             end = co_await attemptAt(ex, flight, *endpoint, http::Reuse::Never, stale);
         }
+        flight.count.runs += mayHaveRun(end) ? 1 : 0;
         if (flight.cancellation.fired() || ex.callerGone()) {
+            if (end != AttemptEnd::Delivered) {
+                co_await releaseClaim(flight);
+            }
             end = AttemptEnd::CallerGone;
         }
-        flight.count.runs += mayHaveRun(end) ? 1 : 0;
         const bool again = mayTryAgain(route, end, flight.count);
         noteAttempt(flight, *endpoint, end, now, again);
         if (end == AttemptEnd::Delivered || end == AttemptEnd::CallerGone) {
@@ -260,6 +295,7 @@
 // The last answer to a request that no attempt could serve.
 template <Dialect D> Task<void> Gateway<D>::giveUp(http::Exchange &ex, Flight &flight)
 {
+    co_await releaseClaim(flight);
     if (flight.headSent) {
         account(flight, RequestEnd::Cut, 0);
         ex.drop(); // what was sent must not look complete
@@ -283,5 +319,6 @@
 } // namespace yucca::entry
 
 #include "entry/gateway_account.h"
+#include "entry/gateway_admit.h"
 #include "entry/gateway_attempt.h"
 #include "entry/gateway_place.h"
--- a/src/entry/gateway_account.h
+++ b/src/entry/gateway_account.h
@@ -12,8 +12,7 @@
     if (it != m_budgets.end()) {
         return it->second;
     }
-    const double reserve = std::max(m_options.leastRetryReserve, static_cast<double>(m_settings.retrySlack) / m_options.routersPerRetrySlack);
-    return m_budgets.try_emplace(service, m_settings.retryRatio, reserve).first->second;
+    return m_budgets.try_emplace(service, m_options.retryRatio, m_options.retryReserve).first->second;
 }
 
 // Takes one further arrival at a service from its budget.
@@ -63,10 +62,11 @@
     }
 }
 
-template <Dialect D> void Gateway<D>::applySettings(const Settings &settings)
+template <Dialect D> void Gateway<D>::setRetryLimits(double ratio, double reserve)
 {
-    m_settings = settings;
-    m_budgets.clear(); // made anew with the new ratio and slack
+    m_options.retryRatio = ratio;
+    m_options.retryReserve = reserve;
+    m_budgets.clear(); // made anew with these
 }
 
 // Counts a request's end and logs its one line.
--- a/src/entry/gateway_attempt.h
+++ b/src/entry/gateway_attempt.h
@@ -35,7 +35,7 @@
     const auto left = std::chrono::duration_cast<Millis>(flight.profile.answerBy - now);
     ForwardOptions forward{endpoint, left, flight.events.lastId(), promptHolder(flight, endpoint, now)};
     flight.holder = forward.promptHolder ? forward.promptHolder->id : "";
-    auto request = D::forwarded(ex, flight.profile, forward);
+    auto request = m_dialect.forwarded(ex, flight.profile, forward);
     const http::Address address{endpoint.host, endpoint.port};
     stale = false;
     auto opened = co_await m_client.open(address, std::move(request), options);
@@ -57,8 +57,8 @@
 // answer to another request may stand before this one's on the connection.
 template <Dialect D> Task<AttemptEnd> Gateway<D>::takeAnswer(http::Exchange &ex, Flight &flight, const Endpoint &endpoint, http::Response &response)
 {
-    constexpr int mostForeignAnswers = 3;
-    AnswerHead head = D::readHead(response, flight.profile);
+    constexpr int mostForeignAnswers = D::answersMayBeLate ? 3 : 0;
+    AnswerHead head = m_dialect.readHead(response, flight.profile);
     for (int foreign = 0; !head.ownAnswer && !head.notExecuted && !head.wrongInstance; ++foreign) {
         log::Line{log::Event::AnswerMismatched}.add("id", flight.profile.id).add("endpoint", endpoint.id);
         if (foreign == mostForeignAnswers) {
@@ -68,13 +68,16 @@
         if (failed) {
             co_return AttemptEnd::Broken;
         }
-        head = D::readHead(response, flight.profile);
+        head = m_dialect.readHead(response, flight.profile);
     }
     m_table.recovered(endpoint.id);
     flight.lastLoad = head.load;
     if (head.load >= 0) {
         m_table.reported(endpoint.id, head.load, Clock::now());
     }
+    if (head.leaving && m_table.setDraining(endpoint.id, *head.leaving)) {
+        log::Line{log::Event::Draining}.add("endpoint", endpoint.id).add("draining", *head.leaving);
+    }
     if (head.wrongInstance) {
         m_table.setDraining(endpoint.id, true);
         co_return AttemptEnd::NotExecuted;
@@ -94,16 +97,17 @@
     const bool streams = flight.profile.route->kind == RequestKind::Stream && head.status == 200;
     // GCC 12 evaluates both arms of a conditional with co_await in each.
     if (streams) {
-        co_return co_await relayStream(ex, flight, response);
+        co_return co_await relayStream(ex, flight, endpoint, response);
     }
-    co_return co_await relayWhole(ex, flight, head, response);
+    co_return co_await relayWhole(ex, flight, endpoint, head, response);
 }
 
 // Takes an answer whole before any of it goes on, so that one that breaks
 // off can still be asked for elsewhere.
-template <Dialect D> Task<AttemptEnd> Gateway<D>::relayWhole(http::Exchange &ex, Flight &flight, const AnswerHead &head, http::Response &response)
+template <Dialect D>
+Task<AttemptEnd> Gateway<D>::relayWhole(http::Exchange &ex, Flight &flight, const Endpoint &endpoint, const AnswerHead &head, http::Response &response)
 {
-    auto headers = response.endToEndHeaders();
+    auto headers = m_dialect.answerHeaders(response, flight.profile, endpoint);
     response.setDeadline(flight.profile.answerBy);
     std::string body;
     for (bool more = true; more;) {
@@ -125,17 +129,21 @@
         flight.failure = KeptAnswer{head.status, std::move(headers), std::move(body)};
         co_return AttemptEnd::EngineFailed;
     }
+    if (flight.claim) {
+        auto record = idempotency::Guard::completed(*flight.claim, head.status, body);
+        co_await settle(*flight.claim, std::move(record));
+    }
     co_await ex.reply(head.status, std::move(body), std::move(headers), "");
     co_return AttemptEnd::Delivered;
 }
 
 // Relays a stream event by event as they arrive.
-template <Dialect D> Task<AttemptEnd> Gateway<D>::relayStream(http::Exchange &ex, Flight &flight, http::Response &response)
+template <Dialect D> Task<AttemptEnd> Gateway<D>::relayStream(http::Exchange &ex, Flight &flight, const Endpoint &endpoint, http::Response &response)
 {
     const Route &route = *flight.profile.route;
     if (!flight.headSent) {
         flight.headSent = true;
-        auto headers = response.endToEndHeaders();
+        auto headers = m_dialect.answerHeaders(response, flight.profile, endpoint);
         co_await ex.beginStream(response.status(), "", std::move(headers));
     }
     const auto patience = Millis(static_cast<int64_t>(static_cast<double>(route.eventGapTarget.count()) * m_options.gapPatience));
@@ -168,9 +176,10 @@
             co_return AttemptEnd::Broken;
         }
     }
-    if (flight.events.midEvent()) {
+    const bool whole = D::streamsEndWithMark ? flight.events.complete() : !flight.events.midEvent();
+    if (!whole) {
         flight.events.runEnded();
-        co_return AttemptEnd::Broken; // it ended in the middle of an event
+        co_return AttemptEnd::Broken; // it ended early, without an error
     }
     co_await ex.endStream();
     co_return AttemptEnd::Delivered;
--- a/src/entry/gateway_place.h
+++ b/src/entry/gateway_place.h
@@ -29,13 +29,6 @@
     return ways.empty() ? std::string() : ways.back().service;
 }
 
-// Requests that share their prompt up to their own last part have one home.
-template <Dialect D> placement::Affinity Gateway<D>::affinityOf(const RequestProfile &profile) const
-{
-    const uint64_t key = sharesPrompt(profile.prompt) ? promptKey(profile.prompt) : ring::hash(profile.id);
-    return {key, key};
-}
-
 // Another endpoint that likely holds the prompt, when the one it goes to
 // likely does not: the one this router last sent it to; else the prompt's
 // home; for an endpoint that is the home because it has just joined, the
--- a/src/entry/process.h
+++ b/src/entry/process.h
@@ -37,7 +37,7 @@
         , m_table(tableOptions(settings))
         , m_published(m_table)
         , m_control(store, m_published)
-        , m_gateway(m_settings, m_published, m_table)
+        , m_gateway(GatewayParts{m_published, m_table, m_admission}, gatewayOptions(settings))
         , m_supervisor(m_controlLoop, noteFailure)
         , m_callers({&m_trafficLoop}, settings.traffic.host, settings.traffic.port,
                     [this](http::Exchange &ex) {
@@ -92,6 +92,13 @@
         options.home.loadFactor = std::min(s.loadFactor, options.home.loadFactor);
         return options;
     }
+    static GatewayOptions gatewayOptions(const Settings &s)
+    {
+        GatewayOptions options;
+        options.retryRatio = s.retryRatio;
+        options.retryReserve = retryReserve(s);
+        return options;
+    }
     static void noteFailure(const std::string &child, const std::string &error, int failures)
     {
         log::Line{log::Event::ChildFailed}.add("child", child).add("failures", int64_t{failures}).add("error", error);
@@ -166,7 +173,7 @@
         log::Line{log::Event::SettingsReloaded}.add("file", m_settingsPath);
         asio::post(m_trafficLoop, [this, fresh = std::move(fresh)] {
             m_stopGraceMs = fresh.stopGraceMs;
-            m_gateway.applySettings(fresh);
+            m_gateway.setRetryLimits(fresh.retryRatio, retryReserve(fresh));
         });
     }
 
@@ -233,6 +240,7 @@
     router::RoutingTable m_table;
     Published m_published;
     Control<C> m_control;
+    limits::Admission m_admission; ///< bounds nobody here: the platform's workspaces state no limits
     Gateway<D> m_gateway;
     Supervisor m_supervisor;
     http::Server m_callers;
--- a/src/entry/request_profile.h
+++ b/src/entry/request_profile.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "entry/configuration.h"
+#include "yucca/placement.h"
 
 #include <cstdint>
 #include <string>
@@ -36,17 +37,29 @@
     return prompt.parts[prompt.parts.size() - 2].id;
 }
 
+/// Requests that share their prompt up to their own last part belong at one
+/// endpoint; those that share nothing are spread by their ids.
+inline placement::Affinity affinityOf(const Prompt &prompt, const std::string &id)
+{
+    const uint64_t key = sharesPrompt(prompt) ? promptKey(prompt) : ring::hash(id);
+    return {key, key};
+}
+
 /// A request that may go on: who sent it, under which route, how long it has.
 struct RequestProfile {
     std::string id; ///< of this attempt of the caller's
     ConfigurationPtr configuration; ///< owns the route
     const Route *route = nullptr;
     std::string workspace; ///< empty on public routes
+    std::optional<limits::Limits> limits; ///< of the workspace
     int priority = 5; ///< 0 is the most urgent
     Clock::time_point arrived;
     Clock::time_point deadline; ///< the caller leaves
     Clock::time_point answerBy; ///< the caller leaves, or the route's timeout has passed
+    placement::Affinity affinity;
     Prompt prompt;
+    std::string idempotencyKey; ///< not empty: runs once at most over all requests of the workspace with this key
+    uint64_t contentHash = 0; ///< of what is asked for, to tell a key that is used for something else
     uint64_t resumeAfter = 0; ///< the last event that the caller has of a stream
 };
 
@@ -61,17 +74,33 @@
     NotExecuted, ///< the endpoints that were asked did not run it
     AnswerLost, ///< it may have run
     TimedOut, ///< sent, and not answered in time
+    OverLimits, ///< the workspace sends more than its limits allow
+    NotRecorded, ///< the idempotency key could not be claimed in the store
+    KeyInUse, ///< an earlier request with the key is in progress, or nobody knows its outcome
+    KeyReused, ///< the key was used for something else
 };
 
-inline constexpr NameTable<Rejection, 9> rejectionNames{{{Rejection::NotLoaded, "not_loaded"},
-                                                         {Rejection::NoRoute, "no_route"},
-                                                         {Rejection::UnknownKey, "unknown_key"},
-                                                         {Rejection::Malformed, "malformed"},
-                                                         {Rejection::Stopping, "stopping"},
-                                                         {Rejection::NoEndpoint, "no_endpoint"},
-                                                         {Rejection::NotExecuted, "not_executed"},
-                                                         {Rejection::AnswerLost, "answer_lost"},
-                                                         {Rejection::TimedOut, "timed_out"}}};
+inline constexpr NameTable<Rejection, 13> rejectionNames{{{Rejection::NotLoaded, "not_loaded"},
+                                                          {Rejection::NoRoute, "no_route"},
+                                                          {Rejection::UnknownKey, "unknown_key"},
+                                                          {Rejection::Malformed, "malformed"},
+                                                          {Rejection::Stopping, "stopping"},
+                                                          {Rejection::NoEndpoint, "no_endpoint"},
+                                                          {Rejection::NotExecuted, "not_executed"},
+                                                          {Rejection::AnswerLost, "answer_lost"},
+                                                          {Rejection::TimedOut, "timed_out"},
+                                                          {Rejection::OverLimits, "over_limits"},
+                                                          {Rejection::NotRecorded, "not_recorded"},
+                                                          {Rejection::KeyInUse, "key_in_use"},
+                                                          {Rejection::KeyReused, "key_reused"}}};
+
+/// What a rejection says of the request: it certainly did not run and never
+/// will, or it may have run.
+constexpr Outcome outcomeOf(Rejection why)
+{
+    const bool mayHaveRun = why == Rejection::AnswerLost || why == Rejection::TimedOut || why == Rejection::KeyInUse;
+    return mayHaveRun ? Outcome::Unknown : Outcome::NotRun;
+}
 
 /// The status that tells a caller of a rejection. 503 promises that the
 /// request has not run and never will; 502 and 504 promise nothing.
@@ -84,7 +113,12 @@
         return 401;
     case Rejection::Malformed:
         return 400;
+    case Rejection::OverLimits:
+        return 429;
+    case Rejection::KeyReused:
+        return 422;
     case Rejection::AnswerLost:
+    case Rejection::KeyInUse:
         return 502;
     case Rejection::TimedOut:
         return 504;
@@ -93,6 +127,14 @@
     }
 }
 
+/// An answer of the router's own, as an interface words it.
+struct RejectionAnswer {
+    unsigned status = 0;
+    http::Headers headers;
+    std::string body;
+    std::string contentType;
+};
+
 /// How a request goes to one endpoint.
 struct ForwardOptions {
     Endpoint endpoint;
@@ -108,6 +150,7 @@
     bool wrongInstance = false; ///< another endpoint has the address now
     bool ownAnswer = false; ///< bears the request's id
     bool authentic = false; ///< the endpoint's own and unaltered: signed, not encoded
+    std::optional<bool> leaving; ///< whether the endpoint says that it is about to end; absent: not told
     int64_t load = -1; ///< requests running and waiting at the endpoint; -1: not told
 };
 
--- a/src/explain.cpp
+++ b/src/explain.cpp
@@ -33,6 +33,10 @@
     {"not_executed", "every endpoint that was asked refused it before running it"},
     {"answer_lost", "it was sent and its answer was lost: it may have run, so it was not sent again"},
     {"timed_out", "it was sent and no answer came within its time: it may have run"},
+    {"over_limits", "its workspace sent more than its limits allow"},
+    {"not_recorded", "its idempotency key could not be claimed in the store, so it was not sent"},
+    {"key_in_use", "an earlier request with its idempotency key is in progress, or nobody knows whether it ran"},
+    {"key_reused", "its idempotency key was used for another request"},
 };
 
 /// What each end of an attempt means.
--- a/src/log.cpp
+++ b/src/log.cpp
@@ -21,21 +21,16 @@
 namespace
 {
 
-constexpr std::array<EventInfo, 40> catalogue{{
+constexpr std::array<EventInfo, 35> catalogue{{
     {Event::ProgramStarted, "ProgramStarted", Level::Info},
     {Event::StopRequested, "StopRequested", Level::Info},
     {Event::ProgramStopped, "ProgramStopped", Level::Info},
     {Event::SettingsRejected, "SettingsRejected", Level::Error},
-    {Event::RequestNotRun, "RequestNotRun", Level::Warn},
-    {Event::RequestOutcomeUnknown, "RequestOutcomeUnknown", Level::Warn},
-    {Event::EndpointSetChanged, "EndpointSetChanged", Level::Info},
     {Event::CatalogueApplied, "CatalogueApplied", Level::Info},
     {Event::WatchRestarted, "WatchRestarted", Level::Warn},
     {Event::PlatformUnreachable, "PlatformUnreachable", Level::Warn},
-    {Event::EndpointUnreachable, "EndpointUnreachable", Level::Warn},
     {Event::IdempotentReplay, "IdempotentReplay", Level::Info},
     {Event::CatalogueEntryRejected, "CatalogueEntryRejected", Level::Error},
-    {Event::StreamCut, "StreamCut", Level::Warn},
     {Event::AnswerMismatched, "AnswerMismatched", Level::Error},
     {Event::RecordNotSettled, "RecordNotSettled", Level::Error},
     {Event::ChildFailed, "ChildFailed", Level::Error},
--- a/src/router_control.cpp
+++ b/src/router_control.cpp
@@ -1,6 +1,7 @@
 #include "router_control.h"
 
 #include "log.h"
+#include "router_configuration.h"
 
 namespace yucca::router
 {
@@ -21,8 +22,8 @@
 
 Control::Control(const settings::RouterSettings &settings, platform::ObjectApi &api, RoutingTable &table)
     : m_settings(settings)
-    , m_table(table)
     , m_view(logRejected)
+    , m_published(table)
     , m_snapshot(std::make_shared<catalogue::Snapshot>())
 {
     FollowerOptions options;
@@ -97,13 +98,8 @@
 void Control::publish()
 {
     auto snapshot = m_view.publish();
-    std::vector<Endpoint> endpoints;
-    for (const auto &[id, endpoint] : snapshot->endpoints) {
-        endpoints.push_back(endpoint);
-    }
-    if (m_table.setEndpoints(endpoints)) {
-        log::event(log::Event::EndpointSetChanged, "endpoints=" + std::to_string(m_table.endpoints().size()));
-    }
+    m_published.put(configurationOf(*snapshot, m_settings));
+    m_published.replaceEndpoints(snapshot->endpoints);
     {
         std::lock_guard lock(m_mutex);
         m_snapshot = snapshot;
--- a/src/router_control.h
+++ b/src/router_control.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "catalogue.h"
+#include "entry/control.h"
 #include "follower.h"
 #include "object_api.h"
 #include "router_core.h"
@@ -37,6 +38,11 @@
         return m_ready.load();
     }
     std::shared_ptr<const catalogue::Snapshot> snapshot() const;
+    /// The same as the request pipeline reads it.
+    const entry::Published &published() const
+    {
+        return m_published;
+    }
 
 private:
     /// Takes the news of one kind.
@@ -60,8 +66,8 @@
     void publish();
 
     settings::RouterSettings m_settings;
-    RoutingTable &m_table;
     catalogue::View m_view;
+    entry::Published m_published;
     std::vector<std::unique_ptr<Followed>> m_followed; ///< one for each of kinds()
     std::size_t m_loaded = 0; ///< kinds that have been listed
     std::atomic<bool> m_ready{false};
--- /dev/null
+++ b/src/router_dialect.cpp
@@ -0,0 +1,174 @@
+#include "router_dialect.h"
+
+#include "prefix.h"
+#include "router_configuration.h"
+#include "text.h"
+
+namespace yucca::router
+{
+
+using json = nlohmann::json;
+
+namespace
+{
+
+/// What a caller is told of each rejection, for people.
+constexpr NameTable<entry::Rejection, 13> explanations{{
+    {entry::Rejection::NotLoaded, "the catalogue is not loaded yet"},
+    {entry::Rejection::NoRoute, "the workspace has no class of work of this kind"},
+    {entry::Rejection::UnknownKey, "unknown workspace"},
+    {entry::Rejection::Malformed, "messages required: a list of objects with role and content"},
+    {entry::Rejection::Stopping, "the router is about to end"},
+    {entry::Rejection::NoEndpoint, "no endpoint of the pool could take the request"},
+    {entry::Rejection::NotExecuted, "the endpoints that were asked did not run the request"},
+    {entry::Rejection::AnswerLost, "the endpoint's answer was lost"},
+    {entry::Rejection::TimedOut, "no answer came within the request's time"},
+    {entry::Rejection::OverLimits, "the workspace is over its limits"},
+    {entry::Rejection::NotRecorded, "the object API could not record the idempotency key"},
+    {entry::Rejection::KeyInUse, "an earlier request with this key is in progress or its outcome is unknown"},
+    {entry::Rejection::KeyReused, "this Idempotency-Key was used for a different request"},
+}};
+
+// The status of a rejection on this interface: workspaces are looked up, not
+// authenticated, and a lost answer is one thing however it was lost.
+unsigned ownStatusOf(entry::Rejection why)
+{
+    switch (why) {
+    case entry::Rejection::UnknownKey:
+        return 404;
+    case entry::Rejection::TimedOut:
+        return entry::statusOf(entry::Rejection::AnswerLost);
+    default:
+        return entry::statusOf(why);
+    }
+}
+
+// True when an endpoint's answer says that it did not run the request.
+bool notExecuted(unsigned status, const std::string &flag)
+{
+    return flag == "true" && (status == 503 || status == 429 || status == 421);
+}
+
+// Fills in what a chat's body says. Its turns return to the engine that has
+// read the conversation.
+std::optional<entry::Rejection> readChat(const http::Exchange &ex, entry::RequestProfile &p, bool &streamed)
+{
+    const json body = json::parse(ex.request().body(), nullptr, false);
+    if (!body.is_object() || !body.contains("messages") || !prefix::wellFormed(body["messages"])) {
+        return entry::Rejection::Malformed;
+    }
+    streamed = body.contains("stream") && body["stream"] == true;
+    p.affinity = prefix::affinity(p.workspace, body["messages"]);
+    return std::nullopt;
+}
+
+// Fills in what identifies an operation. Its repeats go to the same endpoint.
+void readOperation(const http::Exchange &ex, entry::RequestProfile &p)
+{
+    p.idempotencyKey = ex.header("idempotency-key");
+    p.contentHash = ring::hash(ex.path() + "\n" + ex.request().body());
+    const uint64_t spread = ring::hash(p.idempotencyKey.empty() ? p.id : p.idempotencyKey);
+    p.affinity = {spread, spread};
+}
+
+} // namespace
+
+std::string OwnDialect::requestId(const http::Exchange &ex) const
+{
+    return ex.header("x-request-id");
+}
+
+std::variant<entry::RequestProfile, entry::Rejection> OwnDialect::identify(const http::Exchange &ex, const entry::ConfigurationPtr &configuration,
+                                                                           Clock::time_point now)
+{
+    entry::RequestProfile p;
+    p.configuration = configuration;
+    p.arrived = now;
+    const auto *workspace = configuration->workspaceFor(ex.header("x-workspace"));
+    if (!workspace) {
+        return entry::Rejection::UnknownKey;
+    }
+    p.workspace = workspace->name;
+    p.limits = workspace->limits;
+    p.id = requestId(ex);
+    if (p.id.empty()) {
+        p.id = m_routerId + "-" + std::to_string(++m_requests);
+    }
+    const bool isChat = ex.path() == chatPath;
+    bool streamed = false;
+    if (isChat) {
+        const auto problem = readChat(ex, p, streamed);
+        if (problem) {
+            return *problem;
+        }
+    } else {
+        readOperation(ex, p);
+    }
+    p.route = configuration->match(workspace->workClass, isChat ? (streamed ? streamedChats : wholeChats) : serviceCalls);
+    if (!p.route) {
+        return entry::Rejection::NoRoute;
+    }
+    p.priority = p.route->priority;
+    const int64_t longest = p.route->timeout.count();
+    const int64_t patience = text::number(ex.header("x-deadline-ms")).value_or(longest);
+    p.deadline = now + Millis(std::clamp<int64_t>(patience, 1, longest));
+    p.answerBy = p.deadline;
+    return p;
+}
+
+http::Request OwnDialect::forwarded(const http::Exchange &ex, const entry::RequestProfile &profile, const entry::ForwardOptions &options) const
+{
+    http::Headers headers{{"x-request-id", profile.id},
+                          {"x-workspace", profile.workspace},
+                          {"x-priority", std::to_string(profile.priority)},
+                          {"x-deadline-ms", std::to_string(std::max<int64_t>(1, options.left.count()))}};
+    if (!profile.idempotencyKey.empty()) {
+        headers.emplace_back("idempotency-key", profile.idempotencyKey);
+    }
+    if (options.resumeAfter > 0) {
+        headers.emplace_back("last-event-id", std::to_string(options.resumeAfter));
+    }
+    const auto target = ex.request().target();
+    return http::makeRequest("POST", {target.data(), target.size()}, ex.request().body(), headers);
+}
+
+entry::AnswerHead OwnDialect::readHead(const http::Response &response, const entry::RequestProfile &profile) const
+{
+    entry::AnswerHead head;
+    head.status = response.status();
+    const std::string id = response.header("x-request-id");
+    // Plain services need not repeat the id: each has a connection to itself.
+    head.ownAnswer = id == profile.id || (id.empty() && profile.route->kind == entry::RequestKind::NonIdempotent);
+    head.notExecuted = notExecuted(head.status, response.header("x-not-executed"));
+    head.authentic = true;
+    head.load = text::number(response.header("x-engine-load")).value_or(-1);
+    const std::string draining = response.header("x-engine-draining");
+    if (!draining.empty()) {
+        head.leaving = draining == "true";
+    }
+    return head;
+}
+
+http::Headers OwnDialect::answerHeaders(const http::Response &response, const entry::RequestProfile &profile, const Endpoint &endpoint) const
+{
+    const bool events = profile.route->kind == entry::RequestKind::Stream && response.status() == 200;
+    return {{"Content-Type", events ? "text/event-stream" : "application/json"}, {"x-request-id", profile.id}, {"x-engine-id", endpoint.id}};
+}
+
+http::Headers OwnDialect::replayHeaders(const entry::RequestProfile &profile) const
+{
+    return {{"Content-Type", "application/json"}, {"x-idempotent-replay", "true"}, {"x-request-id", profile.id}};
+}
+
+entry::RejectionAnswer OwnDialect::rejection(entry::Rejection why, Millis comeBack) const
+{
+    const auto outcome = nameOf(outcomeNames, entry::outcomeOf(why));
+    const int64_t seconds = std::max<int64_t>(m_retryAfterS, std::chrono::ceil<std::chrono::seconds>(comeBack).count());
+    const char *type = entry::outcomeOf(why) == Outcome::Unknown ? "outcome_unknown" : why == entry::Rejection::Malformed ? "invalid_request_error" : "not_run";
+    const json error{{"message", nameOf(explanations, why)}, {"type", type}};
+    const json body{{"error", error}, {"outcome", outcome}, {"retry_after_s", seconds}};
+    http::Headers headers{{"Retry-After", std::to_string(seconds)}, {"x-outcome", std::string(outcome)}};
+    return {ownStatusOf(why), std::move(headers), body.dump(), "application/json"};
+}
+
+} // namespace yucca::router
--- a/src/router_traffic.cpp
+++ b/src/router_traffic.cpp
@@ -1,11 +1,37 @@
 #include "router_traffic.h"
 
-#include "log.h"
-#include "router_answers.h"
+#include <boost/asio/execution/context.hpp>
 
 namespace yucca::router
 {
 
+using json = nlohmann::json;
+
+namespace
+{
+
+constexpr Millis connectTimeout{1000}; ///< endpoints may be in another region: a SYN may be lost once
+constexpr std::size_t mostKept = 32; ///< connections kept to an endpoint; nobody states a cap here
+
+entry::GatewayOptions optionsOf(const settings::RouterSettings &settings)
+{
+    entry::GatewayOptions options;
+    options.retryRatio = settings.retryRatio;
+    options.retryReserve = static_cast<double>(settings.retryReserve);
+    options.connectTimeout = connectTimeout;
+    options.gapPatience = 1.0; // the setting is the whole pause
+    options.mostKept = mostKept;
+    options.newConnectionForSingleRuns = true;
+    return options;
+}
+
+json readiness(bool ready)
+{
+    return {{"ready", ready}};
+}
+
+} // namespace
+
 Router::Router(const settings::RouterSettings &settings, platform::ObjectApi &records, const http::ByteCounter *controlBytes,
                const http::ByteCounter *recordBytes, RoutingTable &table, const Control &control)
     : m_settings(settings)
@@ -14,19 +40,32 @@
     , m_table(table)
     , m_control(control)
     , m_guard(records, settings.id)
-    , m_retryBudget(settings.retryRatio, static_cast<double>(settings.retryReserve))
     , m_started(Clock::now())
 {
 }
 
+// The gateway of the traffic thread that runs a loop, made at its first request.
+Router::Gateway &Router::gatewayOf(const asio::any_io_executor &ex)
+{
+    auto *loop = &asio::query(ex, asio::execution::context);
+    std::lock_guard lock(m_mutex);
+    auto &gateway = m_gateways[loop];
+    if (!gateway) {
+        // Ids that the router gives must differ between its threads.
+        const std::string id = m_gateways.size() == 1 ? m_settings.id : m_settings.id + "." + std::to_string(m_gateways.size());
+        const entry::GatewayParts parts{m_control.published(), m_table, m_admission, &m_guard};
+        gateway = std::make_unique<Gateway>(parts, optionsOf(m_settings), OwnDialect(id, m_settings.retryAfterS));
+    }
+    return *gateway;
+}
+
 Task<void> Router::handle(http::Exchange &ex)
 {
     const std::string path = ex.path();
     const bool post = ex.request().method() == http::bhttp::verb::post;
-    if (post && path == chatPath) {
-        co_await chat(ex);
-    } else if (post && path.rfind(operationPrefix, 0) == 0) {
-        co_await operate(ex);
+    if (post && (path == chatPath || path.rfind(operationPrefix, 0) == 0)) {
+        const auto executor = co_await asio::this_coro::executor;
+        co_await gatewayOf(executor).handle(ex);
     } else if (path == "/healthz") {
         co_await ex.reply(200, R"({"ok":true})");
     } else if (path == "/readyz") {
@@ -39,93 +78,7 @@
     }
 }
 
-// Answers that the request was not run, and when to come back.
-Task<void> Router::notRun(http::Exchange &ex, unsigned status, std::string why, Clock::duration retryAfter)
-{
-    ++m_counters.notRun;
-    log::event(log::Event::RequestNotRun, "status=" + std::to_string(status) + " why=\"" + why + "\"");
-    const int64_t seconds = std::max(m_settings.retryAfterS, secondsUp(retryAfter));
-    const json body = refusalBody(why, "not_run", Outcome::NotRun, seconds);
-    co_await ex.reply(status, body.dump(), refusalHeaders(Outcome::NotRun, seconds));
-}
-
-// Answers that the request may have run; a retry with its key finds out.
-Task<void> Router::outcomeUnknown(http::Exchange &ex, std::string why)
-{
-    ++m_counters.unknown;
-    log::event(log::Event::RequestOutcomeUnknown, "why=\"" + why + "\"");
-    const json body = refusalBody(why, "outcome_unknown", Outcome::Unknown, m_settings.retryAfterS);
-    co_await ex.reply(502, body.dump(), refusalHeaders(Outcome::Unknown, m_settings.retryAfterS));
-}
-
-// Finds the class of work of a request's workspace and admits it under the
-// workspace's limits; answers the request itself when it may not go on.
-Task<std::optional<Router::Admitted>> Router::admit(http::Exchange &ex, EndpointKind wanted)
-{
-    Admitted a;
-    a.began = Clock::now();
-    a.workspace = ex.header("x-workspace");
-    const auto snapshot = m_control.snapshot();
-    if (!m_control.ready()) {
-        co_await notRun(ex, 503, "the catalogue is not loaded yet");
-        co_return std::nullopt;
-    }
-    const auto *workspace = snapshot->workspace(a.workspace);
-    if (!workspace) {
-        co_await notRun(ex, 404, "unknown workspace '" + a.workspace + "'");
-        co_return std::nullopt;
-    }
-    const auto *workClass = snapshot->workClass(workspace->workClass);
-    if (!workClass || workClass->kind != wanted) {
-        co_await notRun(ex, 404, "workspace '" + a.workspace + "' has no class of work of this kind");
-        co_return std::nullopt;
-    }
-    Clock::duration retryAfter{};
-    const auto verdict = m_admission.admit(a.workspace, workspace->limits, a.began, retryAfter);
-    if (verdict != limits::Verdict::Admitted) {
-        co_await notRun(ex, 429, "workspace '" + a.workspace + "' is over its limits: " + std::string(nameOf(limits::verdictNames, verdict)), retryAfter);
-        co_return std::nullopt;
-    }
-    a.slot = std::make_unique<limits::AdmissionSlot>(m_admission, a.workspace);
-    a.workClass = *workClass;
-    a.requestId = ex.header("x-request-id");
-    if (a.requestId.empty()) {
-        a.requestId = m_settings.id + "-" + std::to_string(++m_requests);
-    }
-    const int64_t longest = m_settings.requestTimeoutMs;
-    a.deadline = a.began + Millis(std::clamp<int64_t>(text::number(ex.header("x-deadline-ms")).value_or(longest), 1, longest));
-    m_retryBudget.earn();
-    co_return std::move(a);
-}
-
-// The request as it goes to an endpoint: the caller's body, and the headers
-// that tell the endpoint whose it is, how urgent, and how long it may take.
-http::Request Router::forwarded(const http::Exchange &ex, const Admitted &admitted) const
-{
-    const auto left = std::chrono::duration_cast<Millis>(admitted.deadline - Clock::now());
-    const auto target = ex.request().target();
-    http::Headers headers{{"x-request-id", admitted.requestId},
-                          {"x-workspace", admitted.workspace},
-                          {"x-priority", std::to_string(admitted.workClass.priority)},
-                          {"x-deadline-ms", std::to_string(std::max<int64_t>(1, left.count()))}};
-    return http::makeRequest("POST", {target.data(), target.size()}, ex.request().body(), headers);
-}
-
-void Router::noteFailure(const Endpoint &endpoint, const http::CallError &error)
-{
-    log::event(log::Event::EndpointUnreachable, "id=" + endpoint.id + " error=\"" + error.message + "\"");
-    if (error.stage == http::CallStage::Connect) {
-        m_table.suspect(endpoint.id, Clock::now());
-    }
-}
-
-void Router::noteServed(const Admitted &admitted)
-{
-    ++m_counters.served;
-    m_latency.add(std::chrono::duration<double, std::milli>(Clock::now() - admitted.began).count());
-}
-
-json Router::status() const
+json Router::status()
 {
     const double uptime = std::chrono::duration<double>(Clock::now() - m_started).count();
     const auto total = [](const http::ByteCounter *c) {
@@ -134,21 +87,29 @@
     const auto perSecond = [uptime](uint64_t bytes) {
         return uptime > 0 ? static_cast<double>(bytes) / uptime : 0.0;
     };
+    json threads = json::array();
+    {
+        std::lock_guard lock(m_mutex);
+        for (const auto &[loop, gateway] : m_gateways) {
+            const auto &m = gateway->metrics();
+            threads.push_back({{"served", m.ended(entry::RequestEnd::Delivered)},
+                               {"notRun", m.rejectedAs(Outcome::NotRun)},
+                               {"unknown", m.rejectedAs(Outcome::Unknown)},
+                               {"replayed", m.replays},
+                               {"retried", m.retries},
+                               {"resumed", m.resumptions},
+                               {"cut", m.ended(entry::RequestEnd::Cut)},
+                               {"abandoned", m.ended(entry::RequestEnd::CallerGone)},
+                               {"connectionsOpened", gateway->connectionsOpened()},
+                               {"latency", m.latency().toJson()}});
+        }
+    }
     const auto snapshot = m_control.snapshot();
     return {{"id", m_settings.id},
             {"policy", nameOf(policyNames, m_settings.policy)},
             {"ready", m_control.ready()},
             {"catalogueRevision", snapshot->revision},
-            {"served", m_counters.served.load()},
-            {"notRun", m_counters.notRun.load()},
-            {"unknown", m_counters.unknown.load()},
-            {"replayed", m_counters.replayed.load()},
-            {"retried", m_counters.retried.load()},
-            {"resumed", m_counters.resumed.load()},
-            {"cut", m_counters.cut.load()},
-            {"abandoned", m_counters.abandoned.load()},
-            {"connectionsOpened", m_client.connectionsOpened()},
-            {"latency", m_latency.toJson()},
+            {"threads", std::move(threads)},
             {"controlBytes", total(m_controlBytes)},
             {"uptimeS", uptime},
             {"controlBytesPerS", perSecond(total(m_controlBytes))},
--- a/tests/entry_rig.h
+++ b/tests/entry_rig.h
@@ -191,7 +191,7 @@
     explicit EntryRig(Loop &loop, std::map<std::string, std::pair<std::string, uint16_t>> endpoints, int64_t retrySlack = 1000)
         : loop(loop)
         , settings{withSlack(retrySlack)}
-        , gateway(settings, published, table)
+        , gateway(entry::GatewayParts{published, table, admission}, options(settings))
     {
         configure(entryConfiguration());
         std::map<std::string, Endpoint> listed;
@@ -246,6 +246,7 @@
     entry::Settings settings;
     router::RoutingTable table{tableOptions()};
     entry::Published published{table};
+    limits::Admission admission;
     entry::Gateway<platform::CallerDialect> gateway;
     http::Server server{{&loop.io}, "127.0.0.1", 0, [this](http::Exchange &ex) {
                             return gateway.handle(ex);
@@ -261,6 +262,13 @@
         s.retrySlack = retrySlack;
         return s;
     }
+    static entry::GatewayOptions options(const entry::Settings &settings)
+    {
+        entry::GatewayOptions o;
+        o.retryRatio = settings.retryRatio;
+        o.retryReserve = entry::retryReserve(settings);
+        return o;
+    }
     static router::TableOptions tableOptions()
     {
         router::TableOptions options;
--- a/tests/test_admission.cpp
+++ b/tests/test_admission.cpp
@@ -13,7 +13,7 @@
 {
     Clock::time_point now{std::chrono::hours(1)};
     limits::Admission admission;
-    catalogue::Limits limits{2, 4};
+    limits::Limits limits{2, 4};
     Clock::duration retryAfter{};
 
     limits::Verdict admit()
--- a/tests/test_catalogue.cpp
+++ b/tests/test_catalogue.cpp
@@ -11,7 +11,7 @@
 
 namespace
 {
-store::Object entry(const char *name, uint64_t version, const char *owner)
+store::Object object(const char *name, uint64_t version, const char *owner)
 {
     return {catalogue::workspaceKind, name, version, {{"owner", owner}, {"class", "counsel"}}};
 }
@@ -22,28 +22,28 @@
 TEST(InvariantCatalogue, ALateOlderEventNeverRevertsAnAcceptedChange)
 {
     catalogue::View v;
-    CHECK(v.apply(entry("ws-0", 5, "new"), false));
-    CHECK_FALSE(v.apply(entry("ws-0", 3, "old"), false));
+    CHECK(v.apply(object("ws-0", 5, "new"), false));
+    CHECK_FALSE(v.apply(object("ws-0", 3, "old"), false));
     STRCMP_EQUAL("new", v.state().workspace("ws-0")->owner.c_str());
 }
 
 TEST(InvariantCatalogue, ADeletionIsNotUndoneByAnOlderWrite)
 {
     catalogue::View v;
-    v.apply(entry("ws-0", 4, "a"), false);
-    v.apply(entry("ws-0", 6, "a"), true);
-    CHECK_FALSE(v.apply(entry("ws-0", 5, "b"), false));
+    v.apply(object("ws-0", 4, "a"), false);
+    v.apply(object("ws-0", 6, "a"), true);
+    CHECK_FALSE(v.apply(object("ws-0", 5, "b"), false));
     CHECK_FALSE((v.state().workspace("ws-0") != nullptr));
 }
 
 TEST(InvariantCatalogue, AListingAfterAWatchGapDropsWhatWasDeletedAndKeepsNewer)
 {
     catalogue::View v;
-    v.apply(entry("ws-0", 2, "a"), false);
-    v.apply(entry("ws-1", 3, "a"), false);
+    v.apply(object("ws-0", 2, "a"), false);
+    v.apply(object("ws-1", 3, "a"), false);
     store::Listing l;
     l.revision = 10;
-    l.items.push_back(entry("ws-1", 9, "b")); // ws-0 was deleted in the gap
+    l.items.push_back(object("ws-1", 9, "b")); // ws-0 was deleted in the gap
     v.applyListing(catalogue::workspaceKind, l);
     CHECK_FALSE((v.state().workspace("ws-0") != nullptr));
     STRCMP_EQUAL("b", v.state().workspace("ws-1")->owner.c_str());
@@ -74,7 +74,7 @@
         STRCMP_EQUAL("workspace/ws-0", entry.c_str());
         ++rejected;
     });
-    v.apply(entry("ws-0", 1, "good"), false);
+    v.apply(object("ws-0", 1, "good"), false);
     v.apply({catalogue::workspaceKind, "ws-0", 2, {{"owner", 7}}}, false);
     STRCMP_EQUAL("good", v.state().workspace("ws-0")->owner.c_str());
     LONGS_EQUAL(1, rejected);
--- a/tests/test_entry.cpp
+++ b/tests/test_entry.cpp
@@ -217,9 +217,9 @@
 TEST(EntryIdentify, WithoutAConfigurationRequestsAreToldToComeBack)
 {
     router::RoutingTable table;
-    entry::Settings settings;
     entry::Published published(table);
-    entry::Gateway<platform::CallerDialect> gateway(settings, published, table);
+    limits::Admission admission;
+    entry::Gateway<platform::CallerDialect> gateway(entry::GatewayParts{published, table, admission});
     http::Server server({&loop().io}, "127.0.0.1", 0, [&](http::Exchange &ex) {
         return gateway.handle(ex);
     });
