Watches that may lag in calm times, and fewer calls to a store that is away

Ruled out: longer watches (tried before: a lost one shows only at its end); polling with current reads (0.67 calls/s a kind, for a change in 1.5 s); a few routers that watch for all (a membership and a failure detector for what a lagging read gives).

Change: ReadPolicy decides how current a watch must be. In calm times a replica may answer; after a failed call, lost history, an answer older than another one, or news that a current watch finds waiting, all watches are current for 20 s, and one in 10 s is anyway. A follower whose calls fail pauses up to 1.6 s and is woken by the cheap question that the store answers.

--- a/emulators/local_object_api.cpp
+++ b/emulators/local_object_api.cpp
@@ -63,11 +63,15 @@
     co_return written(m_store.remove(kind, name, ifVersion));
 }
 
-Task<Result<WatchBatch>> LocalObjectApi::watch(std::string kind, uint64_t from, Millis, http::Cancellation *)
+Task<Result<WatchBatch>> LocalObjectApi::watch(std::string kind, uint64_t from, Millis, Freshness freshness, http::Cancellation *)
 {
+    currentWatches += freshness == Freshness::Current ? 1 : 0;
     if (outage) {
         co_return outageError;
     }
+    if (freshness == Freshness::MayLag && replicaAt) {
+        co_return WatchBatch{*replicaAt, {}};
+    }
     co_return m_store.since(from, {kind});
 }
 
--- a/emulators/local_object_api.h
+++ b/emulators/local_object_api.h
@@ -19,12 +19,14 @@
     Task<Result<Object>> put(std::string kind, std::string name, nlohmann::json value, std::optional<uint64_t> ifVersion) override;
     Task<Result<Object>> remove(std::string kind, std::string name, std::optional<uint64_t> ifVersion) override;
     /// Answers at once, also when nothing has changed.
-    Task<Result<WatchBatch>> watch(std::string kind, uint64_t from, Millis timeout, http::Cancellation *cancellation) override;
+    Task<Result<WatchBatch>> watch(std::string kind, uint64_t from, Millis timeout, Freshness freshness, http::Cancellation *cancellation) override;
     Task<bool> answers(std::string kind) override;
 
     bool outage = false;
     int loseAnswers = 0; ///< the next N writes take effect, then report AnswerLost
     int writes = 0; ///< writes that took effect
+    std::optional<uint64_t> replicaAt; ///< watches that may lag are answered as of this revision
+    int currentWatches = 0;
 
 private:
     Result<Object> written(Result<Object> result);
--- a/src/entry/control.h
+++ b/src/entry/control.h
@@ -119,8 +119,8 @@
         : m_api(api)
         , m_configurationSink{published}
         , m_endpointSink{published}
-        , m_configurations(api, C::configurationKind, m_configurationSink)
-        , m_endpoints(api, C::endpointKind, m_endpointSink)
+        , m_configurations(api, C::configurationKind, m_configurationSink, followerOptions())
+        , m_endpoints(api, C::endpointKind, m_endpointSink, followerOptions())
     {
     }
     Task<void> followConfiguration()
@@ -224,8 +224,16 @@
         }
     };
 
+    FollowerOptions followerOptions()
+    {
+        FollowerOptions options;
+        options.reads = &m_reads;
+        return options;
+    }
+
     platform::ObjectApi &m_api;
     bool m_stopping = false;
+    ReadPolicy m_reads;
     ConfigurationSink m_configurationSink;
     EndpointSink m_endpointSink;
     Follower<ConfigurationSink> m_configurations;
--- a/src/follower.h
+++ b/src/follower.h
@@ -3,7 +3,9 @@
 #pragma once
 
 #include "log.h"
+#include "notifier.h"
 #include "object_api.h"
+#include "read_policy.h"
 #include "task.h"
 
 #include <algorithm>
@@ -30,7 +32,10 @@
     /// is to be in force three seconds after such an event at the latest.
     Millis watchWait{2000};
     Millis firstPause{100}; ///< after a failed call; doubled by each next, up to:
-    Millis longestPause{400}; ///< a change is to be in force 2 s after the store is back
+    /// Each call is priced, those to a store that is away too. Whoever learns
+    /// sooner that it answers again calls restartWatch().
+    Millis longestPause{1600};
+    ReadPolicy *reads = nullptr; ///< of the store; null: every watch is a current one
 };
 
 /// Follows one kind until stopped.
@@ -51,18 +56,21 @@
         while (!m_stopping) {
             const bool reached = co_await step();
             if (!reached && !m_stopping) {
-                co_await sleepFor(nextPause());
+                co_await m_wake.wait(Clock::now() + nextPause());
             }
         }
     }
     void stop()
     {
         m_stopping = true;
+        m_wake.notifyAll();
     }
     /// Ends the watch that waits, if any, and starts another: it may have
-    /// been lost in an outage that is over.
+    /// been lost in an outage that is over. Ends the pause after a failed call.
     void restartWatch()
     {
+        doubt();
+        m_wake.notifyAll();
         if (m_cancellation) {
             m_cancellation->fire();
         }
@@ -91,6 +99,7 @@
             co_return false;
         }
         noteContact();
+        m_lastCurrent = Clock::now();
         const auto &listing = std::get<platform::Listing>(result);
         m_from = listing.revision;
         m_listed = true;
@@ -102,13 +111,16 @@
     {
         http::Cancellation cancellation;
         m_cancellation = &cancellation;
-        auto result = co_await m_api.watch(m_kind, m_from, m_options.watchWait, &cancellation);
+        const auto askedAt = Clock::now();
+        const auto freshness = m_options.reads ? m_options.reads->choose(m_lastCurrent, askedAt) : platform::Freshness::Current;
+        auto result = co_await m_api.watch(m_kind, m_from, m_options.watchWait, freshness, &cancellation);
         m_cancellation = nullptr;
         if (!ok(result) && cancellation.fired()) {
             co_return true;
         }
         if (!ok(result)) {
             const auto &error = std::get<Error>(result);
+            doubt();
             if (error.code == store::Gone) {
                 log::Line{log::Event::WatchRestarted}.add("kind", m_kind).add("from", static_cast<int64_t>(m_from));
                 m_listed = false;
@@ -119,8 +131,9 @@
         }
         noteContact();
         const auto &batch = std::get<platform::WatchBatch>(result);
+        noteAnswered(freshness, batch, askedAt);
         if (batch.revision < m_from) {
-            m_listed = false; // a store that went back
+            m_listed = m_listed && freshness == platform::Freshness::MayLag; // else a store that went back
             co_return true;
         }
         m_from = batch.revision;
@@ -131,6 +144,24 @@
         co_return true;
     }
 
+    void doubt()
+    {
+        if (m_options.reads) {
+            m_options.reads->doubt(Clock::now());
+        }
+    }
+
+    void noteAnswered(platform::Freshness freshness, const platform::WatchBatch &batch, Clock::time_point askedAt)
+    {
+        const auto now = Clock::now();
+        if (freshness == platform::Freshness::Current) {
+            m_lastCurrent = now;
+        }
+        if (m_options.reads) {
+            m_options.reads->answered(freshness, batch.revision, !batch.events.empty(), askedAt, now);
+        }
+    }
+
     void noteContact()
     {
         const auto now = Clock::now();
@@ -165,6 +196,7 @@
     Sink &m_sink;
     FollowerOptions m_options;
     Millis m_pause;
+    Notifier m_wake;
     std::minstd_rand m_random{std::random_device{}()};
     http::Cancellation *m_cancellation = nullptr; ///< of the watch that waits
     uint64_t m_from = 0;
@@ -172,6 +204,7 @@
     bool m_lost = false;
     bool m_stopping = false;
     Clock::time_point m_lastContact{};
+    Clock::time_point m_lastCurrent{}; ///< when the last current answer came
 };
 
 } // namespace yucca
--- a/src/object_api.h
+++ b/src/object_api.h
@@ -25,6 +25,12 @@
 /// After a watch's wait, until its answer is given up: the store answers in 4 ms, links take 1 ms.
 inline constexpr Millis watchMargin{700};
 
+/// How current an answer must be.
+enum class Freshness {
+    Current, ///< what the store holds now
+    MayLag, ///< what a replica of the store holds: cheaper, and at times seconds old
+};
+
 /// The object API. Errors use the codes of store.h: 404, 409, 410,
 /// 429 (rate limited), 503 (unavailable: the call had no effect) and
 /// 504 (answer lost: the call may have taken effect).
@@ -40,7 +46,7 @@
     virtual Task<Result<Object>> remove(std::string kind, std::string name, std::optional<uint64_t> ifVersion) = 0;
     /// Changes of a kind after revision from, waiting up to timeout for one.
     /// Fired, the cancellation ends the wait early with an error.
-    virtual Task<Result<WatchBatch>> watch(std::string kind, uint64_t from, Millis timeout, http::Cancellation *cancellation) = 0;
+    virtual Task<Result<WatchBatch>> watch(std::string kind, uint64_t from, Millis timeout, Freshness freshness, http::Cancellation *cancellation) = 0;
     /// True when the store answers calls: the cheapest question it takes.
     virtual Task<bool> answers(std::string kind) = 0;
 };
--- a/src/router_control.cpp
+++ b/src/router_control.cpp
@@ -9,7 +9,9 @@
 namespace
 {
 
-constexpr Millis longestRetryPause{2000}; ///< a change is in force within seconds of the platform's return
+/// A change is in force within seconds of the platform's return. Nothing tells
+/// sooner of it here: the calls are not priced, so followers ask for themselves.
+constexpr Millis longestRetryPause{2000};
 
 void logRejected(const std::string &entry, const Findings &findings)
 {
