A model of a whole deployment: yucca-sim play

Change: emulators/model plays a scenario (JSON with comments, checked) in virtual time with the product's own decisions: RoutingTable and its policies, PromptHolders, RetryBudget, OutlierDetector, mayTryAgain, comeBackAfter. Engines batch continuously, read prompts in chunks and cache parts; plain endpoints have slots and a queue.

Not in the model: releases, joins, hot keys by the share of a tenant, processor time of routers.

--- /dev/null
+++ b/emulators/model/fleet.cpp
@@ -0,0 +1,536 @@
+#include "model/fleet.h"
+
+#include "yucca/ring.h"
+
+#include <boost/random/exponential_distribution.hpp>
+#include <boost/random/lognormal_distribution.hpp>
+#include <boost/random/random_number_generator.hpp>
+#include <boost/random/uniform_01.hpp>
+
+#include <algorithm>
+#include <cmath>
+
+namespace yucca::model
+{
+
+namespace
+{
+
+constexpr double boundSlack = 3; ///< requests: the users' bound on a member's load is their multiple of the mean, plus three
+constexpr Ms sampleEvery = 100;
+constexpr Ms sharedAfter = 0.5; ///< a datagram within a failure domain, and its reading
+constexpr Ms windowMs = 2000; ///< of credit
+constexpr std::size_t boundWindowS = 5;
+constexpr Ms refusedConnectMs = 1; ///< until a dead member's port answers a SYN with a reset
+constexpr double retriesPerSlack = 100; ///< as entry::retryReserve() shares the slack
+constexpr Ms longestWait = 1.0 / 3; ///< of the time left that a caller waits when told to come back
+
+std::string memberName(const std::string &pool, std::size_t member)
+{
+    return pool + "-" + std::to_string(member);
+}
+
+// Adds to the bin of a time, growing the list as needed.
+template <typename T> void addAt(std::vector<T> &bins, Ms at, Ms width, T amount)
+{
+    const auto bin = static_cast<std::size_t>(at / width);
+    if (bins.size() <= bin) {
+        bins.resize(bin + 1);
+    }
+    bins[bin] += amount;
+}
+
+// The largest share of arrivals over the bound in any window.
+double worstWindowOf(const PoolOutcome &pool)
+{
+    double worst = 0;
+    for (std::size_t from = 0; from + boundWindowS <= pool.arrivalsAt.size(); ++from) {
+        int64_t arrivals = 0;
+        int64_t over = 0;
+        for (std::size_t s = from; s < from + boundWindowS; ++s) {
+            arrivals += pool.arrivalsAt[s];
+            over += s < pool.overBoundAt.size() ? pool.overBoundAt[s] : 0;
+        }
+        worst = arrivals > 0 ? std::max(worst, static_cast<double>(over) / static_cast<double>(arrivals)) : worst;
+    }
+    return worst;
+}
+
+entry::Route routeOf(const KindModel &kind)
+{
+    entry::Route route;
+    route.name = kind.name;
+    route.kind = kind.kind;
+    route.resumable = kind.resumable;
+    route.maxAttempts = static_cast<int>(kind.maxAttempts);
+    route.timeout = Millis(kind.timeoutMs);
+    route.targetLatency = Millis(kind.targetMs);
+    return route;
+}
+
+} // namespace
+
+Fleet::Fleet(const Scenario &scenario, const router::TableOptions &table)
+    : m_scenario(scenario)
+    , m_random(static_cast<uint64_t>(scenario.seed))
+{
+    for (int64_t i = 0; i < scenario.routers; ++i) {
+        m_routers.push_back(std::make_unique<Router>(table));
+    }
+    makePools();
+    makeSources();
+}
+
+// Virtual time as the decisions see it: well after the epoch, which means "never" to them.
+Clock::time_point Fleet::timeOf(Ms ms)
+{
+    return Clock::time_point(std::chrono::hours(1)) + std::chrono::duration_cast<Clock::duration>(std::chrono::duration<double, std::milli>(ms));
+}
+
+void Fleet::schedule(Ms at, std::function<void(Ms)> action)
+{
+    m_events.push({at, m_order++, std::move(action)});
+}
+
+double Fleet::unit()
+{
+    return boost::random::uniform_01<double>()(m_random);
+}
+
+// A lognormal figure with a mean, and a spread of its logarithm.
+double Fleet::spread(double mean, double sigma)
+{
+    return boost::random::lognormal_distribution<double>(std::log(mean) - sigma * sigma / 2, sigma)(m_random);
+}
+
+void Fleet::makePools()
+{
+    std::vector<Endpoint> listed;
+    for (const auto &model : m_scenario.pools) {
+        auto &pool = m_pools[model.name];
+        pool.model = m_scenario.pool(model.name);
+        for (std::size_t i = 0; i < static_cast<std::size_t>(model.members); ++i) {
+            const double slowness = i % 3 == 2 ? model.slowest : 1.0;
+            const auto scheduler = [this](Ms at, std::function<void(Ms)> action) {
+                schedule(at, std::move(action));
+            };
+            pool.members.push_back(std::make_unique<Member>(*pool.model, slowness, scheduler, pool.partsRead, pool.counts));
+            Endpoint e;
+            e.id = memberName(model.name, i);
+            e.port = static_cast<uint16_t>(i);
+            e.pool = model.name;
+            e.kind = model.engines ? EndpointKind::Engine : EndpointKind::Service;
+            listed.push_back(std::move(e));
+        }
+        pool.down.assign(pool.members.size(), false);
+    }
+    for (const auto &router : m_routers) {
+        router->table.setEndpoints(listed, timeOf(0));
+    }
+}
+
+void Fleet::makeSources()
+{
+    for (const auto &kind : m_scenario.kinds) {
+        Source source;
+        source.kind = &kind;
+        source.route = routeOf(kind);
+        for (int64_t i = 0; i < kind.sharedParts; ++i) {
+            const uint64_t id = ring::hash(kind.name + "/shared/" + std::to_string(i), static_cast<uint64_t>(m_scenario.seed));
+            source.sharedParts.push_back({id, std::max<int64_t>(1, static_cast<int64_t>(spread(kind.sharedTokens, 0.4)))});
+        }
+        double sum = 0;
+        for (int64_t i = 0; i < kind.sessions; ++i) {
+            sum += std::pow(static_cast<double>(i + 1), -kind.sessionSkew);
+            source.popularity.push_back(sum);
+            const uint64_t id = ring::hash(kind.name + "/session/" + std::to_string(i), static_cast<uint64_t>(m_scenario.seed));
+            source.sessionParts.push_back({id, std::max<int64_t>(1, static_cast<int64_t>(spread(kind.sessionTokens, kind.sessionSpread)))});
+            source.sharedPartOf.push_back(m_random() % source.sharedParts.size());
+        }
+        m_sources.push_back(std::move(source));
+    }
+}
+
+Outcome Fleet::play()
+{
+    for (std::size_t i = 0; i < m_sources.size(); ++i) {
+        schedule(0, [this, i](Ms now) {
+            arrive(i, now);
+        });
+    }
+    for (std::size_t i = 0; i < m_routers.size() && m_scenario.shareEveryMs > 0; ++i) {
+        schedule(unit() * static_cast<double>(m_scenario.shareEveryMs), [this, i](Ms now) {
+            shareLoads(i, now);
+        });
+    }
+    for (const auto &c : m_scenario.crashes) {
+        schedule(c.atS * 1000, [this, c](Ms now) {
+            crash(c, now);
+        });
+    }
+    std::function<void(Ms)> sample = [this, &sample](Ms now) {
+        for (auto &[name, pool] : m_pools) {
+            int64_t total = 0;
+            int64_t most = 0;
+            for (const auto &member : pool.members) {
+                total += member->load();
+                most = std::max(most, member->load());
+            }
+            const double mean = static_cast<double>(total) / static_cast<double>(pool.members.size());
+            auto &worst = m_outcome.pools[name].worstSkew;
+            worst = mean >= 1 ? std::max(worst, static_cast<double>(most) / mean) : worst;
+        }
+        if (now < m_scenario.seconds * 1000) {
+            schedule(now + sampleEvery, sample);
+        }
+    };
+    schedule(sampleEvery, sample);
+    // Requests come until the day's end; the last ones are played to theirs.
+    while (!m_events.empty()) {
+        const Event event = m_events.top();
+        m_events.pop();
+        event.action(event.at);
+    }
+    for (auto &[name, pool] : m_pools) {
+        auto &out = m_outcome.pools[name];
+        out.turnedAway = pool.counts.turnedAway;
+        out.tokensRead = pool.counts.tokensRead;
+        out.tokensFound = pool.counts.tokensFound;
+        out.sharedReadAgain = pool.counts.sharedReadAgain;
+        out.tokensFetched = pool.counts.tokensFetched;
+        out.worstWindow = worstWindowOf(out);
+    }
+    return m_outcome;
+}
+
+// How many times the usual rate a kind has now.
+double Fleet::rateFactor(const KindModel &kind, Ms now) const
+{
+    double factor = m_scenario.rate;
+    for (const auto &s : m_scenario.surges) {
+        const bool in = now >= s.atS * 1000 && now < (s.atS + s.forS) * 1000;
+        factor *= in && (s.kind.empty() || s.kind == kind.name) ? s.factor : 1;
+    }
+    return factor;
+}
+
+std::size_t Fleet::drawSession(const Source &source, Ms now)
+{
+    for (const auto &s : m_scenario.surges) {
+        const bool in = now >= s.atS * 1000 && now < (s.atS + s.forS) * 1000;
+        if (in && s.kind == source.kind->name && unit() < s.hotShare) {
+            return 0;
+        }
+    }
+    const double at = unit() * source.popularity.back();
+    return static_cast<std::size_t>(std::upper_bound(source.popularity.begin(), source.popularity.end(), at) - source.popularity.begin());
+}
+
+// One request of a kind, and the time of the next.
+void Fleet::arrive(std::size_t sourceAt, Ms now)
+{
+    if (now >= m_scenario.seconds * 1000) {
+        return;
+    }
+    Source &source = m_sources[sourceAt];
+    const KindModel &kind = *source.kind;
+    const double perMs = kind.perS * rateFactor(kind, now) / 1000;
+    const Ms gap = perMs > 0 ? boost::random::exponential_distribution<double>(perMs)(m_random) : sampleEvery;
+    schedule(now + gap, [this, sourceAt](Ms at) {
+        arrive(sourceAt, at);
+    });
+    if (perMs <= 0) {
+        return;
+    }
+    auto request = std::make_shared<Request>();
+    request->source = &source;
+    request->sentAt = now;
+    request->deadline = now + static_cast<double>(kind.timeoutMs);
+    if (m_scenario.pool(kind.pool)->engines) {
+        const std::size_t session = drawSession(source, now);
+        const auto own = std::max<int64_t>(1, static_cast<int64_t>(spread(kind.ownTokens, kind.ownSpread)));
+        request->parts = {source.sharedParts[source.sharedPartOf[session]], source.sessionParts[session], {m_random(), own}};
+        const double events = std::max(1.0, spread(kind.events, kind.eventsSpread));
+        request->tokensToMake = std::max<int64_t>(1, static_cast<int64_t>(events * static_cast<double>(m_scenario.pool(kind.pool)->tokensPerEvent)));
+    } else {
+        request->plainMs = spread(kind.workMs, kind.workSpread);
+    }
+    auto &k = m_outcome.kinds[kind.name];
+    ++k.offered;
+    k.owed += kind.worth;
+    addAt(m_outcome.owedAt, now, windowMs, kind.worth);
+    send(request, now);
+}
+
+// A caller's attempt: at a router that the balancer picks.
+void Fleet::send(const RequestPtr &request, Ms now)
+{
+    auto flight = std::make_shared<Flight>();
+    flight->request = request;
+    flight->router = m_random() % m_routers.size();
+    const uint64_t key = request->parts.empty() ? m_random() : request->parts[1].id;
+    flight->affinity = {key, key};
+    const std::string &pool = request->source->kind->pool;
+    auto &budgets = m_routers[flight->router]->budgets;
+    const double reserve = std::max(2.0, static_cast<double>(m_scenario.retrySlack) / retriesPerSlack);
+    budgets.try_emplace(pool, m_scenario.retryRatio, reserve).first->second.earn();
+    schedule(now + m_scenario.callerMs, [this, flight](Ms at) {
+        attempt(flight, at);
+    });
+}
+
+std::size_t Fleet::memberOf(const Endpoint &endpoint) const
+{
+    return endpoint.port;
+}
+
+double Fleet::oneWay(std::size_t router, std::size_t member) const
+{
+    const auto domains = static_cast<std::size_t>(m_scenario.failureDomains);
+    return router % domains == member % domains ? 0.2 : m_scenario.crossDomainMs;
+}
+
+void Fleet::attempt(const FlightPtr &flight, Ms now)
+{
+    Router &router = *m_routers[flight->router];
+    const auto &request = *flight->request;
+    const std::string &pool = request.source->kind->pool;
+    if (now >= request.deadline) {
+        finish(flight, false, false, now);
+        return;
+    }
+    const auto at = timeOf(now);
+    const auto endpoint = router.table.acquire(pool, flight->affinity, flight->tried, at);
+    if (!endpoint) {
+        refuse(flight, now);
+        return;
+    }
+    if (flight->count.arrivals > 0) {
+        if (!router.budgets.at(pool).spend()) {
+            router.table.release(endpoint->id, at);
+            refuse(flight, now);
+            return;
+        }
+        ++m_outcome.retries;
+    }
+    flight->tried.insert(endpoint->id);
+    ++flight->count.sends;
+    std::optional<Endpoint> holder;
+    if (!request.parts.empty()) {
+        const uint64_t prompt = flight->affinity.conversation;
+        const auto home = router.table.homeOf(pool, prompt, "");
+        holder = entry::holderBeside(*endpoint, pool, prompt, router.holders, router.table, home, at);
+    }
+    const std::size_t member = memberOf(*endpoint);
+    schedule(now + oneWay(flight->router, member), [this, flight, e = *endpoint, member, holder](Ms reachedAt) {
+        reach(flight, e, member, reachedAt, holder);
+    });
+}
+
+// Counts a request that reaches a member, and whether that one is over the bound.
+void Fleet::noteArrival(Pool &pool, std::size_t member, Ms now)
+{
+    int64_t total = 0;
+    int64_t up = 0;
+    for (std::size_t i = 0; i < pool.members.size(); ++i) {
+        total += pool.down[i] ? 0 : pool.members[i]->load();
+        up += pool.down[i] ? 0 : 1;
+    }
+    const double mean = static_cast<double>(total) / static_cast<double>(std::max<int64_t>(1, up));
+    const bool over = static_cast<double>(pool.members[member]->load()) > m_scenario.loadFactor * mean + boundSlack;
+    auto &out = m_outcome.pools[pool.model->name];
+    ++out.arrivals;
+    out.overBound += over ? 1 : 0;
+    addAt<int64_t>(out.arrivalsAt, now, 1000, 1);
+    addAt<int64_t>(out.overBoundAt, now, 1000, over ? 1 : 0);
+}
+
+// A request reaches a member: it is turned away, or works until it is done
+// or its time is up.
+void Fleet::reach(const FlightPtr &flight, const Endpoint &endpoint, std::size_t memberAt, Ms now, const std::optional<Endpoint> &holder)
+{
+    auto &request = *flight->request;
+    const KindModel &kind = *request.source->kind;
+    Pool &pool = m_pools.at(kind.pool);
+    const double back = oneWay(flight->router, memberAt);
+    if (pool.down[memberAt]) {
+        schedule(now + back + refusedConnectMs, [this, flight, endpoint](Ms at) {
+            m_routers[flight->router]->table.suspect(endpoint.id, timeOf(at));
+            ended(flight, endpoint, entry::AttemptEnd::Unreached, at);
+        });
+        return;
+    }
+    Member &member = *pool.members[memberAt];
+    noteArrival(pool, memberAt, now);
+    ++flight->count.arrivals;
+    if (holder) {
+        member.fetch(*pool.members[memberOf(*holder)], {request.parts.begin(), request.parts.end() - 1});
+    }
+    const uint64_t id = m_nextId++;
+    auto over = std::make_shared<bool>(false);
+    Work work;
+    work.id = id;
+    work.priority = static_cast<int>(kind.priority);
+    work.parts = request.parts;
+    work.tokensToMake = request.tokensToMake;
+    work.plainMs = request.plainMs;
+    const bool fails = kind.failing > 0 && unit() < kind.failing;
+    work.onTokens = [this, flight, endpoint, &member, back, over, fails](Ms madeAt, int64_t, bool done) {
+        const int64_t load = member.reportedLoad(madeAt);
+        schedule(madeAt + back, [this, flight, endpoint, over, load, done, fails](Ms at) {
+            if (*over) {
+                return;
+            }
+            auto &router = *m_routers[flight->router];
+            if (flight->firstAt < 0) {
+                flight->firstAt = at;
+                router.table.reported(endpoint.id, load, timeOf(at));
+                router.table.recovered(endpoint.id);
+                if (!flight->request->parts.empty()) {
+                    router.holders.note(flight->affinity.conversation, endpoint, timeOf(at));
+                }
+            }
+            if (done) {
+                *over = true;
+                ended(flight, endpoint, fails ? entry::AttemptEnd::EngineFailed : entry::AttemptEnd::Delivered, at);
+            }
+        });
+    };
+    if (!member.take(std::move(work), now)) {
+        const int64_t load = member.reportedLoad(now);
+        schedule(now + back, [this, flight, endpoint, load](Ms at) {
+            m_routers[flight->router]->table.reported(endpoint.id, load, timeOf(at));
+            ended(flight, endpoint, entry::AttemptEnd::NotExecuted, at);
+        });
+        return;
+    }
+    schedule(std::max(now, request.deadline), [this, flight, endpoint, &member, id, over](Ms at) {
+        if (!*over) {
+            *over = true;
+            member.cancel(id);
+            ended(flight, endpoint, entry::AttemptEnd::Silent, at);
+        }
+    });
+    // A member that crashes breaks off what it has in hand.
+    for (const auto &c : m_scenario.crashes) {
+        const Ms crashAt = c.atS * 1000;
+        if (c.pool == kind.pool && crashAt > now) {
+            schedule(crashAt + back, [this, flight, endpoint, &pool, memberAt, over](Ms at) {
+                if (!*over && pool.down[memberAt]) {
+                    *over = true;
+                    ended(flight, endpoint, entry::AttemptEnd::Broken, at);
+                }
+            });
+        }
+    }
+}
+
+// An attempt is over: what the router learns of it, and what follows.
+void Fleet::ended(const FlightPtr &flight, const Endpoint &endpoint, entry::AttemptEnd end, Ms now)
+{
+    Router &router = *m_routers[flight->router];
+    const auto at = timeOf(now);
+    const std::string &pool = flight->request->source->kind->pool;
+    router.table.release(endpoint.id, at);
+    const auto ejection = router.outliers[pool].record(endpoint.id, end != entry::AttemptEnd::Delivered, router.table.poolSize(pool), at);
+    if (ejection) {
+        router.table.eject(endpoint.id, ejection->until);
+    }
+    flight->count.runs += entry::mayHaveRun(end) ? 1 : 0;
+    if (end == entry::AttemptEnd::Delivered) {
+        finish(flight, true, false, now);
+    } else if (entry::mayTryAgain(flight->request->source->route, end, flight->count)) {
+        attempt(flight, now);
+    } else if (flight->count.runs > 0) {
+        finish(flight, false, false, now);
+    } else {
+        refuse(flight, now);
+    }
+}
+
+// The router gives up; a caller whose request did not run comes back when it is told to.
+void Fleet::refuse(const FlightPtr &flight, Ms now)
+{
+    auto &request = *flight->request;
+    if (flight->count.runs > 0 || request.callerRetries == 0) {
+        finish(flight, false, flight->count.runs == 0, now);
+        return;
+    }
+    const auto why = flight->count.arrivals > 0 ? entry::Rejection::NotExecuted : entry::Rejection::NoEndpoint;
+    const auto wait = entry::comeBackAfter(why, std::chrono::hours(1), m_comeBack, m_random);
+    const Ms back = std::min(static_cast<double>(wait.count()), (request.deadline - now) * longestWait);
+    --request.callerRetries;
+    schedule(now + std::max(0.0, back) + m_scenario.callerMs, [this, sent = flight->request](Ms at) {
+        send(sent, at);
+    });
+}
+
+void Fleet::finish(const FlightPtr &flight, bool served, bool refused, Ms now)
+{
+    auto &request = *flight->request;
+    const KindModel &kind = *request.source->kind;
+    auto &out = m_outcome.kinds[kind.name];
+    if (request.ended) {
+        return;
+    }
+    request.ended = true;
+    if (!served) {
+        ++(refused ? out.refused : out.failed);
+        return;
+    }
+    const Ms first = (flight->firstAt < 0 ? now : flight->firstAt) + m_scenario.callerMs - request.sentAt;
+    const bool onTime = first <= static_cast<double>(kind.targetMs);
+    ++(onTime ? out.onTime : out.late);
+    const double worth = onTime ? kind.worth : kind.lateWorth;
+    out.earned += worth;
+    addAt(m_outcome.earnedAt, request.sentAt, windowMs, worth);
+    out.firstMs(first);
+}
+
+// Tells some routers of the same failure domain the loads heard since the last round.
+void Fleet::shareLoads(std::size_t router, Ms now)
+{
+    const auto domains = static_cast<std::size_t>(m_scenario.failureDomains);
+    const auto reports = m_routers[router]->table.heardSince(timeOf(m_routers[router]->toldUpTo));
+    m_routers[router]->toldUpTo = now;
+    std::vector<std::size_t> peers;
+    for (std::size_t i = router % domains; i < m_routers.size(); i += domains) {
+        if (i != router) {
+            peers.push_back(i);
+        }
+    }
+    boost::random::random_number_generator<decltype(m_random)> draw(m_random);
+    for (std::size_t i = peers.size(); i > 1; --i) {
+        std::swap(peers[i - 1], peers[static_cast<std::size_t>(draw(static_cast<long>(i)))]);
+    }
+    peers.resize(std::min(peers.size(), static_cast<std::size_t>(m_scenario.sharePeers)));
+    schedule(now + sharedAfter, [this, peers, reports](Ms) {
+        for (const std::size_t peer : peers) {
+            for (const auto &report : reports) {
+                m_routers[peer]->table.toldOf(report);
+            }
+        }
+    });
+    if (now < m_scenario.seconds * 1000) {
+        schedule(now + static_cast<double>(m_scenario.shareEveryMs), [this, router](Ms at) {
+            shareLoads(router, at);
+        });
+    }
+}
+
+void Fleet::crash(const Crash &crash, Ms now)
+{
+    Pool &pool = m_pools.at(crash.pool);
+    const auto count = static_cast<std::size_t>(std::ceil(crash.share * static_cast<double>(pool.members.size())));
+    const std::size_t first = m_random() % pool.members.size();
+    for (std::size_t i = 0; i < count; ++i) {
+        const std::size_t at = (first + i) % pool.members.size();
+        pool.down[at] = true;
+        pool.members[at]->crash();
+        schedule(now + crash.forS * 1000, [&pool, at](Ms) {
+            pool.down[at] = false;
+        });
+    }
+}
+
+} // namespace yucca::model
--- a/emulators/sim_main.cpp
+++ b/emulators/sim_main.cpp
@@ -1,6 +1,8 @@
 // yucca-sim: the model of a fleet. Its bench plays returning conversations
-// through every placement policy and prints a signature of the decisions.
+// through every placement policy and prints a signature of the decisions;
+// play plays a day of a whole deployment.
 #include "bench.h"
+#include "model/play.h"
 
 #include <cstdio>
 #include <cstring>
@@ -10,6 +12,9 @@
     if (argc >= 2 && std::strcmp(argv[1], "bench") == 0) {
         return yucca::bench::run(argc - 1, argv + 1);
     }
-    std::fprintf(stderr, "usage: yucca-sim bench [--help]\n");
+    if (argc >= 2 && std::strcmp(argv[1], "play") == 0) {
+        return yucca::model::runPlay(argc - 1, argv + 1);
+    }
+    std::fprintf(stderr, "usage: yucca-sim bench [--help] | play SCENARIO [--help]\n");
     return 2;
 }
