A router out of touch does not call what it lacks unknown

Ruled out: serving keys that are unknown (nobody has allowed them); handing the configuration from router to router (would serve them as well; open, a second source of the configuration has to be proved first).

Test: EntryIdentify.WhatARouterOutOfTouchDoesNotKnowMayBeNew (without the change its second half gets 401 and 404).

--- a/src/entry/come_back.h
+++ b/src/entry/come_back.h
@@ -23,7 +23,7 @@
 template <typename Random> Millis comeBackAfter(Rejection why, Clock::duration sinceStart, const ComeBackOptions &options, Random &random)
 {
     Millis wait = options.capacity;
-    if (why == Rejection::Stopping) {
+    if (why == Rejection::Stopping || why == Rejection::OutOfDate) {
         wait = options.elsewhere;
     } else if (why == Rejection::NoEndpoint) {
         wait = options.membership;
--- a/src/entry/gateway.h
+++ b/src/entry/gateway.h
@@ -74,6 +74,10 @@
 struct GatewayOptions {
     double retryRatio = 0.2; ///< further arrivals that a service may get, per request of this router
     double retryReserve = 2; ///< and on top of that
+    /// A router that has not heard of the store for so long may lack the newest
+    /// routes and keys: one watch of 2 s, its margin and a change's way. Zero: it
+    /// always knows.
+    Millis outOfDateAfter{3000};
     Millis connectTimeout{300}; ///< an endpoint answers a SYN in about 2 ms; a full backlog drops it for seconds
     double silencePatience = 1.0; ///< of a route's target latency, until a repeatable request goes elsewhere
     double gapPatience = 2.0; ///< of a route's event gap target, until a resumable stream goes elsewhere
@@ -162,6 +166,7 @@
     };
 
     std::variant<RequestProfile, Rejection> identify(const http::Exchange &ex, Clock::time_point now);
+    bool outOfDate(Clock::time_point now) const;
     std::optional<Millis> overLimits(const RequestProfile &profile, Clock::time_point now, std::optional<limits::AdmissionSlot> &slot);
     Task<bool> claimKey(http::Exchange &ex, Flight &flight);
     Task<void> settle(idempotency::Claim claim, nlohmann::json record);
--- a/src/entry/gateway_admit.h
+++ b/src/entry/gateway_admit.h
@@ -20,7 +20,18 @@
     if (!m_published.ready()) {
         return Rejection::NotLoaded;
     }
-    return m_dialect.identify(ex, m_published.configuration(), now);
+    auto identified = m_dialect.identify(ex, m_published.configuration(), now);
+    const auto *why = std::get_if<Rejection>(&identified);
+    // "Unknown" is final for a caller; another router may know better.
+    if (why && (*why == Rejection::UnknownKey || *why == Rejection::NoRoute) && outOfDate(now)) {
+        return Rejection::OutOfDate;
+    }
+    return identified;
+}
+
+template <Dialect D> bool Gateway<D>::outOfDate(Clock::time_point now) const
+{
+    return m_options.outOfDateAfter > Millis(0) && now - m_published.lastContact() > m_options.outOfDateAfter;
 }
 
 // Counts a request against its workspace's limits, until the slot ends; when
--- a/src/entry/request_profile.h
+++ b/src/entry/request_profile.h
@@ -66,6 +66,7 @@
 /// Why a request was answered by the router itself.
 enum class Rejection {
     NotLoaded, ///< no configuration is known yet
+    OutOfDate, ///< its route or key is unknown here, but the store has been silent: it may be new
     NoRoute,
     UnknownKey,
     Malformed,
@@ -80,7 +81,8 @@
     KeyReused, ///< the key was used for something else
 };
 
-inline constexpr NameTable<Rejection, 13> rejectionNames{{{Rejection::NotLoaded, "not_loaded"},
+inline constexpr NameTable<Rejection, 14> rejectionNames{{{Rejection::NotLoaded, "not_loaded"},
+                                                          {Rejection::OutOfDate, "out_of_date"},
                                                           {Rejection::NoRoute, "no_route"},
                                                           {Rejection::UnknownKey, "unknown_key"},
                                                           {Rejection::Malformed, "malformed"},
--- a/src/explain.cpp
+++ b/src/explain.cpp
@@ -25,6 +25,7 @@
 /// What each reason for a router's own answer means.
 const std::map<std::string, std::string> rejectionCauses{
     {"not_loaded", "the router had just started and knew no configuration yet; the caller was told to come back"},
+    {"out_of_date", "its route or key is unknown to a router that could not reach the store and may not know the newest configuration"},
     {"no_route", "no route of the configuration in force matches its host and path"},
     {"unknown_key", "its API key is in no workspace of the configuration in force"},
     {"malformed", "it lacks a request id of its own"},
--- a/src/router_dialect.cpp
+++ b/src/router_dialect.cpp
@@ -13,8 +13,9 @@
 {
 
 /// What a caller is told of each rejection, for people.
-constexpr NameTable<entry::Rejection, 13> explanations{{
+constexpr NameTable<entry::Rejection, 14> explanations{{
     {entry::Rejection::NotLoaded, "the catalogue is not loaded yet"},
+    {entry::Rejection::OutOfDate, "the router does not know the workspace, and has not heard of the store for a while"},
     {entry::Rejection::NoRoute, "the workspace has no class of work of this kind"},
     {entry::Rejection::UnknownKey, "unknown workspace"},
     {entry::Rejection::Malformed, "messages required: a list of objects with role and content"},
--- a/tests/entry_rig.h
+++ b/tests/entry_rig.h
@@ -199,6 +199,7 @@
             listed.emplace(id, endpointAt(id, place.second, place.first, EndpointKind::Service));
         }
         published.replaceEndpoints(listed);
+        published.noteContact(Clock::now());
         port = std::get<uint16_t>(server.start());
     }
 
--- a/tests/test_entry.cpp
+++ b/tests/test_entry.cpp
@@ -214,6 +214,24 @@
     LONGS_EQUAL(401, rig.reply("POST", "/book/1", "a3").status);
 }
 
+TEST(EntryIdentify, WhatARouterOutOfTouchDoesNotKnowMayBeNew)
+{
+    EntryRig rig(loop(), {});
+    const auto unknownKey = [&](const std::string &id) {
+        http::Headers headers{{"Host", "h.example"}, {"Yuccasaddle-Attempt-Id", id}, {"X-Api-Key", "key-new"}};
+        return std::get<http::Reply>(loop().run(rig.send("GET", "/remind/1", headers, "")));
+    };
+    LONGS_EQUAL(401, unknownKey("a1").status);
+    LONGS_EQUAL(404, rig.reply("GET", "/nowhere/", "a2").status);
+    rig.published.noteContact(Clock::now() - std::chrono::seconds(4));
+    const auto asked = unknownKey("a3");
+    LONGS_EQUAL(503, asked.status);
+    CHECK(!asked.header("Retry-After").empty());
+    LONGS_EQUAL(503, rig.reply("GET", "/nowhere/", "a4").status);
+    rig.published.noteContact(Clock::now());
+    LONGS_EQUAL(401, unknownKey("a5").status);
+}
+
 TEST(EntryIdentify, WithoutAConfigurationRequestsAreToldToComeBack)
 {
     router::RoutingTable table;
