Man pages, queueing weighed in the model, decoders fuzzed, a large file split

Test: Model.SurgesOfTheSheetsAreBorneByTheEndpointsOwnQueues.

Conclusion: a queue in the router is not taken; where it would go is named.

--- a/emulators/experiment.cpp
+++ b/emulators/experiment.cpp
@@ -1,4 +1,5 @@
 #include "experiment.h"
+#include "experiment_calls.h"
 
 #include "engine_core.h"
 #include "prefix.h"
@@ -14,17 +15,9 @@
 namespace
 {
 
-constexpr int largeWorkspaces = 3; ///< the few large workspaces
 constexpr int largePercent = 60; ///< of the conversations
-constexpr int surgePauseDivisor = 4;
 constexpr int callerTries = 4; ///< a caller asks again after a not-run answer
 constexpr int questionTokens = 24;
-constexpr Millis callerTimeout{30000};
-constexpr Millis probeTimeout{2000};
-constexpr Millis pollInterval{20};
-constexpr Millis sampleInterval{200};
-constexpr Millis churnAway{1500}; ///< an engine that leaves comes back empty after this
-constexpr Millis drainAllowance{3000}; ///< "a few seconds": later arrivals at a draining engine are counted
 constexpr std::size_t problemsKept = 10;
 constexpr int histogramBins = 2000;
 
@@ -38,28 +31,6 @@
     return out;
 }
 
-// The quantile q of a histogram, by the upper edge of the bin that reaches it.
-double quantile(const Histogram &h, double q)
-{
-    const double total = boost::histogram::algorithm::sum(h);
-    double seen = 0;
-    for (auto &&bin : boost::histogram::indexed(h)) {
-        seen += *bin;
-        if (total > 0 && seen >= q * total) {
-            return bin.bin().upper();
-        }
-    }
-    return 0;
-}
-
-json quantiles(const Histogram &h)
-{
-    return {{"p50", quantile(h, 0.5)}, {"p95", quantile(h, 0.95)}, {"p99", quantile(h, 0.99)}};
-}
-
-// GCC 12 cannot keep braced lists in a coroutine's frame, so JSON bodies and
-// headers are made in plain functions.
-
 json messageOf(const char *role, const std::string &content)
 {
     return {{"role", role}, {"content", content}};
@@ -70,11 +41,6 @@
     return {{"model", "counsel"}, {"messages", messages}, {"max_tokens", maxTokens}, {"stream", stream}};
 }
 
-json orderBody(const char *kind)
-{
-    return {{"kind", kind}, {"fence", UINT32_MAX}, {"holder", "yucca-load"}};
-}
-
 json bookingBody(int household, int slot)
 {
     return {{"household", household}, {"slot", slot}};
@@ -90,31 +56,6 @@
     return {{"x-workspace", "scheduler"}, {"idempotency-key", key}};
 }
 
-http::CallOptions callOptions(Clock::duration timeout, http::Reuse reuse)
-{
-    return {Clock::now() + timeout, reuse, nullptr};
-}
-
-http::Address addressOf(const Endpoint &e)
-{
-    return {e.host, e.port};
-}
-
-json outageFault()
-{
-    return {{"outage", true}};
-}
-
-double ratio(uint64_t part, uint64_t whole)
-{
-    return whole ? static_cast<double>(part) / static_cast<double>(whole) : 0.0;
-}
-
-double millisSince(Clock::time_point t)
-{
-    return std::chrono::duration<double, std::milli>(Clock::now() - t).count();
-}
-
 } // namespace
 
 Tally::Tally()
@@ -426,215 +367,4 @@
     }
 }
 
-Task<json> Experiment::fetch(http::Address from, std::string path)
-{
-    const auto options = callOptions(probeTimeout, http::Reuse::KeptOrAgain);
-    auto called = co_await m_client.call(std::move(from), http::makeRequest("GET", path), options);
-    auto *reply = std::get_if<http::Reply>(&called);
-    json parsed = reply ? json::parse(reply->body, nullptr, false) : json();
-    co_return parsed.is_object() ? std::move(parsed) : json::object();
-}
-
-Task<bool> Experiment::send(http::Address to, std::string method, std::string path, json body)
-{
-    const auto options = callOptions(probeTimeout, http::Reuse::Never);
-    auto called = co_await m_client.call(std::move(to), http::makeRequest(method, path, body.dump()), options);
-    auto *reply = std::get_if<http::Reply>(&called);
-    co_return reply && reply->status == 200;
-}
-
-Task<std::vector<Endpoint>> Experiment::endpoints()
-{
-    std::vector<Endpoint> out;
-    auto listed = co_await platform::listAll(m_platform, platform::vmKind);
-    if (ok(listed)) {
-        for (const auto &object : std::get<platform::Listing>(listed).items) {
-            out.push_back(platform::endpointFromJson(object.value));
-        }
-    }
-    co_return out;
-}
-
-// Samples the engines' loads for the skew, while the callers run.
-Task<void> Experiment::sampleLoads()
-{
-    auto known = co_await endpoints();
-    for (int round = 0; !m_done; ++round) {
-        co_await sleepFor(sampleInterval);
-        if (round % 10 == 0) {
-            known = co_await endpoints();
-        }
-        double total = 0;
-        double peak = 0;
-        int n = 0;
-        for (const auto &e : known) {
-            if (e.kind != EndpointKind::Engine || e.state != EndpointState::Live) {
-                continue;
-            }
-            const json load = co_await fetch(addressOf(e), "/load");
-            if (load.value("draining", true)) {
-                continue;
-            }
-            const double inflight = load.value("inflight", 0.0);
-            total += inflight;
-            peak = std::max(peak, inflight);
-            ++n;
-        }
-        // Below one request an engine the ratio says nothing.
-        if (n > 0 && total >= n) {
-            const double skew = peak / (total / n);
-            m_tally.skewSum += skew;
-            m_tally.worstSkew = std::max(m_tally.worstSkew, skew);
-            ++m_tally.skewSamples;
-        }
-    }
-}
-
-// An engine leaves: it is told to drain, and the VM list marks it leaving.
-Task<void> Experiment::drainEngine(std::string id)
-{
-    const auto known = co_await endpoints();
-    for (auto e : known) {
-        if (e.id != id) {
-            continue;
-        }
-        co_await send(addressOf(e), "POST", "/v1/orders", orderBody("drain"));
-        e.state = EndpointState::Leaving;
-        co_await send(m_o.platform, "PUT", "/admin/vms/" + e.id, platform::toJson(e));
-        fprintf(stderr, "yucca-load: engine %s told to drain\n", e.id.c_str());
-    }
-}
-
-// An engine leaves and comes back empty, as its replacement would.
-Task<void> Experiment::leaveAndReturn(Endpoint e)
-{
-    const http::Address address = addressOf(e);
-    co_await drainEngine(e.id);
-    co_await sleepFor(churnAway);
-    co_await send(address, "POST", "/v1/orders", orderBody("undrain"));
-    co_await send(address, "POST", "/admin/clear-cache", json::object());
-    e.state = EndpointState::Live;
-    co_await send(m_o.platform, "PUT", "/admin/vms/" + e.id, platform::toJson(e));
-}
-
-// Engines leave and come back, one after the other.
-Task<void> Experiment::churn()
-{
-    if (m_o.churnEveryS <= 0) {
-        co_return;
-    }
-    for (std::size_t turn = 0; !m_done; ++turn) {
-        const auto next = Clock::now() + std::chrono::seconds(m_o.churnEveryS);
-        while (!m_done && Clock::now() < next) {
-            co_await sleepFor(pollInterval);
-        }
-        auto known = co_await endpoints();
-        std::erase_if(known, [](const Endpoint &e) {
-            return e.kind != EndpointKind::Engine || e.state != EndpointState::Live;
-        });
-        if (!m_done && known.size() > 1) {
-            co_await leaveAndReturn(known[turn % known.size()]);
-        }
-    }
-}
-
-// The provider move: the class of work is pointed at another pool by a
-// conditional catalogue write, as an operator's yucca-ctl would.
-Task<void> Experiment::migrate()
-{
-    auto current = co_await m_platform.get("class", m_o.migrateClass);
-    if (!ok(current)) {
-        fprintf(stderr, "yucca-load: class %s not found; no move\n", m_o.migrateClass.c_str());
-        co_return;
-    }
-    auto object = std::get<platform::Object>(current);
-    object.value["pool"] = m_o.migratePool;
-    auto moved = co_await m_platform.put("class", m_o.migrateClass, object.value, object.version);
-    m_moved = ok(moved);
-    fprintf(stderr, "yucca-load: class %s moved to pool %s: %s\n", m_o.migrateClass.c_str(), m_o.migratePool.c_str(), m_moved ? "ok" : "refused");
-}
-
-// The object API is down for a while.
-Task<void> Experiment::outage()
-{
-    co_await send(m_o.platform, "POST", "/admin/faults", outageFault());
-    co_await sleepFor(std::chrono::seconds(m_o.outageForS));
-    co_await send(m_o.platform, "POST", "/admin/faults", json::object());
-}
-
-// A few workspaces surge at once: more conversations, shorter pauses.
-Task<void> Experiment::surge()
-{
-    for (int i = 0; i < m_o.surgeConversations; ++i) {
-        const int workspace = m_o.workspaces - 1 - i % std::min(largeWorkspaces, m_o.workspaces);
-        start(converse(makeConversation(m_o.conversations + i, "ws-" + std::to_string(workspace), surgePauseDivisor)));
-    }
-    co_return;
-}
-
-Task<json> Experiment::report()
-{
-    std::vector<double> served;
-    std::size_t duplicates = 0;
-    int64_t lateArrivals = 0;
-    const auto known = co_await endpoints();
-    for (const auto &e : known) {
-        const json j = co_await fetch(addressOf(e), e.kind == EndpointKind::Engine ? "/stats" : "/v1/executions");
-        duplicates += j.value("duplicates", json::array()).size();
-        if (e.kind != EndpointKind::Engine) {
-            continue;
-        }
-        for (auto ms : j.value("arrivalsAfterDrainMs", std::vector<int64_t>{})) {
-            lateArrivals += ms > drainAllowance.count() ? 1 : 0;
-        }
-        // Skew is over the engines that stayed and took part: one that left
-        // mid-run, or whose pool had no work, served less by design.
-        if (!j.value("draining", false) && j.value("served", 0.0) > 0) {
-            served.push_back(j.value("served", 0.0));
-        }
-    }
-    double mean = 0;
-    double peak = 0;
-    for (auto s : served) {
-        mean += s / static_cast<double>(served.size());
-        peak = std::max(peak, s);
-    }
-    double control = 0;
-    double records = 0;
-    for (const auto &r : m_o.routers) {
-        const json j = co_await fetch(r, "/status");
-        control += j.value("controlBytesPerS", 0.0) / static_cast<double>(m_o.routers.size());
-        records += j.value("recordBytesPerS", 0.0) / static_cast<double>(m_o.routers.size());
-    }
-    co_return reportOf(mean > 0 ? peak / mean : 0.0, duplicates, lateArrivals, control, records);
-}
-
-json Experiment::reportOf(double skew, std::size_t duplicates, int64_t lateArrivals, double control, double records) const
-{
-    const double samples = static_cast<double>(std::max<uint64_t>(1, m_tally.skewSamples));
-    return {{"label", m_o.label},
-            {"served", m_tally.served},
-            {"failed", m_tally.failed + m_tally.wrong},
-            {"wrong", m_tally.wrong},
-            {"not_run", m_tally.notRun},
-            {"unknown", m_tally.unknown},
-            {"caller_retries", m_tally.retries},
-            {"booked", m_tally.booked},
-            {"replayed", m_tally.replayed},
-            {"duplicates", duplicates},
-            {"arrivals_3s_after_drain", lateArrivals},
-            {"cache_reuse", ratio(m_tally.returningCached, m_tally.returningPrompt)},
-            {"cache_reuse_after_move", ratio(m_tally.movedCached, m_tally.movedPrompt)},
-            {"moved", m_moved},
-            {"skew", skew},
-            {"load_skew_mean", m_tally.skewSum / samples},
-            {"load_skew_worst", m_tally.worstSkew},
-            {"control_bytes_per_s_per_router", control},
-            {"record_bytes_per_s_per_router", records},
-            {"ttft_ms", quantiles(m_tally.timeToFirst)},
-            {"between_ms", quantiles(m_tally.timeBetween)},
-            {"elapsed_s", millisSince(m_started) / 1000},
-            {"first_problems", m_tally.problems}};
-}
-
 } // namespace yucca::experiment
--- a/scripts/proofs.sh
+++ b/scripts/proofs.sh
@@ -33,13 +33,15 @@
 # The decoders of what comes from outside. Asio's coroutine support is switched
 # on by hand, as Boost 1.74 knows only older clangs.
 clang++ -std=c++20 -g -O1 -fsanitize=fuzzer,address,undefined -w -DBOOST_ASIO_HAS_CO_AWAIT=1 -DBOOST_ASIO_HAS_STD_COROUTINE=1 \
-    -Iinclude -Isrc -Iplatform -o $OUT/fuzz_decoders tests/fuzz/fuzz_decoders.cpp platform/codec.cpp platform/prompt_parts.cpp \
-    src/entry/entry_settings.cpp src/entry/configuration.cpp src/explain.cpp src/settings.cpp src/findings.cpp src/http.cpp
+    -Iinclude -Isrc -Iplatform -Iemulators -o $OUT/fuzz_decoders tests/fuzz/fuzz_decoders.cpp platform/codec.cpp platform/prompt_parts.cpp \
+    src/entry/entry_settings.cpp src/entry/configuration.cpp src/explain.cpp src/load_digest.cpp emulators/model/scenario.cpp src/settings.cpp src/findings.cpp src/http.cpp
 mkdir -p $OUT/decoders
 cp config/router.json $OUT/decoders/
 printf '{"version":1,"routes":[{"host":"h","path_prefix":"/a/","kind":"streaming","service":"s"}],"services":[{"name":"s"}]}' >$OUT/decoders/configuration
 printf '{"service":"s","address":"1.2.3.4:5"}' >$OUT/decoders/endpoint
 printf '5c1e07a2:800,91bd3f06:410' >$OUT/decoders/parts
 printf '{"at_ms":1,"name":"RequestFinished","id":"q1","end":"cut"}' >$OUT/decoders/line
-$OUT/fuzz_decoders -seed=1 -runs=20000 -max_len=1024 -verbosity=0 $OUT/decoders >$OUT/fuzz_decoders.log 2>&1 || { tail -20 $OUT/fuzz_decoders.log; exit 1; }
+cp config/scenarios/lonestar.json $OUT/decoders/scenario
+printf '\x81\x83\x61i\x0c\x18\xfa' >$OUT/decoders/loads
+$OUT/fuzz_decoders -seed=1 -runs=20000 -max_len=4096 -verbosity=0 $OUT/decoders >$OUT/fuzz_decoders.log 2>&1 || { tail -20 $OUT/fuzz_decoders.log; exit 1; }
 echo "proofs: decoders: 20000 fuzz runs without a finding"
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -94,6 +94,7 @@
 run_check format clang-format --dry-run --Werror $(git ls-files '*.cpp' '*.h')
 # The platform's words stay in platform/; the emulators of the outside speak them too.
 run_check names scripts/names.sh
+run_check manpages scripts/manpages.sh
 run_check lint scripts/lint.sh
 
 passed=$((unit_ran - $(echo "$failed_tests" | grep -c . || true) + e2e_passed))
--- a/tests/fuzz/fuzz_decoders.cpp
+++ b/tests/fuzz/fuzz_decoders.cpp
@@ -4,6 +4,8 @@
 #include "dialect.h"
 #include "entry/entry_settings.h"
 #include "explain.h"
+#include "load_digest.h"
+#include "model/scenario.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -33,6 +35,13 @@
             require(part.tokens >= 0);
         }
     }
+    const Clock::time_point now{std::chrono::hours(1)};
+    const auto reports = peers::decode({data, size}, now);
+    if (ok(reports)) {
+        for (const auto &report : std::get<std::vector<peers::LoadReport>>(reports)) {
+            require(report.load >= 0 && report.heardAt <= now);
+        }
+    }
     explain::Reader reader("q1");
     std::istringstream log(bytes);
     reader.read(log, "fuzz");
@@ -53,5 +62,10 @@
     require(platform::ObjectCodec::endpoint("i-1", value, endpoint).has_value() == endpoint.empty());
     Findings settings;
     entry::parseSettings(value, settings);
+    Findings problems;
+    const auto scenario = model::parseScenario(value, problems);
+    for (const auto &kind : scenario.kinds) {
+        require(!problems.empty() || scenario.pool(kind.pool));
+    }
     return 0;
 }
--- a/tests/test_model.cpp
+++ b/tests/test_model.cpp
@@ -123,6 +123,19 @@
     CHECK(alone > 2 * together);
 }
 
+TEST(Model, SurgesOfTheSheetsAreBorneByTheEndpointsOwnQueues)
+{
+    // The sheets' worst: everything 1.7 times, a workspace 7.5 times its usual.
+    // Bookings first have anybody refused at 12 times their usual.
+    auto scenario = scenarioOf("lonestar");
+    scenario.surges = {{10, 5, "appt-book", 8, 0}, {20, 5, "", 1.7, 0}};
+    const auto day = play(scenario);
+    for (const auto &[name, k] : day.kinds) {
+        LONGS_EQUAL_TEXT(0, k.refused, name.c_str());
+    }
+    CHECK(day.worstWindows() > 0.9); // 0.97
+}
+
 TEST(Model, ASurgeAndACrashLeaveMostCallersServed)
 {
     const auto day = play(scenarioOf("lonestar-surge"));
