A trouble with peers is logged once in ten seconds at most

Change: one line in 10 s; an address that does not parse is no longer hidden by the next call's success.

--- a/src/load_exchange.cpp
+++ b/src/load_exchange.cpp
@@ -44,12 +44,14 @@
     boost::system::error_code ec;
     const auto address = asio::ip::make_address(m_self.address.host, ec);
     Udp::socket socket(ex);
-    socket.open(Udp::v4(), ec);
+    if (!ec) {
+        socket.open(Udp::v4(), ec);
+    }
     if (!ec) {
         socket.bind({address, m_self.address.port}, ec);
     }
     if (ec) {
-        log::Line{log::Event::PeersUnreachable}.add("why", ec.message());
+        complain(m_self.id, ec.message(), Clock::now());
         return false;
     }
     m_socket = std::move(socket);
@@ -175,7 +177,7 @@
     }
     const auto decoded = decode(datagram, now);
     if (const auto *error = std::get_if<Error>(&decoded)) {
-        log::Line{log::Event::PeersUnreachable}.add("peer", from.host).add("why", error->message);
+        complain(from.host, error->message, now);
         return;
     }
     heard->second = now;
@@ -184,6 +186,15 @@
     }
 }
 
+// Logs a trouble that comes with each round or datagram, now and then.
+void LoadExchange::complain(const std::string &peer, const std::string &why, Clock::time_point now)
+{
+    if (now - m_complainedAt >= m_options.complainEvery) {
+        m_complainedAt = now;
+        log::Line{log::Event::PeersUnreachable}.add("peer", peer).add("why", why);
+    }
+}
+
 void LoadExchange::countHeard(Clock::time_point now)
 {
     const auto &peers = m_directory.peers();
--- a/src/load_exchange.h
+++ b/src/load_exchange.h
@@ -30,6 +30,7 @@
     Millis refreshAgain{5000}; ///< after the store could not be reached
     Millis silentAfter{10000}; ///< a peer that has not been heard for so long is told one round in ten
     Millis forgottenAfter{std::chrono::minutes(10)}; ///< its entry is removed from the store
+    Millis complainEvery{10000}; ///< a socket that cannot be bound, or a peer that sends nonsense, is logged so often
 };
 
 /// Sends and takes datagrams; runs on one event loop.
@@ -63,6 +64,7 @@
     Task<void> sendRound();
     Task<void> forgetSilent(Clock::time_point now);
     void countHeard(Clock::time_point now);
+    void complain(const std::string &peer, const std::string &why, Clock::time_point now);
     bool silent(const Peer &peer, Clock::time_point now) const;
 
     Peer m_self;
@@ -73,6 +75,7 @@
     std::map<http::Address, Clock::time_point> m_heardAt; ///< by sender; when it was first listed, before that
     Clock::time_point m_toldUpTo{};
     uint64_t m_round = 0;
+    Clock::time_point m_complainedAt{};
     std::minstd_rand m_random{std::random_device{}()};
     std::atomic<std::size_t> m_heardPeers{0};
     bool m_stopping = false;
