--- a/emulators/soak/faults.cpp
+++ b/emulators/soak/faults.cpp
@@ -110,9 +110,7 @@
         break;
     }
     if (faults) {
-        co_await adminCall(admin, "/admin/faults", faults);
-        co_await sleepFor(step.lasts);
-        co_await adminCall(admin, "/admin/faults", "{}");
+        co_await switchFaults(admin, faults, step.lasts);
     }
 }
 
@@ -139,10 +137,16 @@
         break;
     }
     if (faults) {
-        co_await adminCall(port(storePort), "/admin/faults", faults);
-        co_await sleepFor(step.lasts);
-        co_await adminCall(port(storePort), "/admin/faults", "{}");
+        co_await switchFaults(port(storePort), faults, step.lasts);
     }
 }
 
+// Faults that a stand-in switches on itself, for a while.
+Task<void> SoakFleet::switchFaults(uint16_t to, const char *faults, Millis lasts)
+{
+    co_await adminCall(to, "/admin/faults", faults);
+    co_await sleepFor(lasts);
+    co_await adminCall(to, "/admin/faults", "{}");
+}
+
 } // namespace yucca::soak
--- a/emulators/soak/fleet.h
+++ b/emulators/soak/fleet.h
@@ -68,6 +68,7 @@
     Task<void> applyToRouter(Step step);
     Task<void> applyToEndpoint(Step step);
     Task<void> applyToStore(Step step);
+    Task<void> switchFaults(uint16_t port, const char *faults, Millis lasts);
     Task<void> callLoop(int caller);
     Task<void> request(std::string id, Kind kind, std::size_t router, std::string key);
     Task<void> checkCalm();
--- a/tests/e2e/faults.sh
+++ b/tests/e2e/faults.sh
@@ -10,25 +10,7 @@
 cat >"$RUN/router.json" <<'JSON'
 {"streamPauseMs": 1000, "leaseMs": 2000, "logLevel": "warn"}
 JSON
-start platform $B/yucca-platform --port $P
-wait_ok "127.0.0.1:$P/healthz"
-for i in 1 2 3; do
-    start engine-$i $B/yucca-engine --port $((P + i)) --id engine-$i --config "$RUN/engine.json"
-    eval "ENGINE_$i=$LAST_PID"
-    wait_ok "127.0.0.1:$((P + i))/healthz"
-    register $P engine-$i $((P + i)) counsel-a engine
-done
-start scheduler $B/yucca-engine --port $((P + 9)) --id scheduler-1 --kind service
-wait_ok "127.0.0.1:$((P + 9))/healthz"
-register $P scheduler-1 $((P + 9)) scheduler service
-$B/yucca-ctl --port $P apply config/catalogue-lonestar.json >/dev/null || fail "catalogue apply"
-for r in 1 2; do
-    start router-$r $B/yucca-router --port $((P + 10 + r)) --platform-port $P --id router-$r --config "$RUN/router.json"
-    eval "ROUTER_$r=$LAST_PID"
-    wait_ok "127.0.0.1:$((P + 10 + r))/readyz"
-done
-R1=127.0.0.1:$((P + 11))
-R2=127.0.0.1:$((P + 12))
+start_own_fleet $P 3 "$RUN/engine.json" "$RUN/router.json"
 
 # Streams an answer of 60 tokens into a file.
 stream() { # router request-id file
--- a/tests/e2e/path.sh
+++ b/tests/e2e/path.sh
@@ -4,25 +4,7 @@
 source "$(dirname "$0")/lib.bash"
 P=${YUCCA_E2E_BASE:-18600}
 
-start platform $B/yucca-platform --port $P
-wait_ok "127.0.0.1:$P/healthz"
-for i in 1 2; do
-    start engine-$i $B/yucca-engine --port $((P + i)) --id engine-$i
-    wait_ok "127.0.0.1:$((P + i))/healthz"
-    register $P engine-$i $((P + i)) counsel-a engine
-done
-start scheduler $B/yucca-engine --port $((P + 9)) --id scheduler-1 --kind service
-wait_ok "127.0.0.1:$((P + 9))/healthz"
-register $P scheduler-1 $((P + 9)) scheduler service
-$B/yucca-ctl --port $P apply config/catalogue-lonestar.json >/dev/null || fail "catalogue apply"
-for r in 1 2; do
-    start router-$r $B/yucca-router --port $((P + 10 + r)) --platform-port $P --id router-$r
-    eval "ROUTER_$r=$LAST_PID"
-done
-wait_ok "127.0.0.1:$((P + 11))/readyz"
-wait_ok "127.0.0.1:$((P + 12))/readyz"
-R1=127.0.0.1:$((P + 11))
-R2=127.0.0.1:$((P + 12))
+start_own_fleet $P 2
 
 chat() { # router workspace request-id content [stream]
     curl -s -X POST "$1/v1/chat/completions" -H "x-workspace: $2" -H "x-request-id: $3" \
