Settings of a deployment that states fractions, or leaves a bound out, start a router

Tests: EntrySettings.WhatADeploymentDoesNotStateKeepsItsDefault; the template's test fills in 7.5 and 54.5 (with the old template both fail to parse).

--- a/emulators/soak/fleet.cpp
+++ b/emulators/soak/fleet.cpp
@@ -105,7 +105,7 @@
                                   {"metrics", at(2)},
                                   {"peers", at(3)},
                                   {"store", at(5)},
-                                  {"stopGraceMs", 4000}};
+                                  {"stopGraceS", 4}};
     return settings.dump();
 }
 
--- a/src/entry/entry_settings.cpp
+++ b/src/entry/entry_settings.cpp
@@ -11,7 +11,7 @@
 namespace
 {
 
-constexpr int64_t longestMs = 600000;
+constexpr double longestGraceS = 600;
 constexpr double routersPerRetrySlack = 100; ///< the users' deployments have up to 84
 constexpr double leastRetryReserve = 2; ///< retries: below one a router could never retry at all
 
@@ -45,16 +45,18 @@
     readAddress(reader, "peers", s.peers, findings);
     reader.read("logLevel", s.logLevel);
     reader.read("retryRatio", s.retryRatio, 0.0, 1.0);
-    reader.read("retrySlack", s.retrySlack, 0, 1000000);
+    reader.read("retrySlack", s.retrySlack, 0.0, 1000000.0);
     reader.read("loadFactor", s.loadFactor, 1.0, 100.0);
-    reader.read("stopGraceMs", s.stopGraceMs, 0, longestMs);
+    double stopGraceS = static_cast<double>(s.stopGraceMs) / 1000;
+    reader.read("stopGraceS", stopGraceS, 0.0, longestGraceS);
+    s.stopGraceMs = static_cast<int64_t>(stopGraceS * 1000);
     reader.finish();
     return s;
 }
 
 double retryReserve(const Settings &settings)
 {
-    return std::max(leastRetryReserve, static_cast<double>(settings.retrySlack) / routersPerRetrySlack);
+    return std::max(leastRetryReserve, settings.retrySlack / routersPerRetrySlack);
 }
 
 } // namespace yucca::entry
--- a/src/entry/entry_settings.h
+++ b/src/entry/entry_settings.h
@@ -23,7 +23,7 @@
     http::Address peers{"127.0.0.1", 0}; ///< datagrams of the other routers; port 0: no exchange with them
     std::string logLevel = "info";
     double retryRatio = 0.2; ///< further arrivals per request that a service may get, over all routers
-    int64_t retrySlack = 50; ///< further arrivals on top, in a window, over all routers
+    double retrySlack = 50; ///< further arrivals on top, in a window, over all routers
     double loadFactor = 2.0; ///< no engine above this multiple of its service's mean load
     int64_t stopGraceMs = 8000; ///< from the stop signal to the kill
 };
--- a/tests/e2e/entry.sh
+++ b/tests/e2e/entry.sh
@@ -12,7 +12,7 @@
   // an entry router of the end-to-end test
   "interface": "platform", "id": "router-$1", "failureDomain": "zone-a",
   "traffic": "127.0.0.1:$((P + 10 * $1))", "readiness": "127.0.0.1:$((P + 10 * $1 + 1))",
-  "metrics": "127.0.0.1:$((P + 10 * $1 + 2))", "store": "$STORE", "stopGraceMs": 8000,
+  "metrics": "127.0.0.1:$((P + 10 * $1 + 2))", "store": "$STORE", "stopGraceS": 8,
   "peers": "127.0.0.1:$((P + 10 * $1 + 3))"
 }
 JSON
--- a/tests/test_entry_state.cpp
+++ b/tests/test_entry_state.cpp
@@ -180,20 +180,63 @@
 TEST(EntrySettings, EveryProblemIsReportedWithItsPlace)
 {
     Findings findings;
-    entry::parseSettings(nlohmann::json::parse(R"({"traffic": "nowhere", "retryRatio": 7, "stopGraceMs": "long", "colour": "red"})"), findings);
+    entry::parseSettings(nlohmann::json::parse(R"({"traffic": "nowhere", "retryRatio": 7, "stopGraceS": "long", "colour": "red"})"), findings);
     LONGS_EQUAL(4, findings.items().size());
     const auto report = findings.report();
-    for (const char *place : {"/traffic", "/retryRatio", "/stopGraceMs", "/colour"}) {
+    for (const char *place : {"/traffic", "/retryRatio", "/stopGraceS", "/colour"}) {
         CHECK(report.find(place) != std::string::npos);
     }
 }
 
-TEST(EntrySettings, TheDeploymentsTemplateGivesSettingsThatParse)
+namespace
+{
+
+// The template as it stands for a deployment that states everything: the tags
+// of its sections go, what is between them stays. Where nothing of a section
+// is stated, all of it goes.
+std::string withoutSections(std::string text, bool stated)
+{
+    for (auto from = text.find("{{#"); from != std::string::npos; from = text.find("{{#")) {
+        const auto tagEnd = text.find("}}", from) + 2;
+        const std::string name = text.substr(from + 3, tagEnd - from - 5);
+        const std::string closing = "{{/" + name + "}}";
+        const auto end = text.find(closing);
+        CHECK(end != std::string::npos);
+        const std::string inside = text.substr(tagEnd, end - tagEnd);
+        text.replace(from, end + closing.size() - from, stated ? inside : "");
+    }
+    return text;
+}
+
+std::string templateText()
 {
     std::ifstream file("deploy/router.json.template");
     std::stringstream text;
     text << file.rdbuf();
-    std::string filled = text.str();
+    return text.str();
+}
+
+} // namespace
+
+TEST(EntrySettings, WhatADeploymentDoesNotStateKeepsItsDefault)
+{
+    std::string filled = withoutSections(templateText(), false);
+    for (auto at = filled.find("{{"); at != std::string::npos; at = filled.find("{{")) {
+        filled.replace(at, filled.find("}}", at) + 2 - at, "1"); // addresses become "1:1"
+    }
+    for (auto at = filled.find("\"1\""); at != std::string::npos; at = filled.find("\"1\"")) {
+        filled.replace(at, 3, "\"1:1\"");
+    }
+    Findings findings;
+    const auto settings = entry::parseSettings(nlohmann::json::parse(filled, nullptr, true, true), findings);
+    STRCMP_EQUAL("", findings.report().c_str());
+    LONGS_EQUAL(entry::Settings().stopGraceMs, settings.stopGraceMs);
+    DOUBLES_EQUAL(entry::Settings().loadFactor, settings.loadFactor, 0);
+}
+
+TEST(EntrySettings, TheDeploymentsTemplateGivesSettingsThatParse)
+{
+    std::string filled = withoutSections(templateText(), true);
     const std::vector<std::pair<std::string, std::string>> values{
         {"{{node}}", "front-1"},
         {"{{zone}}", "z"},
@@ -204,9 +247,9 @@
         {"{{listen.ready}}", "10.1.0.4:8220"},
         {"{{platform.address}}", "10.200.1.7:8223"},
         {"{{bounds.retry_budget_ratio|json}}", "0.2"},
-        {"{{bounds.retry_budget_slack|json}}", "54"},
+        {"{{bounds.retry_budget_slack|json}}", "54.5"},
         {"{{bounds.cap_x|json}}", "2"},
-        {"{{bounds.grace_s|json}}", "8"},
+        {"{{bounds.grace_s|json}}", "7.5"},
     };
     for (const auto &[placeholder, value] : values) {
         std::size_t at = filled.find(placeholder);
@@ -219,7 +262,8 @@
     Findings findings;
     const auto settings = entry::parseSettings(nlohmann::json::parse(filled, nullptr, true, true), findings);
     STRCMP_EQUAL("", findings.report().c_str());
-    LONGS_EQUAL(8000, settings.stopGraceMs);
+    LONGS_EQUAL(7500, settings.stopGraceMs);
+    DOUBLES_EQUAL(54.5, settings.retrySlack, 0);
     LONGS_EQUAL(8227, settings.traffic.port);
     LONGS_EQUAL(7340, settings.metrics.port);
     LONGS_EQUAL(7355, settings.peers.port);
