One formula for a router's part of the retry slack, no counters without a reader

Cause: the last read of the change found the model writing entry::retryReserve's formula and constants again, and metrics::Counters without its last reader since both interfaces count in entry::Metrics.

Ruled out: one function for the soak's three apply steps (they share the shape of a switch), a shared base for the stand-ins' option tables (other options).

Change: retryReserve takes the slack, and the model calls it; the counters are gone. Code only, no behaviour.

--- a/emulators/model/fleet_requests.cpp
+++ b/emulators/model/fleet_requests.cpp
@@ -2,6 +2,8 @@
 // router's attempts at members, and its end.
 #include "model/fleet.h"
 
+#include "entry/entry_settings.h"
+
 #include <algorithm>
 
 namespace yucca::model
@@ -12,7 +14,6 @@
 
 constexpr double boundSlack = 3; ///< requests: the users' bound on a member's load is their multiple of the mean, plus three
 constexpr Ms refusedConnectMs = 1; ///< until a dead member's port answers a SYN with a reset
-constexpr double retriesPerSlack = 100; ///< as entry::retryReserve() shares the slack
 constexpr Ms longestWait = 1.0 / 3; ///< of the time left that a caller waits when told to come back
 
 } // namespace
@@ -27,7 +28,7 @@
     flight->affinity = {key, key};
     const std::string &pool = request->source->kind->pool;
     auto &budgets = m_routers[flight->router]->budgets;
-    const double reserve = std::max(2.0, static_cast<double>(m_scenario.retrySlack) / retriesPerSlack);
+    const double reserve = entry::retryReserve(static_cast<double>(m_scenario.retrySlack));
     budgets.try_emplace(pool, m_scenario.retryRatio, reserve).first->second.earn();
     schedule(now + m_scenario.callerMs, [this, flight](Ms at) {
         attempt(flight, at);
--- a/src/entry/entry_settings.cpp
+++ b/src/entry/entry_settings.cpp
@@ -54,9 +54,9 @@
     return s;
 }
 
-double retryReserve(const Settings &settings)
+double retryReserve(double retrySlack)
 {
-    return std::max(leastRetryReserve, settings.retrySlack / routersPerRetrySlack);
+    return std::max(leastRetryReserve, retrySlack / routersPerRetrySlack);
 }
 
 } // namespace yucca::entry
--- a/src/entry/entry_settings.h
+++ b/src/entry/entry_settings.h
@@ -34,6 +34,6 @@
 
 /// This router's part of the retries that a service may get on top of the
 /// ratio. Nobody tells a router how many share them.
-double retryReserve(const Settings &settings);
+double retryReserve(double retrySlack);
 
 } // namespace yucca::entry
--- a/src/entry/process.h
+++ b/src/entry/process.h
@@ -98,7 +98,7 @@
     {
         GatewayOptions options;
         options.retryRatio = s.retryRatio;
-        options.retryReserve = retryReserve(s);
+        options.retryReserve = retryReserve(s.retrySlack);
         return options;
     }
     static void noteFailure(const std::string &child, const std::string &error, int failures)
@@ -198,7 +198,7 @@
         log::Line{log::Event::SettingsReloaded}.add("file", m_settingsPath);
         asio::post(m_trafficLoop, [this, fresh = std::move(fresh)] {
             m_stopGraceMs = fresh.stopGraceMs;
-            m_gateway.setRetryLimits(fresh.retryRatio, retryReserve(fresh));
+            m_gateway.setRetryLimits(fresh.retryRatio, retryReserve(fresh.retrySlack));
         });
     }
 
--- a/src/metrics.h
+++ b/src/metrics.h
@@ -1,4 +1,4 @@
-// Figures for the status page: counters and latency quantiles.
+// Figures for the status page: latency quantiles.
 #pragma once
 
 #include <boost/accumulators/accumulators.hpp>
@@ -11,8 +11,6 @@
 #include <nlohmann/json.hpp>
 
 #include <array>
-#include <atomic>
-#include <cstdint>
 #include <mutex>
 
 namespace yucca::metrics
@@ -55,16 +53,4 @@
     acc::accumulator_set<double, acc::stats<acc::tag::count, acc::tag::mean, acc::tag::max, acc::tag::extended_p_square>> m_acc;
 };
 
-/// What became of the requests of a router.
-struct Counters {
-    std::atomic<uint64_t> served{0}; ///< answered whole by an endpoint
-    std::atomic<uint64_t> notRun{0}; ///< told "not run"
-    std::atomic<uint64_t> unknown{0}; ///< told "may have run"
-    std::atomic<uint64_t> replayed{0}; ///< answered from an idempotency record
-    std::atomic<uint64_t> retried{0}; ///< further attempts at other endpoints
-    std::atomic<uint64_t> resumed{0}; ///< streams that went on at another engine
-    std::atomic<uint64_t> cut{0}; ///< streams that could not be finished
-    std::atomic<uint64_t> abandoned{0}; ///< the caller left first
-};
-
 } // namespace yucca::metrics
--- a/tests/entry_rig.h
+++ b/tests/entry_rig.h
@@ -267,7 +267,7 @@
     {
         entry::GatewayOptions o;
         o.retryRatio = settings.retryRatio;
-        o.retryReserve = entry::retryReserve(settings);
+        o.retryReserve = entry::retryReserve(settings.retrySlack);
         return o;
     }
     static router::TableOptions tableOptions()
