Endpoints that start again under their id, and entries of other writers

Nothing knew of an incarnation: loads, ejections, digests, holders of prompts and kept connections went on under the id. Ruled out: recognising a restart by a sequence that falls; entries tell it only where more than the sequence changes. Change: Endpoint::born; the routing table drops what it knows when born changes, attempts at the earlier incarnation end (a resumable stream goes on elsewhere), its connections are closed. The stand-in endpoint and the model restart so as well.

--- a/emulators/endpoint_server.cpp
+++ b/emulators/endpoint_server.cpp
@@ -32,13 +32,14 @@
     return {{"Yuccasaddle-Not-Executed", "1"}, {instanceHeader, endpoint}};
 }
 
-json entryOf(const EndpointOptions &o, bool leaving, int64_t sequence)
+json entryOf(const EndpointOptions &o, bool leaving, int64_t sequence, int64_t born)
 {
     const auto port = o.advertisedPort != 0 ? o.advertisedPort : o.listen.port;
     return {{"service", o.service},   {"address", o.listen.host + ":" + std::to_string(port)},
             {"zone", o.zone},         {"version", "v1"},
             {"slots", o.slots},       {"state", leaving ? "draining" : "ready"},
-            {"cold_remaining_ms", 0}, {"sequence", sequence}};
+            {"cold_remaining_ms", 0}, {"sequence", sequence},
+            {"born", born}};
 }
 
 } // namespace
@@ -64,7 +65,7 @@
 Task<void> EndpointServer::heartbeat()
 {
     for (;;) {
-        const json entry = entryOf(m_options, m_leaving, ++m_sequence);
+        const json entry = entryOf(m_options, m_leaving, ++m_sequence, m_born);
         co_await m_store.put("servers", m_options.id, entry, std::nullopt);
         co_await sleepFor(m_options.heartbeat);
     }
--- a/emulators/endpoint_server.h
+++ b/emulators/endpoint_server.h
@@ -68,6 +68,7 @@
     bool m_leaving = false;
     int m_running = 0;
     int64_t m_sequence = 0;
+    int64_t m_born = std::chrono::duration_cast<Millis>(std::chrono::system_clock::now().time_since_epoch()).count(); ///< Unix ms
     std::map<std::string, int> m_runs; ///< by request id
     std::ofstream m_runLog;
 };
--- a/emulators/model/fleet.cpp
+++ b/emulators/model/fleet.cpp
@@ -17,6 +17,7 @@
 {
 
 constexpr Ms sampleEvery = 100;
+constexpr Ms listedAfter = 600; ///< until routers hear of a heartbeat: half of its interval
 constexpr Ms sharedAfter = 0.5; ///< a datagram within a failure domain, and its reading
 constexpr std::size_t boundWindowS = 5;
 
@@ -90,7 +91,6 @@
 
 void Fleet::makePools()
 {
-    std::vector<Endpoint> listed;
     for (const auto &model : m_scenario.pools) {
         auto &pool = m_pools[model.name];
         pool.model = m_scenario.pool(model.name);
@@ -105,15 +105,30 @@
             e.port = static_cast<uint16_t>(i);
             e.pool = model.name;
             e.kind = model.engines ? EndpointKind::Engine : EndpointKind::Service;
-            listed.push_back(std::move(e));
+            m_listed.push_back(std::move(e));
         }
         pool.down.assign(pool.members.size(), false);
     }
     for (const auto &router : m_routers) {
-        router->table.setEndpoints(listed, timeOf(0));
+        router->table.setEndpoints(m_listed, timeOf(0));
     }
 }
 
+// A member starts again under its id; routers hear of it with its first heartbeat.
+void Fleet::restarted(const PoolModel &pool, std::size_t member, Ms now)
+{
+    const std::string id = memberName(pool.name, member);
+    const auto entry = std::find_if(m_listed.begin(), m_listed.end(), [&](const Endpoint &e) {
+        return e.id == id;
+    });
+    entry->born = static_cast<int64_t>(now);
+    schedule(now + listedAfter, [this](Ms at) {
+        for (const auto &router : m_routers) {
+            router->table.setEndpoints(m_listed, timeOf(at));
+        }
+    });
+}
+
 void Fleet::makeSources()
 {
     for (const auto &kind : m_scenario.kinds) {
@@ -287,8 +302,9 @@
         const std::size_t at = (first + i) % pool.members.size();
         pool.down[at] = true;
         pool.members[at]->crash();
-        schedule(now + crash.forS * 1000, [&pool, at](Ms) {
+        schedule(now + crash.forS * 1000, [this, &pool, at](Ms back) {
             pool.down[at] = false;
+            restarted(*pool.model, at, back);
         });
     }
 }
--- a/emulators/model/fleet.h
+++ b/emulators/model/fleet.h
@@ -111,6 +111,7 @@
     void noteArrival(Pool &pool, std::size_t member, Ms now);
     void shareLoads(std::size_t router, Ms now);
     void crash(const Crash &crash, Ms now);
+    void restarted(const PoolModel &pool, std::size_t member, Ms now);
     std::size_t memberOf(const Endpoint &endpoint) const;
     double oneWay(std::size_t router, std::size_t member) const;
     double unit();
@@ -122,6 +123,7 @@
     uint64_t m_order = 0;
     uint64_t m_nextId = 1;
     std::map<std::string, Pool> m_pools;
+    std::vector<Endpoint> m_listed; ///< as the store lists them
     std::vector<std::unique_ptr<Router>> m_routers;
     std::vector<Source> m_sources;
     entry::ComeBackOptions m_comeBack;
--- a/emulators/model/fleet_requests.cpp
+++ b/emulators/model/fleet_requests.cpp
@@ -63,7 +63,7 @@
     }
     if (flight->count.arrivals > 0) {
         if (!router.budgets.at(pool).spend()) {
-            router.table.release(endpoint->id, at);
+            router.table.release(*endpoint, at);
             refuse(flight, now);
             return;
         }
@@ -187,7 +187,7 @@
     Router &router = *m_routers[flight->router];
     const auto at = timeOf(now);
     const std::string &pool = flight->request->source->kind->pool;
-    router.table.release(endpoint.id, at);
+    router.table.release(endpoint, at);
     const auto ejection = router.outliers[pool].record(endpoint.id, end != entry::AttemptEnd::Delivered, router.table.poolSize(pool), at);
     if (ejection) {
         router.table.eject(endpoint.id, ejection->until);
--- a/include/yucca/types.h
+++ b/include/yucca/types.h
@@ -99,7 +99,22 @@
     EndpointKind kind = EndpointKind::Engine;
     EndpointState state = EndpointState::Live;
     std::string zone = {}; ///< failure domain
+    /// When this incarnation started, in Unix ms; 0: not told. An endpoint that
+    /// starts again keeps its id, and holds and knows nothing of before.
+    int64_t born = 0;
     bool operator==(const Endpoint &) const = default;
 };
 
+/// True for two records of one incarnation of one endpoint.
+inline bool sameIncarnation(const Endpoint &a, const Endpoint &b)
+{
+    return a.id == b.id && a.born == b.born;
+}
+
+/// A key for what is remembered of one incarnation of an endpoint.
+inline std::string incarnationKey(const Endpoint &e)
+{
+    return e.id + "#" + std::to_string(e.born);
+}
+
 } // namespace yucca
--- a/scripts/days.sh
+++ b/scripts/days.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Plays the days of tests/days on the users' bench, on every site given:
+# Plays the days of deploy/days on the users' bench, on every site given:
 #   scripts/days.sh BENCH WHY SITE...
 # BENCH is the bench's program. Needs the users' kit; not part of the tests.
 set -euo pipefail
@@ -7,7 +7,7 @@
 bench=$1 why=$2
 shift 2
 for site in "$@"; do
-    for day in tests/days/*.toml; do
+    for day in deploy/days/*.toml; do
         echo "== $(basename "$site" .toml) $(basename "$day" .toml)"
         "$bench" run "$site" "$day" --jobs 4 --why "$why" | grep -E "^($(basename "$day" .toml)|rules|short|[A-Z]+ at)" || true
     done
--- a/src/entry/control.cpp
+++ b/src/entry/control.cpp
@@ -64,6 +64,8 @@
         logChange(log::Event::EndpointLeft, endpoint);
     } else if (!known) {
         logChange(log::Event::EndpointJoined, endpoint);
+    } else if (!sameIncarnation(it->second, endpoint)) {
+        logChange(log::Event::EndpointRestarted, endpoint);
     }
     m_lapsed.erase(endpoint.id);
     m_endpoints[endpoint.id] = endpoint;
@@ -75,12 +77,20 @@
     if (it == m_endpoints.end()) {
         return;
     }
-    const bool live = it->second.state == EndpointState::Live;
-    if (live && Clock::now() < m_keepLapsedUntil) {
+    if (it->second.state == EndpointState::Live && Clock::now() < m_keepLapsedUntil) {
         m_lapsed.insert(id);
         return;
     }
-    if (live) {
+    discardEndpoint(id);
+}
+
+void Published::discardEndpoint(const std::string &id)
+{
+    const auto it = m_endpoints.find(id);
+    if (it == m_endpoints.end()) {
+        return;
+    }
+    if (it->second.state == EndpointState::Live) {
         logChange(log::Event::EndpointLeft, it->second);
     }
     m_lapsed.erase(id);
--- a/src/entry/control.h
+++ b/src/entry/control.h
@@ -68,6 +68,8 @@
     void replaceEndpoints(std::map<std::string, Endpoint> endpoints);
     void setEndpoint(const Endpoint &endpoint);
     void removeEndpoint(const std::string &id);
+    /// The same for one whose entry can't be read any more: it has not lapsed, it is not to be used.
+    void discardEndpoint(const std::string &id);
     /// The store is back. Endpoints whose heartbeats it could not take have
     /// lapsed in it though they live; their entries come back within about
     /// two seconds. Until then, those that are missing are kept.
@@ -111,6 +113,9 @@
 inline constexpr Millis askEvery{1000}; ///< a change is to be in force 2 s after it is made, also where a watch has died
 inline constexpr Millis askAgainAfter{200}; ///< the store does not answer: its return is to be noticed soon
 
+/// Entries that can't be read are logged once each, up to so many: more of them say nothing new.
+inline constexpr std::size_t mostComplainedOf = 256;
+
 /// Follows one platform's objects into what is published.
 template <Codec C> class Control
 {
@@ -131,6 +136,11 @@
     {
         return m_endpoints.run();
     }
+    /// One listing or watch of the endpoints; false when the store could not be reached.
+    Task<bool> stepEndpoints()
+    {
+        return m_endpoints.step();
+    }
     /// Asks the store now and then whether it answers; once it does after a
     /// silence, the watches are started anew: what they wait for may be lost.
     Task<void> watchStore()
@@ -184,6 +194,7 @@
     };
     struct EndpointSink {
         Published &published;
+        std::set<std::string> complainedOf{}; ///< entries that could not be read when they were seen last
         void listed(const platform::Listing &listing)
         {
             published.noteContact(Clock::now());
@@ -191,17 +202,21 @@
             for (const auto &object : listing.items) {
                 if (auto endpoint = parse(object)) {
                     endpoints.emplace(object.name, std::move(*endpoint));
+                } else {
+                    published.discardEndpoint(object.name);
                 }
             }
             published.replaceEndpoints(std::move(endpoints));
         }
         void changed(const platform::Object &object, bool deleted)
         {
-            auto endpoint = deleted ? std::nullopt : parse(object);
-            if (endpoint) {
+            if (deleted) {
+                complainedOf.erase(object.name);
+                published.removeEndpoint(object.name);
+            } else if (const auto endpoint = parse(object)) {
                 published.setEndpoint(*endpoint);
             } else {
-                published.removeEndpoint(object.name);
+                published.discardEndpoint(object.name);
             }
         }
         void batchEnded()
@@ -213,11 +228,15 @@
         {
             published.storeRegained(away, Clock::now());
         }
-        static std::optional<Endpoint> parse(const platform::Object &object)
+        // Entries may come from other writers: one that can't be read names no
+        // endpoint, is logged once, and takes none of the others with it.
+        std::optional<Endpoint> parse(const platform::Object &object)
         {
             Findings findings;
             auto endpoint = C::endpoint(object.name, object.value, findings);
-            if (!endpoint) {
+            if (endpoint) {
+                complainedOf.erase(object.name);
+            } else if (complainedOf.size() < mostComplainedOf && complainedOf.insert(object.name).second) {
                 log::Line{log::Event::CatalogueEntryRejected}.add("endpoint", object.name).add("problems", findings.report());
             }
             return endpoint;
--- a/src/entry/gateway.h
+++ b/src/entry/gateway.h
@@ -121,6 +121,9 @@
     Task<void> handle(http::Exchange &ex);
     /// Puts other limits on retries in force; from the traffic thread.
     void setRetryLimits(double ratio, double reserve);
+    /// Ends attempts at endpoints that have started again since: nothing more
+    /// comes of them, also where no reset tells. From the traffic thread.
+    void endAttemptsAtRestarted();
     /// What became of the requests so far; from the traffic thread.
     const Metrics &metrics() const
     {
@@ -160,6 +163,7 @@
         sse::EventRelay events;
         bool headSent = false; ///< a streamed answer has begun
         bool timedOut = false;
+        bool endpointRestarted = false; ///< under the attempt that goes on
         std::string lastEndpoint;
         std::string holder; ///< where the last endpoint was told to fetch the read prompt from
         std::optional<Endpoint> home; ///< of the prompt, at the last attempt
@@ -190,6 +194,7 @@
     static RequestEnd endOf(const Flight &flight, AttemptEnd end);
     bool takeRetry(const std::string &service);
     http::Reuse reuseFor(const Flight &flight, Clock::time_point now) const;
+    Task<void> forgetEarlier(const Endpoint &endpoint);
     void account(const Flight &flight, RequestEnd end, int64_t status);
 
     const Published &m_published;
@@ -203,6 +208,8 @@
     std::map<std::string, OutlierDetector> m_outliers; ///< by service
     std::map<std::string, Clock::time_point> m_keptBrokeAt; ///< by service: the last time that a kept connection broke
     PromptHolders m_holders;
+    std::map<std::string, int64_t> m_born; ///< by endpoint: the start of the incarnation that was last sent to
+    std::map<Flight *, Endpoint> m_attempts; ///< that go on, and where
     Metrics m_metrics;
     LineBudget m_lines;
     std::minstd_rand m_random{std::random_device{}()};
@@ -275,11 +282,18 @@
         ++flight.count.sends;
         m_metrics.resumptions += flight.headSent ? 1 : 0;
         bool stale = false;
+        co_await forgetEarlier(*endpoint);
+        m_attempts.insert_or_assign(&flight, *endpoint);
         AttemptEnd end = co_await attemptAt(ex, flight, *endpoint, reuseFor(flight, now), stale);
         if (stale && repeatable(route) && !flight.cancellation.fired() && takeRetry(flight.service)) {
             // The kept connection was closed under the request: the endpoint itself may be well.
             end = co_await attemptAt(ex, flight, *endpoint, http::Reuse::Never, stale);
         }
+        m_attempts.erase(&flight);
+        if (flight.endpointRestarted && !ex.callerGone()) {
+            flight.cancellation = http::Cancellation(); // the attempt ended, not the request
+            flight.endpointRestarted = false;
+        }
         flight.count.runs += mayHaveRun(end) ? 1 : 0;
         if (flight.cancellation.fired() || ex.callerGone()) {
             if (end != AttemptEnd::Delivered) {
--- a/src/entry/gateway_account.h
+++ b/src/entry/gateway_account.h
@@ -39,8 +39,8 @@
     m_metrics.attemptEnded(end);
     if (end != AttemptEnd::CallerGone) {
         const bool failed = end != AttemptEnd::Delivered || flight.lastStatus >= 500;
-        const auto ejection = m_outliers[flight.service].record(endpoint.id, failed, m_table.poolSize(flight.service), now);
-        if (ejection) {
+        const auto ejection = m_outliers[flight.service].record(incarnationKey(endpoint), failed, m_table.poolSize(flight.service), now);
+        if (ejection && m_table.isCurrent(endpoint)) {
             ++m_metrics.ejections;
             m_table.eject(endpoint.id, ejection->until);
             log::Line{log::Event::EndpointEjected}
--- a/src/entry/gateway_attempt.h
+++ b/src/entry/gateway_attempt.h
@@ -6,6 +6,9 @@
 namespace yucca::entry
 {
 
+/// Endpoints whose last incarnation is remembered: twice those of the two-year size.
+inline constexpr std::size_t mostBornKept = 4096;
+
 // Until when an endpoint may take to begin its answer: a repeatable request
 // that has an attempt left does not wait for a silent endpoint to the end.
 template <Dialect D> Clock::time_point Gateway<D>::headDeadline(const Flight &flight, Clock::time_point now) const
@@ -31,6 +34,37 @@
     return m_options.newConnectionForSingleRuns || distrusted ? http::Reuse::Never : http::Reuse::Kept;
 }
 
+// Closes what is kept of an endpoint's earlier incarnation: its connections
+// lead to a process that has gone.
+template <Dialect D> Task<void> Gateway<D>::forgetEarlier(const Endpoint &endpoint)
+{
+    const auto ex = co_await asio::this_coro::executor;
+    const auto [it, first] = m_born.try_emplace(endpoint.id, endpoint.born);
+    if (!first && it->second != endpoint.born) {
+        it->second = endpoint.born;
+        m_client.closeKept(asio::query(ex, asio::execution::context), {endpoint.host, endpoint.port});
+    }
+    if (m_born.size() > mostBornKept) {
+        m_born.clear(); // costs a stale connection at most
+    }
+}
+
+template <Dialect D> void Gateway<D>::endAttemptsAtRestarted()
+{
+    std::vector<Flight *> ended;
+    for (const auto &[flight, endpoint] : m_attempts) {
+        if (!m_table.isCurrent(endpoint)) {
+            ended.push_back(flight);
+        }
+    }
+    for (auto *flight : ended) {
+        if (m_attempts.count(flight)) { // ending one may have ended another
+            flight->endpointRestarted = true;
+            flight->cancellation.fire();
+        }
+    }
+}
+
 // Sends the request to one endpoint and relays its answer. Sets stale when a
 // kept connection broke before anything came back on it.
 template <Dialect D> Task<AttemptEnd> Gateway<D>::attemptAt(http::Exchange &ex, Flight &flight, const Endpoint &endpoint, http::Reuse reuse, bool &stale)
@@ -85,12 +119,15 @@
         }
         head = m_dialect.readHead(response, flight.profile);
     }
-    m_table.recovered(endpoint.id);
+    const bool current = m_table.isCurrent(endpoint);
+    if (current) {
+        m_table.recovered(endpoint.id);
+    }
     flight.lastLoad = head.load;
-    if (head.load >= 0) {
+    if (head.load >= 0 && current) {
         m_table.reported(endpoint.id, head.load, Clock::now());
     }
-    if (head.leaving && m_table.setDraining(endpoint.id, *head.leaving)) {
+    if (head.leaving && current && m_table.setDraining(endpoint.id, *head.leaving)) {
         log::Line{log::Event::Draining}.add("endpoint", endpoint.id).add("draining", *head.leaving);
     }
     if (head.wrongInstance) {
--- a/src/entry/process.h
+++ b/src/entry/process.h
@@ -159,10 +159,11 @@
     }
 
     // What is due now and then: the limits on callers of a new configuration,
-    // endpoints that lapsed for good, a settings file that has changed.
+    // endpoints that lapsed for good or started again, a settings file that has changed.
     Task<void> upkeep()
     {
         ConfigurationPtr seen;
+        uint64_t restarts = 0;
         for (;;) {
             const auto configuration = m_published.configuration();
             if (configuration != seen) {
@@ -170,6 +171,12 @@
                 m_callers.setLimits(configuration->callerLimits);
             }
             m_published.dropLapsed(Clock::now());
+            if (m_table.restarts() != restarts) {
+                restarts = m_table.restarts();
+                asio::post(m_trafficLoop, [this] {
+                    m_gateway.endAttemptsAtRestarted();
+                });
+            }
             if (writtenAt(m_settingsPath) != m_settingsWritten) {
                 reload();
             }
--- a/src/entry/prompt_holders.h
+++ b/src/entry/prompt_holders.h
@@ -78,7 +78,7 @@
 {
     const auto last = holders.find(prompt, now);
     const auto alive = last ? table.find(last->id, now) : std::nullopt;
-    if (alive) {
+    if (alive && sameIncarnation(*alive, *last)) {
         return alive->id == endpoint.id ? std::nullopt : alive;
     }
     if (home && home->id != endpoint.id) {
--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -265,6 +265,12 @@
     }
 }
 
+void Client::closeKept(asio::execution_context &loop, const Address &peer)
+{
+    std::lock_guard lock(m_mutex);
+    m_kept.erase({&loop, peer});
+}
+
 std::size_t Client::keptConnections()
 {
     std::lock_guard lock(m_mutex);
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -152,6 +152,8 @@
     /// From that loop's thread; done now and then by itself.
     void closeIdle(asio::execution_context &loop, Clock::time_point now);
     std::size_t keptConnections();
+    /// Closes an event loop's kept connections to a peer; from that loop's thread.
+    void closeKept(asio::execution_context &loop, const Address &peer);
 
 private:
     friend class Response;
--- a/src/log.cpp
+++ b/src/log.cpp
@@ -21,7 +21,7 @@
 namespace
 {
 
-constexpr std::array<EventInfo, 37> catalogue{{
+constexpr std::array<EventInfo, 38> catalogue{{
     {Event::ProgramStarted, "ProgramStarted", Level::Info},
     {Event::StopRequested, "StopRequested", Level::Info},
     {Event::ProgramStopped, "ProgramStopped", Level::Info},
@@ -30,7 +30,7 @@
     {Event::WatchRestarted, "WatchRestarted", Level::Warn},
     {Event::PlatformUnreachable, "PlatformUnreachable", Level::Warn},
     {Event::IdempotentReplay, "IdempotentReplay", Level::Info},
-    {Event::CatalogueEntryRejected, "CatalogueEntryRejected", Level::Error},
+    {Event::CatalogueEntryRejected, "CatalogueEntryRejected", Level::Warn},
     {Event::AnswerMismatched, "AnswerMismatched", Level::Error},
     {Event::RecordNotSettled, "RecordNotSettled", Level::Error},
     {Event::ChildFailed, "ChildFailed", Level::Error},
@@ -48,6 +48,7 @@
     {Event::StoreLost, "StoreLost", Level::Warn},
     {Event::StoreRegained, "StoreRegained", Level::Info},
     {Event::EndpointEjected, "EndpointEjected", Level::Warn},
+    {Event::EndpointRestarted, "EndpointRestarted", Level::Info},
     {Event::SettingsReloaded, "SettingsReloaded", Level::Info},
     {Event::LinesLeftOut, "LinesLeftOut", Level::Warn},
     {Event::PeersUnreachable, "PeersUnreachable", Level::Warn},
--- a/src/log.h
+++ b/src/log.h
@@ -37,6 +37,7 @@
     StoreLost = 2034,
     StoreRegained = 2035,
     EndpointEjected = 2036,
+    EndpointRestarted = 2037,
     SettingsReloaded = 2038,
     LinesLeftOut = 2039,
     PeersUnreachable = 2040,
--- a/src/router_core.cpp
+++ b/src/router_core.cpp
@@ -68,16 +68,47 @@
         }
         it = !listed && it->second.inflight == 0 ? m_health.erase(it) : std::next(it);
     }
+    std::set<std::string> restarted;
     for (const auto &e : live) {
-        if (!m_endpoints.empty() && !contains(m_endpoints, e.id)) {
+        const auto before = findById(m_endpoints, e.id);
+        if (before && !sameIncarnation(m_endpoints[*before], e)) {
+            m_health[e.id] = {};
+            restarted.insert(e.id);
+            ++m_restarts;
+        }
+        if (!m_endpoints.empty() && (!before || restarted.count(e.id))) {
             m_health[e.id].joinedAt = now;
         }
     }
     m_endpoints = std::move(live);
-    rebuild();
+    rebuild(restarted);
     return true;
 }
 
+// The record of an endpoint that is listed, also as leaving, or null.
+const Endpoint *RoutingTable::listed(const std::string &id) const
+{
+    for (const auto *list : {&m_endpoints, &m_leaving}) {
+        if (const auto place = findById(*list, id)) {
+            return &(*list)[*place];
+        }
+    }
+    return nullptr;
+}
+
+uint64_t RoutingTable::restarts() const
+{
+    std::lock_guard lock(m_mutex);
+    return m_restarts;
+}
+
+bool RoutingTable::isCurrent(const Endpoint &endpoint) const
+{
+    std::lock_guard lock(m_mutex);
+    const auto *now = listed(endpoint.id);
+    return !now || sameIncarnation(*now, endpoint);
+}
+
 bool RoutingTable::setDraining(const std::string &id, bool draining)
 {
     std::lock_guard lock(m_mutex);
@@ -139,8 +170,9 @@
 }
 
 // Brings every pool's members in line with the endpoints that may take new
-// work; what the pickers know of members that stay is kept.
-void RoutingTable::rebuild()
+// work; what the pickers know of members that stay is kept, but for those
+// that have started again.
+void RoutingTable::rebuild(const std::set<std::string> &restarted)
 {
     for (auto &[name, pool] : m_pools) {
         pool.members.clear();
@@ -169,8 +201,15 @@
             it = m_pools.erase(it);
             continue;
         }
+        std::vector<std::string> kept;
+        std::copy_if(ids.begin(), ids.end(), std::back_inserter(kept), [&](const std::string &id) {
+            return !restarted.count(id);
+        });
         std::visit(
             [&](auto &picker) {
+                if (kept.size() != ids.size()) {
+                    picker.setMembers(kept); // forgets the others
+                }
                 picker.setMembers(ids);
             },
             it->second.picker);
@@ -240,12 +279,8 @@
     if (health != m_health.end() && health->second.suspectUntil > now) {
         return std::nullopt;
     }
-    for (const auto *list : {&m_endpoints, &m_leaving}) {
-        if (const auto place = findById(*list, id)) {
-            return (*list)[*place];
-        }
-    }
-    return std::nullopt;
+    const auto *endpoint = listed(id);
+    return endpoint ? std::optional(*endpoint) : std::nullopt;
 }
 
 Clock::time_point RoutingTable::joinedAt(const std::string &id) const
@@ -271,13 +306,17 @@
     return found ? &pool->second : nullptr;
 }
 
-void RoutingTable::release(const std::string &id, Clock::time_point now)
+void RoutingTable::release(const Endpoint &endpoint, Clock::time_point now)
 {
     std::lock_guard lock(m_mutex);
-    auto &inflight = m_health[id].inflight;
+    const auto *current = listed(endpoint.id);
+    if (current && !sameIncarnation(*current, endpoint)) {
+        return; // the request ended with the incarnation that had it
+    }
+    auto &inflight = m_health[endpoint.id].inflight;
     inflight = std::max<int64_t>(0, inflight - 1);
     std::size_t member = 0;
-    if (auto *pool = poolOf(id, member)) {
+    if (auto *pool = poolOf(endpoint.id, member)) {
         std::visit(
             [&](auto &picker) {
                 picker.finished(member, now);
@@ -311,6 +350,10 @@
 void RoutingTable::toldOf(const peers::LoadReport &report)
 {
     std::lock_guard lock(m_mutex);
+    const auto health = m_health.find(report.endpoint);
+    if (health != m_health.end() && report.heardAt < health->second.joinedAt) {
+        return; // of an earlier incarnation
+    }
     passOn(report.endpoint, report.load, report.heardAt);
 }
 
--- a/src/router_core.h
+++ b/src/router_core.h
@@ -68,8 +68,13 @@
     std::optional<Endpoint> find(const std::string &id, Clock::time_point now) const;
     /// When an endpoint joined the ones known before; the epoch for those of the first listing.
     Clock::time_point joinedAt(const std::string &id) const;
-    /// Counts one request out of flight.
-    void release(const std::string &id, Clock::time_point now);
+    /// Counts one request out of flight, unless the endpoint has started again since.
+    void release(const Endpoint &endpoint, Clock::time_point now);
+    /// False once the endpoint is known to have started again: what is learnt
+    /// of its earlier incarnation says nothing of the one that takes work now.
+    bool isCurrent(const Endpoint &endpoint) const;
+    /// How often a listed endpoint started again under its id, so far.
+    uint64_t restarts() const;
 
     std::vector<Endpoint> endpoints() const;
     nlohmann::json status() const;
@@ -95,7 +100,8 @@
     };
     Picker makePicker(EndpointKind kind) const;
     std::optional<std::size_t> pickIn(Pool &pool, const placement::Affinity &affinity, const std::set<std::string> &exclude, Clock::time_point now);
-    void rebuild();
+    void rebuild(const std::set<std::string> &restarted = {});
+    const Endpoint *listed(const std::string &id) const;
     Pool *poolOf(const std::string &id, std::size_t &member);
     void passOn(const std::string &id, int64_t load, Clock::time_point heardAt);
 
@@ -106,6 +112,7 @@
     std::map<std::string, Pool> m_pools;
     std::map<std::string, std::string> m_poolNames; ///< by endpoint id
     std::map<std::string, Health> m_health;
+    uint64_t m_restarts = 0;
 };
 
 /// Holds one acquired endpoint and releases it at the end of its scope.
@@ -114,19 +121,19 @@
 public:
     PlacedRequest(RoutingTable &table, const Endpoint &endpoint)
         : m_table(table)
-        , m_id(endpoint.id)
+        , m_endpoint(endpoint)
     {
     }
     ~PlacedRequest()
     {
-        m_table.release(m_id, Clock::now());
+        m_table.release(m_endpoint, Clock::now());
     }
     PlacedRequest(const PlacedRequest &) = delete;
     PlacedRequest &operator=(const PlacedRequest &) = delete;
 
 private:
     RoutingTable &m_table;
-    std::string m_id;
+    Endpoint m_endpoint;
 };
 
 } // namespace yucca::router
--- a/tests/test_entry_state.cpp
+++ b/tests/test_entry_state.cpp
@@ -171,7 +171,7 @@
         const auto home = placing.homeOf("m", prompt, "");
         const auto placed = placing.acquire("m", {prompt, prompt}, {}, Clock::now());
         STRCMP_EQUAL(home->id.c_str(), placed->id.c_str());
-        placing.release(placed->id, Clock::now());
+        placing.release(*placed, Clock::now());
     }
 }
 
--- /dev/null
+++ b/tests/test_incarnation.cpp
@@ -0,0 +1,193 @@
+// An endpoint that starts again under its id: it holds and knows nothing of
+// before, so nothing that was learnt of its earlier incarnation may count.
+#include "entry_rig.h"
+
+#include "loop_group.h"
+
+using namespace yucca;
+using namespace yucca::rig;
+
+namespace
+{
+
+constexpr int64_t firstStart = 1796260000000; // Unix ms
+constexpr int64_t secondStart = firstStart + 5000;
+
+Endpoint engine(const std::string &id, uint16_t port, int64_t born)
+{
+    auto e = endpointAt(id, port, "m", EndpointKind::Engine);
+    e.born = born;
+    return e;
+}
+
+router::TableOptions leastLoaded()
+{
+    router::TableOptions options;
+    options.policy = Policy::LeastLoaded;
+    return options;
+}
+
+} // namespace
+
+TEST_GROUP(Incarnation)
+{
+    router::RoutingTable table{leastLoaded()};
+    Clock::time_point now{std::chrono::hours(1)};
+
+    void list(int64_t bornOfA)
+    {
+        table.setEndpoints({engine("a", 1, bornOfA), engine("b", 2, firstStart)}, now);
+    }
+    std::string chosen()
+    {
+        const auto e = table.acquire("m", {1, 1}, {}, now);
+        table.release(*e, now);
+        return e->id;
+    }
+};
+
+TEST(Incarnation, LoadsOfBeforeAreForgotten)
+{
+    list(firstStart);
+    table.reported("a", 40, now);
+    table.reported("b", 5, now);
+    STRCMP_EQUAL("b", chosen().c_str());
+    now += std::chrono::seconds(1);
+    list(secondStart);
+    STRCMP_EQUAL("a", chosen().c_str());
+    CHECK(table.joinedAt("a") == now);
+    CHECK(table.joinedAt("b") == Clock::time_point{});
+    LONGS_EQUAL(1, table.restarts());
+}
+
+TEST(Incarnation, WhatAPeerHeardOfTheEarlierOneIsLeftOut)
+{
+    list(firstStart);
+    const auto heardAt = now;
+    now += std::chrono::seconds(1);
+    list(secondStart);
+    table.reported("b", 5, now);
+    table.toldOf({"a", 40, heardAt});
+    STRCMP_EQUAL("a", chosen().c_str());
+    table.toldOf({"a", 40, now}); // of this one
+    STRCMP_EQUAL("b", chosen().c_str());
+}
+
+TEST(Incarnation, EjectionAndSuspicionEndWithIt)
+{
+    list(firstStart);
+    table.eject("a", now + std::chrono::seconds(8));
+    table.suspect("a", now);
+    table.reported("b", 5, now);
+    STRCMP_EQUAL("b", chosen().c_str());
+    list(secondStart);
+    STRCMP_EQUAL("a", chosen().c_str());
+}
+
+TEST(Incarnation, ARequestOfBeforeDoesNotCountOutOfFlightHere)
+{
+    list(firstStart);
+    table.reported("b", 50, now);
+    const auto before = table.acquire("m", {1, 1}, {}, now);
+    STRCMP_EQUAL("a", before->id.c_str());
+    list(secondStart);
+    table.reported("b", 50, now);
+    const auto after = table.acquire("m", {1, 1}, {}, now);
+    STRCMP_EQUAL("a", after->id.c_str());
+    table.release(*before, now);
+    const auto status = table.status();
+    LONGS_EQUAL(1, status[0]["inflight"].get<int>());
+    CHECK(!table.isCurrent(*before));
+    CHECK(table.isCurrent(*after));
+}
+
+TEST(Incarnation, ItIsNoHolderOfAPromptThatTheEarlierOneRead)
+{
+    list(firstStart);
+    entry::PromptHolders holders;
+    holders.note(7, engine("a", 1, firstStart), now);
+    const auto b = engine("b", 2, firstStart);
+    CHECK(entry::holderBeside(b, "m", 7, holders, table, std::nullopt, now)->id == "a");
+    now += std::chrono::seconds(1);
+    list(secondStart);
+    CHECK(!entry::holderBeside(b, "m", 7, holders, table, std::nullopt, now).has_value());
+}
+
+LOOP_GROUP(IncarnationTraffic);
+
+namespace
+{
+
+// Sends events up to a last one and then nothing more, without closing: an
+// engine that went dark.
+RawEndpoint::Script goingDark(int last)
+{
+    return [=](tcp::socket &socket, const SeenRequest &request) -> Task<void> {
+        co_await sendBytes(socket, streamHead(request.header("Yuccasaddle-Attempt-Id")));
+        for (int i = 1; i <= last; ++i) {
+            co_await sendBytes(socket, chunk(eventNumber(i)));
+        }
+        asio::steady_timer forever(socket.get_executor(), std::chrono::hours(1));
+        boost::system::error_code ec;
+        co_await forever.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+    };
+}
+
+RawEndpoint::Script goingOn(int last)
+{
+    return [=](tcp::socket &socket, const SeenRequest &request) -> Task<void> {
+        const std::string resume = request.header("Last-Event-Id");
+        co_await sendBytes(socket, streamHead(request.header("Yuccasaddle-Attempt-Id")));
+        for (int i = resume == "(none)" ? 1 : std::stoi(resume) + 1; i <= last; ++i) {
+            co_await sendBytes(socket, chunk(eventNumber(i)));
+        }
+        co_await sendBytes(socket, "0\r\n\r\n");
+    };
+}
+
+std::string eventsUpTo(int last)
+{
+    std::string out;
+    for (int i = 1; i <= last; ++i) {
+        out += eventNumber(i);
+    }
+    return out;
+}
+
+} // namespace
+
+TEST(IncarnationTraffic, AStreamOfAnEngineThatWentDarkGoesOnElsewhereOnceItHasStartedAgain)
+{
+    RawEndpoint dark(loop(), goingDark(2));
+    RawEndpoint sound(loop(), goingOn(4));
+    EntryRig rig(loop(), {});
+    rig.published.replaceEndpoints({{"a", engine("a", dark.port, firstStart)}});
+    std::optional<http::CallResult<http::Reply>> result;
+    asio::co_spawn(loop().io, rig.send("POST", "/chat/1", EntryRig::caller("q1"), ""), [&](std::exception_ptr, http::CallResult<http::Reply> r) {
+        result = std::move(r);
+    });
+    loop().until([&] {
+        return !dark.seen.empty();
+    });
+    rig.published.replaceEndpoints({{"a", engine("a", dark.port, secondStart)}, {"b", engine("b", sound.port, firstStart)}});
+    rig.gateway.endAttemptsAtRestarted();
+    loop().until([&] {
+        return result.has_value();
+    });
+    CHECK(std::holds_alternative<http::Reply>(*result));
+    STRCMP_EQUAL(eventsUpTo(4).c_str(), std::get<http::Reply>(*result).body.c_str());
+    LONGS_EQUAL(1, sound.seen.size());
+}
+
+TEST(IncarnationTraffic, ItsKeptConnectionsAreNotUsedAgain)
+{
+    RawEndpoint a(loop(), goingOn(1));
+    EntryRig rig(loop(), {});
+    rig.published.replaceEndpoints({{"a", engine("a", a.port, firstStart)}});
+    rig.reply("POST", "/chat/1", "q1");
+    rig.reply("POST", "/chat/1", "q2");
+    LONGS_EQUAL(1, a.connections);
+    rig.published.replaceEndpoints({{"a", engine("a", a.port, secondStart)}});
+    rig.reply("POST", "/chat/1", "q3");
+    LONGS_EQUAL(2, a.connections);
+}
--- a/tests/test_peers.cpp
+++ b/tests/test_peers.cpp
@@ -163,7 +163,7 @@
     std::string pick(Clock::time_point now)
     {
         const auto endpoint = table->acquire("p", {1, 1}, {}, now);
-        table->release(endpoint->id, now);
+        table->release(*endpoint, now);
         return endpoint->id;
     }
     store::ObjectStore store;
--- a/tests/test_ring.cpp
+++ b/tests/test_ring.cpp
@@ -171,7 +171,7 @@
         auto ep = table.acquire("pool", keyed(std::to_string(k)), {}, Clock::now());
         CHECK(ep.has_value());
         CHECK(ep->id != "engine-2");
-        table.release(ep->id, Clock::now());
+        table.release(*ep, Clock::now());
     }
 }
 
@@ -184,7 +184,7 @@
     for (int k = 0; k < 10; ++k) {
         auto ep = table.acquire("pool", keyed(std::to_string(k)), {}, Clock::now());
         STRCMP_EQUAL("a", ep->id.c_str());
-        table.release(ep->id, Clock::now());
+        table.release(*ep, Clock::now());
     }
 }
 
@@ -199,13 +199,13 @@
     for (int k = 0; k < 50; ++k) {
         auto ep = table.acquire("pool", keyed(std::to_string(k)), {}, now);
         STRCMP_EQUAL("b", ep->id.c_str());
-        table.release(ep->id, Clock::now());
+        table.release(*ep, Clock::now());
     }
     bool sawA = false;
     for (int k = 0; k < 50; ++k) {
         auto ep = table.acquire("pool", keyed(std::to_string(k)), {}, now + std::chrono::seconds(2));
         sawA = sawA || ep->id == "a";
-        table.release(ep->id, Clock::now());
+        table.release(*ep, Clock::now());
     }
     CHECK(sawA);
 }
@@ -225,10 +225,10 @@
     for (int k = 0; k < 400; ++k) {
         auto key = keyed("k" + std::to_string(k));
         auto before = table.acquire("pool", key, {}, now);
-        table.release(before->id, Clock::now());
+        table.release(*before, Clock::now());
         table.suspect("engine-3", now);
         auto during = table.acquire("pool", key, {}, now);
-        table.release(during->id, Clock::now());
+        table.release(*during, Clock::now());
         table.recovered("engine-3");
         CHECK(during->id != "engine-3");
         moved += before->id != "engine-3" && during->id != before->id ? 1 : 0;
@@ -244,7 +244,7 @@
     const auto usable = [&] {
         const auto ep = table.acquire("pool", keyed("k"), {}, now);
         if (ep) {
-            table.release(ep->id, now);
+            table.release(*ep, now);
         }
         return ep.has_value();
     };
