Prompts go where they are held: holders shared between routers and kept in the store

Change: the routing table remembers up to four endpoints that took a prompt, places at a holder below the bound before the home, names another holder, a leaving one too, to an endpoint that does not hold it. Routers tell each other in the datagrams of the loads, which now also go to other failure domains; one router writes what is known to the store each 3 s, a starting one reads it. With loads from all routers the bound on homes is 1.5 x the mean + 2 (1.3 x before).

--- a/emulators/model/fleet.cpp
+++ b/emulators/model/fleet.cpp
@@ -1,5 +1,6 @@
 #include "model/fleet.h"
 
+#include "load_exchange.h"
 #include "yucca/ring.h"
 
 #include <boost/random/exponential_distribution.hpp>
@@ -262,28 +263,42 @@
     send(request, now);
 }
 
-// Tells some routers of the same failure domain the loads heard since the last round.
+// Leaves some of a list, drawn at random.
+void Fleet::drawSome(std::vector<std::size_t> &list, std::size_t most)
+{
+    boost::random::random_number_generator<decltype(m_random)> draw(m_random);
+    for (std::size_t i = list.size(); i > 1; --i) {
+        std::swap(list[i - 1], list[static_cast<std::size_t>(draw(static_cast<long>(i)))]);
+    }
+    list.resize(std::min(list.size(), most));
+}
+
+// Tells some routers the loads and prompts that are news since the last round.
 void Fleet::shareLoads(std::size_t router, Ms now)
 {
     const auto domains = static_cast<std::size_t>(m_scenario.failureDomains);
     const auto reports = m_routers[router]->table.heardSince(timeOf(m_routers[router]->toldUpTo));
     m_routers[router]->toldUpTo = now;
-    std::vector<std::size_t> peers;
-    for (std::size_t i = router % domains; i < m_routers.size(); i += domains) {
+    const auto prompts = m_routers[router]->table.takePromptNews(peers::mostPrompts);
+    std::vector<std::size_t> near;
+    std::vector<std::size_t> far;
+    for (std::size_t i = 0; i < m_routers.size(); ++i) {
         if (i != router) {
-            peers.push_back(i);
+            (i % domains == router % domains ? near : far).push_back(i);
         }
     }
-    boost::random::random_number_generator<decltype(m_random)> draw(m_random);
-    for (std::size_t i = peers.size(); i > 1; --i) {
-        std::swap(peers[i - 1], peers[static_cast<std::size_t>(draw(static_cast<long>(i)))]);
-    }
-    peers.resize(std::min(peers.size(), static_cast<std::size_t>(m_scenario.sharePeers)));
-    schedule(now + sharedAfter, [this, peers, reports](Ms) {
-        for (const std::size_t peer : peers) {
+    const auto most = static_cast<std::size_t>(m_scenario.sharePeers);
+    drawSome(near, std::min(most, peers::ExchangeOptions().mostNearTold));
+    drawSome(far, most - near.size());
+    near.insert(near.end(), far.begin(), far.end());
+    schedule(now + sharedAfter, [this, told = std::move(near), reports, prompts](Ms at) {
+        for (const std::size_t peer : told) {
             for (const auto &report : reports) {
                 m_routers[peer]->table.toldOf(report);
             }
+            for (const auto &news : prompts) {
+                m_routers[peer]->table.toldOfPrompt(news, timeOf(at));
+            }
         }
     });
     if (now < m_scenario.seconds * 1000) {
--- a/emulators/model/fleet.h
+++ b/emulators/model/fleet.h
@@ -5,7 +5,6 @@
 #include "admission.h"
 #include "entry/come_back.h"
 #include "entry/outlier_detector.h"
-#include "entry/prompt_holders.h"
 #include "entry/retry_policy.h"
 #include "model/engine.h"
 #include "model/outcome.h"
@@ -58,7 +57,6 @@
         {
         }
         router::RoutingTable table;
-        entry::PromptHolders holders;
         std::map<std::string, limits::RetryBudget> budgets;
         std::map<std::string, entry::OutlierDetector> outliers;
         Ms toldUpTo = 0; ///< which reports its peers know
@@ -109,6 +107,7 @@
     void refuse(const FlightPtr &flight, Ms now);
     void finish(const FlightPtr &flight, bool served, bool refused, Ms now);
     void noteArrival(Pool &pool, std::size_t member, Ms now);
+    void drawSome(std::vector<std::size_t> &list, std::size_t most);
     void shareLoads(std::size_t router, Ms now);
     void crash(const Crash &crash, Ms now);
     void restarted(const PoolModel &pool, std::size_t member, Ms now);
--- a/emulators/model/fleet_requests.cpp
+++ b/emulators/model/fleet_requests.cpp
@@ -73,9 +73,7 @@
     ++flight->count.sends;
     std::optional<Endpoint> holder;
     if (!request.parts.empty()) {
-        const uint64_t prompt = flight->affinity.conversation;
-        const auto home = router.table.homeOf(pool, prompt, "");
-        holder = entry::holderBeside(*endpoint, pool, prompt, router.holders, router.table, home, at);
+        holder = router.table.beliefOf(flight->affinity.conversation, *endpoint, at).source;
     }
     const std::size_t member = memberOf(*endpoint);
     schedule(now + oneWay(flight->router, member), [this, flight, e = *endpoint, member, holder](Ms reachedAt) {
@@ -143,7 +141,7 @@
                 router.table.reported(endpoint.id, load, timeOf(at));
                 router.table.recovered(endpoint.id);
                 if (!flight->request->parts.empty()) {
-                    router.holders.note(flight->affinity.conversation, endpoint, timeOf(at));
+                    router.table.tookPrompt(flight->affinity.conversation, endpoint, timeOf(at));
                 }
             }
             if (done) {
--- a/include/yucca/placement.h
+++ b/include/yucca/placement.h
@@ -23,6 +23,7 @@
 struct Affinity {
     uint64_t shared = 0;
     uint64_t conversation = 0;
+    std::vector<std::string> holders = {}; ///< members that likely hold the prompt
 };
 
 /// A placement policy: keeps the members of one pool and what this router
@@ -183,7 +184,7 @@
 struct HomeOptions {
     /// No member above this multiple of the mean load, plus the slack. Below
     /// the bound that must hold, as reports come late.
-    double loadFactor = 1.3;
+    double loadFactor = 1.5;
     double slack = 2.0; ///< requests: below a few in flight a late report's noise is no overload
     std::chrono::duration<double> reportLifetime{3.0};
 };
--- a/src/entry/gateway.h
+++ b/src/entry/gateway.h
@@ -10,7 +10,6 @@
 #include "entry/entry_settings.h"
 #include "entry/line_budget.h"
 #include "entry/outlier_detector.h"
-#include "entry/prompt_holders.h"
 #include "entry/request_profile.h"
 #include "entry/retry_policy.h"
 #include "http_client.h"
@@ -165,7 +164,7 @@
         bool timedOut = false;
         bool endpointRestarted = false; ///< under the attempt that goes on
         std::string lastEndpoint;
-        std::string holder; ///< where the last endpoint was told to fetch the read prompt from
+        router::PromptBelief belief; ///< of the prompt at the last endpoint
         std::optional<Endpoint> home; ///< of the prompt, at the last attempt
         unsigned lastStatus = 0; ///< of the last endpoint's own answer
         int64_t lastLoad = -1; ///< what the last endpoint reported of itself
@@ -189,7 +188,7 @@
     Clock::time_point headDeadline(const Flight &flight, Clock::time_point now) const;
     limits::RetryBudget &budgetOf(const std::string &service);
     std::string chooseService(const RequestProfile &profile) const;
-    std::optional<Endpoint> promptHolder(const Flight &flight, const Endpoint &endpoint, Clock::time_point now);
+    router::PromptBelief beliefOf(const Flight &flight, const Endpoint &endpoint, Clock::time_point now) const;
     void noteAttempt(const Flight &flight, const Endpoint &endpoint, AttemptEnd end, Clock::time_point began, bool again);
     static RequestEnd endOf(const Flight &flight, AttemptEnd end);
     bool takeRetry(const std::string &service);
@@ -207,7 +206,6 @@
     std::map<std::string, limits::RetryBudget> m_budgets; ///< by service
     std::map<std::string, OutlierDetector> m_outliers; ///< by service
     std::map<std::string, Clock::time_point> m_keptBrokeAt; ///< by service: the last time that a kept connection broke
-    PromptHolders m_holders;
     std::map<std::string, int64_t> m_born; ///< by endpoint: the start of the incarnation that was last sent to
     std::map<Flight *, Endpoint> m_attempts; ///< that go on, and where
     Metrics m_metrics;
--- a/src/entry/gateway_attempt.h
+++ b/src/entry/gateway_attempt.h
@@ -79,8 +79,8 @@
     const std::size_t share = service ? static_cast<std::size_t>(service->maxConnections) / m_options.routersPerConnectionCap : 1;
     options.mostKept = std::clamp<std::size_t>(share, 2, m_options.mostKept);
     const auto left = std::chrono::duration_cast<Millis>(flight.profile.answerBy - now);
-    ForwardOptions forward{endpoint, left, flight.events.lastId(), promptHolder(flight, endpoint, now)};
-    flight.holder = forward.promptHolder ? forward.promptHolder->id : "";
+    flight.belief = beliefOf(flight, endpoint, now);
+    ForwardOptions forward{endpoint, left, flight.events.lastId(), flight.belief.source};
     auto request = m_dialect.forwarded(ex, flight.profile, forward);
     const http::Address address{endpoint.host, endpoint.port};
     stale = false;
@@ -144,7 +144,7 @@
     flight.firstByte = flight.firstByte == Clock::time_point{} ? now : flight.firstByte;
     flight.lastStatus = head.status;
     if (sharesPrompt(flight.profile.prompt)) {
-        m_holders.note(promptKey(flight.profile.prompt), endpoint, now);
+        m_table.tookPrompt(promptKey(flight.profile.prompt), endpoint, now);
     }
     const bool streams = flight.profile.route->kind == RequestKind::Stream && head.status == 200;
     // GCC 12 evaluates both arms of a conditional with co_await in each.
--- a/src/entry/gateway_place.h
+++ b/src/entry/gateway_place.h
@@ -29,13 +29,10 @@
     return ways.empty() ? std::string() : ways.back().service;
 }
 
-// Where the endpoint may fetch the read prompt from, if that helps.
-template <Dialect D> std::optional<Endpoint> Gateway<D>::promptHolder(const Flight &flight, const Endpoint &endpoint, Clock::time_point now)
+// What the endpoint likely holds of the prompt, and where it may fetch it from.
+template <Dialect D> router::PromptBelief Gateway<D>::beliefOf(const Flight &flight, const Endpoint &endpoint, Clock::time_point now) const
 {
-    if (!sharesPrompt(flight.profile.prompt)) {
-        return std::nullopt;
-    }
-    return holderBeside(endpoint, flight.service, promptKey(flight.profile.prompt), m_holders, m_table, flight.home, now);
+    return sharesPrompt(flight.profile.prompt) ? m_table.beliefOf(promptKey(flight.profile.prompt), endpoint, now) : router::PromptBelief();
 }
 
 } // namespace yucca::entry
--- a/src/entry/process.h
+++ b/src/entry/process.h
@@ -5,6 +5,7 @@
 #include "cli.h"
 #include "entry/gateway.h"
 #include "load_exchange.h"
+#include "prompt_snapshot.h"
 #include "settings.h"
 #include "supervisor.h"
 
@@ -39,6 +40,10 @@
         , m_published(m_table)
         , m_control(store, m_published)
         , m_exchange(store, {settings.id, settings.failureDomain, settings.peers}, m_table)
+        , m_snapshot(store, m_table,
+                     [this] {
+                         return m_exchange.firstByName(Clock::now());
+                     })
         , m_gateway(GatewayParts{m_published, m_table, m_admission}, gatewayOptions(settings))
         , m_supervisor(m_controlLoop, noteFailure)
         , m_callers({&m_trafficLoop}, settings.traffic.host, settings.traffic.port,
@@ -151,6 +156,13 @@
                                 return m_exchange.tell();
                             },
                             stop});
+        m_supervisor.start({"prompts",
+                            [this] {
+                                return m_snapshot.run();
+                            },
+                            [this] {
+                                m_snapshot.stop();
+                            }});
         m_supervisor.start({"hear",
                             [this] {
                                 return m_exchange.hear();
@@ -275,6 +287,7 @@
     Published m_published;
     Control<C> m_control;
     peers::LoadExchange m_exchange;
+    router::PromptSnapshot m_snapshot;
     limits::Admission m_admission; ///< bounds nobody here: the platform's workspaces state no limits
     Gateway<D> m_gateway;
     Supervisor m_supervisor;
--- a/src/load_digest.cpp
+++ b/src/load_digest.cpp
@@ -1,6 +1,7 @@
 #include "load_digest.h"
 
 #include <algorithm>
+#include <map>
 
 namespace yucca::peers
 {
@@ -32,9 +33,23 @@
     return true;
 }
 
-} // namespace
+// An endpoint with its prompts: [endpoint, [key, ...]].
+bool readPrompts(const json &item, std::vector<PromptNews> &out)
+{
+    const bool shaped = item.is_array() && item.size() == 2 && item[0].is_string() && item[1].is_array();
+    if (!shaped || item[0].get_ref<const std::string &>().size() > longestId) {
+        return false;
+    }
+    for (const auto &key : item[1]) {
+        if (!key.is_number_unsigned() || out.size() == mostPrompts) {
+            return false;
+        }
+        out.push_back({key.get<uint64_t>(), item[0].get<std::string>()});
+    }
+    return true;
+}
 
-std::vector<uint8_t> encode(std::vector<LoadReport> reports, Clock::time_point now)
+json writtenReports(std::vector<LoadReport> reports, Clock::time_point now)
 {
     std::sort(reports.begin(), reports.end(), [](const LoadReport &a, const LoadReport &b) {
         return a.heardAt > b.heardAt;
@@ -45,10 +60,28 @@
         const auto age = std::chrono::duration_cast<Millis>(now - r.heardAt).count();
         out.push_back({r.endpoint, r.load, std::clamp<int64_t>(age, 0, oldestMs)});
     }
+    return out;
+}
+
+} // namespace
+
+std::vector<uint8_t> encode(std::vector<LoadReport> reports, Clock::time_point now, const std::vector<PromptNews> &prompts)
+{
+    json out = writtenReports(std::move(reports), now);
+    std::map<std::string, std::vector<uint64_t>> byEndpoint;
+    for (std::size_t i = 0; i < std::min(prompts.size(), mostPrompts); ++i) {
+        byEndpoint[prompts[i].endpoint].push_back(prompts[i].prompt);
+    }
+    for (const auto &[endpoint, keys] : byEndpoint) {
+        json item = json::array();
+        item.push_back(endpoint);
+        item.push_back(keys);
+        out.push_back(std::move(item));
+    }
     return json::to_cbor(out);
 }
 
-Result<std::vector<LoadReport>> decode(std::span<const uint8_t> datagram, Clock::time_point now)
+Result<Digest> decode(std::span<const uint8_t> datagram, Clock::time_point now)
 {
     json items;
     try {
@@ -56,16 +89,17 @@
     } catch (const json::exception &e) {
         return Error{400, e.what()}; // a stated size beyond all bounds throws even where errors are not to
     }
-    if (!items.is_array() || items.size() > mostReports) {
-        return Error{400, "no list of at most " + std::to_string(mostReports) + " reports"};
+    if (!items.is_array()) {
+        return Error{400, "no list"};
     }
-    std::vector<LoadReport> out;
+    Digest out;
     for (const auto &item : items) {
         LoadReport report;
-        if (!readReport(item, now, report)) {
-            return Error{400, "report " + std::to_string(out.size()) + " is malformed"};
+        if (out.loads.size() < mostReports && readReport(item, now, report)) {
+            out.loads.push_back(std::move(report));
+        } else if (!readPrompts(item, out.prompts)) {
+            return Error{400, "item " + std::to_string(out.loads.size() + out.prompts.size()) + " is malformed or one too many"};
         }
-        out.push_back(std::move(report));
     }
     return out;
 }
--- a/src/load_digest.h
+++ b/src/load_digest.h
@@ -1,5 +1,5 @@
-// What routers tell each other of endpoints' loads: the reports they heard
-// themselves since they last told, as CBOR.
+// What routers tell each other of endpoints, as CBOR: the loads they heard and
+// the prompts they sent where nobody knew them since they last told.
 #pragma once
 
 #include "task.h"
@@ -23,15 +23,31 @@
     bool operator==(const LoadReport &) const = default;
 };
 
-/// A datagram holds no more reports than this: about 25 B each, so that it
-/// fits one packet of 1,400 B.
-inline constexpr std::size_t mostReports = 50;
+/// An endpoint that took a prompt, and so holds what it read of it.
+struct PromptNews {
+    uint64_t prompt = 0;
+    std::string endpoint;
+    bool operator==(const PromptNews &) const = default;
+};
+
+/// What one datagram tells.
+struct Digest {
+    std::vector<LoadReport> loads;
+    std::vector<PromptNews> prompts;
+    bool operator==(const Digest &) const = default;
+};
+
+/// A datagram holds no more than these: about 25 B a report and 9 to 25 B a
+/// prompt, so that it fits one packet of 1,400 B.
+inline constexpr std::size_t mostReports = 32;
+inline constexpr std::size_t mostPrompts = 24;
 
-/// Encodes reports, the newest where there are too many, each with its age.
-std::vector<uint8_t> encode(std::vector<LoadReport> reports, Clock::time_point now);
+/// Encodes reports, the newest where there are too many, each with its age,
+/// and the first of the prompts.
+std::vector<uint8_t> encode(std::vector<LoadReport> reports, Clock::time_point now, const std::vector<PromptNews> &prompts = {});
 
 /// Decodes a datagram; an Error (400) says what is wrong with it. Ages are
 /// counted back from now.
-Result<std::vector<LoadReport>> decode(std::span<const uint8_t> datagram, Clock::time_point now);
+Result<Digest> decode(std::span<const uint8_t> datagram, Clock::time_point now);
 
 } // namespace yucca::peers
--- a/src/load_exchange.cpp
+++ b/src/load_exchange.cpp
@@ -5,6 +5,8 @@
 #include <boost/asio/buffer.hpp>
 
 #include <algorithm>
+#include <iterator>
+#include <set>
 
 namespace yucca::peers
 {
@@ -76,13 +78,15 @@
     if (!reached) {
         co_return false;
     }
-    for (const auto &peer : m_directory.peers()) {
-        m_heardAt.try_emplace(peer.address, now);
+    std::set<http::Address> listed;
+    for (const auto *peers : {&m_directory.peers(), &m_directory.farPeers()}) {
+        for (const auto &peer : *peers) {
+            m_heardAt.try_emplace(peer.address, now);
+            listed.insert(peer.address);
+        }
     }
-    std::erase_if(m_heardAt, [this](const auto &heard) {
-        return std::none_of(m_directory.peers().begin(), m_directory.peers().end(), [&](const Peer &p) {
-            return p.address == heard.first;
-        });
+    std::erase_if(m_heardAt, [&listed](const auto &heard) {
+        return !listed.count(heard.first);
     });
     co_await forgetSilent(now);
     co_return true;
@@ -117,6 +121,18 @@
     }
 }
 
+// Some of the peers, at random; the silent ones only now and then.
+std::vector<Peer> LoadExchange::drawn(const std::vector<Peer> &peers, std::size_t most, bool alsoSilent, Clock::time_point now)
+{
+    std::vector<Peer> out;
+    std::copy_if(peers.begin(), peers.end(), std::back_inserter(out), [&](const Peer &peer) {
+        return alsoSilent || !silent(peer, now);
+    });
+    std::shuffle(out.begin(), out.end(), m_random);
+    out.resize(std::min(out.size(), most));
+    return out;
+}
+
 // Tells some peers what was heard since the last round; also that nothing
 // was, now and then, so that they know this router lives.
 Task<void> LoadExchange::sendRound()
@@ -125,19 +141,15 @@
     const auto reports = m_table.heardSince(m_toldUpTo);
     m_toldUpTo = now;
     countHeard(now);
+    const auto prompts = m_table.takePromptNews(mostPrompts);
     const bool breath = m_round++ % silentEvery == 0;
-    if (reports.empty() && !breath) {
+    if (reports.empty() && prompts.empty() && !breath) {
         co_return;
     }
-    std::vector<Peer> told;
-    for (const auto &peer : m_directory.peers()) {
-        if (breath || !silent(peer, now)) {
-            told.push_back(peer);
-        }
-    }
-    std::shuffle(told.begin(), told.end(), m_random);
-    told.resize(std::min(told.size(), m_options.mostTold));
-    const auto datagram = encode(reports, now);
+    auto told = drawn(m_directory.peers(), m_options.mostNearTold, breath, now);
+    const auto far = drawn(m_directory.farPeers(), m_options.mostTold - told.size(), breath, now);
+    told.insert(told.end(), far.begin(), far.end());
+    const auto datagram = encode(reports, now, prompts);
     for (const auto &peer : told) {
         boost::system::error_code ec;
         const auto address = asio::ip::make_address(peer.address.host, ec);
@@ -181,9 +193,23 @@
         return;
     }
     heard->second = now;
-    for (const auto &report : std::get<std::vector<LoadReport>>(decoded)) {
+    const auto &digest = std::get<Digest>(decoded);
+    for (const auto &report : digest.loads) {
         m_table.toldOf(report);
     }
+    for (const auto &news : digest.prompts) {
+        m_table.toldOfPrompt(news, now);
+    }
+}
+
+bool LoadExchange::firstByName(Clock::time_point now) const
+{
+    const auto before = [&](const Peer &peer) {
+        return peer.id < m_self.id && !silent(peer, now);
+    };
+    const auto &near = m_directory.peers();
+    const auto &far = m_directory.farPeers();
+    return std::none_of(near.begin(), near.end(), before) && std::none_of(far.begin(), far.end(), before);
 }
 
 // Logs a trouble that comes with each round or datagram, now and then.
--- a/src/load_exchange.h
+++ b/src/load_exchange.h
@@ -25,6 +25,9 @@
     /// Peers told in a round, drawn at random: 12 x 3.3 datagrams of about 80 B
     /// are 3 KB/s, of the 5 KB/s a router may spend on control.
     std::size_t mostTold = 12;
+    /// Of these, peers of the own failure domain: loads are worth most there,
+    /// where bytes cost least. What is left goes to the others.
+    std::size_t mostNearTold = 8;
     Millis refreshEvery{10000}; ///< of the list of routers
     Millis refreshSoon{2000}; ///< the first time: routers that started together are all there by then
     Millis refreshAgain{5000}; ///< after the store could not be reached
@@ -54,6 +57,9 @@
     {
         return m_heardPeers;
     }
+    /// True when no router that was heard lately has a name before this one's:
+    /// what one router of the fleet is to do is this one's.
+    bool firstByName(Clock::time_point now) const;
     /// Reads the list of peers once, and removes the entries of those that
     /// have been silent for long. False when the store could not be reached.
     Task<bool> refreshPeers(Clock::time_point now);
@@ -66,6 +72,7 @@
     void countHeard(Clock::time_point now);
     void complain(const std::string &peer, const std::string &why, Clock::time_point now);
     bool silent(const Peer &peer, Clock::time_point now) const;
+    std::vector<Peer> drawn(const std::vector<Peer> &peers, std::size_t most, bool alsoSilent, Clock::time_point now);
 
     Peer m_self;
     router::RoutingTable &m_table;
--- a/src/log.cpp
+++ b/src/log.cpp
@@ -21,7 +21,7 @@
 namespace
 {
 
-constexpr std::array<EventInfo, 38> catalogue{{
+constexpr std::array<EventInfo, 39> catalogue{{
     {Event::ProgramStarted, "ProgramStarted", Level::Info},
     {Event::StopRequested, "StopRequested", Level::Info},
     {Event::ProgramStopped, "ProgramStopped", Level::Info},
@@ -53,6 +53,7 @@
     {Event::LinesLeftOut, "LinesLeftOut", Level::Warn},
     {Event::PeersUnreachable, "PeersUnreachable", Level::Warn},
     {Event::PeerForgotten, "PeerForgotten", Level::Info},
+    {Event::PromptsLoaded, "PromptsLoaded", Level::Info},
     {Event::OrderAccepted, "OrderAccepted", Level::Info},
     {Event::OrderRefused, "OrderRefused", Level::Warn},
     {Event::Draining, "Draining", Level::Info},
--- a/src/log.h
+++ b/src/log.h
@@ -42,6 +42,7 @@
     LinesLeftOut = 2039,
     PeersUnreachable = 2040,
     PeerForgotten = 2041,
+    PromptsLoaded = 2042,
     OrderAccepted = 3001,
     OrderRefused = 3002,
     Draining = 3003,
--- a/src/peer_directory.cpp
+++ b/src/peer_directory.cpp
@@ -40,16 +40,18 @@
         co_return false;
     }
     std::vector<Peer> peers;
+    std::vector<Peer> farPeers;
     std::optional<Peer> own;
     for (const auto &object : std::get<platform::Listing>(result).items) {
         auto peer = peerOf(object);
         if (object.name == m_self.id) {
             own = peer ? peer : Peer{m_self.id, {}, {}, object.version};
-        } else if (peer && peer->failureDomain == m_self.failureDomain) {
-            peers.push_back(std::move(*peer));
+        } else if (peer) {
+            (peer->failureDomain == m_self.failureDomain ? peers : farPeers).push_back(std::move(*peer));
         }
     }
     m_peers = std::move(peers);
+    m_farPeers = std::move(farPeers);
     const bool current = own && own->address == m_self.address && own->failureDomain == m_self.failureDomain;
     m_announced = current;
     if (!current) {
--- a/src/peer_directory.h
+++ b/src/peer_directory.h
@@ -45,6 +45,11 @@
     {
         return m_peers;
     }
+    /// Those of the other failure domains.
+    const std::vector<Peer> &farPeers() const
+    {
+        return m_farPeers;
+    }
     /// Removes the entry of a router that has been silent for long. One that
     /// lives announces itself anew.
     Task<void> forget(Peer peer);
@@ -55,6 +60,7 @@
     platform::ObjectApi &m_api;
     Peer m_self;
     std::vector<Peer> m_peers;
+    std::vector<Peer> m_farPeers;
     bool m_announced = false;
 };
 
--- a/src/placement.cpp
+++ b/src/placement.cpp
@@ -264,6 +264,7 @@
     const double mean = meanLoad(m_loads, usable, now, m_options.reportLifetime, Unreported::CountOwn);
     const double limit = m_options.loadFactor * mean + m_options.slack;
     std::optional<std::size_t> home;
+    bool homeHolds = false;
     std::optional<std::size_t> least;
     double leastLoad = 0;
     for (std::size_t i = 0; i < m_loads.size(); ++i) {
@@ -271,8 +272,11 @@
             continue;
         }
         const double load = m_loads[i].estimate(mean, now, m_options.reportLifetime);
-        if (load + 1 <= limit && (!home || rank(m_hashes[i], affinity.conversation) > rank(m_hashes[*home], affinity.conversation))) {
+        const bool holds = std::find(affinity.holders.begin(), affinity.holders.end(), m_ids[i]) != affinity.holders.end();
+        const bool better = !home || (holds != homeHolds ? holds : rank(m_hashes[i], affinity.conversation) > rank(m_hashes[*home], affinity.conversation));
+        if (load + 1 <= limit && better) {
             home = i;
+            homeHolds = holds;
         }
         if (!least || load < leastLoad) {
             least = i;
--- a/src/router_core.h
+++ b/src/router_core.h
@@ -3,12 +3,14 @@
 #pragma once
 
 #include "load_digest.h"
+#include "prompt_holders.h"
 #include "task.h"
 #include "yucca/placement.h"
 #include "yucca/types.h"
 
 #include <nlohmann/json.hpp>
 
+#include <deque>
 #include <map>
 #include <mutex>
 #include <optional>
@@ -31,6 +33,12 @@
     Millis suspectForMost{8000};
 };
 
+/// What is believed of a prompt at the endpoint that takes it.
+struct PromptBelief {
+    bool held = false; ///< the endpoint took it lately
+    std::optional<Endpoint> source; ///< else: another one that likely holds it
+};
+
 /// The endpoints a router may send to, grouped by pool. Written by the
 /// control thread, read and counted by the traffic threads.
 class RoutingTable
@@ -62,6 +70,17 @@
     /// Picks an endpoint of a pool, skipping those in exclude, and counts
     /// one request in flight on it.
     std::optional<Endpoint> acquire(const std::string &pool, const placement::Affinity &affinity, const std::set<std::string> &exclude, Clock::time_point now);
+    /// Notes that an endpoint took a prompt: it likely holds it from now on.
+    void tookPrompt(uint64_t prompt, const Endpoint &endpoint, Clock::time_point now);
+    /// The same as another router tells it.
+    void toldOfPrompt(const peers::PromptNews &news, Clock::time_point now);
+    /// What this router knows of prompts and the others likely do not, since
+    /// the last call; the oldest first, and no more than a number.
+    std::vector<peers::PromptNews> takePromptNews(std::size_t most);
+    /// The prompts that endpoints likely hold, the last noted first.
+    std::vector<peers::PromptNews> knownPrompts(std::size_t most, Clock::time_point now) const;
+    /// Whether an endpoint likely holds a prompt, and who else does.
+    PromptBelief beliefOf(uint64_t prompt, const Endpoint &taker, Clock::time_point now) const;
     /// The home of a prompt, whatever its load: the first in its rendezvous order, but for one endpoint.
     std::optional<Endpoint> homeOf(const std::string &pool, uint64_t prompt, const std::string &except) const;
     /// An endpoint that is listed and answers, as far as known; also one that is leaving.
@@ -99,9 +118,12 @@
         Clock::time_point heardAt{};
     };
     Picker makePicker(EndpointKind kind) const;
-    std::optional<std::size_t> pickIn(Pool &pool, const placement::Affinity &affinity, const std::set<std::string> &exclude, Clock::time_point now);
+    std::optional<std::size_t> pickIn(Pool &pool, const placement::Affinity &asked, const std::set<std::string> &exclude, Clock::time_point now);
     void rebuild(const std::set<std::string> &restarted = {});
     const Endpoint *listed(const std::string &id) const;
+    const Endpoint *firstInOrder(const std::string &pool, uint64_t prompt, const std::string &except) const;
+    std::vector<Endpoint> likelyHolders(uint64_t prompt, Clock::time_point now) const;
+    bool suspected(const std::string &id, Clock::time_point now) const;
     Pool *poolOf(const std::string &id, std::size_t &member);
     void passOn(const std::string &id, int64_t load, Clock::time_point heardAt);
 
@@ -112,6 +134,8 @@
     std::map<std::string, Pool> m_pools;
     std::map<std::string, std::string> m_poolNames; ///< by endpoint id
     std::map<std::string, Health> m_health;
+    PromptHolders m_holders;
+    std::deque<peers::PromptNews> m_promptNews; ///< not yet told, the oldest first
     uint64_t m_restarts = 0;
 };
 
--- a/tests/fuzz/fuzz_decoders.cpp
+++ b/tests/fuzz/fuzz_decoders.cpp
@@ -38,7 +38,7 @@
     const Clock::time_point now{std::chrono::hours(1)};
     const auto reports = peers::decode({data, size}, now);
     if (ok(reports)) {
-        for (const auto &report : std::get<std::vector<peers::LoadReport>>(reports)) {
+        for (const auto &report : std::get<peers::Digest>(reports).loads) {
             require(report.load >= 0 && report.heardAt <= now);
         }
     }
--- a/tests/test_home.cpp
+++ b/tests/test_home.cpp
@@ -1,8 +1,8 @@
 // The decisions of an entry router that need no network: prompt homes, least
 // load, who holds a prompt, what may be tried again.
 #include "entry/come_back.h"
-#include "entry/prompt_holders.h"
 #include "entry/retry_policy.h"
+#include "prompt_holders.h"
 #include "yucca/placement.h"
 
 #include <CppUTest/TestHarness.h>
@@ -172,23 +172,23 @@
 
 TEST(PromptHolders, TheLastEndpointIsKnownForAWhile)
 {
-    entry::PromptHolders holders(10, std::chrono::seconds(30));
-    holders.note(1, at("a"), now);
-    holders.note(1, at("b"), now);
-    STRCMP_EQUAL("b", holders.find(1, now)->id.c_str());
-    CHECK(!holders.find(2, now).has_value());
-    CHECK(!holders.find(1, now + std::chrono::seconds(31)).has_value());
+    router::PromptHolders holders(10, std::chrono::seconds(30));
+    holders.note(1, at("a"), router::HolderSource::OwnRequest, now);
+    holders.note(1, at("b"), router::HolderSource::OwnRequest, now);
+    STRCMP_EQUAL("b", holders.find(1, now).front().id.c_str());
+    CHECK(holders.find(2, now).empty());
+    CHECK(holders.find(1, now + std::chrono::seconds(31)).empty());
 }
 
 TEST(PromptHolders, AnEndlessVarietyOfPromptsTakesBoundedMemory)
 {
-    entry::PromptHolders holders(100);
+    router::PromptHolders holders(100);
     for (uint64_t i = 0; i < 10000; ++i) {
-        holders.note(i, at("a"), now);
+        holders.note(i, at("a"), router::HolderSource::OwnRequest, now);
     }
     LONGS_EQUAL(100, holders.size());
-    CHECK(holders.find(9999, now).has_value());
-    CHECK(!holders.find(1, now).has_value());
+    CHECK(!holders.find(9999, now).empty());
+    CHECK(holders.find(1, now).empty());
 }
 
 TEST_GROUP(RetryPolicy)
--- a/tests/test_incarnation.cpp
+++ b/tests/test_incarnation.cpp
@@ -38,6 +38,14 @@
     {
         table.setEndpoints({engine("a", 1, bornOfA), engine("b", 2, firstStart)}, now);
     }
+    uint64_t promptWithHome(const std::string &id)
+    {
+        uint64_t prompt = 1;
+        while (table.homeOf("m", prompt, "")->id != id) {
+            ++prompt;
+        }
+        return prompt;
+    }
     std::string chosen()
     {
         const auto e = table.acquire("m", {1, 1}, {}, now);
@@ -104,13 +112,16 @@
 TEST(Incarnation, ItIsNoHolderOfAPromptThatTheEarlierOneRead)
 {
     list(firstStart);
-    entry::PromptHolders holders;
-    holders.note(7, engine("a", 1, firstStart), now);
+    const auto a = engine("a", 1, firstStart);
     const auto b = engine("b", 2, firstStart);
-    CHECK(entry::holderBeside(b, "m", 7, holders, table, std::nullopt, now)->id == "a");
+    const uint64_t prompt = promptWithHome("b"); // nobody would ask "a" for it
+    table.tookPrompt(prompt, a, now);
+    STRCMP_EQUAL("a", table.beliefOf(prompt, b, now).source->id.c_str());
     now += std::chrono::seconds(1);
     list(secondStart);
-    CHECK(!entry::holderBeside(b, "m", 7, holders, table, std::nullopt, now).has_value());
+    CHECK(!table.beliefOf(prompt, b, now).source.has_value());
+    table.tookPrompt(prompt, a, now); // an answer of before that comes late
+    CHECK(!table.beliefOf(prompt, b, now).source.has_value());
 }
 
 LOOP_GROUP(IncarnationTraffic);
--- a/tests/test_peers.cpp
+++ b/tests/test_peers.cpp
@@ -43,7 +43,7 @@
     const auto decoded = peers::decode(peers::encode(reports, now), later);
     CHECK(ok(decoded));
     const std::vector<peers::LoadReport> expected{{"i-1", 12, later - Millis(250)}, {"i-2", 0, later - Millis(700)}};
-    CHECK(std::get<std::vector<peers::LoadReport>>(decoded) == expected);
+    CHECK(std::get<peers::Digest>(decoded).loads == expected);
 }
 
 TEST(LoadDigest, WhereThereAreTooManyTheNewestGoIntoOnePacket)
@@ -54,7 +54,7 @@
     }
     const auto datagram = peers::encode(reports, now);
     CHECK(datagram.size() < 1472); // an Ethernet frame's datagram
-    const auto decoded = std::get<std::vector<peers::LoadReport>>(peers::decode(datagram, now));
+    const auto decoded = std::get<peers::Digest>(peers::decode(datagram, now)).loads;
     LONGS_EQUAL(peers::mostReports, decoded.size());
     STRCMP_EQUAL("i-0123456789-0", decoded.front().endpoint.c_str());
 }
--- /dev/null
+++ b/tests/test_prompt_holders.cpp
@@ -0,0 +1,256 @@
+// What routers know of prompts and their holders: placing by it, telling each
+// other, and the snapshot that a starting router goes on with.
+#include "load_exchange.h"
+#include "local_object_api.h"
+#include "prompt_snapshot.h"
+
+#include "loop_group.h"
+
+using namespace yucca;
+using namespace yucca::rig;
+
+namespace
+{
+
+router::TableOptions byHome()
+{
+    router::TableOptions options;
+    options.policy = Policy::Home;
+    return options;
+}
+
+Endpoint engineNamed(const std::string &id)
+{
+    return endpointAt(id, 1, "m", EndpointKind::Engine);
+}
+
+std::vector<Endpoint> engines(std::initializer_list<std::string> ids)
+{
+    std::vector<Endpoint> out;
+    for (const auto &id : ids) {
+        out.push_back(engineNamed(id));
+    }
+    return out;
+}
+
+// A prompt whose home among the table's endpoints is the given one.
+uint64_t promptAt(const router::RoutingTable &table, const std::string &home)
+{
+    uint64_t prompt = 1;
+    while (table.homeOf("m", prompt, "")->id != home) {
+        ++prompt;
+    }
+    return prompt;
+}
+
+std::string placedAt(router::RoutingTable &table, uint64_t prompt, Clock::time_point now)
+{
+    const auto e = table.acquire("m", {prompt, prompt}, {}, now);
+    table.release(*e, now);
+    return e->id;
+}
+
+} // namespace
+
+TEST_GROUP(HolderPlacement)
+{
+    router::RoutingTable table{byHome()};
+    Clock::time_point now{std::chrono::hours(1)};
+};
+
+TEST(HolderPlacement, APromptStaysWhereItIsHeldWhenAnEngineJoinsThatWouldBeItsHome)
+{
+    table.setEndpoints(engines({"a", "b", "c", "d"}), now);
+    const uint64_t prompt = promptAt(table, "d");
+    table.setEndpoints(engines({"a", "b", "c"}), now);
+    const auto held = placedAt(table, prompt, now);
+    table.tookPrompt(prompt, engineNamed(held), now);
+    table.setEndpoints(engines({"a", "b", "c", "d"}), now);
+    STRCMP_EQUAL(held.c_str(), placedAt(table, prompt, now).c_str());
+    STRCMP_EQUAL("d", placedAt(table, prompt, now + std::chrono::seconds(31)).c_str()); // nobody asked for it since
+}
+
+TEST(HolderPlacement, WhileAHolderIsAtTheBoundAnotherHolderTakesIt)
+{
+    table.setEndpoints(engines({"a", "b", "c", "d"}), now);
+    const uint64_t prompt = promptAt(table, "a");
+    table.tookPrompt(prompt, engineNamed("a"), now);
+    table.tookPrompt(prompt, engineNamed("c"), now);
+    table.reported("a", 30, now);
+    for (const char *id : {"b", "c", "d"}) {
+        table.reported(id, 2, now);
+    }
+    STRCMP_EQUAL("c", placedAt(table, prompt, now).c_str());
+    CHECK(table.beliefOf(prompt, engineNamed("c"), now).held);
+    STRCMP_EQUAL("c", table.beliefOf(prompt, engineNamed("b"), now).source->id.c_str());
+}
+
+TEST(HolderPlacement, AnEngineThatIsLeavingIsAskedForWhatItHolds)
+{
+    table.setEndpoints(engines({"a", "b", "c"}), now);
+    const uint64_t prompt = promptAt(table, "a"); // this router never sent it
+    auto listed = engines({"a", "b", "c"});
+    listed[0].state = EndpointState::Leaving;
+    table.setEndpoints(listed, now);
+    const auto taker = engineNamed(placedAt(table, prompt, now));
+    CHECK(taker.id != "a");
+    STRCMP_EQUAL("a", table.beliefOf(prompt, taker, now).source->id.c_str());
+}
+
+TEST(HolderPlacement, WhatIsNewsIsToldOnceAndAgainAfterAWhile)
+{
+    table.setEndpoints(engines({"a", "b"}), now);
+    table.tookPrompt(7, engineNamed("a"), now);
+    table.tookPrompt(7, engineNamed("a"), now + std::chrono::seconds(1));
+    table.toldOfPrompt({8, "b"}, now);
+    table.tookPrompt(8, engineNamed("b"), now + std::chrono::seconds(1)); // a peer told everybody
+    table.toldOfPrompt({9, "nobody"}, now);
+    CHECK((table.takePromptNews(10) == std::vector<peers::PromptNews>{{7, "a"}}));
+    table.tookPrompt(7, engineNamed("a"), now + std::chrono::seconds(11));
+    LONGS_EQUAL(1, table.takePromptNews(10).size());
+    CHECK(table.takePromptNews(10).empty());
+}
+
+TEST_GROUP(PromptDigest)
+{
+    Clock::time_point now{std::chrono::hours(1)};
+};
+
+TEST(PromptDigest, PromptsComeOutAsTheyWentIn)
+{
+    const std::vector<peers::PromptNews> prompts{{1, "i-1"}, {0xffffffffffffffffULL, "i-1"}, {3, "i-2"}};
+    const auto decoded = std::get<peers::Digest>(peers::decode(peers::encode({{"i-1", 4, now}}, now, prompts), now));
+    CHECK(decoded.prompts == prompts);
+    LONGS_EQUAL(1, decoded.loads.size());
+}
+
+TEST(PromptDigest, AFullOneFitsOnePacket)
+{
+    std::vector<peers::LoadReport> reports;
+    std::vector<peers::PromptNews> prompts;
+    for (uint64_t i = 0; i < 100; ++i) {
+        const std::string id = "i-0123456789-" + std::to_string(i);
+        reports.push_back({id, 50, now});
+        prompts.push_back({0xfffffffffffffff0ULL + i % 16, id});
+    }
+    const auto datagram = peers::encode(reports, now, prompts);
+    CHECK(datagram.size() < 1472); // an Ethernet frame's datagram
+    LONGS_EQUAL(peers::mostPrompts, std::get<peers::Digest>(peers::decode(datagram, now)).prompts.size());
+}
+
+TEST(PromptDigest, WhatIsMalformedIsRefused)
+{
+    using nlohmann::json;
+    for (const char *wrong : {R"([["i",[-1]]])", R"([["i",["1"]]])", R"([[1,[1]]])", R"([["i",{}]])",
+                              R"([["i",[1,2,3,4,5,6,7,8,9,10,11,12,13,14,15,16,17,18,19,20,21,22,23,24,25]]])"}) {
+        CHECK_TEXT(!ok(peers::decode(json::to_cbor(json::parse(wrong)), now)), wrong);
+    }
+}
+
+LOOP_GROUP(PromptsBetweenRouters);
+
+TEST(PromptsBetweenRouters, WhatOneRouterSentDecidesWhereAnotherSends)
+{
+    store::ObjectStore store;
+    platform::LocalObjectApi api(store);
+    const auto now = Clock::now();
+    router::RoutingTable table(byHome());
+    table.setEndpoints(engines({"a", "b", "c"}), now);
+    // The other router is of another failure domain.
+    peers::Directory other(api, {"r2", "south", {"127.0.0.1", 2}, 0});
+    CHECK(loop().run(other.refresh()));
+    peers::LoadExchange exchange(api, {"r1", "north", {"127.0.0.1", 1}, 0}, table);
+    CHECK(loop().run(exchange.refreshPeers(now)));
+    const uint64_t prompt = promptAt(table, "a");
+    exchange.take(peers::encode({}, now, {{prompt, "c"}}), {"127.0.0.1", 2}, now);
+    STRCMP_EQUAL("c", placedAt(table, prompt, now).c_str());
+    CHECK(table.takePromptNews(10).empty()); // what was told is not told on
+}
+
+TEST(PromptsBetweenRouters, OneOfThemWritesForAll)
+{
+    store::ObjectStore store;
+    platform::LocalObjectApi api(store);
+    router::RoutingTable table;
+    peers::LoadExchange first(api, {"r1", "north", {"127.0.0.1", 1}, 0}, table);
+    peers::LoadExchange second(api, {"r2", "south", {"127.0.0.1", 2}, 0}, table);
+    const auto now = Clock::now();
+    for (auto *e : {&first, &second, &first}) {
+        CHECK(loop().run(e->refreshPeers(now)));
+    }
+    CHECK(first.firstByName(now));
+    CHECK(!second.firstByName(now));
+    CHECK(second.firstByName(now + std::chrono::seconds(11))); // the first has been silent
+}
+
+LOOP_GROUP(PromptSnapshot);
+
+namespace
+{
+
+struct SnapshotRig {
+    SnapshotRig()
+    {
+        table.setEndpoints(engines({"a", "b", "c"}));
+    }
+    router::PromptSnapshot snapshot(bool writes = true)
+    {
+        return {api, table, [writes] {
+                    return writes;
+                }};
+    }
+    store::ObjectStore store;
+    platform::LocalObjectApi api{store};
+    router::RoutingTable table{byHome()};
+};
+
+} // namespace
+
+TEST(PromptSnapshot, ARouterThatStartsKnowsWhatTheFleetKnew)
+{
+    SnapshotRig before;
+    const uint64_t prompt = promptAt(before.table, "a");
+    before.table.tookPrompt(prompt, engineNamed("b"), Clock::now());
+    before.table.tookPrompt(prompt, engineNamed("c"), Clock::now());
+    before.table.tookPrompt(0xfedcba9876543210ULL, engineNamed("a"), Clock::now());
+    auto written = before.snapshot();
+    CHECK(loop().run(written.write()));
+    router::RoutingTable after(byHome());
+    after.setEndpoints(engines({"b", "c", "d"})); // "a" has gone
+    router::PromptSnapshot read(before.api, after, [] {
+        return false;
+    });
+    CHECK(loop().run(read.read()));
+    CHECK(after.beliefOf(prompt, engineNamed("b"), Clock::now()).held);
+    CHECK(after.beliefOf(prompt, engineNamed("c"), Clock::now()).held);
+    CHECK(!after.beliefOf(prompt, engineNamed("d"), Clock::now()).held);
+    CHECK(after.takePromptNews(10).empty());
+    LONGS_EQUAL(2, after.knownPrompts(10, Clock::now()).size());
+}
+
+TEST(PromptSnapshot, WithoutOneThereIsNothingToWaitForAndAStoreThatIsAwayIsAskedAgain)
+{
+    SnapshotRig rig;
+    auto snapshot = rig.snapshot();
+    CHECK(loop().run(snapshot.read()));
+    rig.api.outage = true;
+    CHECK(!loop().run(snapshot.read()));
+    rig.table.tookPrompt(1, engineNamed("a"), Clock::now());
+    CHECK(!loop().run(snapshot.write()));
+    LONGS_EQUAL(0, rig.api.writes);
+}
+
+TEST(PromptSnapshot, WhatOthersLeftThereIsPassedOver)
+{
+    using nlohmann::json;
+    SnapshotRig rig;
+    auto snapshot = rig.snapshot();
+    for (const auto &value : {json(7), json::array({1}), json{{"a", 5}}, json{{"a", {1, "xyz", "12g", "", nullptr}}}, json{{"nobody", {"1f"}}}}) {
+        rig.store.put(router::snapshotKind, router::snapshotName, value, std::nullopt);
+        CHECK(loop().run(snapshot.read()));
+        CHECK(rig.table.knownPrompts(10, Clock::now()).empty());
+    }
+    rig.store.put(router::snapshotKind, router::snapshotName, json{{"a", {"zz", "1f"}}}, std::nullopt);
+    CHECK(loop().run(snapshot.read()));
+    CHECK(rig.table.beliefOf(0x1f, engineNamed("a"), Clock::now()).held);
+}
