--- a/emulators/endpoint_server.cpp
+++ b/emulators/endpoint_server.cpp
@@ -35,10 +35,14 @@
 json entryOf(const EndpointOptions &o, bool leaving, int64_t sequence, int64_t born)
 {
     const auto port = o.advertisedPort != 0 ? o.advertisedPort : o.listen.port;
-    return {{"service", o.service},   {"address", o.listen.host + ":" + std::to_string(port)},
-            {"zone", o.zone},         {"version", "v1"},
-            {"slots", o.slots},       {"state", leaving ? "draining" : "ready"},
-            {"cold_remaining_ms", 0}, {"sequence", sequence},
+    return {{"service", o.service},
+            {"address", o.listen.host + ":" + std::to_string(port)},
+            {"zone", o.zone},
+            {"version", "v1"},
+            {"slots", o.slots},
+            {"state", leaving ? "draining" : "ready"},
+            {"cold_remaining_ms", 0},
+            {"sequence", sequence},
             {"born", born}};
 }
 
--- a/tests/test_foreign_entries.cpp
+++ b/tests/test_foreign_entries.cpp
@@ -16,8 +16,8 @@
 
 json entryAt(const std::string &address)
 {
-    return {{"service", "m"}, {"address", address},       {"zone", "zone-a"}, {"version", "v1"}, {"slots", 64},
-            {"state", "ready"}, {"cold_remaining_ms", 0}, {"sequence", 4},     {"born", 1796260000000}};
+    return {{"service", "m"},   {"address", address},     {"zone", "zone-a"}, {"version", "v1"},      {"slots", 64},
+            {"state", "ready"}, {"cold_remaining_ms", 0}, {"sequence", 4},    {"born", 1796260000000}};
 }
 
 json with(const char *field, json value)
@@ -42,10 +42,7 @@
 const std::vector<std::string> unreadable{
     "{\"service\":\"m\xff\xfe\"}", // not UTF-8
     "{\"service\":\"m\",\"slots\":1e999}", // beyond range
-    "{\"service\":\"m\",\"slots\":-}",
-    "{\"service\":\"m\x01\"}",
-    "tru",
-    "{\"a\":{\"b\":[1,}]}",
+    "{\"service\":\"m\",\"slots\":-}",     "{\"service\":\"m\x01\"}", "tru", "{\"a\":{\"b\":[1,}]}",
 };
 
 } // namespace
@@ -90,8 +87,8 @@
 TEST(ForeignEntries, BytesThatCannotBeReadSpoilOnlyTheirEntry)
 {
     for (const auto &spec : unreadable) {
-        const std::string text =
-            R"({"items":[)" + item("a", entryAt("127.0.0.1:1").dump()) + "," + item("b", spec) + " , " + item("c", "{\"x\":\"]}\\\"\"}") + R"(],"store_revision":9})";
+        const std::string text = R"({"items":[)" + item("a", entryAt("127.0.0.1:1").dump()) + "," + item("b", spec) + " , " + item("c", "{\"x\":\"]}\\\"\"}")
+            + R"(],"store_revision":9})";
         const auto answer = platform::readAnswer(text);
         CHECK_TEXT(answer.is_object(), spec.c_str());
         LONGS_EQUAL(9, answer["store_revision"].get<int>());
