The routing table's part on prompts stands in a file of its own

Cause: router_core.cpp had grown to 524 lines, and the question whether a record is still of the listed incarnation stood in it five times, in two senses. Ruled out: a class of its own for prompts; it would need the table's lists and lock. Change: router_prompts.cpp; superseded() and isListed() answer the two senses once each; no behaviour.

--- a/src/router_core.h
+++ b/src/router_core.h
@@ -121,6 +121,8 @@
     std::optional<std::size_t> pickIn(Pool &pool, const placement::Affinity &asked, const std::set<std::string> &exclude, Clock::time_point now);
     void rebuild(const std::set<std::string> &restarted = {});
     const Endpoint *listed(const std::string &id) const;
+    bool isListed(const Endpoint &endpoint) const;
+    bool superseded(const Endpoint &endpoint) const;
     const Endpoint *firstInOrder(const std::string &pool, uint64_t prompt, const std::string &except) const;
     std::vector<Endpoint> likelyHolders(uint64_t prompt, Clock::time_point now) const;
     bool suspected(const std::string &id, Clock::time_point now) const;
