--- a/src/router_core.h
+++ b/src/router_core.h
@@ -81,8 +81,8 @@
     std::vector<peers::PromptNews> knownPrompts(std::size_t most, Clock::time_point now) const;
     /// Whether an endpoint likely holds a prompt, and who else does.
     PromptBelief beliefOf(uint64_t prompt, const Endpoint &taker, Clock::time_point now) const;
-    /// The home of a prompt, whatever its load: the first in its rendezvous order, but for one endpoint.
-    std::optional<Endpoint> homeOf(const std::string &pool, uint64_t prompt, const std::string &except) const;
+    /// The home of a prompt, whatever its load: the first in its rendezvous order.
+    std::optional<Endpoint> homeOf(const std::string &pool, uint64_t prompt) const;
     /// An endpoint that is listed and answers, as far as known; also one that is leaving.
     std::optional<Endpoint> find(const std::string &id, Clock::time_point now) const;
     /// When an endpoint joined the ones known before; the epoch for those of the first listing.
--- a/src/router_prompts.cpp
+++ b/src/router_prompts.cpp
@@ -20,9 +20,9 @@
 class FirstOf
 {
 public:
-    FirstOf(uint64_t prompt, const std::string &except)
+    explicit FirstOf(uint64_t prompt, std::string except = {})
         : m_prompt(prompt)
-        , m_except(except)
+        , m_except(std::move(except))
     {
     }
     void offer(const Endpoint &endpoint)
@@ -40,18 +40,18 @@
 
 private:
     uint64_t m_prompt;
-    const std::string &m_except;
+    std::string m_except; ///< an id; empty: none
     const Endpoint *m_first = nullptr;
     uint64_t m_rank = 0;
 };
 
 } // namespace
 
-std::optional<Endpoint> RoutingTable::homeOf(const std::string &pool, uint64_t prompt, const std::string &except) const
+std::optional<Endpoint> RoutingTable::homeOf(const std::string &pool, uint64_t prompt) const
 {
     std::lock_guard lock(m_mutex);
     const auto it = m_pools.find(pool);
-    FirstOf home(prompt, except);
+    FirstOf home(prompt);
     if (it != m_pools.end()) {
         for (const auto &member : it->second.members) {
             home.offer(member);
--- a/tests/test_entry_state.cpp
+++ b/tests/test_entry_state.cpp
@@ -168,7 +168,7 @@
     Findings findings;
     late.apply(*platform::ObjectCodec::configuration(entryConfiguration(), findings));
     for (uint64_t prompt = 1; prompt < 20; ++prompt) {
-        const auto home = placing.homeOf("m", prompt, "");
+        const auto home = placing.homeOf("m", prompt);
         const auto placed = placing.acquire("m", {prompt, prompt}, {}, Clock::now());
         STRCMP_EQUAL(home->id.c_str(), placed->id.c_str());
         placing.release(*placed, Clock::now());
@@ -354,6 +354,13 @@
 namespace
 {
 
+// True once a time has passed.
+Task<bool> passed(Millis time)
+{
+    co_await sleepFor(time);
+    co_return true;
+}
+
 struct RecordingSink {
     std::vector<std::string> news;
     void listed(const platform::Listing &listing)
@@ -373,6 +380,13 @@
     }
 };
 
+// True once a follower has been stopped.
+Task<bool> ranToItsEnd(Follower<RecordingSink> &follower)
+{
+    co_await follower.run();
+    co_return true;
+}
+
 } // namespace
 
 TEST(EntryFollower, ChangesFollowTheListingAndLostHistoryIsListedAgain)
@@ -490,22 +504,14 @@
     CHECK(loop().run(follower.step()));
     api.outage = true;
     std::optional<bool> ended;
-    const auto runToTheEnd = [&]() -> Task<bool> {
-        co_await follower.run();
-        co_return true;
-    };
-    loop().start(runToTheEnd(), ended);
+    loop().start(ranToItsEnd(follower), ended);
     std::optional<bool> waited;
-    const auto sleep = [](Millis ms) -> Task<bool> {
-        co_await sleepFor(ms);
-        co_return true;
-    };
-    loop().run(sleep(Millis(50)));
+    loop().run(passed(Millis(50)));
     LONGS_EQUAL(1, api.watches); // and no other until it is told
     api.outage = false;
     store.put("k", "a", 1, std::nullopt);
     follower.restartWatch();
-    loop().start(sleep(Millis(5000)), waited);
+    loop().start(passed(Millis(5000)), waited);
     loop().until([&] {
         return waited.has_value() || sink.news.size() == 3;
     });
@@ -649,20 +655,12 @@
     options.afterNews = Millis(60000); // only a restart ends it here
     Follower<RecordingSink> follower(api, "k", sink, options);
     std::optional<bool> ended;
-    const auto run = [&]() -> Task<bool> {
-        co_await follower.run();
-        co_return true;
-    };
-    loop().start(run(), ended);
+    loop().start(ranToItsEnd(follower), ended);
     loop().until([&] {
         return sink.news.size() == 2;
     });
     std::optional<bool> waited;
-    const auto wait = [](Millis t) -> Task<bool> {
-        co_await sleepFor(t);
-        co_return true;
-    };
-    loop().start(wait(Millis(30)), waited);
+    loop().start(passed(Millis(30)), waited);
     loop().until([&] {
         return waited.has_value();
     });
