Routers of a failure domain ask the store for each other

Ruled out: longer watches (a store that drops its history leaves a watch silent; 6 s once kept a version out of force for 5 s); stale watches alone (a tenth of a call each, but 295 of them for each change, and current ones for 20 s after any doubt).

Change: what the store confirmed (revision, digest of the objects held, age) is told with the datagrams that go anyway. A router whose digest is the same is confirmed by it and asks nobody; one that holds something else gets the changes from the router that told it, over HTTP, checked by the digest, and asks the store where that fails. The first by name of those heard asks, the next take over within the time in which a change must be in force, which the settings now state. A router that hears nobody does as before. A revision is watched from only once it is 3 s old.

Calls at a start are the larger part of what is left.

--- /dev/null
+++ b/src/change_exchange.cpp
@@ -0,0 +1,98 @@
+#include "change_exchange.h"
+
+#include "text.h"
+
+#include <algorithm>
+
+namespace yucca::replica
+{
+
+namespace
+{
+
+constexpr std::string_view changesPath = "/changes/";
+constexpr unsigned busy = 503;
+
+// Counts an answer for as long as it is being sent.
+class Answering
+{
+public:
+    explicit Answering(int &count)
+        : m_count(count)
+    {
+        ++m_count;
+    }
+    ~Answering()
+    {
+        --m_count;
+    }
+    Answering(const Answering &) = delete;
+    Answering &operator=(const Answering &) = delete;
+
+private:
+    int &m_count;
+};
+
+std::string textOf(const std::vector<uint8_t> &bytes)
+{
+    return {bytes.begin(), bytes.end()};
+}
+
+std::span<const uint8_t> bytesOf(const std::string &text)
+{
+    return {reinterpret_cast<const uint8_t *>(text.data()), text.size()};
+}
+
+} // namespace
+
+ChangeServer::ChangeServer(std::vector<SharedReplica *> replicas, HandOnOptions options)
+    : m_replicas(std::move(replicas))
+    , m_options(options)
+{
+}
+
+Task<void> ChangeServer::answer(http::Exchange &ex)
+{
+    const std::string path = ex.path();
+    const auto since = text::number<uint64_t>(ex.query("since"));
+    const auto replica = std::find_if(m_replicas.begin(), m_replicas.end(), [&path](const SharedReplica *r) {
+        return path == std::string(changesPath) + r->kind();
+    });
+    if (replica == m_replicas.end() || !since) {
+        co_await ex.reply(404, "no such kind\n", {}, "text/plain");
+        co_return;
+    }
+    if (m_answering >= m_options.mostAtOnce) {
+        co_await ex.reply(busy, "busy\n", {}, "text/plain");
+        co_return;
+    }
+    const auto changes = (*replica)->changesSince(*since);
+    if (const auto *error = std::get_if<Error>(&changes)) {
+        co_await ex.reply(static_cast<unsigned>(error->code), error->message + "\n", {}, "text/plain");
+        co_return;
+    }
+    std::string body = textOf(encode(std::get<Changes>(changes)));
+    const Answering place(m_answering);
+    co_await ex.reply(200, std::move(body), {}, "application/cbor");
+}
+
+Task<Result<Changes>> ChangeClient::fetch(http::Address from, std::string kind, uint64_t since)
+{
+    http::CallOptions options;
+    options.deadline = Clock::now() + m_options.fetchTimeout;
+    options.connectTimeout = m_options.connectTimeout;
+    options.reuse = http::Reuse::KeptOrAgain;
+    const std::string target = std::string(changesPath) + kind + "?since=" + std::to_string(since);
+    auto request = http::makeRequest("GET", target);
+    auto called = co_await m_client.call(from, std::move(request), options);
+    if (const auto *error = std::get_if<http::CallError>(&called)) {
+        co_return Error{store::Unavailable, error->message};
+    }
+    const auto &reply = std::get<http::Reply>(called);
+    if (reply.status != 200) {
+        co_return Error{static_cast<int>(reply.status), "refused"};
+    }
+    co_return decode(bytesOf(reply.body));
+}
+
+} // namespace yucca::replica
--- /dev/null
+++ b/src/change_exchange.h
@@ -0,0 +1,52 @@
+// Routers hand changes of the store's objects on to each other over HTTP: who
+// hears of something newer gets it from the router that told of it.
+#pragma once
+
+#include "http_client.h"
+#include "http_exchange.h"
+#include "shared_replica.h"
+
+#include <vector>
+
+namespace yucca::replica
+{
+
+/// Bounds of what one router hands on at a time.
+struct HandOnOptions {
+    /// Answers being sent at once. A round of datagrams tells eight routers of
+    /// a change; who finds all places taken asks the store.
+    int mostAtOnce = 12;
+    Millis fetchTimeout{400}; ///< a neighbour answers in 1 ms; the store is asked next, still within the bound of a change
+    Millis connectTimeout{200};
+};
+
+/// Answers other routers' questions for changes.
+class ChangeServer
+{
+public:
+    explicit ChangeServer(std::vector<SharedReplica *> replicas, HandOnOptions options = {});
+    /// Answers one request: GET /changes/KIND?since=REVISION.
+    Task<void> answer(http::Exchange &ex);
+
+private:
+    std::vector<SharedReplica *> m_replicas;
+    HandOnOptions m_options;
+    int m_answering = 0;
+};
+
+/// Asks other routers for changes.
+class ChangeClient : public ChangeSource
+{
+public:
+    explicit ChangeClient(HandOnOptions options = {})
+        : m_options(options)
+    {
+    }
+    Task<Result<Changes>> fetch(http::Address from, std::string kind, uint64_t since) override;
+
+private:
+    HandOnOptions m_options;
+    http::Client m_client;
+};
+
+} // namespace yucca::replica
--- a/src/entry/control.h
+++ b/src/entry/control.h
@@ -85,6 +85,11 @@
     {
         m_lastContact = now;
     }
+    /// The store told a router at a moment that nothing is missing of what this one holds.
+    void noteConfirmed(Clock::time_point at)
+    {
+        m_lastContact = std::max(m_lastContact.load(), at);
+    }
     std::size_t endpointCount() const
     {
         return m_endpointCount;
@@ -113,21 +118,39 @@
 inline constexpr Millis askEvery{1000}; ///< a change is to be in force 2 s after it is made, also where a watch has died
 inline constexpr Millis askAgainAfter{200}; ///< the store does not answer: its return is to be noticed soon
 
+/// Where other routers are heard, their confirmations arrive with an age: the
+/// store's silence is noticed when none has come for so long.
+inline constexpr Millis askWhenSilent{2000};
+
 /// Entries that can't be read are logged once each, up to so many: more of them say nothing new.
 inline constexpr std::size_t mostComplainedOf = 256;
 
+/// What is known together with other routers, by kind; null where a router follows alone.
+struct SharedKinds {
+    replica::SharedReplica *configuration = nullptr;
+    replica::SharedReplica *endpoints = nullptr;
+};
+
 /// Follows one platform's objects into what is published.
 template <Codec C> class Control
 {
 public:
-    Control(platform::ObjectApi &api, Published &published)
+    Control(platform::ObjectApi &api, Published &published, SharedKinds shared = {})
         : m_api(api)
         , m_published(published)
+        , m_shared(shared)
         , m_configurationSink{published}
         , m_endpointSink{published}
-        , m_configurations(api, C::configurationKind, m_configurationSink, followerOptions())
-        , m_endpoints(api, C::endpointKind, m_endpointSink, followerOptions())
+        , m_configurations(api, C::configurationKind, m_configurationSink, followerOptions(shared.configuration))
+        , m_endpoints(api, C::endpointKind, m_endpointSink, followerOptions(shared.endpoints))
     {
+        for (auto *replica : {shared.configuration, shared.endpoints}) {
+            if (replica) {
+                replica->onConfirmed = [this](Clock::time_point at) {
+                    m_published.noteConfirmed(at);
+                };
+            }
+        }
     }
     Task<void> followConfiguration()
     {
@@ -149,7 +172,12 @@
         bool answered = true;
         while (!m_stopping) {
             co_await sleepFor(answered ? askEvery : askAgainAfter);
-            if (answered && Clock::now() - m_published.lastContact() < askEvery) {
+            const auto now = Clock::now();
+            if (leftToOthers(now)) {
+                answered = true;
+                continue;
+            }
+            if (answered && now - m_published.lastContact() < (shared(now) ? askWhenSilent : askEvery)) {
                 continue; // a watch has just been answered
             }
             const bool answers = co_await m_api.answers(C::configurationKind);
@@ -168,6 +196,16 @@
     }
 
 private:
+    bool shared(Clock::time_point now) const
+    {
+        return m_shared.endpoints && m_shared.endpoints->shared(now);
+    }
+    // Each call is priced, those to a store that is away too: a few routers ask, and tell.
+    bool leftToOthers(Clock::time_point now) const
+    {
+        return shared(now) && m_shared.endpoints->rank(now) >= mostProbing;
+    }
+
     struct ConfigurationSink {
         Published &published;
         void listed(const platform::Listing &listing)
@@ -248,15 +286,17 @@
         }
     };
 
-    FollowerOptions followerOptions()
+    FollowerOptions followerOptions(replica::SharedReplica *shared)
     {
         FollowerOptions options;
         options.reads = &m_reads;
+        options.shared = shared;
         return options;
     }
 
     platform::ObjectApi &m_api;
     Published &m_published;
+    SharedKinds m_shared;
     bool m_stopping = false;
     ReadPolicy m_reads;
     ConfigurationSink m_configurationSink;
--- a/src/entry/entry_settings.cpp
+++ b/src/entry/entry_settings.cpp
@@ -13,6 +13,7 @@
 
 constexpr double longestGraceS = 600;
 constexpr double routersPerRetrySlack = 100; ///< until the routers are listed: the users' deployments have up to 84
+constexpr double longestBoundMs = 600000;
 constexpr double longestRetryWindowS = 3600;
 constexpr double leastRetryReserve = 2; ///< retries: below one a router could never retry at all
 
@@ -29,6 +30,14 @@
     }
 }
 
+// A time that may be a fraction of its unit, kept in whole milliseconds.
+void readMillis(settings::Reader &reader, const char *key, int64_t &out, double unitMs, double longest)
+{
+    double units = static_cast<double>(out) / unitMs;
+    reader.read(key, units, 0.0, longest);
+    out = static_cast<int64_t>(units * unitMs);
+}
+
 } // namespace
 
 Settings parseSettings(const nlohmann::json &document, Findings &findings)
@@ -49,9 +58,9 @@
     reader.read("retrySlack", s.retrySlack, 0.0, 1000000.0);
     reader.read("retryWindowS", s.retryWindowS, 0.1, longestRetryWindowS);
     reader.read("loadFactor", s.loadFactor, 1.0, 100.0);
-    double stopGraceS = static_cast<double>(s.stopGraceMs) / 1000;
-    reader.read("stopGraceS", stopGraceS, 0.0, longestGraceS);
-    s.stopGraceMs = static_cast<int64_t>(stopGraceS * 1000);
+    readMillis(reader, "configurationBoundMs", s.configurationBoundMs, 1, longestBoundMs);
+    readMillis(reader, "drainBoundMs", s.drainBoundMs, 1, longestBoundMs);
+    readMillis(reader, "stopGraceS", s.stopGraceMs, 1000, longestGraceS);
     reader.finish();
     return s;
 }
--- a/src/entry/entry_settings.h
+++ b/src/entry/entry_settings.h
@@ -27,6 +27,8 @@
     double retrySlack = 50; ///< further arrivals on top, in a window, over all routers
     double retryWindowS = 10; ///< the window of both
     double loadFactor = 2.0; ///< no engine above this multiple of its service's mean load
+    int64_t configurationBoundMs = 2000; ///< a configuration must be in force this long after the store took it
+    int64_t drainBoundMs = 2000; ///< an endpoint that leaves must get no work this long after the store took that
     int64_t stopGraceMs = 8000; ///< from the stop signal to the kill
 };
 
--- a/src/entry/process.h
+++ b/src/entry/process.h
@@ -2,6 +2,7 @@
 // thread of its own, traffic on another, stop and reload by signals.
 #pragma once
 
+#include "change_exchange.h"
 #include "cli.h"
 #include "entry/gateway.h"
 #include "load_exchange.h"
@@ -38,13 +39,16 @@
         , m_settingsPath(std::move(settingsPath))
         , m_table(tableOptions(settings))
         , m_published(m_table)
-        , m_control(store, m_published)
+        , m_configurationReplica(C::configurationKind, rankAmongNeighbours(), m_changeClient, freshness(settings))
+        , m_endpointReplica(C::endpointKind, rankAmongNeighbours(), m_changeClient, freshness(settings))
+        , m_control(store, m_published, {&m_configurationReplica, &m_endpointReplica})
         , m_exchange(store, {settings.id, settings.failureDomain, settings.peers}, m_table)
         , m_snapshot(store, m_table,
                      [this] {
                          return m_exchange.firstByName(Clock::now());
                      })
         , m_gateway(GatewayParts{m_published, m_table, m_admission}, gatewayOptions(settings))
+        , m_changes({&m_configurationReplica, &m_endpointReplica})
         , m_supervisor(m_controlLoop, noteFailure)
         , m_callers({&m_trafficLoop}, settings.traffic.host, settings.traffic.port,
                     [this](http::Exchange &ex) {
@@ -54,16 +58,25 @@
                    [this](http::Exchange &ex) {
                        return answerProbe(ex);
                    })
-        , m_metrics({&m_trafficLoop}, settings.metrics.host, settings.metrics.port, [this](http::Exchange &ex) {
-            return answerMetrics(ex);
+        , m_metrics({&m_trafficLoop}, settings.metrics.host, settings.metrics.port,
+                    [this](http::Exchange &ex) {
+                        return answerMetrics(ex);
+                    })
+        , m_neighbours({&m_controlLoop}, settings.peers.host, settings.peers.port, [this](http::Exchange &ex) {
+            return m_changes.answer(ex);
         })
     {
+        m_exchange.share({&m_configurationReplica, &m_endpointReplica});
     }
 
     /// Runs until a stop signal and ends the process; returns only when it could not start.
     int run()
     {
-        for (auto *server : {&m_callers, &m_probes, &m_metrics}) {
+        std::vector<http::Server *> servers{&m_callers, &m_probes, &m_metrics};
+        if (m_settings.peers.port != 0) {
+            servers.push_back(&m_neighbours);
+        }
+        for (auto *server : servers) {
             auto bound = server->start();
             if (!ok(bound)) {
                 log::Line{log::Event::SettingsRejected}.add("why", std::get<Error>(bound).message);
@@ -91,6 +104,16 @@
     }
 
 private:
+    replica::SharedReplica::Rank rankAmongNeighbours()
+    {
+        return [this](Clock::time_point now) {
+            return m_exchange.rank(now);
+        };
+    }
+    static replica::FreshnessOptions freshness(const Settings &s)
+    {
+        return replica::freshnessWithin(Millis(std::min(s.configurationBoundMs, s.drainBoundMs)));
+    }
     static router::TableOptions tableOptions(const Settings &s)
     {
         router::TableOptions options;
@@ -294,15 +317,20 @@
     asio::io_context m_trafficLoop{1};
     router::RoutingTable m_table;
     Published m_published;
+    replica::ChangeClient m_changeClient;
+    replica::SharedReplica m_configurationReplica;
+    replica::SharedReplica m_endpointReplica;
     Control<C> m_control;
     peers::LoadExchange m_exchange;
     router::PromptSnapshot m_snapshot;
     limits::Admission m_admission; ///< bounds nobody here: the platform's workspaces state no limits
     Gateway<D> m_gateway;
+    replica::ChangeServer m_changes;
     Supervisor m_supervisor;
     http::Server m_callers;
     http::Server m_probes;
     http::Server m_metrics;
+    http::Server m_neighbours; ///< hands changes of the store's objects on
     std::atomic<bool> m_stopping{false};
 };
 
--- a/src/follower.h
+++ b/src/follower.h
@@ -1,11 +1,14 @@
 // Keeps up with one kind of objects in the store: a listing, then one watch
-// after the other, through outages, lost history and silent connections.
+// after the other, through outages, lost history and silent connections. Where
+// other routers are heard, they ask for each other: a watch is made only when
+// no confirmation is fresh, and changes come from whoever has them.
 #pragma once
 
 #include "log.h"
 #include "notifier.h"
 #include "object_api.h"
 #include "read_policy.h"
+#include "shared_replica.h"
 #include "task.h"
 
 #include <algorithm>
@@ -41,8 +44,18 @@
     /// a change is to be in force.
     Millis afterNews{300};
     ReadPolicy *reads = nullptr; ///< of the store; null: every watch is a current one
+    replica::SharedReplica *shared = nullptr; ///< with other routers; null: this router follows alone
+    /// After a failed call, for a router that is not among the first to ask
+    /// where others are heard: these notice the store's return, and tell.
+    Millis sharedPause{3200};
+    Millis longSilence{2500}; ///< without a word of the store, asked or not: it may have been away
+    /// Listings because two routers hold different objects: no more than one in this time.
+    Millis relistEvery{10000};
 };
 
+/// Routers that keep asking a store that does not answer, where others are heard: enough for one to be alive.
+inline constexpr std::size_t mostProbing = 3;
+
 /// Follows one kind until stopped.
 template <FollowerSink Sink> class Follower
 {
@@ -59,38 +72,45 @@
     Task<void> run()
     {
         while (!m_stopping) {
+            co_await untilDue();
+            if (m_stopping) {
+                break;
+            }
             const bool reached = co_await step();
             if (!reached && !m_stopping) {
-                co_await m_wake.wait(Clock::now() + nextPause());
+                co_await wake().wait(Clock::now() + nextPause());
             } else if (m_hadNews && !m_stopping) {
-                co_await m_wake.wait(Clock::now() + m_options.afterNews);
+                co_await wake().wait(Clock::now() + m_options.afterNews);
             }
         }
     }
     void stop()
     {
         m_stopping = true;
-        m_wake.notifyAll();
+        wake().notifyAll();
     }
     /// Ends the watch that waits, if any, and starts another: it may have
     /// been lost in an outage that is over. Ends the pause after a failed call.
     void restartWatch()
     {
         doubt();
-        m_wake.notifyAll();
+        wake().notifyAll();
         if (m_cancellation) {
             m_cancellation->fire();
         }
     }
-    /// One listing or one watch; false when the store could not be reached.
+    /// One listing, one answer of another router or one watch; false when the
+    /// store could not be reached.
     Task<bool> step()
     {
         bool reached = false;
         m_hadNews = false;
-        if (m_listed) {
-            reached = co_await watch();
-        } else {
+        if (!m_listed) {
             reached = co_await list();
+        } else if (m_options.shared && m_options.shared->lacks()) {
+            reached = co_await fetch();
+        } else {
+            reached = co_await watch();
         }
         if (reached) {
             m_pause = m_options.firstPause;
@@ -99,6 +119,42 @@
     }
 
 private:
+    // Waits while other routers' confirmations hold.
+    Task<void> untilDue()
+    {
+        while (m_options.shared && m_listed && !m_stopping) {
+            const auto now = Clock::now();
+            const auto due = m_options.shared->askAt(now);
+            if (!m_options.shared->shared(now) || m_options.shared->lacks() || due <= now) {
+                co_return;
+            }
+            co_await wake().wait(due);
+        }
+    }
+
+    // Takes what another router told of; asks the store where that fails.
+    Task<bool> fetch()
+    {
+        const auto fetched = co_await m_options.shared->fetch([this](const platform::Object &object, bool deleted) {
+            noteContact(); // before the first news after an outage
+            m_sink.changed(object, deleted);
+            m_hadNews = true;
+        });
+        if (m_hadNews) {
+            m_sink.batchEnded();
+        }
+        if (fetched == replica::Fetched::Whole) {
+            noteContact();
+            co_return true;
+        }
+        // Only a listing tells which of the two is wrong.
+        if (fetched == replica::Fetched::Differs && Clock::now() - m_listedAt >= m_options.relistEvery) {
+            m_listed = false;
+            co_return co_await list();
+        }
+        co_return co_await watch();
+    }
+
     Task<bool> list()
     {
         auto result = co_await platform::listAll(m_api, m_kind);
@@ -108,11 +164,15 @@
         }
         noteContact();
         m_lastCurrent = Clock::now();
+        m_listedAt = m_lastCurrent;
         m_lastFreshness = platform::Freshness::Current;
         const auto &listing = std::get<platform::Listing>(result);
         m_from = listing.revision;
         m_listed = true;
         m_sink.listed(listing);
+        if (m_options.shared) {
+            m_options.shared->listed(listing, m_lastCurrent);
+        }
         co_return true;
     }
 
@@ -121,8 +181,11 @@
         http::Cancellation cancellation;
         m_cancellation = &cancellation;
         const auto askedAt = Clock::now();
-        const auto freshness = m_options.reads ? m_options.reads->choose(m_lastCurrent, askedAt) : platform::Freshness::Current;
-        auto result = co_await m_api.watch(m_kind, m_from, m_options.watchWait, freshness, &cancellation);
+        const bool forOthers = m_options.shared && m_options.shared->shared(askedAt);
+        const auto freshness = m_options.reads && !forOthers ? m_options.reads->choose(m_lastCurrent, askedAt) : platform::Freshness::Current;
+        const auto wait = forOthers ? m_options.shared->watchWait() : m_options.watchWait;
+        const auto from = m_options.shared ? m_options.shared->watchFrom(askedAt) : m_from;
+        auto result = co_await m_api.watch(m_kind, from, wait, freshness, &cancellation);
         m_cancellation = nullptr;
         if (!ok(result) && cancellation.fired()) {
             co_return true;
@@ -131,7 +194,7 @@
             const auto &error = std::get<Error>(result);
             doubt();
             if (error.code == store::Gone) {
-                log::Line{log::Event::WatchRestarted}.add("kind", m_kind).add("from", static_cast<int64_t>(m_from));
+                log::Line{log::Event::WatchRestarted}.add("kind", m_kind).add("from", static_cast<int64_t>(from));
                 m_listed = false;
                 co_return true;
             }
@@ -149,8 +212,14 @@
         m_hadNews = !batch.events.empty();
         for (const auto &event : batch.events) {
             m_sink.changed(event.object, event.deleted);
+            if (m_options.shared) {
+                m_options.shared->changed(event.object, event.deleted, batch.revision);
+            }
         }
         m_sink.batchEnded();
+        if (m_options.shared && freshness == platform::Freshness::Current) {
+            m_options.shared->confirmed(batch.revision, Clock::now(), m_hadNews);
+        }
         co_return true;
     }
 
@@ -176,9 +245,13 @@
     void noteContact()
     {
         const auto now = Clock::now();
+        const auto last = m_options.shared ? std::max(m_lastContact, m_options.shared->confirmedAt()) : m_lastContact;
+        const auto away = last == Clock::time_point{} ? Clock::duration::zero() : now - last;
+        if (!m_lost && away >= m_options.longSilence) {
+            m_sink.regained(away); // this router did not ask meanwhile
+        }
         if (m_lost) {
             m_lost = false;
-            const auto away = m_lastContact == Clock::time_point{} ? Clock::duration::zero() : now - m_lastContact;
             log::Line{log::Event::StoreRegained}.add("kind", m_kind).add("away_ms", std::chrono::duration_cast<Millis>(away).count());
             m_sink.regained(away);
         }
@@ -197,11 +270,19 @@
     // together do not come back together.
     Millis nextPause()
     {
+        if (m_options.shared && m_options.shared->rank(Clock::now()) >= mostProbing) {
+            return m_options.sharedPause;
+        }
         const Millis pause = m_pause / 2 + Millis(m_random() % static_cast<uint64_t>(m_pause.count() / 2 + 1));
         m_pause = std::min(m_pause * 2, m_options.longestPause);
         return pause;
     }
 
+    Notifier &wake()
+    {
+        return m_options.shared ? m_options.shared->wake() : m_wake;
+    }
+
     platform::ObjectApi &m_api;
     std::string m_kind;
     Sink &m_sink;
@@ -216,6 +297,7 @@
     bool m_listed = false;
     bool m_lost = false;
     bool m_stopping = false;
+    Clock::time_point m_listedAt{};
     Clock::time_point m_lastContact{};
     Clock::time_point m_lastCurrent{}; ///< when the last current answer came
 };
--- a/src/load_digest.cpp
+++ b/src/load_digest.cpp
@@ -49,6 +49,24 @@
     return true;
 }
 
+// What is confirmed of a kind: [kind, revision, digest, age in ms].
+bool readConfirmation(const json &item, Clock::time_point now, replica::Confirmation &out)
+{
+    const bool shaped = item.is_array() && item.size() == 4 && item[0].is_string() && item[1].is_number_unsigned() && item[2].is_number_unsigned()
+        && item[3].is_number_unsigned();
+    if (!shaped || item[0].get_ref<const std::string &>().size() > longestId || item[3].get<uint64_t>() > oldestMs) {
+        return false;
+    }
+    out = {item[0].get<std::string>(), item[1].get<uint64_t>(), item[2].get<uint64_t>(), now - Millis(item[3].get<int64_t>())};
+    return true;
+}
+
+uint64_t ageOf(Clock::time_point at, Clock::time_point now)
+{
+    const auto age = std::chrono::duration_cast<Millis>(now - at).count();
+    return static_cast<uint64_t>(std::clamp<int64_t>(age, 0, oldestMs));
+}
+
 json writtenReports(std::vector<LoadReport> reports, Clock::time_point now)
 {
     std::sort(reports.begin(), reports.end(), [](const LoadReport &a, const LoadReport &b) {
@@ -57,17 +75,17 @@
     reports.resize(std::min(reports.size(), mostReports));
     json out = json::array();
     for (const auto &r : reports) {
-        const auto age = std::chrono::duration_cast<Millis>(now - r.heardAt).count();
-        out.push_back({r.endpoint, r.load, std::clamp<int64_t>(age, 0, oldestMs)});
+        out.push_back({r.endpoint, r.load, ageOf(r.heardAt, now)});
     }
     return out;
 }
 
 } // namespace
 
-std::vector<uint8_t> encode(std::vector<LoadReport> reports, Clock::time_point now, const std::vector<PromptNews> &prompts)
+std::vector<uint8_t> encode(Digest digest, Clock::time_point now)
 {
-    json out = writtenReports(std::move(reports), now);
+    json out = writtenReports(std::move(digest.loads), now);
+    const auto &prompts = digest.prompts;
     std::map<std::string, std::vector<uint64_t>> byEndpoint;
     for (std::size_t i = 0; i < std::min(prompts.size(), mostPrompts); ++i) {
         byEndpoint[prompts[i].endpoint].push_back(prompts[i].prompt);
@@ -78,6 +96,9 @@
         item.push_back(keys);
         out.push_back(std::move(item));
     }
+    for (const auto &c : digest.confirmations) {
+        out.push_back({c.kind, c.revision, c.digest, ageOf(c.at, now)});
+    }
     return json::to_cbor(out);
 }
 
@@ -95,7 +116,10 @@
     Digest out;
     for (const auto &item : items) {
         LoadReport report;
-        if (out.loads.size() < mostReports && readReport(item, now, report)) {
+        replica::Confirmation confirmation;
+        if (out.confirmations.size() < mostConfirmations && readConfirmation(item, now, confirmation)) {
+            out.confirmations.push_back(std::move(confirmation));
+        } else if (out.loads.size() < mostReports && readReport(item, now, report)) {
             out.loads.push_back(std::move(report));
         } else if (!readPrompts(item, out.prompts)) {
             return Error{400, "item " + std::to_string(out.loads.size() + out.prompts.size()) + " is malformed or one too many"};
--- a/src/load_digest.h
+++ b/src/load_digest.h
@@ -1,7 +1,9 @@
-// What routers tell each other of endpoints, as CBOR: the loads they heard and
-// the prompts they sent where nobody knew them since they last told.
+// What routers tell each other, as CBOR: the loads of endpoints that they heard,
+// the prompts they sent where nobody knew them since they last told, and what
+// the store confirmed.
 #pragma once
 
+#include "shared_replica.h"
 #include "task.h"
 #include "yucca/types.h"
 
@@ -34,6 +36,7 @@
 struct Digest {
     std::vector<LoadReport> loads;
     std::vector<PromptNews> prompts;
+    std::vector<replica::Confirmation> confirmations;
     bool operator==(const Digest &) const = default;
 };
 
@@ -41,10 +44,11 @@
 /// prompt, so that it fits one packet of 1,400 B.
 inline constexpr std::size_t mostReports = 32;
 inline constexpr std::size_t mostPrompts = 24;
+inline constexpr std::size_t mostConfirmations = 4; ///< one a kind of objects, of about 35 B
 
-/// Encodes reports, the newest where there are too many, each with its age,
-/// and the first of the prompts.
-std::vector<uint8_t> encode(std::vector<LoadReport> reports, Clock::time_point now, const std::vector<PromptNews> &prompts = {});
+/// Encodes a datagram: the newest of the reports where there are too many, and
+/// the first of the prompts. Moments are told as ages.
+std::vector<uint8_t> encode(Digest digest, Clock::time_point now);
 
 /// Decodes a datagram; an Error (400) says what is wrong with it. Ages are
 /// counted back from now.
--- a/src/load_exchange.cpp
+++ b/src/load_exchange.cpp
@@ -88,6 +88,7 @@
             listed.insert(peer.address);
         }
     }
+    m_neighbours = neighbours();
     std::erase_if(m_heardAt, [&listed](const auto &heard) {
         return !listed.count(heard.first);
     });
@@ -113,11 +114,54 @@
     return heard == m_heardAt.end() || now - heard->second > m_options.silentAfter;
 }
 
+void LoadExchange::share(std::vector<replica::SharedReplica *> replicas)
+{
+    m_replicas = std::move(replicas);
+    for (auto *replica : m_replicas) {
+        replica->onNews = [this] {
+            m_newsToTell = true;
+            m_news.notifyAll();
+        };
+    }
+}
+
+// The failure domain; a small fleet whole, as one round of datagrams reaches it.
+std::vector<Peer> LoadExchange::neighbours() const
+{
+    auto out = m_directory.peers();
+    const auto &far = m_directory.farPeers();
+    if (out.size() + far.size() <= m_options.mostTold) {
+        out.insert(out.end(), far.begin(), far.end());
+    }
+    std::sort(out.begin(), out.end(), [](const Peer &a, const Peer &b) {
+        return a.id < b.id;
+    });
+    return out;
+}
+
+std::optional<std::size_t> LoadExchange::rank(Clock::time_point now) const
+{
+    if (m_neighbours.empty() || now - m_neighbourHeardAt > m_options.askerSilentAfter) {
+        return std::nullopt;
+    }
+    const auto toldByEach = std::min(m_neighbours.size(), m_options.mostNearTold);
+    const auto silence = std::max<Clock::duration>(m_options.askerSilentAfter, m_options.every * 3 * m_neighbours.size() / toldByEach);
+    return static_cast<std::size_t>(std::count_if(m_neighbours.begin(), m_neighbours.end(), [&](const Peer &peer) {
+        const auto heard = m_heardAt.find(peer.address);
+        return peer.id < m_self.id && heard != m_heardAt.end() && now - heard->second <= silence;
+    }));
+}
+
 Task<void> LoadExchange::tell()
 {
     const auto ex = co_await asio::this_coro::executor;
     while (!m_stopping) {
-        co_await sleepFor(m_options.every);
+        const auto next = Clock::now() + m_options.every;
+        co_await sleepFor(m_options.newsAfter);
+        if (!m_newsToTell) {
+            co_await m_news.wait(next);
+        }
+        m_newsToTell = false;
         if (open(ex) && !m_stopping) {
             co_await sendRound();
         }
@@ -136,23 +180,40 @@
     return out;
 }
 
-// Tells some peers what was heard since the last round; also that nothing
-// was, now and then, so that they know this router lives.
+// Tells some peers what was heard since the last round, and neighbours also
+// what the store confirmed; where nothing was heard, other peers are told now
+// and then that this router lives.
 Task<void> LoadExchange::sendRound()
 {
     const auto now = Clock::now();
-    const auto reports = m_table.heardSince(m_toldUpTo);
+    Digest digest;
+    digest.loads = m_table.heardSince(m_toldUpTo);
     m_toldUpTo = now;
     countHeard(now);
-    const auto prompts = m_table.takePromptNews(mostPrompts);
+    digest.prompts = m_table.takePromptNews(mostPrompts);
     const bool breath = m_round++ % silentEvery == 0;
-    if (reports.empty() && prompts.empty() && !breath) {
-        co_return;
+    const bool heardNothing = digest.loads.empty() && digest.prompts.empty();
+    for (const auto *replica : m_replicas) {
+        if (auto told = replica->told()) {
+            digest.confirmations.push_back(std::move(*told));
+        }
+    }
+    const auto near = drawn(m_directory.peers(), m_options.mostNearTold, breath, now);
+    if (!heardNothing || !digest.confirmations.empty() || breath) {
+        co_await send(near, digest, now);
+    }
+    const bool smallFleet = m_neighbours.size() > m_directory.peers().size();
+    if (!smallFleet) {
+        digest.confirmations.clear();
+    }
+    if (!heardNothing || !digest.confirmations.empty() || breath) {
+        co_await send(drawn(m_directory.farPeers(), m_options.mostTold - near.size(), breath, now), digest, now);
     }
-    auto told = drawn(m_directory.peers(), m_options.mostNearTold, breath, now);
-    const auto far = drawn(m_directory.farPeers(), m_options.mostTold - told.size(), breath, now);
-    told.insert(told.end(), far.begin(), far.end());
-    const auto datagram = encode(reports, now, prompts);
+}
+
+Task<void> LoadExchange::send(const std::vector<Peer> &told, const Digest &digest, Clock::time_point now)
+{
+    const auto datagram = encode(digest, now);
     for (const auto &peer : told) {
         boost::system::error_code ec;
         const auto address = asio::ip::make_address(peer.address.host, ec);
@@ -203,6 +264,25 @@
     for (const auto &news : digest.prompts) {
         m_table.toldOfPrompt(news, now);
     }
+    const auto neighbour = std::find_if(m_neighbours.begin(), m_neighbours.end(), [&from](const Peer &peer) {
+        return peer.address == from;
+    });
+    if (neighbour == m_neighbours.end()) {
+        return;
+    }
+    m_neighbourHeardAt = now;
+    for (const auto &word : digest.confirmations) {
+        takeConfirmation(word, *neighbour, now);
+    }
+}
+
+void LoadExchange::takeConfirmation(const replica::Confirmation &word, const Peer &from, Clock::time_point now)
+{
+    for (auto *replica : m_replicas) {
+        if (replica->kind() == word.kind) {
+            replica->heard(word, from.address, now);
+        }
+    }
 }
 
 bool LoadExchange::firstByName(Clock::time_point now) const
--- a/src/load_exchange.h
+++ b/src/load_exchange.h
@@ -1,10 +1,11 @@
-// Routers tell each other which loads they heard and which endpoints took which
-// prompts, most of all within a failure domain. A router that sees a sliver of
-// the traffic hears of one endpoint only every ten seconds or so; the domain
-// hears of it in a second.
+// Routers tell each other which loads they heard, which endpoints took which
+// prompts and what the store confirmed, most of all within a failure domain. A
+// router that sees a sliver of the traffic hears of one endpoint only every ten
+// seconds or so; the domain hears of it in a second.
 #pragma once
 
 #include "load_digest.h"
+#include "notifier.h"
 #include "peer_directory.h"
 #include "router_core.h"
 
@@ -34,6 +35,11 @@
     Millis refreshAgain{5000}; ///< after the store could not be reached
     Millis silentAfter{10000}; ///< a peer that has not been heard for so long is told one round in ten
     Millis forgottenAfter{std::chrono::minutes(10)}; ///< its entry is removed from the store
+    /// News of the store are told before the next round is due, but not sooner after the last one.
+    Millis newsAfter{30};
+    /// A neighbour counts among those that ask the store when it was heard in
+    /// this time, or in three times as long as it takes on average to be told by one of them.
+    Millis askerSilentAfter{2000};
     Millis complainEvery{10000}; ///< a socket that cannot be bound, or a peer that sends nonsense, is logged so often
 };
 
@@ -67,6 +73,13 @@
     /// True when no router that was heard lately has a name before this one's:
     /// what one router of the fleet is to do is this one's.
     bool firstByName(Clock::time_point now) const;
+    /// What the store confirmed of these kinds is told to neighbours, and taken
+    /// from them. They must outlive the exchange.
+    void share(std::vector<replica::SharedReplica *> replicas);
+    /// This router's place by name among the neighbours heard lately, 0 for the
+    /// first; nothing when none is heard. Neighbours are the routers of the
+    /// failure domain, or all of a fleet that is told whole in one round.
+    std::optional<std::size_t> rank(Clock::time_point now) const;
     /// Reads the list of peers once, and removes the entries of those that
     /// have been silent for long. False when the store could not be reached.
     Task<bool> refreshPeers(Clock::time_point now);
@@ -75,6 +88,9 @@
     using Udp = asio::ip::udp;
     bool open(const asio::any_io_executor &ex);
     Task<void> sendRound();
+    Task<void> send(const std::vector<Peer> &told, const Digest &digest, Clock::time_point now);
+    std::vector<Peer> neighbours() const;
+    void takeConfirmation(const replica::Confirmation &word, const Peer &from, Clock::time_point now);
     Task<void> forgetSilent(Clock::time_point now);
     void countHeard(Clock::time_point now);
     void complain(const std::string &peer, const std::string &why, Clock::time_point now);
@@ -87,6 +103,11 @@
     Directory m_directory;
     std::optional<Udp::socket> m_socket;
     std::map<http::Address, Clock::time_point> m_heardAt; ///< by sender; when it was first listed, before that
+    std::vector<Peer> m_neighbours; ///< by name
+    std::vector<replica::SharedReplica *> m_replicas;
+    Clock::time_point m_neighbourHeardAt{};
+    Notifier m_news;
+    bool m_newsToTell = false;
     Clock::time_point m_toldUpTo{};
     uint64_t m_round = 0;
     Clock::time_point m_complainedAt{};
--- a/src/log.h
+++ b/src/log.h
@@ -43,6 +43,7 @@
     PeersUnreachable = 2040,
     PeerForgotten = 2041,
     PromptsLoaded = 2042,
+    ChangesNotHad = 2043,
     OrderAccepted = 3001,
     OrderRefused = 3002,
     Draining = 3003,
--- /dev/null
+++ b/src/shared_replica.cpp
@@ -0,0 +1,163 @@
+#include "shared_replica.h"
+
+#include "log.h"
+
+#include <random>
+
+namespace yucca::replica
+{
+
+namespace
+{
+
+constexpr Millis trailEvery{500}; ///< revisions are remembered this often: six of them span the time until they are trusted
+
+double drawnSpread()
+{
+    std::minstd_rand random{std::random_device{}()};
+    return std::uniform_real_distribution<double>(0, 1)(random);
+}
+
+} // namespace
+
+SharedReplica::SharedReplica(std::string kind, Rank rank, ChangeSource &source, FreshnessOptions options)
+    : m_kind(std::move(kind))
+    , m_rank(std::move(rank))
+    , m_source(source)
+    , m_freshness(options, drawnSpread())
+{
+}
+
+void SharedReplica::listed(const store::Listing &listing, Clock::time_point now)
+{
+    m_objects.listed(listing);
+    m_lastChange = listing.revision;
+    m_trail.clear();
+    m_newer.reset();
+    noteConfirmed(listing.revision, now, now);
+    if (onNews) {
+        onNews();
+    }
+}
+
+void SharedReplica::changed(const store::Object &object, bool deleted, uint64_t revision)
+{
+    m_objects.changed(object, deleted, revision);
+    m_lastChange = std::max(m_lastChange, revision);
+}
+
+void SharedReplica::confirmed(uint64_t revision, Clock::time_point at, bool news)
+{
+    noteConfirmed(revision, at, at);
+    if (m_newer && m_newer->revision <= revision) {
+        m_newer.reset();
+    }
+    if (news && onNews) {
+        onNews();
+    }
+}
+
+void SharedReplica::noteConfirmed(uint64_t revision, Clock::time_point at, Clock::time_point now)
+{
+    m_objects.reached(revision);
+    m_freshness.confirmed(at);
+    if (m_trail.empty() || now - m_trail.back().at >= trailEvery) {
+        m_trail.push_back({now, m_objects.revision()});
+    }
+    while (m_trail.size() > 1 && now - m_trail[1].at >= m_freshness.options().trustedAfter) {
+        m_trail.pop_front();
+    }
+    if (onConfirmed) {
+        onConfirmed(m_freshness.confirmedAt());
+    }
+}
+
+Clock::time_point SharedReplica::askAt(Clock::time_point now) const
+{
+    return m_freshness.askAt(rank(now));
+}
+
+uint64_t SharedReplica::watchFrom(Clock::time_point now) const
+{
+    const bool old = !m_trail.empty() && now - m_trail.front().at >= m_freshness.options().trustedAfter;
+    return old ? std::max(m_lastChange, m_trail.front().revision) : m_lastChange;
+}
+
+void SharedReplica::heard(const Confirmation &word, const http::Address &from, Clock::time_point now)
+{
+    if (m_freshness.confirmedAt() == Clock::time_point{}) {
+        return; // nothing is held yet that a word could speak of
+    }
+    if (word.digest == m_objects.digest()) {
+        if (word.at > m_freshness.confirmedAt()) {
+            const bool silence = now > askAt(now);
+            noteConfirmed(word.revision, word.at, now);
+            if (silence) {
+                m_wake.notifyAll();
+            }
+        }
+        return;
+    }
+    const bool newer = word.revision > m_objects.revision() && (!m_newer || word.revision > m_newer->revision);
+    if (newer) {
+        const bool first = !m_newer;
+        m_newer = Newer{from, word.revision, word.at};
+        if (first) {
+            m_wake.notifyAll();
+        }
+    }
+}
+
+std::optional<Confirmation> SharedReplica::told() const
+{
+    if (m_freshness.confirmedAt() == Clock::time_point{}) {
+        return std::nullopt;
+    }
+    return Confirmation{m_kind, m_objects.revision(), m_objects.digest(), m_freshness.confirmedAt()};
+}
+
+Task<Fetched> SharedReplica::fetch(std::function<void(const store::Object &object, bool deleted)> take)
+{
+    if (!m_newer) {
+        co_return Fetched::NotHad;
+    }
+    const Newer asked = *m_newer;
+    m_newer.reset();
+    auto result = co_await m_source.fetch(asked.from, m_kind, m_objects.revision());
+    if (!ok(result)) {
+        const auto &error = std::get<Error>(result);
+        log::Line{log::Event::ChangesNotHad}.add("kind", m_kind).add("peer", asked.from.host).add("code", int64_t{error.code}).add("why", error.message);
+        co_return Fetched::NotHad;
+    }
+    const auto &changes = std::get<Changes>(result);
+    if (!this->take(changes, take)) {
+        log::Line{log::Event::ChangesNotHad}.add("kind", m_kind).add("peer", asked.from.host).add("code", int64_t{409}).add("why", "it holds other objects");
+        co_return Fetched::Differs;
+    }
+    noteConfirmed(changes.revision, asked.at, Clock::now());
+    if (onNews) {
+        onNews();
+    }
+    co_return Fetched::Whole;
+}
+
+// Takes what is newer than what is held; true when both hold the same then.
+bool SharedReplica::take(const Changes &changes, const std::function<void(const store::Object &object, bool deleted)> &take)
+{
+    for (const auto &handed : changes.objects) {
+        const store::Object object{m_kind, handed.name, handed.version, handed.value};
+        if (m_objects.changed(object, false, handed.version)) {
+            m_lastChange = std::max(m_lastChange, handed.version);
+            take(object, false);
+        }
+    }
+    for (const auto &name : changes.deleted) {
+        const store::Object object{m_kind, name, m_objects.versionOf(name), {}};
+        if (object.version <= changes.revision && m_objects.changed(object, true, changes.revision)) {
+            take(object, true);
+        }
+    }
+    return m_objects.digest() == changes.digest;
+}
+
+} // namespace yucca::replica
--- /dev/null
+++ b/src/shared_replica.h
@@ -0,0 +1,143 @@
+// What the routers of a failure domain know together of one kind of objects:
+// the objects as this router holds them, how fresh they are, and which other
+// router told of a newer state.
+#pragma once
+
+#include "freshness.h"
+#include "http.h"
+#include "notifier.h"
+#include "object_replica.h"
+
+#include <deque>
+#include <functional>
+#include <optional>
+#include <string>
+
+namespace yucca::replica
+{
+
+/// What a router tells others of a kind: what it holds, and when the store
+/// last confirmed that nothing is missing.
+struct Confirmation {
+    std::string kind;
+    uint64_t revision = 0;
+    uint64_t digest = 0;
+    Clock::time_point at{};
+    bool operator==(const Confirmation &) const = default;
+};
+
+/// How getting changes from another router ended.
+enum class Fetched {
+    Whole, ///< both hold the same now
+    NotHad, ///< it did not answer, or hands on no more
+    Differs, ///< one of the two holds something wrong
+};
+
+/// Where changes are had from other routers.
+class ChangeSource
+{
+public:
+    virtual ~ChangeSource() = default;
+    /// The changes of a kind after a revision, as a router holds them.
+    virtual Task<Result<Changes>> fetch(http::Address from, std::string kind, uint64_t since) = 0;
+};
+
+/// Shared by the kind's follower, the exchange with other routers and the
+/// server that hands changes on; used from the control thread.
+class SharedReplica
+{
+public:
+    /// A router's place among those it hears, the first by name 0; nothing when it hears nobody.
+    using Rank = std::function<std::optional<std::size_t>(Clock::time_point now)>;
+
+    SharedReplica(std::string kind, Rank rank, ChangeSource &source, FreshnessOptions options = {});
+
+    const std::string &kind() const
+    {
+        return m_kind;
+    }
+
+    /// Called by the follower with the store's answers.
+    void listed(const store::Listing &listing, Clock::time_point now);
+    void changed(const store::Object &object, bool deleted, uint64_t revision);
+    /// The store confirmed that nothing is missing up to a revision; with news, others are told at once.
+    void confirmed(uint64_t revision, Clock::time_point at, bool news);
+
+    /// True while other routers are heard: what they know counts.
+    bool shared(Clock::time_point now) const
+    {
+        return m_rank(now).has_value();
+    }
+    /// The place among those heard; 0 when nobody is.
+    std::size_t rank(Clock::time_point now) const
+    {
+        return m_rank(now).value_or(0);
+    }
+    /// When the follower is to ask the store.
+    Clock::time_point askAt(Clock::time_point now) const;
+    /// The wait of its watches while other routers are heard.
+    Millis watchWait() const
+    {
+        return m_freshness.options().watchWait;
+    }
+    /// The revision to watch from: that of the last change, or a newer one that is old enough to be trusted.
+    uint64_t watchFrom(Clock::time_point now) const;
+    Clock::time_point confirmedAt() const
+    {
+        return m_freshness.confirmedAt();
+    }
+
+    /// Takes another router's word. One that holds the same confirms what is
+    /// held here; one that holds something newer is asked for it.
+    void heard(const Confirmation &word, const http::Address &from, Clock::time_point now);
+    /// What to tell others; nothing before the store has confirmed anything.
+    std::optional<Confirmation> told() const;
+    /// True when another router told of something newer.
+    bool lacks() const
+    {
+        return m_newer.has_value();
+    }
+    /// Gets what is newer from the router that told of it. Unless it is had
+    /// whole, the store has to be asked.
+    Task<Fetched> fetch(std::function<void(const store::Object &object, bool deleted)> take);
+    /// What changesSince() of the objects says, for another router.
+    Result<Changes> changesSince(uint64_t revision) const
+    {
+        return m_objects.changesSince(revision);
+    }
+
+    /// Wakes the follower when something newer is told of, and when a
+    /// confirmation ends a silence.
+    Notifier &wake()
+    {
+        return m_wake;
+    }
+    /// Called with each confirmation, and after news: others are to be told soon.
+    std::function<void(Clock::time_point at)> onConfirmed;
+    std::function<void()> onNews;
+
+private:
+    struct Newer {
+        http::Address from;
+        uint64_t revision = 0;
+        Clock::time_point at{};
+    };
+    struct Trusted {
+        Clock::time_point at;
+        uint64_t revision = 0;
+    };
+    void noteConfirmed(uint64_t revision, Clock::time_point at, Clock::time_point now);
+    bool take(const Changes &changes, const std::function<void(const store::Object &object, bool deleted)> &take);
+
+    std::string m_kind;
+    Rank m_rank;
+    ChangeSource &m_source;
+    Freshness m_freshness;
+    ObjectReplica m_objects;
+    std::optional<Newer> m_newer;
+    uint64_t m_lastChange = 0; ///< a watch from here tells nothing again
+    std::deque<Trusted> m_trail; ///< revisions by when they were confirmed, the oldest first
+    Notifier m_wake;
+};
+
+} // namespace yucca::replica
--- a/tests/test_entry_state.cpp
+++ b/tests/test_entry_state.cpp
@@ -251,6 +251,8 @@
         {"{{bounds.budget_window_s|json}}", "12"},
         {"{{bounds.cap_x|json}}", "2"},
         {"{{bounds.grace_s|json}}", "7.5"},
+        {"{{bounds.config_apply_ms|json}}", "4000"},
+        {"{{bounds.drain_ms|json}}", "2500.5"},
     };
     for (const auto &[placeholder, value] : values) {
         std::size_t at = filled.find(placeholder);
@@ -264,6 +266,8 @@
     const auto settings = entry::parseSettings(nlohmann::json::parse(filled, nullptr, true, true), findings);
     STRCMP_EQUAL("", findings.report().c_str());
     LONGS_EQUAL(7500, settings.stopGraceMs);
+    LONGS_EQUAL(4000, settings.configurationBoundMs);
+    LONGS_EQUAL(2500, settings.drainBoundMs);
     DOUBLES_EQUAL(54.5, settings.retrySlack, 0);
     DOUBLES_EQUAL(12, settings.retryWindowS, 0);
     LONGS_EQUAL(8227, settings.traffic.port);
--- a/tests/test_peers.cpp
+++ b/tests/test_peers.cpp
@@ -40,7 +40,7 @@
 {
     const std::vector<peers::LoadReport> reports{{"i-1", 12, now - Millis(250)}, {"i-2", 0, now - Millis(700)}};
     const auto later = now + std::chrono::seconds(9); // the receiver's clock is another one
-    const auto decoded = peers::decode(peers::encode(reports, now), later);
+    const auto decoded = peers::decode(peers::encode({reports, {}, {}}, now), later);
     CHECK(ok(decoded));
     const std::vector<peers::LoadReport> expected{{"i-1", 12, later - Millis(250)}, {"i-2", 0, later - Millis(700)}};
     CHECK(std::get<peers::Digest>(decoded).loads == expected);
@@ -52,7 +52,7 @@
     for (int i = 0; i < 500; ++i) {
         reports.push_back({"i-0123456789-" + std::to_string(i), 50, now - Millis(i)});
     }
-    const auto datagram = peers::encode(reports, now);
+    const auto datagram = peers::encode({reports, {}, {}}, now);
     CHECK(datagram.size() < 1472); // an Ethernet frame's datagram
     const auto decoded = std::get<peers::Digest>(peers::decode(datagram, now)).loads;
     LONGS_EQUAL(peers::mostReports, decoded.size());
@@ -184,7 +184,7 @@
     const auto now = Clock::now();
     CHECK(loop().run(rig.exchange->refreshPeers(now)));
     const std::string busy = rig.pick(now);
-    rig.exchange->take(peers::encode({{busy, 40, now}}, now), addressOfB, now);
+    rig.exchange->take(peers::encode({{{busy, 40, now}}, {}, {}}, now), addressOfB, now);
     CHECK(rig.pick(now) != busy);
     CHECK(rig.table->heardSince({}).empty()); // what was told is not told on
 }
@@ -198,7 +198,7 @@
     CHECK(loop().run(rig.exchange->refreshPeers(now)));
     rig.table->reported("e1", 40, now);
     rig.table->reported("e2", 20, now);
-    rig.exchange->take(peers::encode({{"e1", 0, now - Millis(500)}}, now), addressOfB, now);
+    rig.exchange->take(peers::encode({{{"e1", 0, now - Millis(500)}}, {}, {}}, now), addressOfB, now);
     STRCMP_EQUAL("e2", rig.pick(now).c_str());
     LONGS_EQUAL(2, rig.table->heardSince(now - Millis(1)).size());
     LONGS_EQUAL(0, rig.table->heardSince(now).size());
@@ -210,7 +210,7 @@
     const auto now = Clock::now();
     CHECK(loop().run(rig.exchange->refreshPeers(now)));
     const std::string first = rig.pick(now);
-    rig.exchange->take(peers::encode({{first, 40, now}}, now), addressOfB, now);
+    rig.exchange->take(peers::encode({{{first, 40, now}}, {}, {}}, now), addressOfB, now);
     STRCMP_EQUAL(first.c_str(), rig.pick(now).c_str());
 }
 
@@ -222,7 +222,7 @@
     const auto now = Clock::now();
     CHECK(loop().run(rig.exchange->refreshPeers(now)));
     const std::string first = rig.pick(now);
-    auto datagram = peers::encode({{first, 40, now}}, now);
+    auto datagram = peers::encode({{{first, 40, now}}, {}, {}}, now);
     datagram.pop_back();
     rig.exchange->take(datagram, addressOfB, now);
     STRCMP_EQUAL(first.c_str(), rig.pick(now).c_str());
--- a/tests/test_prompt_holders.cpp
+++ b/tests/test_prompt_holders.cpp
@@ -119,7 +119,7 @@
 TEST(PromptDigest, PromptsComeOutAsTheyWentIn)
 {
     const std::vector<peers::PromptNews> prompts{{1, "i-1"}, {0xffffffffffffffffULL, "i-1"}, {3, "i-2"}};
-    const auto decoded = std::get<peers::Digest>(peers::decode(peers::encode({{"i-1", 4, now}}, now, prompts), now));
+    const auto decoded = std::get<peers::Digest>(peers::decode(peers::encode({{{"i-1", 4, now}}, prompts, {}}, now), now));
     CHECK(decoded.prompts == prompts);
     LONGS_EQUAL(1, decoded.loads.size());
 }
@@ -133,7 +133,7 @@
         reports.push_back({id, 50, now});
         prompts.push_back({0xfffffffffffffff0ULL + i % 16, id});
     }
-    const auto datagram = peers::encode(reports, now, prompts);
+    const auto datagram = peers::encode({reports, prompts, {}}, now);
     CHECK(datagram.size() < 1472); // an Ethernet frame's datagram
     LONGS_EQUAL(peers::mostPrompts, std::get<peers::Digest>(peers::decode(datagram, now)).prompts.size());
 }
@@ -162,7 +162,7 @@
     peers::LoadExchange exchange(api, {"r1", "north", {"127.0.0.1", 1}, 0}, table);
     CHECK(loop().run(exchange.refreshPeers(now)));
     const uint64_t prompt = promptAt(table, "a");
-    exchange.take(peers::encode({}, now, {{prompt, "c"}}), {"127.0.0.1", 2}, now);
+    exchange.take(peers::encode({{}, {{prompt, "c"}}, {}}, now), {"127.0.0.1", 2}, now);
     STRCMP_EQUAL("c", placedAt(table, prompt, now).c_str());
     CHECK(table.takePromptNews(10).empty()); // what was told is not told on
 }
