--- a/tests/test_peers.cpp
+++ b/tests/test_peers.cpp
@@ -7,6 +7,7 @@
 #include "loop_group.h"
 
 #include <algorithm>
+#include <tuple>
 
 using namespace yucca;
 using namespace yucca::rig;
@@ -82,6 +83,22 @@
     CHECK(!ok(peers::decode({}, now)));
 }
 
+TEST(LoadDigest, ConfirmationsComeOutWithTheirAgeAndMalformedOnesAreRefused)
+{
+    using nlohmann::json;
+    const replica::Confirmation confirmation{"k", 77, 0xfedcba9876543210u, now - Millis(400)};
+    const auto later = now + std::chrono::seconds(9);
+    const auto decoded = std::get<peers::Digest>(peers::decode(peers::encode({{}, {}, {confirmation}}, now), later));
+    const std::vector<replica::Confirmation> expected{{"k", 77, 0xfedcba9876543210u, later - Millis(400)}};
+    CHECK(decoded.confirmations == expected);
+    const std::vector<json> wrong{json::parse(R"([["k",77,5]])"),      json::parse(R"([["k",-1,5,400]])"),
+                                  json::parse(R"([["k",77,5,-400]])"), json::parse(R"([["k",77,5,99999999]])"),
+                                  json::parse(R"([[7,77,5,400]])"),    json(std::vector<json>(peers::mostConfirmations + 1, json::parse(R"(["k",77,5,400])")))};
+    for (const auto &w : wrong) {
+        CHECK(!ok(peers::decode(json::to_cbor(w), now)));
+    }
+}
+
 LOOP_GROUP(PeerDirectory);
 
 TEST(PeerDirectory, RoutersOfOneFailureDomainFindEachOther)
@@ -176,6 +193,68 @@
 
 } // namespace
 
+// The places of routers "a" to "d" of one domain, and of "z" elsewhere, as "c" sees them.
+TEST(LoadExchange, ThePlaceAmongNeighboursFollowsTheNamesOfThoseHeardLately)
+{
+    store::ObjectStore store;
+    platform::LocalObjectApi api(store);
+    router::RoutingTable table;
+    peers::ExchangeOptions options;
+    options.mostTold = 3; // the fleet is too large for one round: neighbours are those of the domain
+    peers::LoadExchange c(api, peerAt("c", "north", 3), table, options);
+    for (const auto &[id, domain, port] :
+         {std::tuple("a", "north", 1), std::tuple("b", "north", 2), std::tuple("d", "north", 4), std::tuple("z", "south", 5)}) {
+        peers::Directory other(api, peerAt(id, domain, static_cast<uint16_t>(port)));
+        CHECK(loop().run(other.refresh()));
+    }
+    const auto now = Clock::now();
+    CHECK(loop().run(c.refreshPeers(now)));
+    CHECK(!c.rank(now).has_value()); // nobody was heard yet
+    const auto datagram = peers::encode({}, now);
+    c.take(datagram, {"127.0.0.1", 5}, now);
+    CHECK(!c.rank(now).has_value()); // "z" is no neighbour
+    const auto later = now + std::chrono::seconds(4);
+    c.take(datagram, {"127.0.0.1", 2}, later);
+    c.take(datagram, {"127.0.0.1", 4}, later);
+    LONGS_EQUAL(1, *c.rank(later)); // "b" comes before; "a" has been silent since it was listed
+    CHECK(!c.rank(later + Millis(2500)).has_value());
+}
+
+TEST(LoadExchange, OnlyNeighboursConfirmWhatIsHeld)
+{
+    store::ObjectStore store;
+    platform::LocalObjectApi api(store);
+    router::RoutingTable table;
+    peers::ExchangeOptions options;
+    options.mostTold = 1;
+    peers::LoadExchange exchange(api, peerAt("a", "north", 1), table, options);
+    struct NoSource : replica::ChangeSource {
+        Task<Result<replica::Changes>> fetch(http::Address, std::string, uint64_t) override
+        {
+            co_return Error{503, "none"};
+        }
+    } none;
+    replica::SharedReplica held(
+        "k",
+        [&exchange](Clock::time_point now) {
+            return exchange.rank(now);
+        },
+        none);
+    exchange.share({&held});
+    for (const auto &[id, domain, port] : {std::tuple("b", "north", 2), std::tuple("z", "south", 5)}) {
+        peers::Directory other(api, peerAt(id, domain, static_cast<uint16_t>(port)));
+        CHECK(loop().run(other.refresh()));
+    }
+    const auto now = Clock::now();
+    CHECK(loop().run(exchange.refreshPeers(now)));
+    held.listed({9, {}, false}, store::Freshness::MayLag, now);
+    const auto datagram = peers::encode({{}, {}, {{"k", 9, 0, now}}}, now);
+    exchange.take(datagram, {"127.0.0.1", 5}, now);
+    CHECK(!held.confirmed());
+    exchange.take(datagram, {"127.0.0.1", 2}, now);
+    CHECK(held.confirmed());
+}
+
 TEST(LoadExchange, WhatAPeerHeardDecidesWhereRequestsGo)
 {
     ExchangeRig rig;
