--- a/tests/test_peers.cpp
+++ b/tests/test_peers.cpp
@@ -91,9 +91,10 @@
     const auto decoded = std::get<peers::Digest>(peers::decode(peers::encode({{}, {}, {confirmation}}, now), later));
     const std::vector<replica::Confirmation> expected{{"k", 77, 0xfedcba9876543210u, later - Millis(400)}};
     CHECK(decoded.confirmations == expected);
-    const std::vector<json> wrong{json::parse(R"([["k",77,5]])"),      json::parse(R"([["k",-1,5,400]])"),
-                                  json::parse(R"([["k",77,5,-400]])"), json::parse(R"([["k",77,5,99999999]])"),
-                                  json::parse(R"([[7,77,5,400]])"),    json(std::vector<json>(peers::mostConfirmations + 1, json::parse(R"(["k",77,5,400])")))};
+    const std::vector<json> wrong{
+        json::parse(R"([["k",77,5,400,1]])"), json::parse(R"([["k",-1,5,400]])"),
+        json::parse(R"([["k",77,5,-400]])"),  json::parse(R"([["k",77,5,99999999]])"),
+        json::parse(R"([[7,77,5,400]])"),     json(std::vector<json>(peers::mostConfirmations + 1, json::parse(R"(["k",77,5,400])")))};
     for (const auto &w : wrong) {
         CHECK(!ok(peers::decode(json::to_cbor(w), now)));
     }
