A difference between two routers is not asked for at each word

Cause: while two routers hold different objects and the store refuses one of them, each datagram started another fetch and another call to the store. The test counted 20 fetches for 20 words.

Change: what differs counts like what could not be had: not again for a second.

--- a/src/shared_replica.cpp
+++ b/src/shared_replica.cpp
@@ -142,14 +142,14 @@
     m_newer.reset();
     auto result = co_await m_source.fetch(asked.from, m_kind, m_objects.revision(), handOn);
     if (!ok(result)) {
-        m_notHadDigest = asked.digest;
-        m_notHadAt = Clock::now();
+        noteNotHad(asked);
         const auto &error = std::get<Error>(result);
         log::Line{log::Event::ChangesNotHad}.add("kind", m_kind).add("peer", asked.from.host).add("code", int64_t{error.code}).add("why", error.message);
         co_return Fetched::NotHad;
     }
     const auto &changes = std::get<Changes>(result);
     if (!this->take(changes, take)) {
+        noteNotHad(asked);
         log::Line{log::Event::ChangesNotHad}.add("kind", m_kind).add("peer", asked.from.host).add("code", int64_t{409}).add("why", "it holds other objects");
         co_return Fetched::Differs;
     }
@@ -160,6 +160,12 @@
     co_return Fetched::Whole;
 }
 
+void SharedReplica::noteNotHad(const Newer &asked)
+{
+    m_notHadDigest = asked.digest;
+    m_notHadAt = Clock::now();
+}
+
 // Takes what is newer than what is held; true when both hold the same then.
 bool SharedReplica::take(const Changes &changes, const std::function<void(const store::Object &object, bool deleted)> &take)
 {
--- a/src/shared_replica.h
+++ b/src/shared_replica.h
@@ -138,6 +138,7 @@
         Clock::time_point at;
         uint64_t revision = 0;
     };
+    void noteNotHad(const Newer &asked);
     void noteConfirmed(uint64_t revision, Clock::time_point at, Clock::time_point now);
     bool take(const Changes &changes, const std::function<void(const store::Object &object, bool deleted)> &take);
 
--- a/tests/test_shared_replica.cpp
+++ b/tests/test_shared_replica.cpp
@@ -665,6 +665,27 @@
     LONGS_EQUAL(2, rig.api.lists);
 }
 
+// While two hold different objects and the store refuses, each word asked for
+// another round of calls: as often as datagrams come.
+TEST(SharedFollower, ADifferenceThatCannotBeSettledIsNotAskedForAtEachWord)
+{
+    FollowerRig rig;
+    rig.store.put("k", "a", 1, std::nullopt);
+    rig.start(loop());
+    rig.neighbourAsks(loop());
+    rig.other.changed(object("a", 0), true, 1);
+    rig.other.confirmed(50, Clock::now(), false);
+    rig.api.outage = true;
+    for (int i = 0; i < 20; ++i) {
+        rig.hear();
+        if (rig.own.lacks()) {
+            CHECK(!loop().run(rig.follower->step()));
+        }
+    }
+    LONGS_EQUAL(1, rig.source.asked);
+    CHECK(rig.api.watches <= 2);
+}
+
 TEST(SharedFollower, ARouterThatHearsNobodyAsksByItself)
 {
     FollowerRig rig;
