In an outage, words that are too old to hold end no pause

Cause (large deployment, fresh-5ada, calls logged in a replay): while the store was away 58 routers made 6,200 watches in 4 s, 26 a second each. The last confirmations still became a little newer while they spread; each such word ended the pause after a failed call.

Ruled out: differences that cannot be settled (none were logged).

Change: a word ends a pause only if what it confirms holds.

--- a/src/shared_replica.cpp
+++ b/src/shared_replica.cpp
@@ -104,9 +104,12 @@
     }
     if (word.digest == m_objects.digest()) {
         if (word.at > m_freshness.confirmedAt()) {
-            const bool silence = now > askAt(now);
+            const bool wasDue = askAt(now) <= now;
             noteConfirmed(word.revision, word.at, now);
-            if (silence) {
+            // Only a confirmation that holds ends a pause. In an outage words
+            // still get a little newer while they spread: each made a router
+            // ask the silent store again, 26 times a second.
+            if (wasDue && askAt(now) > now) {
                 m_wake.notifyAll();
             }
         }
--- a/tests/test_shared_replica.cpp
+++ b/tests/test_shared_replica.cpp
@@ -665,6 +665,37 @@
     LONGS_EQUAL(2, rig.api.lists);
 }
 
+// In an outage of the store the last confirmations are still told on. They do
+// not end the pauses of routers that have found the store away.
+TEST(SharedFollower, AConfirmationThatIsTooOldToHoldEndsNoPause)
+{
+    FollowerRig rig;
+    rig.start(loop());
+    rig.neighbourAsks(loop());
+    rig.options.sharedPause = Millis(60000);
+    Follower<RecordingSink> follower(rig.api, "k", rig.sink, rig.options);
+    CHECK(loop().run(follower.step()));
+    rig.api.outage = true;
+    rig.api.takes = Millis(1);
+    std::optional<bool> ended;
+    loop().start(ranToItsEnd(follower), ended);
+    loop().until([&] {
+        return rig.api.watches == 1;
+    });
+    CHECK(loop().run(passed(Millis(20))));
+    auto word = *rig.own.told();
+    for (int i = 0; i < 20; ++i) {
+        word.at += Millis(1);
+        rig.own.heard(word, neighbour, Clock::now());
+        CHECK(loop().run(passed(Millis(5))));
+    }
+    LONGS_EQUAL(1, rig.api.watches);
+    follower.stop();
+    loop().until([&] {
+        return ended.has_value();
+    });
+}
+
 // While two hold different objects and the store refuses, each word asked for
 // another round of calls: as often as datagrams come.
 TEST(SharedFollower, ADifferenceThatCannotBeSettledIsNotAskedForAtEachWord)
