Log lines tell what a request asks for, not only its id

Cause: a caller's repeat comes under a new id at another router, so that the lines of one request that comes again and again could not be brought together: the hypotheses of the incident could not be told apart.

The own interface hashes chats as well as calls.

--- a/src/entry/gateway_account.h
+++ b/src/entry/gateway_account.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "entry/gateway.h"
+#include "text.h"
 
 namespace yucca::entry
 {
@@ -54,6 +55,7 @@
     if (end != AttemptEnd::Delivered && m_lines.take(true, now)) {
         log::Line{log::Event::AttemptEnded}
             .add("id", flight.profile.id)
+            .add("content", text::hex(contentKey(flight.profile)))
             .add("endpoint", endpoint.id)
             .add("end", nameOf(attemptEndNames, end))
             .add("ms", msSince(began))
@@ -85,6 +87,7 @@
     }
     log::Line{log::Event::RequestFinished}
         .add("id", p.id)
+        .add("content", text::hex(contentKey(p)))
         .add("end", nameOf(requestEndNames, end))
         .add("status", status)
         .add("route", p.route->name)
--- a/src/entry/request_profile.h
+++ b/src/entry/request_profile.h
@@ -59,10 +59,19 @@
     placement::Affinity affinity;
     Prompt prompt;
     std::string idempotencyKey; ///< not empty: runs once at most over all requests of the workspace with this key
-    uint64_t contentHash = 0; ///< of what is asked for, to tell a key that is used for something else
+    /// Of what is asked for, whoever asks and when: tells a repeat that comes
+    /// under another id, and a key that is used for something else.
+    uint64_t contentHash = 0;
     uint64_t resumeAfter = 0; ///< the last event that the caller has of a stream
 };
 
+/// One workspace's requests for the same thing, over all routers. Two
+/// workspaces that ask alike are told apart: neither is to learn of the other.
+inline uint64_t contentKey(const RequestProfile &profile)
+{
+    return ring::hash(profile.workspace, profile.contentHash);
+}
+
 /// Why a request was answered by the router itself.
 enum class Rejection {
     NotLoaded, ///< no configuration is known yet
--- a/src/prompt_snapshot.cpp
+++ b/src/prompt_snapshot.cpp
@@ -4,7 +4,6 @@
 #include "text.h"
 
 #include <algorithm>
-#include <charconv>
 
 namespace yucca::router
 {
@@ -14,23 +13,9 @@
 namespace
 {
 
-// Keys are written as hexadecimal text: not every reader of JSON keeps 64 bits of a number.
-std::string written(uint64_t key)
+std::optional<uint64_t> keyOf(const json &written)
 {
-    char text[20];
-    std::snprintf(text, sizeof text, "%llx", static_cast<unsigned long long>(key));
-    return text;
-}
-
-std::optional<uint64_t> keyOf(const json &text)
-{
-    if (!text.is_string()) {
-        return std::nullopt;
-    }
-    const auto &digits = text.get_ref<const std::string &>();
-    uint64_t key = 0;
-    const auto [end, ec] = std::from_chars(digits.data(), digits.data() + digits.size(), key, 16);
-    return ec == std::errc() && end == digits.data() + digits.size() ? std::optional(key) : std::nullopt;
+    return written.is_string() ? text::fromHex(written.get_ref<const std::string &>()) : std::nullopt;
 }
 
 // The prompts of each endpoint, the last noted first.
@@ -38,7 +23,7 @@
 {
     json out = json::object();
     for (const auto &p : prompts) {
-        out[p.endpoint].push_back(written(p.prompt));
+        out[p.endpoint].push_back(text::hex(p.prompt));
     }
     return out;
 }
@@ -51,8 +36,8 @@
         return out;
     }
     for (const auto &[endpoint, keys] : snapshot.items()) {
-        for (const auto &text : keys) {
-            if (const auto key = keyOf(text)) {
+        for (const auto &written : keys) {
+            if (const auto key = keyOf(written)) {
                 out.push_back({*key, endpoint});
             }
         }
--- a/src/router_dialect.cpp
+++ b/src/router_dialect.cpp
@@ -67,7 +67,6 @@
 void readOperation(const http::Exchange &ex, entry::RequestProfile &p)
 {
     p.idempotencyKey = ex.header("idempotency-key");
-    p.contentHash = ring::hash(ex.path() + "\n" + ex.request().body());
     const uint64_t spread = ring::hash(p.idempotencyKey.empty() ? p.id : p.idempotencyKey);
     p.affinity = {spread, spread};
 }
@@ -95,6 +94,7 @@
     if (p.id.empty()) {
         p.id = m_routerId + "-" + std::to_string(++m_requests);
     }
+    p.contentHash = ring::hash(ex.path() + "\n" + ex.request().body());
     const bool isChat = ex.path() == chatPath;
     bool streamed = false;
     if (isChat) {
--- a/src/text.h
+++ b/src/text.h
@@ -21,6 +21,23 @@
     return parsed.ec == std::errc() && parsed.ptr == end ? std::optional(value) : std::nullopt;
 }
 
+/// A number as hexadecimal text: not every reader of JSON keeps 64 bits of one.
+inline std::string hex(uint64_t value)
+{
+    char digits[16];
+    const auto written = std::to_chars(digits, digits + sizeof digits, value, 16);
+    return {digits, written.ptr};
+}
+
+/// The number that the whole of a hexadecimal text is, or nothing.
+inline std::optional<uint64_t> fromHex(std::string_view text)
+{
+    uint64_t value = 0;
+    const char *end = text.data() + text.size();
+    const auto parsed = std::from_chars(text.data(), end, value, 16);
+    return parsed.ec == std::errc() && parsed.ptr == end ? std::optional(value) : std::nullopt;
+}
+
 /// The items of a comma-separated list, empty ones left out.
 inline std::vector<std::string> items(std::string_view list)
 {
