--- a/tests/entry_rig.h
+++ b/tests/entry_rig.h
@@ -54,6 +54,13 @@
         asio::co_spawn(loop.io, accept(), asio::detached);
     }
 
+    /// Stops listening, as a process that has ended: connections are refused from now on.
+    void end()
+    {
+        boost::system::error_code ec;
+        m_acceptor.close(ec);
+    }
+
     std::vector<SeenRequest> seen;
     int connections = 0;
 
