A request under which three endpoints ended is kept from the others

What callers saw: streams and calls broke as one endpoint after the other ended under a request that came again and again, under new ids, at any router.

Cause: an ending was held against the endpoint and the request id. The next repeat, at another router, met a fleet that knew nothing of it. The class: a limit on attempts that is counted by one router, for one id, where what does the damage is what is asked for.

Ruled out: the fleet's own repeats alone (a route that allows one attempt showed it as well: 11 of 12 endpoints ended, with repeats 12 of 12), overload of the engines that are left (engines that ran one request ended too).

Change: endings are counted by workspace and content. An endpoint has ended under a request when its answer broke and then nothing listens at its address, another instance answers there, or its entry lapses, unless it was leaving. Three different endpoints keep the request from all others for an hour; it is refused at once, with the time after which it may come back. A whole answer clears it, and for a minute after one nothing is held against it, so that what is asked for most outlives the loss of many endpoints. Single endings are told to the three routers that count the request, from the second on to all, each telling it on; records of two endings and more stand in the store, for routers that start or are cut off. The own interface shares them through the store.

Why it holds: what is counted is what comes again; no router, connection or start of the fleet is needed for it to be remembered.

--- a/src/entry/entry_metrics.cpp
+++ b/src/entry/entry_metrics.cpp
@@ -135,11 +135,13 @@
     writeSingle(out, "yucca_resumptions_total", "counter", "Streams that went on at another endpoint", static_cast<double>(resumptions));
     writeSingle(out, "yucca_replays_total", "counter", "Requests answered with a stored answer", static_cast<double>(replays));
     writeSingle(out, "yucca_ejections_total", "counter", "Endpoints passed by for failing more than the others", static_cast<double>(ejections));
+    writeSingle(out, "yucca_endpoint_endings_total", "counter", "Endpoints that ended while they ran requests", static_cast<double>(endings));
     writeSingle(out, "yucca_endpoint_connections_total", "counter", "Connections opened to endpoints", static_cast<double>(gauges.connectionsOpened));
     writeSingle(out, "yucca_configuration_version", "gauge", "The version in force", static_cast<double>(gauges.configurationVersion));
     writeSingle(out, "yucca_store_silence_seconds", "gauge", "Since the store last answered", gauges.storeSilenceSeconds);
     writeSingle(out, "yucca_endpoints", "gauge", "Endpoints that are listed and live", static_cast<double>(gauges.endpoints));
     writeSingle(out, "yucca_peers", "gauge", "Routers of the failure domain that were heard lately", static_cast<double>(gauges.peers));
+    writeSingle(out, "yucca_quarantined_requests", "gauge", "Requests that are kept from endpoints", static_cast<double>(gauges.quarantined));
     writeSingle(out, "yucca_requests_in_flight", "gauge", "Requests in flight", static_cast<double>(gauges.inflight));
     return out;
 }
--- a/src/entry/entry_metrics.h
+++ b/src/entry/entry_metrics.h
@@ -52,6 +52,7 @@
     std::size_t endpoints = 0;
     std::size_t peers = 0; ///< routers of the failure domain that were heard lately
     int64_t inflight = 0;
+    std::size_t quarantined = 0; ///< requests that are kept from endpoints
     uint64_t connectionsOpened = 0; ///< to endpoints, since the start
 };
 
@@ -77,6 +78,7 @@
     uint64_t resumptions = 0; ///< streams that went on at another endpoint
     uint64_t replays = 0; ///< requests answered with the stored answer of an earlier one with their key
     uint64_t ejections = 0; ///< endpoints passed by for failing more than the others
+    uint64_t endings = 0; ///< endpoints that ended while they ran requests of this router
 
     /// Requests that ended so, of all kinds.
     uint64_t ended(RequestEnd end) const;
--- a/src/entry/gateway.h
+++ b/src/entry/gateway.h
@@ -17,6 +17,7 @@
 #include "idempotency.h"
 #include "log.h"
 #include "notifier.h"
+#include "quarantine.h"
 #include "router_core.h"
 #include "sse.h"
 
@@ -91,6 +92,10 @@
     Millis keptDistrustedFor{10000};
     std::size_t mostKept = 32; ///< connections kept to an endpoint
     std::size_t mostAnswerBytes = 16 * 1024 * 1024; ///< of an answer that is relayed whole
+    /// After an answer broke, until its endpoint is seen to have ended: an entry
+    /// lapses after three heartbeats of 1.2 s, and is heard of a second later.
+    Millis endingSeenWithin{6000};
+    Millis endingPoll{100};
 };
 
 /// What a gateway shares with the rest of its process.
@@ -98,6 +103,7 @@
     const Published &published;
     router::RoutingTable &table;
     limits::Admission &admission;
+    quarantine::RequestQuarantine &quarantine;
     idempotency::Guard *claims = nullptr; ///< null: no request bears an idempotency key
 };
 
@@ -109,6 +115,7 @@
         : m_published(parts.published)
         , m_table(parts.table)
         , m_admission(parts.admission)
+        , m_quarantine(parts.quarantine)
         , m_claims(parts.claims)
         , m_options(options)
         , m_dialect(std::move(dialect))
@@ -171,6 +178,15 @@
         Clock::time_point firstByte{};
     };
 
+    /// An endpoint that may have ended under requests whose answers broke.
+    struct EndingWatch {
+        std::set<uint64_t> contents; ///< of these requests
+        bool replaced = false; ///< another instance answers at its address
+        bool probed = false;
+        Notifier probeEnded;
+    };
+    using EndingWatchPtr = std::shared_ptr<EndingWatch>;
+
     std::variant<RequestProfile, Rejection> identify(const http::Exchange &ex, Clock::time_point now);
     bool outOfDate(Clock::time_point now) const;
     std::optional<Millis> overLimits(const RequestProfile &profile, Clock::time_point now, std::optional<limits::AdmissionSlot> &slot);
@@ -193,11 +209,16 @@
     bool takeRetry(const std::string &service);
     http::Reuse reuseFor(const Flight &flight, Clock::time_point now) const;
     Task<void> forgetEarlier(const Endpoint &endpoint);
+    std::optional<Millis> quarantinedFor(const RequestProfile &profile, Clock::time_point now) const;
+    Task<void> noteBroken(uint64_t content, Endpoint endpoint);
+    Task<void> watchForEnding(Endpoint endpoint, EndingWatchPtr watch);
+    void noteEnding(const Endpoint &endpoint, const EndingWatch &watch);
     void account(const Flight &flight, RequestEnd end, int64_t status);
 
     const Published &m_published;
     router::RoutingTable &m_table;
     limits::Admission &m_admission;
+    quarantine::RequestQuarantine &m_quarantine;
     idempotency::Guard *m_claims;
     GatewayOptions m_options;
     D m_dialect;
@@ -207,6 +228,7 @@
     std::map<std::string, Clock::time_point> m_keptBrokeAt; ///< by service: the last time that a kept connection broke
     std::map<std::string, int64_t> m_born; ///< by endpoint: the start of the incarnation that was last sent to
     std::map<Flight *, Endpoint> m_attempts; ///< that go on, and where
+    std::map<std::string, EndingWatchPtr> m_endingWatches; ///< by incarnation
     Metrics m_metrics;
     LineBudget m_lines;
     std::minstd_rand m_random{std::random_device{}()};
@@ -230,6 +252,11 @@
     }
     Flight flight;
     flight.profile = std::move(std::get<RequestProfile>(identified));
+    const auto heldFor = quarantinedFor(flight.profile, now);
+    if (heldFor) {
+        co_await reject(ex, flight.profile.id, Rejection::Quarantined, heldFor);
+        co_return;
+    }
     std::optional<limits::AdmissionSlot> slot;
     const auto comeBack = overLimits(flight.profile, now, slot);
     if (comeBack) {
@@ -265,6 +292,9 @@
             flight.timedOut = true;
             break;
         }
+        if (quarantinedFor(flight.profile, now)) {
+            break; // an endpoint has ended under it meanwhile
+        }
         const auto endpoint = m_table.acquire(flight.service, flight.profile.affinity, flight.tried, now);
         if (!endpoint) {
             break;
@@ -292,6 +322,9 @@
             flight.endpointRestarted = false;
         }
         flight.count.runs += mayHaveRun(end) ? 1 : 0;
+        if ((end == AttemptEnd::Broken || end == AttemptEnd::Silent) && !flight.cancellation.fired() && !ex.callerGone()) {
+            co_await noteBroken(contentKey(flight.profile), *endpoint);
+        }
         if (flight.cancellation.fired() || ex.callerGone()) {
             if (end != AttemptEnd::Delivered) {
                 co_await releaseClaim(flight);
@@ -326,14 +359,17 @@
         co_await ex.reply(flight.failure->status, std::move(flight.failure->body), std::move(flight.failure->headers), "");
         co_return;
     }
+    const auto heldFor = quarantinedFor(flight.profile, Clock::now());
     Rejection why = Rejection::NoEndpoint;
     if (flight.count.runs > 0) {
         why = flight.timedOut ? Rejection::TimedOut : Rejection::AnswerLost;
+    } else if (heldFor) {
+        why = Rejection::Quarantined;
     } else if (flight.count.arrivals > 0) {
         why = Rejection::NotExecuted;
     }
     account(flight, RequestEnd::GivenUp, statusOf(why));
-    co_await reject(ex, flight.profile.id, why);
+    co_await reject(ex, flight.profile.id, why, why == Rejection::Quarantined ? heldFor : std::nullopt);
 }
 
 } // namespace yucca::entry
@@ -341,4 +377,5 @@
 #include "entry/gateway_account.h"
 #include "entry/gateway_admit.h"
 #include "entry/gateway_attempt.h"
+#include "entry/gateway_endings.h"
 #include "entry/gateway_place.h"
--- a/src/entry/gateway_account.h
+++ b/src/entry/gateway_account.h
@@ -38,6 +38,9 @@
 {
     const auto now = Clock::now();
     m_metrics.attemptEnded(end);
+    if (end == AttemptEnd::Delivered && flight.lastStatus / 100 == 2) {
+        m_quarantine.answered(contentKey(flight.profile), now);
+    }
     if (end != AttemptEnd::CallerGone) {
         const bool failed = end != AttemptEnd::Delivered || flight.lastStatus >= 500;
         const auto ejection = m_outliers[flight.service].record(incarnationKey(endpoint), failed, m_table.poolSize(flight.service), now);
--- a/src/entry/gateway_attempt.h
+++ b/src/entry/gateway_attempt.h
@@ -132,6 +132,10 @@
     }
     if (head.wrongInstance) {
         m_table.setDraining(endpoint.id, true);
+        const auto watch = m_endingWatches.find(incarnationKey(endpoint));
+        if (watch != m_endingWatches.end()) {
+            watch->second->replaced = true;
+        }
         co_return AttemptEnd::NotExecuted;
     }
     if (head.notExecuted) {
--- a/src/entry/process.h
+++ b/src/entry/process.h
@@ -7,6 +7,7 @@
 #include "entry/gateway.h"
 #include "load_exchange.h"
 #include "prompt_snapshot.h"
+#include "quarantine_store.h"
 #include "settings.h"
 #include "supervisor.h"
 
@@ -51,7 +52,15 @@
               [this] {
                   return m_exchange.firstByName(Clock::now());
               })
-        , m_gateway(GatewayParts{m_published, m_table, m_admission}, gatewayOptions(settings))
+        , m_quarantineStore(
+              store, m_quarantine,
+              [this] {
+                  return !m_exchange.rank(Clock::now()).has_value();
+              },
+              [this] {
+                  return m_exchange.firstByName(Clock::now());
+              })
+        , m_gateway(GatewayParts{m_published, m_table, m_admission, m_quarantine}, gatewayOptions(settings))
         , m_changes({&m_configurationReplica, &m_endpointReplica})
         , m_supervisor(m_controlLoop, noteFailure)
         , m_callers({&m_trafficLoop}, settings.traffic.host, settings.traffic.port,
@@ -71,6 +80,7 @@
         })
     {
         m_exchange.share({&m_configurationReplica, &m_endpointReplica});
+        m_exchange.share(m_quarantine);
     }
 
     /// Runs until a stop signal and ends the process; returns only when it could not start.
@@ -157,6 +167,13 @@
                                 return m_control.watchStore();
                             },
                             {}});
+        m_supervisor.start({"quarantine",
+                            [this] {
+                                return m_quarantineStore.run();
+                            },
+                            [this] {
+                                m_quarantineStore.stop();
+                            }});
         if (m_settings.peers.port != 0) {
             startExchange();
         }
@@ -272,6 +289,7 @@
         gauges.endpoints = m_published.endpointCount();
         gauges.inflight = m_callers.inflight();
         gauges.peers = m_exchange.heardPeers();
+        gauges.quarantined = m_quarantine.heldCount(Clock::now());
         std::string text = m_gateway.metricsText(gauges);
         co_await ex.reply(200, std::move(text), {}, "text/plain; version=0.0.4");
     }
@@ -327,6 +345,8 @@
     Control<C> m_control;
     peers::LoadExchange m_exchange;
     router::PromptSnapshot m_snapshot;
+    quarantine::RequestQuarantine m_quarantine;
+    quarantine::QuarantineStore m_quarantineStore;
     limits::Admission m_admission; ///< bounds nobody here: the platform's workspaces state no limits
     Gateway<D> m_gateway;
     replica::ChangeServer m_changes;
--- a/src/entry/request_profile.h
+++ b/src/entry/request_profile.h
@@ -88,9 +88,10 @@
     NotRecorded, ///< the idempotency key could not be claimed in the store
     KeyInUse, ///< an earlier request with the key is in progress, or nobody knows its outcome
     KeyReused, ///< the key was used for something else
+    Quarantined, ///< endpoints ended under requests for the same
 };
 
-inline constexpr NameTable<Rejection, 14> rejectionNames{{{Rejection::NotLoaded, "not_loaded"},
+inline constexpr NameTable<Rejection, 15> rejectionNames{{{Rejection::NotLoaded, "not_loaded"},
                                                           {Rejection::OutOfDate, "out_of_date"},
                                                           {Rejection::NoRoute, "no_route"},
                                                           {Rejection::UnknownKey, "unknown_key"},
@@ -103,7 +104,8 @@
                                                           {Rejection::OverLimits, "over_limits"},
                                                           {Rejection::NotRecorded, "not_recorded"},
                                                           {Rejection::KeyInUse, "key_in_use"},
-                                                          {Rejection::KeyReused, "key_reused"}}};
+                                                          {Rejection::KeyReused, "key_reused"},
+                                                          {Rejection::Quarantined, "quarantined"}}};
 
 /// What a rejection says of the request: it certainly did not run and never
 /// will, or it may have run.
--- a/src/load_digest.cpp
+++ b/src/load_digest.cpp
@@ -12,6 +12,8 @@
 {
 
 constexpr int64_t oldestMs = 60000; ///< an older report says nothing
+constexpr int64_t oldestEndingMs = 24 * 3600 * 1000; ///< an ending is remembered for a day
+constexpr std::size_t mostEndpointsOfEndings = 16;
 constexpr int64_t mostLoad = 1000000;
 constexpr std::size_t longestId = 200;
 
@@ -61,10 +63,38 @@
     return true;
 }
 
-uint64_t ageOf(Clock::time_point at, Clock::time_point now)
+// Endpoints that ended under requests for one thing: [content, [endpoint, ...], age in ms].
+bool readEndings(const json &item, Clock::time_point now, quarantine::Record &out)
+{
+    const bool shaped = item.is_array() && item.size() == 3 && item[0].is_number_unsigned() && item[1].is_array() && item[2].is_number_unsigned();
+    if (!shaped || item[1].empty() || item[1].size() > mostEndpointsOfEndings || item[2].get<uint64_t>() > oldestEndingMs) {
+        return false;
+    }
+    out = {item[0].get<uint64_t>(), {}, now - Millis(item[2].get<int64_t>())};
+    for (const auto &endpoint : item[1]) {
+        if (!endpoint.is_number_unsigned()) {
+            return false;
+        }
+        out.endpoints.push_back(endpoint.get<uint64_t>());
+    }
+    return std::is_sorted(out.endpoints.begin(), out.endpoints.end());
+}
+
+// A request that was answered: [content, age in ms].
+bool readAnswer(const json &item, Clock::time_point now, quarantine::Answer &out)
+{
+    const bool shaped = item.is_array() && item.size() == 2 && item[0].is_number_unsigned() && item[1].is_number_unsigned();
+    if (!shaped || item[1].get<uint64_t>() > oldestEndingMs) {
+        return false;
+    }
+    out = {item[0].get<uint64_t>(), now - Millis(item[1].get<int64_t>())};
+    return true;
+}
+
+uint64_t ageOf(Clock::time_point at, Clock::time_point now, int64_t oldest = oldestMs)
 {
     const auto age = std::chrono::duration_cast<Millis>(now - at).count();
-    return static_cast<uint64_t>(std::clamp<int64_t>(age, 0, oldestMs));
+    return static_cast<uint64_t>(std::clamp<int64_t>(age, 0, oldest));
 }
 
 json writtenReports(std::vector<LoadReport> reports, Clock::time_point now)
@@ -99,6 +129,12 @@
     for (const auto &c : digest.confirmations) {
         out.push_back({c.kind, c.revision, c.digest, ageOf(c.at, now)});
     }
+    for (const auto &e : digest.endings) {
+        out.push_back({e.content, e.endpoints, ageOf(e.lastAt, now, oldestEndingMs)});
+    }
+    for (const auto &a : digest.answers) {
+        out.push_back({a.content, ageOf(a.at, now, oldestEndingMs)});
+    }
     return json::to_cbor(out);
 }
 
@@ -117,7 +153,13 @@
     for (const auto &item : items) {
         LoadReport report;
         replica::Confirmation confirmation;
-        if (out.confirmations.size() < mostConfirmations && readConfirmation(item, now, confirmation)) {
+        quarantine::Record endings;
+        quarantine::Answer answer;
+        if (out.endings.size() < mostEndings && readEndings(item, now, endings)) {
+            out.endings.push_back(std::move(endings));
+        } else if (out.answers.size() < mostEndings && readAnswer(item, now, answer)) {
+            out.answers.push_back(answer);
+        } else if (out.confirmations.size() < mostConfirmations && readConfirmation(item, now, confirmation)) {
             out.confirmations.push_back(std::move(confirmation));
         } else if (out.loads.size() < mostReports && readReport(item, now, report)) {
             out.loads.push_back(std::move(report));
--- a/src/load_digest.h
+++ b/src/load_digest.h
@@ -1,8 +1,9 @@
 // What routers tell each other, as CBOR: the loads of endpoints that they heard,
-// the prompts they sent where nobody knew them since they last told, and what
-// the store confirmed.
+// the prompts they sent where nobody knew them since they last told, what the
+// store confirmed, and under which requests endpoints ended.
 #pragma once
 
+#include "quarantine.h"
 #include "shared_replica.h"
 #include "task.h"
 #include "yucca/types.h"
@@ -37,6 +38,8 @@
     std::vector<LoadReport> loads;
     std::vector<PromptNews> prompts;
     std::vector<replica::Confirmation> confirmations;
+    std::vector<quarantine::Record> endings = {};
+    std::vector<quarantine::Answer> answers = {}; ///< to requests under which endpoints had ended
     bool operator==(const Digest &) const = default;
 };
 
@@ -44,6 +47,8 @@
 /// prompt, so that it fits one packet of 1,400 B.
 inline constexpr std::size_t mostReports = 32;
 inline constexpr std::size_t mostPrompts = 24;
+/// Endings, of about 12 B and 9 B an endpoint, and answers go into datagrams of their own.
+inline constexpr std::size_t mostEndings = 16;
 inline constexpr std::size_t mostConfirmations = 4; ///< one a kind of objects, of about 35 B
 
 /// Encodes a datagram: the newest of the reports where there are too many, and
--- a/src/load_exchange.cpp
+++ b/src/load_exchange.cpp
@@ -209,6 +209,7 @@
     if (!heardNothing || !digest.confirmations.empty() || breath) {
         co_await send(drawn(m_directory.farPeers(), m_options.mostTold - near.size(), breath, now), digest, now);
     }
+    co_await sendEndings(breath, now);
 }
 
 Task<void> LoadExchange::send(const std::vector<Peer> &told, const Digest &digest, Clock::time_point now)
@@ -264,6 +265,14 @@
     for (const auto &news : digest.prompts) {
         m_table.toldOfPrompt(news, now);
     }
+    if (m_quarantine) {
+        for (const auto &record : digest.endings) {
+            m_quarantine->told(record, now);
+        }
+        for (const auto &answer : digest.answers) {
+            m_quarantine->told(answer);
+        }
+    }
     const auto neighbour = std::find_if(m_neighbours.begin(), m_neighbours.end(), [&from](const Peer &peer) {
         return peer.address == from;
     });
--- a/src/load_exchange.h
+++ b/src/load_exchange.h
@@ -40,6 +40,9 @@
     /// A neighbour counts among those that ask the store when it was heard in
     /// this time, or in three times as long as it takes on average to be told by one of them.
     Millis askerSilentAfter{2000};
+    /// Routers that bring a request's single endings together, the same for all
+    /// routers: three, as any may be restarted or cut off.
+    std::size_t endingCounters = 3;
     Millis complainEvery{10000}; ///< a socket that cannot be bound, or a peer that sends nonsense, is logged so often
 };
 
@@ -80,6 +83,12 @@
     /// first; nothing when none is heard. Neighbours are the routers of the
     /// failure domain, or all of a fleet that is told whole in one round.
     std::optional<std::size_t> rank(Clock::time_point now) const;
+    /// What is known of requests under which endpoints end is told to others,
+    /// and taken from them. It must outlive the exchange.
+    void share(quarantine::RequestQuarantine &quarantine)
+    {
+        m_quarantine = &quarantine;
+    }
     /// Reads the list of peers once, and removes the entries of those that
     /// have been silent for long. False when the store could not be reached.
     Task<bool> refreshPeers(Clock::time_point now);
@@ -89,6 +98,8 @@
     bool open(const asio::any_io_executor &ex);
     Task<void> sendRound();
     Task<void> send(const std::vector<Peer> &told, const Digest &digest, Clock::time_point now);
+    Task<void> sendEndings(bool alsoSilent, Clock::time_point now);
+    std::vector<Peer> countersOf(uint64_t content, const std::vector<Peer> &others) const;
     std::vector<Peer> neighbours() const;
     void takeConfirmation(const replica::Confirmation &word, const Peer &from, Clock::time_point now);
     Task<void> forgetSilent(Clock::time_point now);
@@ -105,6 +116,7 @@
     std::map<http::Address, Clock::time_point> m_heardAt; ///< by sender; when it was first listed, before that
     std::vector<Peer> m_neighbours; ///< by name
     std::vector<replica::SharedReplica *> m_replicas;
+    quarantine::RequestQuarantine *m_quarantine = nullptr;
     Clock::time_point m_neighbourHeardAt{};
     Notifier m_news;
     bool m_newsToTell = false;
--- a/src/log.cpp
+++ b/src/log.cpp
@@ -21,7 +21,7 @@
 namespace
 {
 
-constexpr std::array<EventInfo, 41> catalogue{{
+constexpr std::array<EventInfo, 44> catalogue{{
     {Event::ProgramStarted, "ProgramStarted", Level::Info},
     {Event::StopRequested, "StopRequested", Level::Info},
     {Event::ProgramStopped, "ProgramStopped", Level::Info},
@@ -56,6 +56,9 @@
     {Event::PromptsLoaded, "PromptsLoaded", Level::Info},
     {Event::ChangesNotHad, "ChangesNotHad", Level::Info},
     {Event::EndpointsListed, "EndpointsListed", Level::Info},
+    {Event::EndpointEnded, "EndpointEnded", Level::Warn},
+    {Event::RequestQuarantined, "RequestQuarantined", Level::Warn},
+    {Event::RequestCleared, "RequestCleared", Level::Info},
     {Event::OrderAccepted, "OrderAccepted", Level::Info},
     {Event::OrderRefused, "OrderRefused", Level::Warn},
     {Event::Draining, "Draining", Level::Info},
--- a/src/router_core.cpp
+++ b/src/router_core.cpp
@@ -115,6 +115,20 @@
     return current && !sameIncarnation(*current, endpoint);
 }
 
+Standing RoutingTable::standingOf(const Endpoint &endpoint) const
+{
+    std::lock_guard lock(m_mutex);
+    if (superseded(endpoint)) {
+        return Standing::Restarted;
+    }
+    if (!listed(endpoint.id)) {
+        return Standing::Unlisted;
+    }
+    const auto health = m_health.find(endpoint.id);
+    const bool draining = health != m_health.end() && health->second.draining;
+    return draining || !contains(m_endpoints, endpoint.id) ? Standing::Leaving : Standing::Live;
+}
+
 bool RoutingTable::setDraining(const std::string &id, bool draining)
 {
     std::lock_guard lock(m_mutex);
--- a/src/router_core.h
+++ b/src/router_core.h
@@ -33,6 +33,14 @@
     Millis suspectForMost{8000};
 };
 
+/// How an endpoint stands that work was sent to.
+enum class Standing {
+    Live,
+    Leaving, ///< it is draining, or listed as leaving
+    Restarted, ///< a later incarnation is listed
+    Unlisted,
+};
+
 /// What is believed of a prompt at the endpoint that takes it.
 struct PromptBelief {
     bool held = false; ///< the endpoint took it lately
@@ -92,6 +100,7 @@
     /// False once the endpoint is known to have started again: what is learnt
     /// of its earlier incarnation says nothing of the one that takes work now.
     bool isCurrent(const Endpoint &endpoint) const;
+    Standing standingOf(const Endpoint &endpoint) const;
     /// How often a listed endpoint started again under its id, so far.
     uint64_t restarts() const;
 
--- a/src/router_dialect.cpp
+++ b/src/router_dialect.cpp
@@ -13,7 +13,7 @@
 {
 
 /// What a caller is told of each rejection, for people.
-constexpr NameTable<entry::Rejection, 14> explanations{{
+constexpr NameTable<entry::Rejection, 15> explanations{{
     {entry::Rejection::NotLoaded, "the catalogue is not loaded yet"},
     {entry::Rejection::OutOfDate, "the router does not know the workspace, and has not heard of the store for a while"},
     {entry::Rejection::NoRoute, "the workspace has no class of work of this kind"},
@@ -28,6 +28,7 @@
     {entry::Rejection::NotRecorded, "the object API could not record the idempotency key"},
     {entry::Rejection::KeyInUse, "an earlier request with this key is in progress or its outcome is unknown"},
     {entry::Rejection::KeyReused, "this Idempotency-Key was used for a different request"},
+    {entry::Rejection::Quarantined, "several endpoints ended while they ran this request: it is not sent to others for now"},
 }};
 
 // The status of a rejection on this interface: workspaces are looked up, not
--- a/src/router_main.cpp
+++ b/src/router_main.cpp
@@ -6,6 +6,7 @@
 #include "entry/entry_settings.h"
 #include "log.h"
 #include "object_store.h"
+#include "quarantine_store.h"
 #include "router_traffic.h"
 #include "run.h"
 #include "supervisor.h"
@@ -51,7 +52,17 @@
         , m_table(tableOptions(settings))
         , m_control(settings, m_controlApi, m_table)
         , m_duties(settings, m_controlApi, m_control, duties::httpSender(m_orderClient, m_control, settings.id))
-        , m_router(settings, m_recordsApi, &m_controlApi.bytes(), &m_recordsApi.bytes(), m_table, m_control)
+        , m_quarantine(quarantineOptions())
+        , m_quarantineStore(
+              m_controlApi, m_quarantine,
+              [] {
+                  return true;
+              },
+              [] {
+                  return true; // removals are conditional: several sweepers do no harm
+              },
+              quarantineStoreOptions())
+        , m_router(settings, m_recordsApi, &m_controlApi.bytes(), &m_recordsApi.bytes(), m_table, m_control, m_quarantine)
         , m_supervisor(m_controlLoop, noteFailure)
     {
         for (int64_t i = 0; i < settings.threads; ++i) {
@@ -90,6 +101,13 @@
                             [this] {
                                 m_duties.stop();
                             }});
+        m_supervisor.start({"quarantine",
+                            [this] {
+                                return m_quarantineStore.run();
+                            },
+                            [this] {
+                                m_quarantineStore.stop();
+                            }});
         std::vector<std::thread> threads;
         threads.emplace_back([this] {
             m_controlLoop.run();
@@ -129,6 +147,22 @@
         return options;
     }
 
+    // Routers of this interface tell each other through the store alone, whose
+    // calls have no price: each ending goes there, and is soon read.
+    static quarantine::QuarantineOptions quarantineOptions()
+    {
+        quarantine::QuarantineOptions options;
+        options.leastShared = 1;
+        return options;
+    }
+    static quarantine::StoreOptions quarantineStoreOptions()
+    {
+        quarantine::StoreOptions options;
+        options.reloadAlone = Millis(1000);
+        options.reloadSoon = options.reloadAlone;
+        return options;
+    }
+
     static void noteFailure(const std::string &child, const std::string &error, int failures)
     {
         log::event(log::Event::ChildFailed, "child=" + child + " failures=" + std::to_string(failures) + " error=\"" + error + "\"");
@@ -176,6 +210,8 @@
     router::RoutingTable m_table;
     router::Control m_control;
     duties::Duties m_duties;
+    quarantine::RequestQuarantine m_quarantine;
+    quarantine::QuarantineStore m_quarantineStore;
     router::Router m_router;
     Supervisor m_supervisor;
 };
--- a/src/router_traffic.cpp
+++ b/src/router_traffic.cpp
@@ -34,12 +34,13 @@
 } // namespace
 
 Router::Router(const settings::RouterSettings &settings, platform::ObjectApi &records, const http::ByteCounter *controlBytes,
-               const http::ByteCounter *recordBytes, RoutingTable &table, const Control &control)
+               const http::ByteCounter *recordBytes, RoutingTable &table, const Control &control, quarantine::RequestQuarantine &quarantine)
     : m_settings(settings)
     , m_controlBytes(controlBytes)
     , m_recordBytes(recordBytes)
     , m_table(table)
     , m_control(control)
+    , m_quarantine(quarantine)
     , m_guard(records, settings.id)
     , m_started(Clock::now())
 {
@@ -54,7 +55,7 @@
     if (!gateway) {
         // Ids that the router gives must differ between its threads.
         const std::string id = m_gateways.size() == 1 ? m_settings.id : m_settings.id + "." + std::to_string(m_gateways.size());
-        const entry::GatewayParts parts{m_control.published(), m_table, m_admission, &m_guard};
+        const entry::GatewayParts parts{m_control.published(), m_table, m_admission, m_quarantine, &m_guard};
         gateway = std::make_unique<Gateway>(parts, optionsOf(m_settings), OwnDialect(id, m_settings.retryAfterS));
     }
     return *gateway;
--- a/src/router_traffic.h
+++ b/src/router_traffic.h
@@ -29,7 +29,7 @@
     /// controlBytes and recordBytes count what the object API clients
     /// moved, for the status page; either may be null.
     Router(const settings::RouterSettings &settings, platform::ObjectApi &records, const http::ByteCounter *controlBytes, const http::ByteCounter *recordBytes,
-           RoutingTable &table, const Control &control);
+           RoutingTable &table, const Control &control, quarantine::RequestQuarantine &quarantine);
 
     /// Answers one request.
     Task<void> handle(http::Exchange &ex);
@@ -49,6 +49,7 @@
     const http::ByteCounter *m_recordBytes; ///< idempotency records
     RoutingTable &m_table;
     const Control &m_control;
+    quarantine::RequestQuarantine &m_quarantine;
     idempotency::Guard m_guard;
     limits::Admission m_admission;
     std::mutex m_mutex;
--- a/tests/entry_rig.h
+++ b/tests/entry_rig.h
@@ -205,7 +205,7 @@
     explicit EntryRig(Loop &loop, std::map<std::string, std::pair<std::string, uint16_t>> endpoints, int64_t retrySlack = 1000)
         : loop(loop)
         , settings{withSlack(retrySlack)}
-        , gateway(entry::GatewayParts{published, table, admission}, options(settings))
+        , gateway(entry::GatewayParts{published, table, admission, quarantine}, options(settings))
     {
         configure(entryConfiguration());
         std::map<std::string, Endpoint> listed;
@@ -262,6 +262,7 @@
     router::RoutingTable table{tableOptions()};
     entry::Published published{table};
     limits::Admission admission;
+    quarantine::RequestQuarantine quarantine;
     entry::Gateway<platform::CallerDialect> gateway;
     http::Server server{{&loop.io}, "127.0.0.1", 0, [this](http::Exchange &ex) {
                             return gateway.handle(ex);
--- a/tests/rig.h
+++ b/tests/rig.h
@@ -160,7 +160,8 @@
     platform::LocalObjectApi api{store};
     router::RoutingTable table;
     router::Control control{s, api, table};
-    router::Router router{s, api, nullptr, nullptr, table, control};
+    quarantine::RequestQuarantine quarantine;
+    router::Router router{s, api, nullptr, nullptr, table, control, quarantine};
     http::Server server{{&loop.io}, "127.0.0.1", 0, [this](http::Exchange &ex) {
                             return router.handle(ex);
                         }};
--- a/tests/test_entry.cpp
+++ b/tests/test_entry.cpp
@@ -237,7 +237,8 @@
     router::RoutingTable table;
     entry::Published published(table);
     limits::Admission admission;
-    entry::Gateway<platform::CallerDialect> gateway(entry::GatewayParts{published, table, admission});
+    quarantine::RequestQuarantine quarantine;
+    entry::Gateway<platform::CallerDialect> gateway(entry::GatewayParts{published, table, admission, quarantine});
     http::Server server({&loop().io}, "127.0.0.1", 0, [&](http::Exchange &ex) {
         return gateway.handle(ex);
     });
