The soak repeats a request under which endpoints end; series; any number of routers

The soak had no request that does harm to endpoints, and drew each fault once: what comes again and again was not met.

Change: a fault in which one caller's request ends each endpoint that runs it and comes again at the routers in turn; endpoints that ended are started anew after a second. Promised: at most three repeats reach endpoints later than 3 s after the third ending while routers and store are undisturbed, and no more once all is calm. An endpoint that ends by itself breaks the soak.

--- a/emulators/endpoint_main.cpp
+++ b/emulators/endpoint_main.cpp
@@ -34,6 +34,7 @@
     int advertised = 0;
     int workMs = static_cast<int>(options.work.count());
     char *runLog = nullptr;
+    char *endsUnder = nullptr;
     const poptOption own[] = {
         {"id", 0, POPT_ARG_STRING, &id, 0, "the endpoint's id", "ID"},
         {"service", 0, POPT_ARG_STRING, &service, 0, "the service it belongs to", "NAME"},
@@ -42,6 +43,7 @@
         {"work-ms", 0, POPT_ARG_INT, &workMs, 0, "of a plain call", "MS"},
         {"advertise", 0, POPT_ARG_INT, &advertised, 0, "the port that callers are told, where a proxy stands before it", "PORT"},
         {"run-log", 0, POPT_ARG_STRING, &runLog, 0, "a file that gets the id of each request before it runs", "FILE"},
+        {"ends-under", 0, POPT_ARG_STRING, &endsUnder, 0, "a request with this body ends the process", "BODY"},
         {"streams", 0, POPT_ARG_NONE, &streams, 0, "answer with event streams", nullptr},
         {"events", 0, POPT_ARG_INT, &options.events, 0, "events of a stream", "N"},
         POPT_TABLEEND,
@@ -58,6 +60,7 @@
     options.work = Millis(workMs);
     options.advertisedPort = static_cast<uint16_t>(advertised);
     options.runLog = runLog ? runLog : "";
+    options.endsUnder = endsUnder ? endsUnder : "";
     log::init("yucca-endpoint", "info");
     asio::io_context loop(1);
     emulators::EndpointServer endpoint(options);
--- a/emulators/endpoint_server.cpp
+++ b/emulators/endpoint_server.cpp
@@ -108,6 +108,10 @@
     } else {
         ++m_running;
         noteRun(ex.header(attemptIdHeader));
+        if (!m_options.endsUnder.empty() && ex.request().body() == m_options.endsUnder) {
+            co_await sleepFor(m_options.work);
+            std::_Exit(endedUnderRequest);
+        }
         if (m_options.streams) {
             co_await answerStream(ex);
         } else {
--- a/emulators/endpoint_server.h
+++ b/emulators/endpoint_server.h
@@ -26,11 +26,15 @@
     Millis work{10}; ///< of a plain call
     int slots = 6;
     uint16_t advertisedPort = 0; ///< that callers are told, where a proxy stands before it; 0: its own
+    std::string endsUnder; ///< a request with this body ends the process in the middle of its answer; empty: none
     std::string runLog; ///< a file that gets a line with a request's id before it runs; empty: none
     Millis heartbeat{500};
     Millis linger{1500}; ///< serves on after a stop signal
 };
 
+/// Exit code of an endpoint that a request ended.
+inline constexpr int endedUnderRequest = 70;
+
 /// Faults, switched by POST /admin/faults with a JSON object of these names.
 struct EndpointFaults {
     bool shed = false; ///< refuses every request without running it
--- a/emulators/soak/callers.cpp
+++ b/emulators/soak/callers.cpp
@@ -27,13 +27,13 @@
     return "/";
 }
 
+} // namespace
+
 http::Headers callerHeaders(const std::string &id, const std::string &key)
 {
     return {{"Host", "h.example"}, {"Yuccasaddle-Attempt-Id", id}, {"X-Api-Key", key}, {"Yuccasaddle-Deadline-Ms", std::to_string(callerPatience.count())}};
 }
 
-} // namespace
-
 // One caller: one request after the other, at the routers in turn.
 Task<void> SoakFleet::callLoop(int caller)
 {
@@ -54,7 +54,7 @@
     http::CallOptions options;
     options.deadline = Clock::now() + callerPatience;
     options.reuse = http::Reuse::Kept;
-    const http::Address to{"127.0.0.1", port(routerPorts * static_cast<int>(router + 1) + 4)};
+    const http::Address to{"127.0.0.1", routerPort(router, 4)};
     const std::string method = kind == Kind::Reminder ? "GET" : "POST";
     auto headers = callerHeaders(id, key);
     auto opened = co_await m_client.open(to, http::makeRequest(method, pathOf(kind), kind == Kind::Reminder ? "" : "{}", headers), options);
@@ -79,7 +79,7 @@
 {
     http::CallOptions options;
     options.deadline = Clock::now() + callerPatience;
-    const http::Address to{"127.0.0.1", port(routerPorts * static_cast<int>(router + 1))};
+    const http::Address to{"127.0.0.1", routerPort(router, 0)};
     const std::string id = "calm-" + std::to_string(m_requests++);
     auto headers = callerHeaders(id, key);
     auto called = co_await m_client.call(to, http::makeRequest("GET", "/remind/1", "", headers), options);
--- a/emulators/soak/faults.cpp
+++ b/emulators/soak/faults.cpp
@@ -71,18 +71,24 @@
 Task<void> SoakFleet::applyToEndpoint(Step step)
 {
     auto &endpoint = m_endpoints[std::min(step.target, m_endpoints.size() - 1)];
-    const uint16_t admin = port(endpointPorts + 2 * static_cast<int>(step.target));
+    const uint16_t admin = endpointPort(std::min(step.target, m_endpoints.size() - 1), 0);
     const char *faults = nullptr;
     switch (step.fault) {
     case Fault::EndpointKilled:
-        endpoint.process->kill();
-        co_await sleepFor(step.lasts);
-        startEndpoint(step.target);
+        if (!endpoint.down) {
+            endpoint.down = true;
+            endpoint.process->kill();
+            co_await sleepFor(step.lasts);
+            startEndpoint(step.target);
+        }
         break;
     case Fault::EndpointLeaves:
-        endpoint.process->signal(SIGTERM);
-        co_await sleepFor(endpointLinger);
-        startEndpoint(step.target);
+        if (!endpoint.down) {
+            endpoint.down = true;
+            endpoint.process->signal(SIGTERM);
+            co_await sleepFor(endpointLinger);
+            startEndpoint(step.target);
+        }
         break;
     case Fault::EndpointPaused:
         endpoint.process->signal(SIGSTOP);
--- a/emulators/soak/fleet.cpp
+++ b/emulators/soak/fleet.cpp
@@ -17,6 +17,8 @@
 constexpr int events = 12; ///< of a stream; 20 ms each
 constexpr Millis calmAfter{4000}; ///< the faults, until everything must be well again
 constexpr Millis startPatience{15000};
+constexpr Millis startPatienceEach{200}; ///< on top, for each program
+constexpr std::size_t failureDomains = 3;
 
 nlohmann::json route(const char *name, const char *kind, const char *service, int attempts, bool resumable)
 {
@@ -43,6 +45,24 @@
     return {{"version", version}, {"routes", routes}, {"services", services}, {"limits", limits}, {"tenants", nlohmann::json::array({workspace})}};
 }
 
+// True for a fault of a router, of its connection to the store, or of the store.
+bool disturbsRoutersOrStore(Fault fault)
+{
+    switch (fault) {
+    case Fault::RouterKilled:
+    case Fault::RouterPaused:
+    case Fault::RouterStopped:
+    case Fault::StoreDisturbed:
+    case Fault::StoreDown:
+    case Fault::StoreSlow:
+    case Fault::StoreLosesAnswers:
+    case Fault::StoreForgets:
+        return true;
+    default:
+        return false;
+    }
+}
+
 } // namespace
 
 SoakFleet::SoakFleet(SoakOptions options)
@@ -63,7 +83,7 @@
     });
     m_loop.run();
     readRuns();
-    SoakOutcome outcome{m_promises.sent(), m_promises.served(), m_faults, m_promises.broken()};
+    SoakOutcome outcome{m_promises.sent(), m_promises.served(), m_faults, m_endings.size(), m_promises.broken()};
     outcome.broken.insert(outcome.broken.end(), m_broken.begin(), m_broken.end());
     if (!done) {
         outcome.broken.emplace_back("the soak itself ended early");
@@ -81,6 +101,7 @@
     for (int i = 0; i < m_options.callers; ++i) {
         asio::co_spawn(m_loop, callLoop(i), asio::detached);
     }
+    asio::co_spawn(m_loop, reviveEndpoints(), asio::detached);
     co_await applyPlan();
     co_await sleepFor(calmAfter);
     m_ending = true;
@@ -89,17 +110,18 @@
     }
     noteEnds();
     co_await checkCalm();
+    co_await checkEndings();
     co_return true;
 }
 
 std::string SoakFleet::settingsOf(std::size_t n) const
 {
     const auto at = [&](int offset) {
-        return "127.0.0.1:" + std::to_string(port(routerPorts * static_cast<int>(n + 1) + offset));
+        return "127.0.0.1:" + std::to_string(routerPort(n, offset));
     };
     const nlohmann::json settings{{"interface", "platform"},
                                   {"id", "router-" + std::to_string(n)},
-                                  {"failureDomain", "zone-a"},
+                                  {"failureDomain", "zone-" + std::to_string(n % failureDomains)},
                                   {"traffic", at(0)},
                                   {"readiness", at(1)},
                                   {"metrics", at(2)},
@@ -135,7 +157,6 @@
 void SoakFleet::startEndpoint(std::size_t n)
 {
     auto &endpoint = m_endpoints[n];
-    const int at = endpointPorts + 2 * static_cast<int>(n);
     const std::string name = "i-" + std::to_string(n) + "-" + std::to_string(++endpoint.starts);
     const bool streams = n % 2 == 1;
     std::vector<std::string> command{m_options.programs + "/yucca-endpoint",
@@ -144,11 +165,13 @@
                                      "--service",
                                      streams ? "m" : "s",
                                      "--port",
-                                     std::to_string(port(at)),
+                                     std::to_string(endpointPort(n, 0)),
                                      "--store-port",
                                      std::to_string(port(storePort)),
                                      "--advertise",
-                                     std::to_string(port(at + 1)),
+                                     std::to_string(endpointPort(n, 1)),
+                                     "--ends-under",
+                                     endingBody,
                                      "--events",
                                      std::to_string(events),
                                      "--run-log",
@@ -161,6 +184,7 @@
     if (!ok(started)) {
         m_broken.push_back(std::get<Error>(started).message);
     }
+    endpoint.down = false;
 }
 
 Task<bool> SoakFleet::startAll()
@@ -171,20 +195,18 @@
     if (!ok(started)) {
         co_return false;
     }
-    const auto until = Clock::now() + startPatience;
+    const auto until = Clock::now() + startPatience + startPatienceEach * (m_routers.size() + m_endpoints.size());
     while (m_acceptedVersion == 0 && Clock::now() < until) {
         co_await sleepFor(pollInterval);
         co_await writeConfiguration();
     }
     for (std::size_t n = 0; n < m_endpoints.size(); ++n) {
-        const int at = endpointPorts + 2 * static_cast<int>(n);
-        m_endpoints[n].proxy = std::make_unique<Proxy>(m_loop, port(at + 1), port(at));
+        m_endpoints[n].proxy = std::make_unique<Proxy>(m_loop, endpointPort(n, 1), endpointPort(n, 0));
         startEndpoint(n);
     }
     for (std::size_t n = 0; n < m_routers.size(); ++n) {
-        const int at = routerPorts * static_cast<int>(n + 1);
-        m_routers[n].callers = std::make_unique<Proxy>(m_loop, port(at + 4), port(at));
-        m_routers[n].store = std::make_unique<Proxy>(m_loop, port(at + 5), port(storePort));
+        m_routers[n].callers = std::make_unique<Proxy>(m_loop, routerPort(n, 4), routerPort(n, 0));
+        m_routers[n].store = std::make_unique<Proxy>(m_loop, routerPort(n, 5), port(storePort));
         startRouter(n);
     }
     for (std::size_t n = 0; n < m_routers.size(); ++n) {
@@ -258,10 +280,17 @@
 
 Task<void> SoakFleet::apply(Step step)
 {
+    const bool disturbs = disturbsRoutersOrStore(step.fault);
+    m_disturbances += disturbs ? 1 : 0;
     co_await applyToRouter(step);
     co_await applyToEndpoint(step);
     co_await applyToStore(step);
+    co_await applyToCallers(step);
     --m_stepsUnderWay;
+    if (disturbs) {
+        --m_disturbances;
+        m_disturbedAt = Clock::now();
+    }
 }
 
 // Programs that the soak did not end must run.
--- a/emulators/soak/fleet.h
+++ b/emulators/soak/fleet.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "soak/child.h"
+#include "soak/layout.h"
 #include "soak/plan.h"
 #include "soak/promises.h"
 
@@ -29,6 +30,7 @@
     std::size_t sent = 0;
     std::size_t served = 0;
     std::size_t faults = 0;
+    std::size_t endings = 0; ///< of endpoints under a request that ends them
     std::vector<std::string> broken;
 };
 
@@ -53,6 +55,7 @@
         std::unique_ptr<Child> process;
         std::unique_ptr<Proxy> proxy;
         int starts = 0;
+        bool down = false; ///< ended by the soak
     };
 
     Task<bool> soak();
@@ -68,6 +71,13 @@
     Task<void> applyToRouter(Step step);
     Task<void> applyToEndpoint(Step step);
     Task<void> applyToStore(Step step);
+    Task<void> applyToCallers(Step step);
+    Task<void> requestThatEnds(std::size_t router);
+    Task<void> reviveEndpoints();
+    Task<void> revive(std::size_t n);
+    void noteEnding();
+    Task<void> checkEndings();
+    bool inTouch(Clock::time_point now) const;
     Task<void> switchFaults(uint16_t port, const char *faults, Millis lasts);
     Task<void> callLoop(int caller);
     Task<void> request(std::string id, Kind kind, std::size_t router, std::string key);
@@ -76,6 +86,14 @@
     Task<unsigned> ask(std::size_t router, std::string key);
     void noteEnds();
     void readRuns();
+    uint16_t routerPort(std::size_t n, int offset) const
+    {
+        return port(routerPorts * static_cast<int>(n + 1) + offset);
+    }
+    uint16_t endpointPort(std::size_t n, int offset) const
+    {
+        return port(routerPorts * static_cast<int>(m_routers.size() + 1) + endpointPorts * static_cast<int>(n) + offset);
+    }
     uint16_t port(int offset) const
     {
         return static_cast<uint16_t>(m_options.basePort + offset);
@@ -97,6 +115,10 @@
     bool m_ending = false;
     std::size_t m_faults = 0;
     int m_requests = 0;
+    std::vector<Clock::time_point> m_endings; ///< of endpoints under the request that ends them
+    std::size_t m_lateEndings = 0; ///< of these, while nothing excused them
+    int m_disturbances = 0; ///< of routers and the store, under way
+    Clock::time_point m_disturbedAt{}; ///< the last end of one
 };
 
 } // namespace yucca::soak
--- a/emulators/soak/layout.h
+++ b/emulators/soak/layout.h
@@ -15,7 +15,12 @@
 // Ports from the base on.
 inline constexpr int storePort = 0;
 inline constexpr int routerPorts = 10; ///< ten for each: traffic, readiness, metrics, peers, callers' proxy, store's proxy
-inline constexpr int endpointPorts = 100; ///< two for each: itself, its proxy
+inline constexpr int endpointPorts = 2; ///< for each: itself, its proxy
+
+/// A request under which endpoints end: its path, its body, and the pause between its repeats.
+inline constexpr const char *endingPath = "/chat/ends";
+inline constexpr const char *endingBody = "{\"ends\":true}";
+inline constexpr Millis endingPause{150};
 
 /// The API key of a version of the configuration; each version takes away the one before.
 inline std::string keyOf(int version)
@@ -23,4 +28,7 @@
     return "key-" + std::to_string(version);
 }
 
+/// The headers of a caller's request.
+http::Headers callerHeaders(const std::string &id, const std::string &key);
+
 } // namespace yucca::soak
--- a/emulators/soak/plan.cpp
+++ b/emulators/soak/plan.cpp
@@ -3,13 +3,17 @@
 #include <boost/random/mersenne_twister.hpp>
 #include <boost/random/uniform_int_distribution.hpp>
 
+#include <algorithm>
+
 namespace yucca::soak
 {
 
 namespace
 {
 
-constexpr int longestGapMs = 700; ///< between the beginnings of faults: several are under way at once
+constexpr int longestGapMs = 1400; ///< between the beginnings of series: several are under way at once
+constexpr int longestSeries = 4; ///< faults of a series
+constexpr int longestSeriesGapMs = 900; ///< between the beginnings of a series' faults
 constexpr int shortestMs = 200;
 constexpr int longestMs = 2500;
 
@@ -24,6 +28,7 @@
     case Fault::RouterSettingsWrong:
     case Fault::CallersDisturbed:
     case Fault::StoreDisturbed:
+    case Fault::RequestEndsEndpoints:
         return options.routers;
     case Fault::EndpointKilled:
     case Fault::EndpointPaused:
@@ -52,11 +57,17 @@
         Step step;
         step.at = at;
         step.fault = faultNames[static_cast<std::size_t>(draw(0, static_cast<int>(faultNames.size()) - 1))].first;
-        step.target = static_cast<std::size_t>(draw(0, static_cast<int>(targetsOf(step.fault, options)) - 1));
-        step.how = disturbanceNames[static_cast<std::size_t>(draw(1, static_cast<int>(disturbanceNames.size()) - 1))].first;
-        step.lasts = Millis(draw(shortestMs, longestMs));
-        plan.push_back(step);
+        for (int left = draw(1, longestSeries); left > 0 && step.at < options.length; --left) {
+            step.target = static_cast<std::size_t>(draw(0, static_cast<int>(targetsOf(step.fault, options)) - 1));
+            step.how = disturbanceNames[static_cast<std::size_t>(draw(1, static_cast<int>(disturbanceNames.size()) - 1))].first;
+            step.lasts = Millis(draw(shortestMs, longestMs));
+            plan.push_back(step);
+            step.at += Millis(draw(0, longestSeriesGapMs));
+        }
     }
+    std::stable_sort(plan.begin(), plan.end(), [](const Step &a, const Step &b) {
+        return a.at < b.at;
+    });
     return plan;
 }
 
--- a/emulators/soak/plan.h
+++ b/emulators/soak/plan.h
@@ -31,9 +31,10 @@
     StoreLosesAnswers,
     StoreForgets, ///< its history
     ConfigurationChanges, ///< and a workspace's key with it
+    RequestEndsEndpoints, ///< one request comes again and again, and ends each endpoint that runs it
 };
 
-inline constexpr NameTable<Fault, 20> faultNames{{{Fault::RouterKilled, "router_killed"},
+inline constexpr NameTable<Fault, 21> faultNames{{{Fault::RouterKilled, "router_killed"},
                                                   {Fault::RouterPaused, "router_paused"},
                                                   {Fault::RouterStopped, "router_stopped"},
                                                   {Fault::RouterReloads, "router_reloads"},
@@ -52,7 +53,8 @@
                                                   {Fault::StoreSlow, "store_slow"},
                                                   {Fault::StoreLosesAnswers, "store_loses_answers"},
                                                   {Fault::StoreForgets, "store_forgets"},
-                                                  {Fault::ConfigurationChanges, "configuration_changes"}}};
+                                                  {Fault::ConfigurationChanges, "configuration_changes"},
+                                                  {Fault::RequestEndsEndpoints, "request_ends_endpoints"}}};
 
 /// One fault of a plan.
 struct Step {
@@ -72,7 +74,8 @@
     std::size_t endpoints = 4;
 };
 
-/// The same options make the same plan. Steps come in the order of time.
+/// The same options make the same plan. Faults come in series of their kind,
+/// which overlap; steps in the order of time.
 std::vector<Step> makePlan(const PlanOptions &options);
 
 } // namespace yucca::soak
