A broken answer counts against a request until it is known whether its endpoint lives

Cause: where something else takes the connection (a proxy that outlives its server) an ending is known only by the entry, which lapses after seconds; a request that comes every 150 ms reaches several more endpoints meanwhile, at each router.

Ruled out: news that were lost (each router saw the broken answers itself).

Change: from the broken answer on the endpoint counts, for 6 s at most. A new connection to it that stays open for 0.1 s clears the request at once; one that is refused makes it an ending; one that is closed at once leaves it to the listing. What an innocent request may suffer, in tests: after three broken answers in a row a wait of at most 0.5 s at a time until it is known why.

--- a/src/connect_probe.h
+++ b/src/connect_probe.h
@@ -1,4 +1,4 @@
-// Whether anything listens at an address.
+// Whether a process listens at an address.
 #pragma once
 
 #include "http.h"
@@ -7,8 +7,15 @@
 namespace yucca::http
 {
 
-/// True when a connection is refused: the peer's host answers, and no process
-/// listens there. False also when nothing answers within the timeout.
-Task<bool> refusesConnections(Address to, Millis timeout);
+/// What became of a new connection.
+enum class Probe {
+    Open, ///< it was taken, and stays open
+    Closed, ///< it was taken and closed at once: by a process without a free place, or a proxy without its server
+    Refused, ///< the host answers, and nothing listens
+    Silent, ///< no answer within the time
+};
+
+/// Opens a connection and waits whether it stays open; nothing is sent on it.
+Task<Probe> probeConnection(Address to, Millis connectTimeout, Millis staysOpenFor);
 
 } // namespace yucca::http
--- a/src/entry/gateway.h
+++ b/src/entry/gateway.h
@@ -96,6 +96,8 @@
     /// lapses after three heartbeats of 1.2 s, and is heard of a second later.
     Millis endingSeenWithin{6000};
     Millis endingPoll{100};
+    Millis probeEvery{500}; ///< of one endpoint: connections are dear, and many answers may break
+    Millis probeStaysOpenFor{100}; ///< a connection to a proxy whose server is gone is closed within milliseconds
 };
 
 /// What a gateway shares with the rest of its process.
@@ -180,10 +182,10 @@
 
     /// An endpoint that may have ended under requests whose answers broke.
     struct EndingWatch {
-        std::set<uint64_t> contents; ///< of these requests
+        std::map<uint64_t, Clock::time_point> brokeAt; ///< when an answer to it broke last, by content
+        Clock::time_point probeAt{};
+        std::optional<Clock::time_point> probedAt;
         bool replaced = false; ///< another instance answers at its address
-        bool probed = false;
-        Notifier probeEnded;
     };
     using EndingWatchPtr = std::shared_ptr<EndingWatch>;
 
@@ -211,8 +213,10 @@
     Task<void> forgetEarlier(const Endpoint &endpoint);
     std::optional<Millis> quarantinedFor(const RequestProfile &profile, Clock::time_point now) const;
     Task<void> noteBroken(uint64_t content, Endpoint endpoint);
+    EndingWatch successor(const EndingWatch &watch, Clock::time_point now) const;
     Task<void> watchForEnding(Endpoint endpoint, EndingWatchPtr watch);
     void noteEnding(const Endpoint &endpoint, const EndingWatch &watch);
+    void noteLives(const Endpoint &endpoint, const EndingWatch &watch);
     void account(const Flight &flight, RequestEnd end, int64_t status);
 
     const Published &m_published;
--- a/src/entry/process.h
+++ b/src/entry/process.h
@@ -81,6 +81,11 @@
     {
         m_exchange.share({&m_configurationReplica, &m_endpointReplica});
         m_exchange.share(m_quarantine);
+        m_quarantine.onNews = [this] {
+            asio::post(m_controlLoop, [this] {
+                m_exchange.tellSoon();
+            });
+        };
     }
 
     /// Runs until a stop signal and ends the process; returns only when it could not start.
--- a/src/load_digest.cpp
+++ b/src/load_digest.cpp
@@ -80,6 +80,17 @@
     return std::is_sorted(out.endpoints.begin(), out.endpoints.end());
 }
 
+// An endpoint that may have ended: [content, endpoint, age in ms].
+bool readSuspicion(const json &item, Clock::time_point now, quarantine::Suspicion &out)
+{
+    const bool shaped = item.is_array() && item.size() == 3 && item[0].is_number_unsigned() && item[1].is_number_unsigned() && item[2].is_number_unsigned();
+    if (!shaped || item[2].get<uint64_t>() > oldestMs) {
+        return false;
+    }
+    out = {item[0].get<uint64_t>(), item[1].get<uint64_t>(), now - Millis(item[2].get<int64_t>())};
+    return true;
+}
+
 // A request that was answered: [content, age in ms].
 bool readAnswer(const json &item, Clock::time_point now, quarantine::Answer &out)
 {
@@ -132,6 +143,9 @@
     for (const auto &e : digest.endings) {
         out.push_back({e.content, e.endpoints, ageOf(e.lastAt, now, oldestEndingMs)});
     }
+    for (const auto &s : digest.suspicions) {
+        out.push_back({s.content, s.endpoint, ageOf(s.at, now)});
+    }
     for (const auto &a : digest.answers) {
         out.push_back({a.content, ageOf(a.at, now, oldestEndingMs)});
     }
@@ -154,9 +168,12 @@
         LoadReport report;
         replica::Confirmation confirmation;
         quarantine::Record endings;
+        quarantine::Suspicion suspicion;
         quarantine::Answer answer;
         if (out.endings.size() < mostEndings && readEndings(item, now, endings)) {
             out.endings.push_back(std::move(endings));
+        } else if (out.suspicions.size() < mostEndings && readSuspicion(item, now, suspicion)) {
+            out.suspicions.push_back(suspicion);
         } else if (out.answers.size() < mostEndings && readAnswer(item, now, answer)) {
             out.answers.push_back(answer);
         } else if (out.confirmations.size() < mostConfirmations && readConfirmation(item, now, confirmation)) {
--- a/src/load_digest.h
+++ b/src/load_digest.h
@@ -39,6 +39,7 @@
     std::vector<PromptNews> prompts;
     std::vector<replica::Confirmation> confirmations;
     std::vector<quarantine::Record> endings = {};
+    std::vector<quarantine::Suspicion> suspicions = {};
     std::vector<quarantine::Answer> answers = {}; ///< to requests under which endpoints had ended
     bool operator==(const Digest &) const = default;
 };
--- a/src/load_exchange.cpp
+++ b/src/load_exchange.cpp
@@ -119,8 +119,7 @@
     m_replicas = std::move(replicas);
     for (auto *replica : m_replicas) {
         replica->onNews = [this] {
-            m_newsToTell = true;
-            m_news.notifyAll();
+            tellSoon();
         };
     }
 }
@@ -269,6 +268,9 @@
         for (const auto &record : digest.endings) {
             m_quarantine->told(record, now);
         }
+        for (const auto &suspicion : digest.suspicions) {
+            m_quarantine->told(suspicion, now);
+        }
         for (const auto &answer : digest.answers) {
             m_quarantine->told(answer);
         }
--- a/src/load_exchange.h
+++ b/src/load_exchange.h
@@ -83,6 +83,12 @@
     /// first; nothing when none is heard. Neighbours are the routers of the
     /// failure domain, or all of a fleet that is told whole in one round.
     std::optional<std::size_t> rank(Clock::time_point now) const;
+    /// Others are to be told before the next round is due; from the exchange's loop.
+    void tellSoon()
+    {
+        m_newsToTell = true;
+        m_news.notifyAll();
+    }
     /// What is known of requests under which endpoints end is told to others,
     /// and taken from them. It must outlive the exchange.
     void share(quarantine::RequestQuarantine &quarantine)
--- a/src/load_exchange_endings.cpp
+++ b/src/load_exchange_endings.cpp
@@ -1,6 +1,6 @@
 // What routers tell each other of requests under which endpoints end. A single
-// ending is told to the few routers that count it; from the second on it is
-// news for all, and each router that learns it tells it on.
+// ending, and what may be one, is told to the few routers that count it; from
+// the second on it is news for all, and each router that learns it tells it on.
 #include "load_exchange.h"
 #include "member_state.h"
 
@@ -40,22 +40,32 @@
     Digest forAll;
     forAll.answers = std::move(news.answers);
     std::map<std::string, std::pair<Peer, Digest>> forCounters; // by router
-    for (auto &record : news.records) {
+    const auto tellCounters = [&](uint64_t content, auto member, const auto &item) {
+        for (const auto &peer : countersOf(content, others)) {
+            auto &[to, digest] = forCounters[peer.id];
+            to = peer;
+            (digest.*member).push_back(item);
+        }
+    };
+    for (const auto &record : news.records) {
         if (allAtOnce || record.endpoints.size() >= m_quarantine->options().leastShared) {
-            forAll.endings.push_back(std::move(record));
-            continue;
+            forAll.endings.push_back(record);
+        } else {
+            tellCounters(record.content, &Digest::endings, record);
         }
-        for (auto &peer : countersOf(record.content, others)) {
-            auto &[to, digest] = forCounters[peer.id];
-            to = std::move(peer);
-            digest.endings.push_back(record);
+    }
+    for (const auto &suspicion : news.suspicions) {
+        if (allAtOnce) {
+            forAll.suspicions.push_back(suspicion);
+        } else {
+            tellCounters(suspicion.content, &Digest::suspicions, suspicion);
         }
     }
     if (alsoSilent) {
         auto held = m_quarantine->someHeld(mostEndings - forAll.endings.size(), now);
         std::move(held.begin(), held.end(), std::back_inserter(forAll.endings));
     }
-    if (!forAll.endings.empty() || !forAll.answers.empty()) {
+    if (!forAll.endings.empty() || !forAll.suspicions.empty() || !forAll.answers.empty()) {
         co_await send(drawn(others, m_options.mostTold, alsoSilent, now), forAll, now);
     }
     for (const auto &[id, told] : forCounters) {
--- a/src/quarantine.cpp
+++ b/src/quarantine.cpp
@@ -18,14 +18,106 @@
 {
     std::lock_guard lock(m_mutex);
     const auto it = m_records.find(content);
-    return it != m_records.end() && held(it->second, now) ? std::optional(it->second.lastAt + m_options.heldFor) : std::nullopt;
+    if (it != m_records.end() && held(it->second, now)) {
+        return it->second.lastAt + m_options.heldFor;
+    }
+    const auto until = suspectedUntil(content, now);
+    return until ? std::optional(std::min<Clock::time_point>(*until, now + m_options.askAgainAfter)) : std::nullopt;
 }
 
-bool RequestQuarantine::oneEndingLeft(uint64_t content) const
+// Until when endings and suspicions together keep a request from endpoints.
+std::optional<Clock::time_point> RequestQuarantine::suspectedUntil(uint64_t content, Clock::time_point now) const
 {
-    std::lock_guard lock(m_mutex);
+    const auto suspicions = m_suspicions.find(content);
+    if (suspicions == m_suspicions.end()) {
+        return std::nullopt;
+    }
     const auto it = m_records.find(content);
-    return it != m_records.end() && it->second.endpoints.size() + 1 >= m_options.mostEndings;
+    const bool counts = it != m_records.end() && now < it->second.lastAt + m_options.heldFor;
+    const auto ended = counts ? it->second.endpoints : std::vector<uint64_t>();
+    std::size_t suspected = 0;
+    auto last = now;
+    for (const auto &[endpoint, at] : suspicions->second) {
+        const auto until = at + m_options.suspectedFor;
+        if (until > now && !std::binary_search(ended.begin(), ended.end(), endpoint)) {
+            ++suspected;
+            last = std::max(last, until);
+        }
+    }
+    return suspected > 0 && ended.size() + suspected >= m_options.mostEndings ? std::optional(last) : std::nullopt;
+}
+
+// True when all routers are to hear of a request at once.
+bool RequestQuarantine::urgent(uint64_t content, Clock::time_point now) const
+{
+    const auto it = m_records.find(content);
+    return (it != m_records.end() && it->second.endpoints.size() >= m_options.leastShared) || suspectedUntil(content, now);
+}
+
+void RequestQuarantine::tellSoon(bool urgentNews) const
+{
+    if (urgentNews && onNews) {
+        onNews();
+    }
+}
+
+void RequestQuarantine::broke(uint64_t content, uint64_t endpoint, Clock::time_point now)
+{
+    bool urgentNews = false;
+    {
+        std::lock_guard lock(m_mutex);
+        const Suspicion suspicion{content, endpoint, now};
+        if (!suspect(suspicion, now)) {
+            return;
+        }
+        m_suspicionsToTell.push_back(suspicion);
+        if (m_suspicionsToTell.size() > m_options.mostSuspicionsTold) {
+            m_suspicionsToTell.pop_front();
+        }
+        urgentNews = urgent(content, now);
+    }
+    tellSoon(urgentNews);
+}
+
+void RequestQuarantine::told(const Suspicion &suspicion, Clock::time_point now)
+{
+    std::lock_guard lock(m_mutex);
+    suspect(suspicion, now);
+}
+
+// Takes a suspicion; false where it is known already, or not held against the request.
+bool RequestQuarantine::suspect(const Suspicion &suspicion, Clock::time_point now)
+{
+    if (trusted(suspicion.content, suspicion.at) || now >= suspicion.at + m_options.suspectedFor) {
+        return false;
+    }
+    forgetSuspicions(now);
+    return m_suspicions[suspicion.content].try_emplace(suspicion.endpoint, suspicion.at).second;
+}
+
+void RequestQuarantine::forgetSuspicions(Clock::time_point now)
+{
+    if (m_suspicions.size() < m_options.mostSuspected) {
+        return;
+    }
+    for (auto it = m_suspicions.begin(); it != m_suspicions.end();) {
+        std::erase_if(it->second, [&](const auto &entry) {
+            return now >= entry.second + m_options.suspectedFor;
+        });
+        it = it->second.empty() ? m_suspicions.erase(it) : std::next(it);
+    }
+    if (m_suspicions.size() >= m_options.mostSuspected) {
+        m_suspicions.clear(); // costs seconds until the endings themselves are known
+    }
+}
+
+void RequestQuarantine::lives(uint64_t content, uint64_t endpoint)
+{
+    std::lock_guard lock(m_mutex);
+    const auto it = m_suspicions.find(content);
+    if (it != m_suspicions.end() && it->second.erase(endpoint) > 0 && it->second.empty()) {
+        m_suspicions.erase(it);
+    }
 }
 
 std::optional<Record> RequestQuarantine::find(uint64_t content) const
@@ -45,13 +137,18 @@
 
 void RequestQuarantine::ended(uint64_t content, uint64_t endpoint, Clock::time_point now)
 {
-    std::lock_guard lock(m_mutex);
-    if (trusted(content, now)) {
-        return;
-    }
-    if (merge({content, {endpoint}, now}, now) >= m_options.leastShared) {
-        m_unsaved.insert(content);
+    bool urgentNews = false;
+    {
+        std::lock_guard lock(m_mutex);
+        if (trusted(content, now)) {
+            return;
+        }
+        urgentNews = merge({content, {endpoint}, now}, now) >= m_options.leastShared;
+        if (urgentNews) {
+            m_unsaved.insert(content);
+        }
     }
+    tellSoon(urgentNews);
 }
 
 void RequestQuarantine::answered(uint64_t content, Clock::time_point now)
@@ -67,19 +164,30 @@
 // A router that has seen the request answered says so to those that blame it.
 void RequestQuarantine::told(const Record &record, Clock::time_point now)
 {
-    std::lock_guard lock(m_mutex);
+    bool urgentNews = false;
+    {
+        std::lock_guard lock(m_mutex);
+        urgentNews = take(record, now);
+    }
+    tellSoon(urgentNews);
+}
+
+// Takes a record of another router or the store. True when it is news for all.
+bool RequestQuarantine::take(const Record &record, Clock::time_point now)
+{
     if (now > record.lastAt + m_options.rememberedFor) {
-        return;
+        return false;
     }
     if (trusted(record.content, record.lastAt)) {
         m_answersToTell[record.content] = m_options.timesTold;
-        return;
+        return false;
     }
     // What was told whole was saved by whoever brought it together.
     const auto endings = merge(record, now);
     if (endings > record.endpoints.size() && endings >= m_options.leastShared) {
         m_unsaved.insert(record.content);
     }
+    return endings >= m_options.leastShared;
 }
 
 void RequestQuarantine::told(const Answer &answer)
@@ -139,6 +247,7 @@
 // Ends suspicion of a request. True when there was one, which is then told on.
 bool RequestQuarantine::clear(const Answer &answer)
 {
+    m_suspicions.erase(answer.content);
     const auto it = m_records.find(answer.content);
     if (it == m_records.end() || !trusted(answer.content, it->second.lastAt)) {
         return false;
@@ -181,6 +290,10 @@
             m_recordsToTell.erase(record.content);
         }
     }
+    while (!m_suspicionsToTell.empty() && news.suspicions.size() < most) {
+        news.suspicions.push_back(m_suspicionsToTell.back()); // the newest first
+        m_suspicionsToTell.pop_back();
+    }
     for (auto it = m_answersToTell.begin(); it != m_answersToTell.end() && news.answers.size() < most;) {
         const auto answer = m_answers.find(it->first);
         if (answer != m_answers.end()) {
--- a/src/quarantine.h
+++ b/src/quarantine.h
@@ -6,6 +6,8 @@
 #include "task.h"
 
 #include <cstdint>
+#include <deque>
+#include <functional>
 #include <map>
 #include <mutex>
 #include <optional>
@@ -23,6 +25,14 @@
     bool operator==(const Record &) const = default;
 };
 
+/// An endpoint may have ended under a request: its answer broke, and it is not yet known why.
+struct Suspicion {
+    uint64_t content = 0;
+    uint64_t endpoint = 0;
+    Clock::time_point at{};
+    bool operator==(const Suspicion &) const = default;
+};
+
 /// A request was answered whole: what ended under it before was not its doing.
 struct Answer {
     uint64_t content = 0;
@@ -33,6 +43,7 @@
 /// What one router tells others.
 struct News {
     std::vector<Record> records; ///< those with the most endings first
+    std::vector<Suspicion> suspicions;
     std::vector<Answer> answers;
 };
 
@@ -47,6 +58,15 @@
     /// request's doing: where many endpoints are lost at once, they end under
     /// what is asked for most.
     Millis trustedFor{std::chrono::minutes(1)};
+    /// A suspicion counts like an ending for so long, in which it is known
+    /// whether the endpoint has ended: else a request that comes often would
+    /// reach several more meanwhile.
+    Millis suspectedFor{6000};
+    /// What a caller is told to wait on mere suspicion: most are settled by a
+    /// new connection to the endpoint, in a tenth of a second.
+    Millis askAgainAfter{500};
+    std::size_t mostSuspected = 1024; ///< requests
+    std::size_t mostSuspicionsTold = 256; ///< waiting to be told; the oldest go first
     std::size_t mostRecords = 4096; ///< of about 150 B; the oldest go first
     std::size_t mostAnswers = 16384; ///< of about 70 B: what a router serves in a minute at 270 requests a second
     std::size_t mostEndpoints = 16; ///< of one record
@@ -67,17 +87,19 @@
     {
     }
 
-    /// Until when a request must not reach endpoints; nothing when it may.
+    /// Until when a request must not reach endpoints, as far as is known; nothing when it may.
     std::optional<Clock::time_point> heldUntil(uint64_t content, Clock::time_point now) const;
-    /// True when one more ending would keep a request from endpoints.
-    bool oneEndingLeft(uint64_t content) const;
-
+    /// An answer to a request that this router had sent broke: its endpoint may have ended.
+    void broke(uint64_t content, uint64_t endpoint, Clock::time_point now);
+    /// The endpoint lives: the connection broke for another reason.
+    void lives(uint64_t content, uint64_t endpoint);
     /// An endpoint ended while it ran a request that this router had sent.
     void ended(uint64_t content, uint64_t endpoint, Clock::time_point now);
     /// A request was answered whole through this router.
     void answered(uint64_t content, Clock::time_point now);
     /// What another router, or the store, tells.
     void told(const Record &record, Clock::time_point now);
+    void told(const Suspicion &suspicion, Clock::time_point now);
     void told(const Answer &answer);
 
     /// What others are to be told in this round, no more than a number of each kind.
@@ -95,10 +117,18 @@
     {
         return m_options;
     }
+    /// Called from any thread when others are to be told soon.
+    std::function<void()> onNews;
 
 private:
     bool held(const Record &record, Clock::time_point now) const;
+    std::optional<Clock::time_point> suspectedUntil(uint64_t content, Clock::time_point now) const;
+    bool urgent(uint64_t content, Clock::time_point now) const;
+    bool suspect(const Suspicion &suspicion, Clock::time_point now);
+    void forgetSuspicions(Clock::time_point now);
+    void tellSoon(bool urgentNews) const;
     bool trusted(uint64_t content, Clock::time_point endedAt) const;
+    bool take(const Record &record, Clock::time_point now);
     std::size_t merge(const Record &record, Clock::time_point now);
     void noteAnswer(const Answer &answer);
     bool clear(const Answer &answer);
@@ -107,6 +137,8 @@
     QuarantineOptions m_options;
     mutable std::mutex m_mutex;
     std::map<uint64_t, Record> m_records; ///< by content
+    std::map<uint64_t, std::map<uint64_t, Clock::time_point>> m_suspicions; ///< when, by content and endpoint
+    std::deque<Suspicion> m_suspicionsToTell;
     std::map<uint64_t, Clock::time_point> m_answers; ///< the last whole answer, by content
     std::map<uint64_t, int> m_recordsToTell; ///< how often yet, by content
     std::map<uint64_t, int> m_answersToTell;
