Entries of silent servers lapse in the stand-in; the soak's calm check outlasts a restart

Change: entries lapse after 1.5 s of silence, three heartbeats, an outage not counted. 24 repeats in calm, 0.3 s apart.

--- a/emulators/platform_server.cpp
+++ b/emulators/platform_server.cpp
@@ -17,6 +17,9 @@
 namespace
 {
 
+constexpr const char *serverKind = "servers"; ///< entries that endpoints keep themselves
+constexpr Millis serverLapsesAfter{1500}; ///< three heartbeats of the stand-in endpoints
+
 constexpr std::string_view adminPrefix = "/admin/";
 constexpr std::string_view vmAdminPrefix = "/admin/vms/";
 constexpr Millis longestWatch{30000};
@@ -72,6 +75,7 @@
         co_await admin(ex, path);
         co_return;
     }
+    removeLapsed(Clock::now());
     if (m_faults.outage) {
         co_await ex.reply(503, R"({"error":"object API unavailable"})", comeBack());
         co_return;
@@ -96,6 +100,24 @@
     }
 }
 
+// Removes the entries of servers that have been silent for too long. Looked at
+// with each call: there are many a second. An outage is not held against them.
+void PlatformServer::removeLapsed(Clock::time_point now)
+{
+    bool changed = false;
+    for (auto it = m_serverHeardAt.begin(); it != m_serverHeardAt.end();) {
+        it->second = m_faults.outage ? now : it->second;
+        const bool lapsed = now - it->second > serverLapsesAfter;
+        if (lapsed) {
+            changed = ok(m_store.remove(serverKind, it->first, std::nullopt)) || changed;
+        }
+        it = lapsed ? m_serverHeardAt.erase(it) : std::next(it);
+    }
+    if (changed) {
+        m_changed.notifyAll();
+    }
+}
+
 // The calls on a kind and on one object of it.
 Task<void> PlatformServer::objects(http::Exchange &ex, std::string rest)
 {
@@ -156,6 +178,9 @@
     if (object.version > 0) {
         ifVersion = object.version;
     }
+    if (kind == serverKind) {
+        m_serverHeardAt[name] = Clock::now();
+    }
     return m_store.put(kind, name, object.value, ifVersion);
 }
 
--- a/emulators/platform_server.h
+++ b/emulators/platform_server.h
@@ -10,6 +10,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <map>
 #include <string>
 
 namespace yucca::platform
@@ -37,6 +38,7 @@
     Task<void> watch(http::Exchange &ex, std::string kind);
     Task<void> admin(http::Exchange &ex, std::string path);
     Task<void> publishVm(std::string id, std::optional<nlohmann::json> entry);
+    void removeLapsed(Clock::time_point now);
     Result<store::Object> apply(const http::Exchange &ex, const std::string &kind, const std::string &name);
 
     settings::PlatformSettings m_settings;
@@ -44,6 +46,7 @@
     limits::TokenBucket m_writes;
     limits::TokenBucket m_reads;
     Faults m_faults;
+    std::map<std::string, Clock::time_point> m_serverHeardAt; ///< by name, of the entries that servers keep themselves
     Notifier m_changed;
 };
 
--- a/emulators/soak/endings.cpp
+++ b/emulators/soak/endings.cpp
@@ -15,7 +15,8 @@
 constexpr Millis contact{3000};
 constexpr std::size_t endingsAllowed = 3;
 constexpr std::size_t repeatsAllowed = 3; ///< after the third ending and the time of contact
-constexpr std::size_t calmRepeats = 12;
+constexpr std::size_t calmRepeats = 24;
+constexpr Millis calmPause{300}; ///< over all repeats several times what an endpoint needs to be back
 
 } // namespace
 
@@ -90,9 +91,9 @@
     const auto before = m_endings.size();
     for (std::size_t n = 0; n < std::max(calmRepeats, m_routers.size()); ++n) {
         co_await requestThatEnds(n % m_routers.size());
-        co_await sleepFor(endingPause);
+        co_await sleepFor(calmPause);
     }
-    co_await sleepFor(contact);
+    co_await sleepFor(pollInterval * 2);
     const auto allowed = endingsAllowed - std::min(endingsAllowed, before) + repeatsAllowed;
     if (m_endings.size() - before > allowed) {
         m_broken.push_back("after " + std::to_string(before) + " endpoints had ended under a request, " + std::to_string(m_endings.size() - before)
