Operators release a request from quarantine with yucca-ctl

Cause: a request that is harmless again, because its engine was mended, stayed out for the rest of its hour; to delete its record is not enough, as routers tell each other what they know.

Change: yucca-ctl release CONTENT writes the operator's word, with name and reason, in place of the record; routers take it like a whole answer. Test: QuarantineStore.AnOperatorsReleaseEndsAQuarantine writes the same object.

--- a/src/ctl_main.cpp
+++ b/src/ctl_main.cpp
@@ -4,6 +4,7 @@
 #include "ctl.h"
 #include "explain.h"
 #include "object_store.h"
+#include "quarantine_store.h"
 
 #include <nlohmann/json.hpp>
 
@@ -31,6 +32,7 @@
                               "  edit KIND NAME PATH VALUE  set one field, e.g. edit workspace ws-0 /limits/maxInflight 32\n"
                               "  remove KIND NAME VERSION   remove an entry that is at VERSION\n"
                               "  history KIND NAME          print the audit records of an entry\n"
+                              "  release CONTENT            let a request go on under which endpoints ended (list quarantine)\n"
                               "  explain ID FILE...         tell what became of a request, from routers' logs\n"
                               "KIND is workspace or class. Every change is conditional on the version read;\n"
                               "a lost race exits 3 and writes nothing.";
@@ -201,6 +203,22 @@
     return cli::ExitOk;
 }
 
+// Ends the quarantine of a request; routers read it within half a minute.
+int release(platform::ObjectApi &api, const std::string &content, const ctl::Author &author)
+{
+    const auto current = runBlocking(api.get(quarantine::recordKind, content, platform::Freshness::Current));
+    if (!ok(current)) {
+        return printError(std::get<Error>(current));
+    }
+    const auto version = std::get<platform::Object>(current).version;
+    const auto r = runBlocking(api.put(quarantine::recordKind, content, quarantine::releaseBy(author.name, author.reason), version));
+    if (!ok(r)) {
+        return printError(std::get<Error>(r));
+    }
+    printf("%s released\n", content.c_str());
+    return cli::ExitOk;
+}
+
 int explainRequest(const std::vector<std::string> &args)
 {
     explain::Reader reader(args[1]);
@@ -272,6 +290,9 @@
     if (command == "remove" && args.size() == 4) {
         return removeEntry(api, args);
     }
+    if (command == "release" && args.size() == 2) {
+        return release(api, args[1], s->author);
+    }
     if (command == "explain" && args.size() >= 3) {
         return explainRequest(args);
     }
--- a/src/quarantine_store.cpp
+++ b/src/quarantine_store.cpp
@@ -73,6 +73,11 @@
 
 } // namespace
 
+json releaseBy(const std::string &author, const std::string &reason)
+{
+    return {{releasedKey, unixMs()}, {"author", author}, {"reason", reason}};
+}
+
 QuarantineStore::QuarantineStore(platform::ObjectApi &api, RequestQuarantine &quarantine, std::function<bool()> alone, std::function<bool()> isSweeper,
                                  StoreOptions options)
     : m_api(api)
--- a/src/quarantine_store.h
+++ b/src/quarantine_store.h
@@ -16,6 +16,10 @@
 /// The kind of the records in the store; their names are the contents, in hexadecimal.
 inline constexpr const char *recordKind = "quarantine";
 
+/// An operator's word that a request is harmless, in place of its record: what
+/// ended under it so far no longer counts. Says who gave it, and why.
+nlohmann::json releaseBy(const std::string &author, const std::string &reason);
+
 /// When the store is asked.
 struct StoreOptions {
     Millis reload{30000}; ///< news come from other routers in a second
--- a/tests/test_quarantine.cpp
+++ b/tests/test_quarantine.cpp
@@ -593,9 +593,8 @@
     StoredRouter a(api);
     a.endpointsEnd(1, 3);
     a.saveAll(loop());
-    const auto released = std::chrono::duration_cast<Millis>(std::chrono::system_clock::now().time_since_epoch()).count();
     const auto name = store.list(quarantine::recordKind, "", 10).items.front().name;
-    store.put(quarantine::recordKind, name, {{"released_ms", released}}, std::nullopt);
+    store.put(quarantine::recordKind, name, quarantine::releaseBy("ops", "mended in the engine"), std::nullopt);
     CHECK(loop().run(a.keeper.load()));
     CHECK(!a.holds());
 }
