An order under which three engines ended is not sent to the rest of the pool

The same cause in another place: what became of an order was kept by engine and order, so that one under which an engine ends (a model that it can't load) would go round the whole pool, engine by engine.

Ruled out elsewhere: calls with idempotency keys and both interfaces' routes go through the one pipeline; a child of the supervisor that fails pauses longer each time; entries of the store that can't be read are logged once and passed over. Not covered: a request that would end routers themselves.

Change: a broken answer to an order is followed by a new connection to the engine; where that is refused, the ending counts against the order's id, kind and argument in the same quarantine that requests have, shared through the store. OrderResult has engine_ended and quarantined.

Before: each engine has its own record, so all 8 of the test would have got it (read from the code, not run). After: 3 of 8, and another order goes on. Test: OrderThatEndsEngines.ItDoesNotGoRoundThePool.

--- a/src/duties.cpp
+++ b/src/duties.cpp
@@ -1,5 +1,6 @@
 #include "duties.h"
 
+#include "connect_probe.h"
 #include "idempotency.h"
 #include "log.h"
 
@@ -17,6 +18,7 @@
 constexpr int mostDeletesPerSweep = 100; ///< leaves the platform's write rate to the traffic
 constexpr Millis stopCheck{100};
 constexpr Millis orderTimeout{2000};
+constexpr Millis probeStaysOpenFor{100}; ///< a connection to a proxy whose server is gone is closed within milliseconds
 
 // An order as the engines take it. (GCC 12 cannot keep braced lists in a
 // coroutine's frame: it is made in a plain function.)
@@ -76,12 +78,13 @@
     return out;
 }
 
-Duties::Duties(const settings::RouterSettings &settings, platform::ObjectApi &api, const router::Control &control, orders::Sender sender)
+Duties::Duties(const settings::RouterSettings &settings, platform::ObjectApi &api, const router::Control &control, orders::Sender sender,
+               quarantine::RequestQuarantine &quarantine)
     : m_settings(settings)
     , m_api(api)
     , m_control(control)
     , m_lease(api, leaseName, holderName(settings.id), Millis(settings.leaseMs))
-    , m_desk(api, m_lease, settings.id, std::move(sender))
+    , m_desk(api, m_lease, settings.id, std::move(sender), quarantine)
     , m_nextSweep(Clock::now() + sweepEvery)
 {
 }
@@ -153,6 +156,9 @@
             continue;
         }
         const auto outcome = co_await m_desk.carryOut(order);
+        if (outcome == orders::OrderResult::Quarantined) {
+            continue; // RequestQuarantined has been logged; this would be a line an engine and round
+        }
         log::event(log::Event::OrderSent,
                    "engine=" + order.engine + " kind=" + order.kind + " argument=" + order.argument
                        + " outcome=" + std::string(nameOf(orders::orderResultNames, outcome)));
@@ -179,7 +185,11 @@
         address.port = it->second.port;
         auto called = co_await client.call(address, http::makeRequest("POST", "/v1/orders", body.dump()), options);
         if (auto *error = std::get_if<http::CallError>(&called)) {
-            co_return error->stage == http::CallStage::Connect ? orders::Ack::NotSent : orders::Ack::Unknown;
+            if (error->stage == http::CallStage::Connect) {
+                co_return orders::Ack::NotSent;
+            }
+            const auto probe = co_await http::probeConnection(address, orderTimeout, probeStaysOpenFor);
+            co_return probe == http::Probe::Refused ? orders::Ack::EngineEnded : orders::Ack::Unknown;
         }
         co_return ackOf(std::get<http::Reply>(called).status);
     };
--- a/src/duties.h
+++ b/src/duties.h
@@ -31,7 +31,8 @@
 class Duties
 {
 public:
-    Duties(const settings::RouterSettings &settings, platform::ObjectApi &api, const router::Control &control, orders::Sender sender);
+    Duties(const settings::RouterSettings &settings, platform::ObjectApi &api, const router::Control &control, orders::Sender sender,
+           quarantine::RequestQuarantine &quarantine);
 
     /// Renews or takes the lease and performs the duties, until stopped.
     Task<void> run();
--- a/src/orders.cpp
+++ b/src/orders.cpp
@@ -12,10 +12,16 @@
 constexpr unsigned refusedStatus = 409;
 } // namespace
 
-Desk::Desk(platform::ObjectApi &api, lease::Lease &lease, std::string holder, Sender sender)
+uint64_t contentKey(const Order &order)
+{
+    return ring::hash(order.kind + "\n" + order.argument, ring::hash(order.id));
+}
+
+Desk::Desk(platform::ObjectApi &api, lease::Lease &lease, std::string holder, Sender sender, quarantine::RequestQuarantine &quarantine)
     : m_lease(lease)
     , m_guard(api, std::move(holder), recordKind)
     , m_sender(std::move(sender))
+    , m_quarantine(quarantine)
 {
 }
 
@@ -24,6 +30,9 @@
     if (!m_lease.held()) {
         co_return OrderResult::NotHolder;
     }
+    if (m_quarantine.heldUntil(contentKey(order), Clock::now())) {
+        co_return OrderResult::Quarantined;
+    }
     const std::string key = order.engine + "/" + order.id;
     auto claim = co_await m_guard.claim(orderWorkspace, key, ring::hash(order.kind + "\n" + order.argument));
     switch (claim.decision) {
@@ -46,6 +55,7 @@
     const Ack ack = co_await m_sender(order, m_lease.fence());
     switch (ack) {
     case Ack::Applied:
+        m_quarantine.answered(contentKey(order), Clock::now());
         co_await m_guard.settleEventually(claim, idempotency::Guard::completed(claim, appliedStatus, ""));
         co_return OrderResult::Applied;
     case Ack::StaleFence:
@@ -55,6 +65,9 @@
     case Ack::NotSent:
         co_await m_guard.settle(claim, idempotency::Guard::released(claim));
         co_return OrderResult::NotSent;
+    case Ack::EngineEnded:
+        m_quarantine.ended(contentKey(order), ring::hash(order.engine), Clock::now());
+        co_return OrderResult::EngineEnded; // as below: it may have acted
     case Ack::Unknown:
         break; // the record stays "started": the order is not sent again
     }
--- a/src/orders.h
+++ b/src/orders.h
@@ -5,6 +5,7 @@
 
 #include "idempotency.h"
 #include "lease.h"
+#include "quarantine.h"
 #include "task.h"
 
 #include <functional>
@@ -26,6 +27,9 @@
     std::string id; ///< equal for equal intents: an order is sent once per id
 };
 
+/// The same for one intent at all engines: endings under it are counted together.
+uint64_t contentKey(const Order &order);
+
 /// What became of an order.
 enum class OrderResult {
     Applied, ///< the engine took it, now or earlier
@@ -33,13 +37,17 @@
     NotHolder, ///< the lease is not held: nothing was sent
     Pending, ///< another holder has it in hand, or its outcome is not known
     NotSent, ///< the store or the engine could not be reached; may be tried again
+    EngineEnded, ///< the engine ended while it carried the order out
+    Quarantined, ///< several engines ended under the same order: not sent to others for now
 };
 
-inline constexpr NameTable<OrderResult, 5> orderResultNames{{{OrderResult::Applied, "applied"},
+inline constexpr NameTable<OrderResult, 7> orderResultNames{{{OrderResult::Applied, "applied"},
                                                              {OrderResult::Refused, "refused"},
                                                              {OrderResult::NotHolder, "not_holder"},
                                                              {OrderResult::Pending, "pending"},
-                                                             {OrderResult::NotSent, "not_sent"}}};
+                                                             {OrderResult::NotSent, "not_sent"},
+                                                             {OrderResult::EngineEnded, "engine_ended"},
+                                                             {OrderResult::Quarantined, "quarantined"}}};
 
 /// How an engine answered an order, or that it could not be asked.
 enum class Ack {
@@ -47,6 +55,7 @@
     StaleFence,
     NotSent, ///< certainly not received
     Unknown, ///< sent; no answer
+    EngineEnded, ///< sent; the engine has ended since
 };
 
 /// Sends an order with a fencing number to its engine.
@@ -55,11 +64,11 @@
 /// Carries out orders under a lease. An order is claimed in the object API
 /// before it is sent, so that of two processes that both believe to hold the
 /// lease only one sends it; the holder looks at its lease again after the
-/// claim, so that one that was paused meanwhile does not send.
+/// claim, so that one that was paused meanwhile does not send. An order under which engines end does not go round the whole pool.
 class Desk
 {
 public:
-    Desk(platform::ObjectApi &api, lease::Lease &lease, std::string holder, Sender sender);
+    Desk(platform::ObjectApi &api, lease::Lease &lease, std::string holder, Sender sender, quarantine::RequestQuarantine &quarantine);
 
     Task<OrderResult> carryOut(Order order);
 
@@ -67,6 +76,7 @@
     lease::Lease &m_lease;
     idempotency::Guard m_guard;
     Sender m_sender;
+    quarantine::RequestQuarantine &m_quarantine;
 };
 
 } // namespace yucca::orders
--- a/src/router_main.cpp
+++ b/src/router_main.cpp
@@ -51,8 +51,8 @@
         , m_recordsApi({settings.platform.host, settings.platform.port})
         , m_table(tableOptions(settings))
         , m_control(settings, m_controlApi, m_table)
-        , m_duties(settings, m_controlApi, m_control, duties::httpSender(m_orderClient, m_control, settings.id))
         , m_quarantine(quarantineOptions())
+        , m_duties(settings, m_controlApi, m_control, duties::httpSender(m_orderClient, m_control, settings.id), m_quarantine)
         , m_quarantineStore(
               m_controlApi, m_quarantine,
               [] {
@@ -209,8 +209,8 @@
     platform::StoreClient m_recordsApi;
     router::RoutingTable m_table;
     router::Control m_control;
-    duties::Duties m_duties;
     quarantine::RequestQuarantine m_quarantine;
+    duties::Duties m_duties;
     quarantine::QuarantineStore m_quarantineStore;
     router::Router m_router;
     Supervisor m_supervisor;
--- a/tests/test_lease.cpp
+++ b/tests/test_lease.cpp
@@ -35,6 +35,7 @@
 TEST_GROUP(FencingLease)
 {
     store::ObjectStore store;
+    quarantine::RequestQuarantine quarantine;
     platform::LocalObjectApi api{store};
     lease::BootTime now{std::chrono::hours(1)};
     lease::BootClock clock = [this] {
@@ -56,7 +57,7 @@
     }
     OrderResult carryOut(lease::Lease & l, const char *holder, const orders::Sender &sender)
     {
-        orders::Desk desk(api, l, holder, sender);
+        orders::Desk desk(api, l, holder, sender, quarantine);
         return runBlocking(desk.carryOut({"engine-1", "load_model", "counsel-v2", "load.1"}));
     }
     static orders::Sender senderTo(FakeEngine & engine)
@@ -163,7 +164,7 @@
     };
     PausingApi pausing(store);
     pausing.pausedNow = &now;
-    orders::Desk desk(pausing, a, "a", senderTo(engine));
+    orders::Desk desk(pausing, a, "a", senderTo(engine), quarantine);
     CHECK(runBlocking(desk.carryOut({"engine-1", "load_model", "counsel-v2", "load.1"})) == OrderResult::NotHolder);
     LONGS_EQUAL(0, engine.gate.applied().size());
     CHECK(acquire(b));
@@ -181,7 +182,7 @@
     const orders::Sender frozen = [&](orders::Order order, uint64_t fence) -> Task<Ack> {
         now += term;
         CHECK(co_await b.acquireOrRenew());
-        orders::Desk desk(api, b, "b", senderTo(engine));
+        orders::Desk desk(api, b, "b", senderTo(engine), quarantine);
         taken = co_await desk.carryOut(order);
         co_return co_await engine.take(order, fence); // a wakes: its bytes arrive late
     };
--- a/tests/test_quarantine.cpp
+++ b/tests/test_quarantine.cpp
@@ -2,6 +2,7 @@
 // routers and to the store, and what clears a request of suspicion.
 #include "load_exchange.h"
 #include "local_object_api.h"
+#include "orders.h"
 #include "quarantine_store.h"
 
 // CppUTest goes last: its memory-leak macros redefine operator new.
@@ -632,3 +633,29 @@
     CHECK(loop().run(sweeper.keeper.load()));
     LONGS_EQUAL(0, store.list(quarantine::recordKind, "", 10).items.size());
 }
+
+LOOP_GROUP(OrderThatEndsEngines);
+
+// An order to load a model went to one engine of a pool after the other, and
+// each ended under it: what had happened was kept by engine, not by order.
+TEST(OrderThatEndsEngines, ItDoesNotGoRoundThePool)
+{
+    store::ObjectStore store;
+    platform::LocalObjectApi api(store);
+    lease::Lease lease(api, "duties", "a", Millis(10000));
+    CHECK(loop().run(lease.acquireOrRenew()));
+    RequestQuarantine quarantine;
+    int sent = 0;
+    const orders::Sender ending = [&](orders::Order order, uint64_t) -> Task<orders::Ack> {
+        ++sent;
+        co_return order.argument == "counsel-v3" ? orders::Ack::EngineEnded : orders::Ack::Applied;
+    };
+    orders::Desk desk(api, lease, "a", ending, quarantine);
+    for (int n = 0; n < 8; ++n) {
+        const auto result = loop().run(desk.carryOut({"engine-" + std::to_string(n), "load_model", "counsel-v3", "load.2"}));
+        CHECK(result == (n < 3 ? orders::OrderResult::EngineEnded : orders::OrderResult::Quarantined));
+    }
+    LONGS_EQUAL(3, sent);
+    const auto other = loop().run(desk.carryOut({"engine-0", "load_model", "counsel-v2", "load.1"}));
+    CHECK(other == orders::OrderResult::Applied);
+}
