An ending on a kept connection counts as well

What callers would have seen: a request that may be repeated, on a service whose connections are kept, ended 12 of 12 endpoints, also with the quarantine.

Cause: a kept connection that breaks before a byte of the answer is taken for one that was idle for too long. The request went out again on a new connection; that was refused, which says that nothing was sent, and hid how the first send ended.

Change: the break is noted before the second send, which is not made where the request is in quarantine by then.

Before: 12 of 12 endpoints. Test: CrashingRequest.OnKeptConnectionsThreeEndpointsAreEnoughAsWell, seen failing.

--- a/src/entry/gateway.h
+++ b/src/entry/gateway.h
@@ -316,7 +316,11 @@
         co_await forgetEarlier(*endpoint);
         m_attempts.insert_or_assign(&flight, *endpoint);
         AttemptEnd end = co_await attemptAt(ex, flight, *endpoint, reuseFor(flight, now), stale);
-        if (stale && repeatable(route) && !flight.cancellation.fired() && takeRetry(flight.service)) {
+        if (stale && !flight.cancellation.fired() && !ex.callerGone()) {
+            co_await noteBroken(contentKey(flight.profile), *endpoint); // before a second send hides how the first one ended
+        }
+        const bool mayRepeat = stale && repeatable(route) && !flight.cancellation.fired() && !quarantinedFor(flight.profile, Clock::now());
+        if (mayRepeat && takeRetry(flight.service)) {
             // The kept connection was closed under the request: the endpoint itself may be well.
             end = co_await attemptAt(ex, flight, *endpoint, http::Reuse::Never, stale);
         }
--- a/tests/test_crashing_requests.cpp
+++ b/tests/test_crashing_requests.cpp
@@ -63,7 +63,9 @@
             ++ended;
             m_gone.insert(n);
             m_endpoints[n]->end();
-            co_await sendBytes(socket, streamHead(id) + chunk(eventNumber(1)) + chunk("id: 2\nda"));
+            if (m_streams) {
+                co_await sendBytes(socket, streamHead(id) + chunk(eventNumber(1)) + chunk("id: 2\nda"));
+            }
             resetConnection(socket);
         } else if (m_streams) {
             co_await stream(n, socket, request);
@@ -172,6 +174,23 @@
 
 } // namespace
 
+// A kept connection that breaks before a byte of the answer is taken for one
+// that was idle for too long, and the request goes out on a new one: that is
+// refused, and told nothing of a request that had been under way.
+TEST(CrashingRequest, OnKeptConnectionsThreeEndpointsAreEnoughAsWell)
+{
+    FragilePool pool(loop(), 12, "s");
+    EntryRig rig(loop(), pool.places);
+    for (std::size_t n = 0; n < 40; ++n) {
+        rig.reply("POST", "/remind/warm" + std::to_string(n), "w" + std::to_string(n), {}, "{}");
+    }
+    for (std::size_t n = 0; n < 12; ++n) {
+        rig.call("POST", "/remind/1", "a" + std::to_string(n), {}, crashing);
+        loop().run(passed(Millis(20)));
+    }
+    LONGS_EQUAL(endingsAllowed, pool.ended);
+}
+
 TEST(CrashingRequest, AtEveryRouterOfAFleetThreeEndpointsAreEnough)
 {
     std::vector<std::unique_ptr<FragilePool>> pools; // kept: their routers still watch endpoints
