What may have run on a kept connection is not told "not run"

Cause: a request that may be repeated was sent on a kept connection that broke, and the second send was refused. Only the second was counted, so the caller got 503, which promises that it did not run.

Change: a send that was lost so keeps the answer at 502, whatever follows. The count that bounds the attempts stays as it is: mostly such a connection was only idle for too long.

Test: EntryAtMostOnce.WhatMayHaveRunOnAKeptConnectionIsNotToldNotRun; not run without the change.

--- a/src/entry/gateway.h
+++ b/src/entry/gateway.h
@@ -169,6 +169,7 @@
         http::Cancellation cancellation;
         sse::EventRelay events;
         bool headSent = false; ///< a streamed answer has begun
+        bool sendLost = false; ///< sent on a kept connection that broke: it may have run, whatever became of the next send
         bool timedOut = false;
         bool endpointRestarted = false; ///< under the attempt that goes on
         std::string lastEndpoint;
@@ -319,6 +320,7 @@
         if (stale && !flight.cancellation.fired() && !ex.callerGone()) {
             co_await noteBroken(contentKey(flight.profile), *endpoint); // before a second send hides how the first one ended
         }
+        flight.sendLost = flight.sendLost || stale;
         const bool mayRepeat = stale && repeatable(route) && !flight.cancellation.fired() && !quarantinedFor(flight.profile, Clock::now());
         if (mayRepeat && takeRetry(flight.service)) {
             // The kept connection was closed under the request: the endpoint itself may be well.
@@ -369,7 +371,7 @@
     }
     const auto heldFor = quarantinedFor(flight.profile, Clock::now());
     Rejection why = Rejection::NoEndpoint;
-    if (flight.count.runs > 0) {
+    if (flight.count.runs > 0 || flight.sendLost) {
         why = flight.timedOut ? Rejection::TimedOut : Rejection::AnswerLost;
     } else if (heldFor) {
         why = Rejection::Quarantined;
--- a/tests/test_entry.cpp
+++ b/tests/test_entry.cpp
@@ -422,6 +422,26 @@
     CHECK(failing.seen.size() + dying.seen.size() - before <= 2); // max_attempts
 }
 
+// The request was sent on a kept connection that broke, and the new connection
+// was refused: callers were told that it had not run, though it may have.
+TEST(EntryAtMostOnce, WhatMayHaveRunOnAKeptConnectionIsNotToldNotRun)
+{
+    RawEndpoint *self = nullptr;
+    RawEndpoint endpoint(loop(), [&](tcp::socket &socket, const SeenRequest &request) -> Task<void> {
+        if (self->seen.size() == 1) {
+            co_await sendBytes(socket, signedAnswer(idOf(request), "ok"));
+            co_return;
+        }
+        self->end();
+        resetConnection(socket);
+    });
+    self = &endpoint;
+    EntryRig rig(loop(), {{"e1", {"s", endpoint.port}}});
+    LONGS_EQUAL(200, rig.reply("GET", "/remind/1", "a1").status);
+    LONGS_EQUAL(502, rig.reply("GET", "/remind/2", "a2").status);
+    LONGS_EQUAL(2, endpoint.seen.size());
+}
+
 TEST(EntryAtMostOnce, RetriesEndWithTheirBudget)
 {
     RawEndpoint failing(loop(), answering("it broke", "500 Internal Server Error"));
