Of the members that hold a prompt the least loaded is its home; idle endpoints count in the mean

Once all domains had come back cold in turn, 51 of 1,289 requests reached engines with over twice the mean: prompts went back to their first holder, which was the busiest, though a second one held them by then. And the mean of a service left out endpoints that get nothing by order.

--- a/include/yucca/observed_load.h
+++ b/include/yucca/observed_load.h
@@ -81,11 +81,22 @@
     void placed(std::size_t member, TimePoint now);
     void finished(std::size_t member, TimePoint now);
     void reported(std::size_t member, int64_t load, TimePoint now);
+    /// Endpoints of the service that are no members now, and get no work: the
+    /// service's mean load is that of all.
+    void setIdle(std::size_t endpoints)
+    {
+        m_idle = endpoints;
+    }
 
 protected:
+    /// The mean load of the service: of all members, whether or not they may be
+    /// used now, and of those that are idle.
+    double serviceMean(TimePoint now, std::chrono::duration<double> lifetime) const;
+
     std::vector<std::string> m_ids;
     std::vector<uint64_t> m_hashes; ///< of the ids
     std::vector<ObservedLoad> m_loads;
+    std::size_t m_idle = 0;
 };
 
 } // namespace yucca::placement
--- a/include/yucca/placement.h
+++ b/include/yucca/placement.h
@@ -182,20 +182,22 @@
 
 /// Settings of PromptHome.
 struct HomeOptions {
-    /// No member above this multiple of the mean load, plus the slack. Below
-    /// the bound that must hold (2, plus three), as reports come late. A factor
-    /// of 1.3 moved 39 % more prompt memory (GB, 25 days with trouble).
+    /// No member above this multiple of the service's mean load, plus the slack.
+    /// Below the bound that must hold, as reports come late.
     double loadFactor = 1.5;
     double slack = 2.0; ///< requests: below a few in flight a late report's noise is no overload
     std::chrono::duration<double> reportLifetime{3.0};
+    /// The bound is never below this multiple of the mean of the members in use,
+    /// plus one: where the others idle by order, all routers would send to the
+    /// one that looks least loaded.
+    double leastFactor = 1.1;
 };
 
-/// One home for each prompt: a member that likely holds it; where none is
-/// known, the one that ranks first in the prompt's rendezvous order, which
-/// every router computes alike; the next while the ones before are at the
-/// bound. A prompt that is read at two members is read twice, and takes the
-/// room of another. Holders first spares a move where an engine joins; in worth
-/// it showed no gain (+0.0001 +- 0.0017 without it, 15 days with trouble).
+/// One home for each prompt: of the members that likely hold it the least
+/// loaded; where none is known, the one that ranks first in the prompt's
+/// rendezvous order, which every router computes alike; the next while the ones
+/// before are at the bound. A prompt that is read at two members is read twice,
+/// and from then on evens out their loads.
 class PromptHome : public ObservedMembers
 {
 public:
--- a/src/observed_load.cpp
+++ b/src/observed_load.cpp
@@ -2,6 +2,7 @@
 
 #include "member_state.h"
 
+#include <algorithm>
 #include <cmath>
 
 namespace yucca::placement
@@ -72,6 +73,13 @@
     m_hashes = hashesOf(m_ids);
 }
 
+double ObservedMembers::serviceMean(TimePoint now, std::chrono::duration<double> lifetime) const
+{
+    const auto members = static_cast<double>(m_loads.size());
+    const double mean = meanLoad(m_loads, Usable(m_loads.size(), true), now, lifetime, Unreported::CountOwn);
+    return members > 0 ? mean * members / (members + static_cast<double>(m_idle)) : 0;
+}
+
 void ObservedMembers::placed(std::size_t member, TimePoint)
 {
     m_loads[member].placed();
--- a/src/placement.cpp
+++ b/src/placement.cpp
@@ -261,22 +261,29 @@
 
 std::optional<std::size_t> PromptHome::pick(const Affinity &affinity, const Usable &usable, TimePoint now)
 {
-    const double mean = meanLoad(m_loads, usable, now, m_options.reportLifetime, Unreported::CountOwn);
-    const double limit = m_options.loadFactor * mean + m_options.slack;
+    const double mean = serviceMean(now, m_options.reportLifetime);
+    // What is believed of a member without a fresh report: the mean of those that get work.
+    const double prior = meanLoad(m_loads, usable, now, m_options.reportLifetime, Unreported::CountOwn);
+    const double limit = std::max(m_options.loadFactor * mean + m_options.slack, m_options.leastFactor * prior + 1);
     std::optional<std::size_t> home;
     bool homeHolds = false;
+    double homeLoad = 0;
+    uint64_t homeRank = 0;
     std::optional<std::size_t> least;
     double leastLoad = 0;
     for (std::size_t i = 0; i < m_loads.size(); ++i) {
         if (!usable[i]) {
             continue;
         }
-        const double load = m_loads[i].estimate(mean, now, m_options.reportLifetime);
+        const double load = m_loads[i].estimate(prior, now, m_options.reportLifetime);
         const bool holds = std::find(affinity.holders.begin(), affinity.holders.end(), m_ids[i]) != affinity.holders.end();
-        const bool better = !home || (holds != homeHolds ? holds : rank(m_hashes[i], affinity.conversation) > rank(m_hashes[*home], affinity.conversation));
+        const auto inOrder = rank(m_hashes[i], affinity.conversation);
+        const bool better = !home || (holds != homeHolds ? holds : holds ? load < homeLoad : inOrder > homeRank);
         if (load + 1 <= limit && better) {
             home = i;
             homeHolds = holds;
+            homeLoad = load;
+            homeRank = inOrder;
         }
         if (!least || load < leastLoad) {
             least = i;
--- a/tests/test_home.cpp
+++ b/tests/test_home.cpp
@@ -52,6 +52,47 @@
     CHECK(moved > 0 && moved < 30); // about one in eighteen
 }
 
+TEST(PromptHome, OfTwoMembersThatHoldAPromptTheLessLoadedIsPicked)
+{
+    placement::PromptHome policy;
+    policy.setMembers(names(10));
+    const placement::Usable usable(10, true);
+    for (uint64_t key = 1; key <= 20; ++key) {
+        auto wanted = prompt(key);
+        const auto home = *policy.pick(wanted, usable, now);
+        const auto other = (home + 3) % 10;
+        wanted.holders = {policy.members()[home], policy.members()[other]};
+        for (std::size_t m = 0; m < 10; ++m) {
+            policy.reported(m, 5, now);
+        }
+        policy.reported(home, 6, now);
+        policy.reported(other, 4, now);
+        LONGS_EQUAL(other, *policy.pick(wanted, usable, now));
+        policy.reported(other, 7, now);
+        LONGS_EQUAL(home, *policy.pick(wanted, usable, now));
+        wanted.holders = {policy.members()[home]};
+        LONGS_EQUAL(home, *policy.pick(wanted, usable, now)); // one that does not hold it has to read it
+    }
+}
+
+// Ten of thirty endpoints get nothing by order: the bound is that of the
+// service's mean, which counts them, and not so low that all are at it.
+TEST(PromptHome, EndpointsThatIdleByOrderCountInTheMean)
+{
+    placement::PromptHome policy;
+    policy.setMembers(names(20));
+    policy.setIdle(10);
+    const placement::Usable usable(20, true);
+    for (std::size_t m = 0; m < 20; ++m) {
+        policy.reported(m, m == 0 ? 25 : 15, now); // the service's mean is about 10, its bound 17
+    }
+    auto wanted = prompt(1);
+    wanted.holders = {policy.members()[0]};
+    CHECK(*policy.pick(wanted, usable, now) != 0);
+    policy.reported(0, 16, now);
+    LONGS_EQUAL(0, *policy.pick(wanted, usable, now));
+}
+
 TEST(PromptHome, AHotPromptSpillsInTheSameOrderEverywhereAndNoMemberPassesTheBound)
 {
     placement::HomeOptions options;
