--- a/include/yucca/types.h
+++ b/include/yucca/types.h
@@ -102,6 +102,10 @@
     /// When this incarnation started, in Unix ms; 0: not told. An endpoint that
     /// starts again keeps its id, and holds and knows nothing of before.
     int64_t born = 0;
+    std::string region = {}; ///< of the failure domain; empty: not known
+    /// How much longer it was cold when its entry was read, in ms: it has just
+    /// started, or its failure domain was evacuated, and bears few requests.
+    int64_t coldMs = 0;
     bool operator==(const Endpoint &) const = default;
 };
 
--- a/src/catalogue.cpp
+++ b/src/catalogue.cpp
@@ -3,6 +3,7 @@
 #include "object_api.h"
 #include "settings.h"
 
+#include <limits>
 #include <set>
 
 namespace yucca::catalogue
@@ -61,12 +62,29 @@
     return c;
 }
 
+Evacuation parseEvacuation(const nlohmann::json &value, const std::string &path, Findings &findings)
+{
+    Evacuation e;
+    settings::Reader r(value, path, findings);
+    readMark(r);
+    r.read("active", e.active);
+    r.read("author", e.author);
+    r.read("since", e.since, 0, std::numeric_limits<int64_t>::max());
+    r.finish();
+    if (!value.is_object() || !value.contains("active")) {
+        findings.add(path + "/active", "required");
+    }
+    return e;
+}
+
 void check(const std::string &kind, const nlohmann::json &value, const std::string &path, Findings &findings)
 {
     if (kind == workspaceKind) {
         parseWorkspace(value, path, findings);
     } else if (kind == classKind) {
         parseClass(value, path, findings);
+    } else if (kind == evacuationKind) {
+        parseEvacuation(value, path, findings);
     } else {
         findings.add(path, "unknown catalogue kind '" + kind + "'");
     }
@@ -91,6 +109,17 @@
     return findIn(classes, name);
 }
 
+std::set<std::string> Snapshot::evacuated() const
+{
+    std::set<std::string> out;
+    for (const auto &[domain, evacuation] : evacuations) {
+        if (evacuation.active) {
+            out.insert(domain);
+        }
+    }
+    return out;
+}
+
 View::View(OnRejected onRejected)
     : m_onRejected(std::move(onRejected))
 {
@@ -118,6 +147,8 @@
         m_state.workspaces.erase(name);
     } else if (kind == classKind) {
         m_state.classes.erase(name);
+    } else if (kind == evacuationKind) {
+        m_state.evacuations.erase(name);
     } else if (kind == platform::vmKind) {
         m_state.endpoints.erase(name);
     }
@@ -138,6 +169,11 @@
             parsed.version = object.version;
             m_state.classes[object.name] = std::move(parsed);
         }
+    } else if (object.kind == evacuationKind) {
+        auto parsed = parseEvacuation(object.value, "", findings);
+        if (findings.empty()) {
+            m_state.evacuations[object.name] = std::move(parsed);
+        }
     } else if (object.kind == platform::vmKind && object.value.is_object()) {
         auto endpoint = platform::endpointFromJson(object.value);
         endpoint.id = object.name;
--- a/src/catalogue.h
+++ b/src/catalogue.h
@@ -12,6 +12,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -20,6 +21,7 @@
 
 inline constexpr const char *workspaceKind = "workspace";
 inline constexpr const char *classKind = "class";
+inline constexpr const char *evacuationKind = "evacuation"; ///< named by the failure domain
 inline constexpr const char *auditKind = "audit";
 
 inline constexpr int64_t defaultPriority = 5; ///< of a class of work; 0 is the most urgent, 9 the least
@@ -41,11 +43,21 @@
     std::string model; ///< the model the pool's engines are to hold; empty: left as it is
 };
 
+/// An operators' order on a failure domain: while it is active, nothing more is
+/// sent to the domain's endpoints.
+struct Evacuation {
+    bool active = false;
+    std::string author; ///< who gave it, or took it back
+    int64_t since = 0; ///< when, in Unix seconds
+};
+
 /// Parses a workspace entry's value; problems are recorded under path.
 Workspace parseWorkspace(const nlohmann::json &value, const std::string &path, Findings &findings);
 /// Parses a class entry's value; problems are recorded under path.
 WorkClass parseClass(const nlohmann::json &value, const std::string &path, Findings &findings);
-/// Checks an entry of either kind; an unknown kind is a finding.
+/// Parses an evacuation entry's value; problems are recorded under path.
+Evacuation parseEvacuation(const nlohmann::json &value, const std::string &path, Findings &findings);
+/// Checks an entry of any of these kinds; an unknown kind is a finding.
 void check(const std::string &kind, const nlohmann::json &value, const std::string &path, Findings &findings);
 
 /// The catalogue and the VM list at one moment. Immutable once published.
@@ -53,10 +65,13 @@
     uint64_t revision = 0; ///< the highest version applied
     std::map<std::string, Workspace> workspaces;
     std::map<std::string, WorkClass> classes;
+    std::map<std::string, Evacuation> evacuations; ///< by failure domain
     std::map<std::string, Endpoint> endpoints;
 
     const Workspace *workspace(const std::string &name) const;
     const WorkClass *workClass(const std::string &name) const;
+    /// The failure domains under an active order.
+    std::set<std::string> evacuated() const;
 };
 
 /// A router's copy of the catalogue and the VM list. Each entry keeps the
--- a/src/ctl.cpp
+++ b/src/ctl.cpp
@@ -163,6 +163,15 @@
     co_return change;
 }
 
+Entry evacuationEntry(const std::string &domain, bool active, const Author &author, int64_t nowS)
+{
+    Entry entry;
+    entry.kind = catalogue::evacuationKind;
+    entry.name = domain;
+    entry.value = {{"active", active}, {"author", author.name}, {"since", nowS}};
+    return entry;
+}
+
 Task<Result<std::vector<AuditLine>>> history(platform::ObjectApi &api, std::string kind, std::string name)
 {
     auto listed = co_await platform::listAll(api, catalogue::auditKind);
--- a/src/ctl.h
+++ b/src/ctl.h
@@ -64,6 +64,9 @@
 /// entry tells which record's change it is.
 Task<Change> applyEntry(platform::ObjectApi &api, Entry entry, Author author);
 
+/// The order that evacuates a failure domain, or takes that back.
+Entry evacuationEntry(const std::string &domain, bool active, const Author &author, int64_t nowS);
+
 /// One audit record of an entry, with the outcome read off the entry itself
 /// when the program died before it could record it.
 struct AuditLine {
--- a/src/ctl_main.cpp
+++ b/src/ctl_main.cpp
@@ -10,6 +10,7 @@
 
 #include <cstdio>
 #include <cstdlib>
+#include <ctime>
 #include <fstream>
 
 namespace
@@ -33,8 +34,11 @@
                               "  remove KIND NAME VERSION   remove an entry that is at VERSION\n"
                               "  history KIND NAME          print the audit records of an entry\n"
                               "  release CONTENT            let a request go on under which endpoints ended (list quarantine)\n"
+                              "  evacuate DOMAIN            send nothing more to the endpoints of a failure domain\n"
+                              "  return DOMAIN              take that back\n"
+                              "  evacuations                print who evacuated which domain, and since when\n"
                               "  explain ID FILE...         tell what became of a request, from routers' logs\n"
-                              "KIND is workspace or class. Every change is conditional on the version read;\n"
+                              "KIND is workspace, class or evacuation. Every change is conditional on the version read;\n"
                               "a lost race exits 3 and writes nothing.";
 
 /// Where the platform is and who is at the keyboard.
@@ -113,6 +117,33 @@
     return cli::ExitOk;
 }
 
+int orderEvacuation(platform::ObjectApi &api, const std::string &domain, bool active, const ctl::Author &author)
+{
+    return printChange(runBlocking(ctl::applyEntry(api, ctl::evacuationEntry(domain, active, author, std::time(nullptr)), author)));
+}
+
+// One line a failure domain: who gave or took back its order, and when.
+int printEvacuations(platform::ObjectApi &api)
+{
+    const auto r = runBlocking(platform::listAll(api, catalogue::evacuationKind));
+    if (!ok(r)) {
+        return printError(std::get<Error>(r));
+    }
+    for (const auto &object : std::get<platform::Listing>(r).items) {
+        Findings findings;
+        const auto evacuation = catalogue::parseEvacuation(object.value, "", findings);
+        if (!findings.empty()) {
+            printFindings(object.name, findings);
+            continue;
+        }
+        char since[32];
+        const std::time_t at = evacuation.since;
+        std::strftime(since, sizeof since, "%FT%TZ", std::gmtime(&at));
+        printf("%s %s since %s by %s\n", object.name.c_str(), evacuation.active ? "evacuated" : "in use", since, evacuation.author.c_str());
+    }
+    return cli::ExitOk;
+}
+
 // Applies every entry of a file; the exit code is the worst of them.
 int apply(platform::ObjectApi &api, const std::string &path, const ctl::Author &author)
 {
@@ -293,6 +324,12 @@
     if (command == "release" && args.size() == 2) {
         return release(api, args[1], s->author);
     }
+    if ((command == "evacuate" || command == "return") && args.size() == 2) {
+        return orderEvacuation(api, args[1], command == "evacuate", s->author);
+    }
+    if (command == "evacuations" && args.size() == 1) {
+        return printEvacuations(api);
+    }
     if (command == "explain" && args.size() >= 3) {
         return explainRequest(args);
     }
--- a/src/duties.cpp
+++ b/src/duties.cpp
@@ -65,12 +65,14 @@
 std::vector<orders::Order> wantedOrders(const catalogue::Snapshot &snapshot)
 {
     std::vector<orders::Order> out;
+    const auto evacuated = snapshot.evacuated();
     for (const auto &[name, workClass] : snapshot.classes) {
         if (workClass.model.empty()) {
             continue;
         }
         for (const auto &[id, endpoint] : snapshot.endpoints) {
-            if (endpoint.pool == workClass.pool && endpoint.kind == EndpointKind::Engine && endpoint.state == EndpointState::Live) {
+            if (endpoint.pool == workClass.pool && endpoint.kind == EndpointKind::Engine && endpoint.state == EndpointState::Live
+                && !evacuated.count(endpoint.zone)) {
                 out.push_back({id, "load_model", workClass.model, "load_model." + name + "." + std::to_string(workClass.version)});
             }
         }
--- a/src/entry/come_back.h
+++ b/src/entry/come_back.h
@@ -16,6 +16,8 @@
     Millis loading{300}; ///< a router that has just started needs about this long to load its state
     Millis storeAway{1500}; ///< it has not loaded it in longer than that, so the store is away: outages last seconds
     Millis loadsWithin{700};
+    Millis evacuated{2000}; ///< until operators take the order back: many seconds
+    Millis cold{300}; ///< other routers have shares of other endpoints; its own are free again within a second
     double jitter = 0.3; ///< of the wait, either way: those turned away together do not come back together
 };
 
@@ -27,6 +29,10 @@
         wait = options.elsewhere;
     } else if (why == Rejection::NoEndpoint) {
         wait = options.membership;
+    } else if (why == Rejection::Evacuated) {
+        wait = options.evacuated;
+    } else if (why == Rejection::Cold) {
+        wait = options.cold;
     } else if (why == Rejection::NotLoaded) {
         wait = sinceStart > options.loadsWithin ? options.storeAway : options.loading;
     }
--- a/src/entry/configuration.h
+++ b/src/entry/configuration.h
@@ -49,6 +49,7 @@
     bool isPublic = false; ///< needs no key
     bool hasPrompt = false; ///< requests tell their prompt's parts
     bool resumable = false; ///< a stream may go on at another engine
+    std::vector<std::string> regions = {}; ///< whose endpoints its requests may reach; empty: any
 };
 
 /// What is known of a service's model engines.
@@ -63,6 +64,8 @@
     std::string healthPath;
     int64_t maxConnections = 100; ///< that one endpoint takes from all its callers
     std::optional<EngineTraits> engine; ///< absent: a plain service
+    Millis coldFor{0}; ///< an endpoint is cold for so long after it starts; 0: that does not matter
+    double coldPerSecond = 0; ///< requests that an endpoint bears while it is cold
 };
 
 /// A workspace, how urgent its requests are and how many it may send.
@@ -70,6 +73,7 @@
     std::string name;
     std::optional<int> priority; ///< goes before its routes' priorities
     std::optional<limits::Limits> limits; ///< absent: this router does not bound it
+    std::vector<std::string> regions = {}; ///< whose endpoints its requests may reach; empty: any
     std::string workClass; ///< what its requests are, where the caller's address does not tell; else empty
 };
 
--- a/src/entry/control.cpp
+++ b/src/entry/control.cpp
@@ -33,10 +33,61 @@
 void Published::put(Configuration configuration)
 {
     configuration.index();
+    putColdAllowances(configuration);
     m_configuration = std::make_shared<const Configuration>(std::move(configuration));
     publishEndpoints(); // which services are plain ones may have changed
 }
 
+void Published::putColdAllowances(const Configuration &configuration)
+{
+    std::map<std::string, limits::ColdAllowance> allowances;
+    for (const auto &[name, service] : configuration.services) {
+        if (service.coldFor > Millis(0)) {
+            const double most = service.coldPerSecond * m_options.coldOvershoot + m_options.coldSlack;
+            allowances[name] = {service.coldFor, service.coldPerSecond, most};
+        }
+    }
+    m_table.setColdAllowances(std::move(allowances));
+}
+
+void Published::replaceEvacuated(std::set<std::string> domains)
+{
+    m_evacuationsKnown = true;
+    putEvacuated(std::move(domains));
+}
+
+void Published::setEvacuated(const std::string &domain, bool evacuated)
+{
+    auto domains = m_evacuated;
+    if (evacuated) {
+        domains.insert(domain);
+    } else {
+        domains.erase(domain);
+    }
+    putEvacuated(std::move(domains));
+}
+
+void Published::putEvacuated(std::set<std::string> domains)
+{
+    const auto count = [this](const std::string &domain) {
+        return std::count_if(m_endpoints.begin(), m_endpoints.end(), [&domain](const auto &entry) {
+            return entry.second.zone == domain;
+        });
+    };
+    for (const auto &domain : domains) {
+        if (!m_evacuated.count(domain)) {
+            log::Line{log::Event::DomainEvacuated}.add("domain", domain).add("endpoints", static_cast<int64_t>(count(domain)));
+        }
+    }
+    for (const auto &domain : m_evacuated) {
+        if (!domains.count(domain)) {
+            log::Line{log::Event::DomainReturned}.add("domain", domain).add("endpoints", static_cast<int64_t>(count(domain)));
+        }
+    }
+    m_evacuated = std::move(domains);
+    m_table.setEvacuated(m_evacuated, Clock::now());
+}
+
 void Published::replaceEndpoints(std::map<std::string, Endpoint> endpoints)
 {
     std::vector<std::string> missing;
@@ -72,7 +123,14 @@
 {
     noteChange(endpoint);
     m_lapsed.erase(endpoint.id);
-    m_endpoints[endpoint.id] = endpoint;
+    auto &held = m_endpoints[endpoint.id];
+    held = endpoint;
+    const auto region = m_options.regions.find(endpoint.zone);
+    held.region = region == m_options.regions.end() ? "" : region->second;
+    if (endpoint.coldMs > 0) {
+        m_cold.emplace_back(endpoint.id, Clock::now() + Millis(endpoint.coldMs));
+    }
+    held.coldMs = 0; // it runs on from here
 }
 
 // Those of the first listing are one line together: a line each took a VM of
@@ -154,6 +212,9 @@
         return e.state == EndpointState::Live;
     }));
     m_table.setEndpoints(endpoints);
+    for (const auto &[id, until] : std::exchange(m_cold, {})) {
+        m_table.noteCold(id, until);
+    }
 }
 
 } // namespace yucca::entry
--- a/src/entry/control.h
+++ b/src/entry/control.h
@@ -32,6 +32,9 @@
     {
         C::endpointKind
         } -> std::convertible_to<std::string>;
+    {
+        C::evacuationKind
+        } -> std::convertible_to<std::string>;
     {
         C::configuration(value, findings)
         } -> std::same_as<std::optional<Configuration>>;
@@ -40,13 +43,22 @@
         } -> std::same_as<std::optional<Endpoint>>;
 };
 
+/// What a deployment says of its failure domains and its endpoints' starts.
+struct PublishedOptions {
+    bool evacuations = false; ///< failure domains may be evacuated: nothing is sent before it is known which are
+    double coldOvershoot = 1.5; ///< see Settings
+    double coldSlack = 5;
+    Regions regions; ///< by failure domain
+};
+
 /// What is in force, published by the control thread for the traffic
 /// threads. A version never gives way to an older one.
 class Published
 {
 public:
-    explicit Published(router::RoutingTable &table)
+    explicit Published(router::RoutingTable &table, PublishedOptions options = {})
         : m_table(table)
+        , m_options(std::move(options))
     {
     }
     /// Null until the first configuration is known.
@@ -57,7 +69,7 @@
     /// True once requests can be served.
     bool ready() const
     {
-        return m_endpointsUsable && m_configuration.load() != nullptr;
+        return m_endpointsUsable && m_configuration.load() != nullptr && (!m_options.evacuations || m_evacuationsKnown);
     }
     /// True once all endpoints have been listed.
     bool endpointsKnown() const
@@ -79,6 +91,9 @@
     void removeEndpoint(const std::string &id);
     /// The same for one whose entry can't be read any more: it has not lapsed, it is not to be used.
     void discardEndpoint(const std::string &id);
+    /// Puts a listing of the evacuated failure domains in force.
+    void replaceEvacuated(std::set<std::string> domains);
+    void setEvacuated(const std::string &domain, bool evacuated);
     /// The store is back. Endpoints whose heartbeats it could not take have
     /// lapsed in it though they live; their entries come back within about
     /// two seconds. Until then, those that are missing are kept.
@@ -108,9 +123,15 @@
 
 private:
     void noteChange(const Endpoint &endpoint) const;
+    void putEvacuated(std::set<std::string> domains);
+    void putColdAllowances(const Configuration &configuration);
 
     router::RoutingTable &m_table;
+    PublishedOptions m_options;
     std::atomic<ConfigurationPtr> m_configuration;
+    std::atomic<bool> m_evacuationsKnown{false};
+    std::set<std::string> m_evacuated; ///< failure domains
+    std::vector<std::pair<std::string, Clock::time_point>> m_cold; ///< until when, by endpoint: read since they were published last
     std::atomic<bool> m_endpointsUsable{false};
     std::atomic<bool> m_endpointsKnown{false};
     std::map<std::string, Endpoint> m_endpoints;
@@ -141,6 +162,7 @@
 struct SharedKinds {
     replica::SharedReplica *configuration = nullptr;
     replica::SharedReplica *endpoints = nullptr;
+    replica::SharedReplica *evacuations = nullptr;
 };
 
 /// Follows one platform's objects into what is published.
@@ -153,10 +175,12 @@
         , m_shared(shared)
         , m_configurationSink{published}
         , m_endpointSink{published}
+        , m_evacuationSink{published}
         , m_configurations(api, C::configurationKind, m_configurationSink, followerOptions(shared.configuration))
         , m_endpoints(api, C::endpointKind, m_endpointSink, followerOptions(shared.endpoints))
+        , m_evacuations(api, C::evacuationKind, m_evacuationSink, followerOptions(shared.evacuations))
     {
-        for (auto *replica : {shared.configuration, shared.endpoints}) {
+        for (auto *replica : {shared.configuration, shared.endpoints, shared.evacuations}) {
             if (replica) {
                 replica->onConfirmed = [this](Clock::time_point at) {
                     m_published.noteConfirmed(at);
@@ -172,6 +196,15 @@
     {
         return m_endpoints.run();
     }
+    Task<void> followEvacuations()
+    {
+        return m_evacuations.run();
+    }
+    /// One listing or watch of the evacuations; false when the store could not be reached.
+    Task<bool> stepEvacuations()
+    {
+        return m_evacuations.step();
+    }
     /// One listing or watch of the endpoints; false when the store could not be reached.
     Task<bool> stepEndpoints()
     {
@@ -196,6 +229,7 @@
             if (answers && !answered) {
                 m_configurations.restartWatch();
                 m_endpoints.restartWatch();
+                m_evacuations.restartWatch();
             }
             answered = answers;
         }
@@ -205,6 +239,7 @@
         m_stopping = true;
         m_configurations.stop();
         m_endpoints.stop();
+        m_evacuations.stop();
     }
 
 private:
@@ -311,6 +346,34 @@
         }
     };
 
+    // An order is named by its failure domain and holds nothing that is needed:
+    // one that can't be read is still an order.
+    struct EvacuationSink {
+        Published &published;
+        void listed(const platform::Listing &listing, platform::Freshness)
+        {
+            std::set<std::string> domains;
+            for (const auto &object : listing.items) {
+                domains.insert(object.name);
+            }
+            published.replaceEvacuated(std::move(domains));
+        }
+        void listedSoFar(const platform::Listing &)
+        {
+        }
+        void changed(const platform::Object &object, bool deleted)
+        {
+            published.setEvacuated(object.name, !deleted);
+        }
+        void batchEnded()
+        {
+            published.noteContact(Clock::now());
+        }
+        void regained(Clock::duration)
+        {
+        }
+    };
+
     FollowerOptions followerOptions(replica::SharedReplica *shared)
     {
         FollowerOptions options;
@@ -326,8 +389,10 @@
     ReadPolicy m_reads;
     ConfigurationSink m_configurationSink;
     EndpointSink m_endpointSink;
+    EvacuationSink m_evacuationSink;
     Follower<ConfigurationSink> m_configurations;
     Follower<EndpointSink> m_endpoints;
+    Follower<EvacuationSink> m_evacuations;
 };
 
 } // namespace yucca::entry
--- a/src/entry/entry_metrics.cpp
+++ b/src/entry/entry_metrics.cpp
@@ -142,6 +142,8 @@
     writeSingle(out, "yucca_endpoints", "gauge", "Endpoints that are listed and live", static_cast<double>(gauges.endpoints));
     writeSingle(out, "yucca_peers", "gauge", "Routers of the failure domain that were heard lately", static_cast<double>(gauges.peers));
     writeSingle(out, "yucca_quarantined_requests", "gauge", "Requests that are kept from endpoints", static_cast<double>(gauges.quarantined));
+    writeSingle(out, "yucca_evacuated_domains", "gauge", "Failure domains that get nothing, by operators' order", static_cast<double>(gauges.evacuatedDomains));
+    writeSingle(out, "yucca_cold_endpoints", "gauge", "Endpoints that are taken for cold", static_cast<double>(gauges.coldEndpoints));
     writeSingle(out, "yucca_requests_in_flight", "gauge", "Requests in flight", static_cast<double>(gauges.inflight));
     return out;
 }
--- a/src/entry/entry_metrics.h
+++ b/src/entry/entry_metrics.h
@@ -52,6 +52,8 @@
     std::size_t endpoints = 0;
     std::size_t peers = 0; ///< routers of the failure domain that were heard lately
     int64_t inflight = 0;
+    std::size_t evacuatedDomains = 0; ///< failure domains that get nothing, by operators' order
+    std::size_t coldEndpoints = 0; ///< endpoints that are taken for cold
     std::size_t quarantined = 0; ///< requests that are kept from endpoints
     uint64_t connectionsOpened = 0; ///< to endpoints, since the start
 };
--- a/src/entry/entry_settings.cpp
+++ b/src/entry/entry_settings.cpp
@@ -1,5 +1,6 @@
 #include "entry/entry_settings.h"
 
+#include "router_core.h"
 #include "settings.h"
 #include "text.h"
 
@@ -14,6 +15,8 @@
 constexpr double longestGraceS = 600;
 constexpr double routersPerRetrySlack = 100; ///< until the routers are listed: the users' deployments have up to 84
 constexpr double longestBoundMs = 600000;
+constexpr double mostColdOvershoot = 100;
+constexpr double mostColdSlack = 1000000; ///< requests a second
 constexpr double longestRetryWindowS = 3600;
 constexpr double leastRetryReserve = 2; ///< retries: below one a router could never retry at all
 
@@ -60,6 +63,14 @@
     reader.read("loadFactor", s.loadFactor, 1.0, 100.0);
     readMillis(reader, "configurationBoundMs", s.configurationBoundMs, 1, longestBoundMs);
     readMillis(reader, "drainBoundMs", s.drainBoundMs, 1, longestBoundMs);
+    readMillis(reader, "evacuationBoundMs", s.evacuationBoundMs, 1, longestBoundMs);
+    reader.read("coldOvershoot", s.coldOvershoot, 1.0, mostColdOvershoot);
+    reader.read("coldSlack", s.coldSlack, 0.0, mostColdSlack);
+    reader.read("coldUse", s.coldUse);
+    if (!parseName(router::coldUseNames, s.coldUse)) {
+        findings.add("/coldUse", "is not a known use");
+    }
+    reader.read("regions", s.regions);
     readMillis(reader, "stopGraceS", s.stopGraceMs, 1000, longestGraceS);
     reader.finish();
     return s;
--- a/src/entry/entry_settings.h
+++ b/src/entry/entry_settings.h
@@ -5,6 +5,7 @@
 #include "findings.h"
 #include "http.h"
 #include "task.h"
+#include "yucca/regions.h"
 
 #include <nlohmann/json.hpp>
 
@@ -29,6 +30,11 @@
     double loadFactor = 2.0; ///< no engine above this multiple of its service's mean load
     int64_t configurationBoundMs = 2000; ///< a configuration must be in force this long after the store took it
     int64_t drainBoundMs = 2000; ///< an endpoint that leaves must get no work this long after the store took that
+    int64_t evacuationBoundMs = 0; ///< an evacuated failure domain must get nothing this long after the store took the order; 0: there are no such orders
+    double coldOvershoot = 1.5; ///< a cold endpoint must never get more than this multiple of what it bears in a second, plus coldSlack
+    double coldSlack = 5; ///< requests, over all routers
+    std::string coldUse = "share"; ///< when cold endpoints get requests: a name of router::coldUseNames
+    Regions regions; ///< by failure domain; empty: all are in one
     int64_t stopGraceMs = 8000; ///< from the stop signal to the kill
 };
 
--- a/src/entry/gateway.h
+++ b/src/entry/gateway.h
@@ -10,6 +10,7 @@
 #include "entry/entry_settings.h"
 #include "entry/line_budget.h"
 #include "entry/outlier_detector.h"
+#include "entry/placement_rules.h"
 #include "entry/request_profile.h"
 #include "entry/retry_policy.h"
 #include "http_client.h"
@@ -178,6 +179,7 @@
         unsigned lastStatus = 0; ///< of the last endpoint's own answer
         int64_t lastLoad = -1; ///< what the last endpoint reported of itself
         std::optional<KeptAnswer> failure;
+        std::optional<router::Obstacle> obstacle; ///< why no endpoint could take it at last
         Clock::time_point firstByte{};
     };
 
@@ -300,8 +302,9 @@
         if (quarantinedFor(flight.profile, now)) {
             break; // an endpoint has ended under it meanwhile
         }
-        const auto endpoint = m_table.acquire(flight.service, flight.profile.affinity, flight.tried, now);
+        const auto endpoint = m_table.acquire(flight.service, flight.profile.affinity, flight.tried, now, constraintsOf(flight.profile));
         if (!endpoint) {
+            flight.obstacle = m_table.obstacle(flight.service, flight.tried, now, constraintsOf(flight.profile));
             break;
         }
         const router::PlacedRequest placed(m_table, *endpoint);
@@ -322,7 +325,7 @@
         }
         flight.sendLost = flight.sendLost || stale;
         const bool mayRepeat = stale && repeatable(route) && !flight.cancellation.fired() && !quarantinedFor(flight.profile, Clock::now());
-        if (mayRepeat && takeRetry(flight.service)) {
+        if (mayRepeat && m_table.acquireAgain(*endpoint, Clock::now()) && takeRetry(flight.service)) {
             // The kept connection was closed under the request: the endpoint itself may be well.
             end = co_await attemptAt(ex, flight, *endpoint, http::Reuse::Never, stale);
         }
@@ -377,6 +380,8 @@
         why = Rejection::Quarantined;
     } else if (flight.count.arrivals > 0) {
         why = Rejection::NotExecuted;
+    } else if (flight.obstacle) {
+        why = rejectionFor(*flight.obstacle);
     }
     account(flight, RequestEnd::GivenUp, statusOf(why));
     co_await reject(ex, flight.profile.id, why, why == Rejection::Quarantined ? heldFor : std::nullopt);
--- a/src/entry/process.h
+++ b/src/entry/process.h
@@ -39,10 +39,11 @@
         : m_settings(settings)
         , m_settingsPath(std::move(settingsPath))
         , m_table(tableOptions(settings))
-        , m_published(m_table)
+        , m_published(m_table, publishedOptions(settings))
         , m_configurationReplica(C::configurationKind, rankAmongNeighbours(), m_changeClient, freshness(settings))
         , m_endpointReplica(C::endpointKind, rankAmongNeighbours(), m_changeClient, freshness(settings))
-        , m_control(store, m_published, {&m_configurationReplica, &m_endpointReplica})
+        , m_evacuationReplica(C::evacuationKind, rankAmongNeighbours(), m_changeClient, replica::freshnessWithin(Millis(settings.evacuationBoundMs)))
+        , m_control(store, m_published, {&m_configurationReplica, &m_endpointReplica, &m_evacuationReplica})
         , m_exchange(store, {settings.id, settings.failureDomain, settings.peers}, m_table)
         , m_snapshot(
               store, m_table,
@@ -61,7 +62,7 @@
                   return m_exchange.firstByName(Clock::now());
               })
         , m_gateway(GatewayParts{m_published, m_table, m_admission, m_quarantine}, gatewayOptions(settings))
-        , m_changes({&m_configurationReplica, &m_endpointReplica})
+        , m_changes(sharedReplicas(settings))
         , m_supervisor(m_controlLoop, noteFailure)
         , m_callers({&m_trafficLoop}, settings.traffic.host, settings.traffic.port,
                     [this](http::Exchange &ex) {
@@ -79,7 +80,7 @@
             return m_changes.answer(ex);
         })
     {
-        m_exchange.share({&m_configurationReplica, &m_endpointReplica});
+        m_exchange.share(sharedReplicas(settings));
         m_exchange.share(m_quarantine);
         m_quarantine.onNews = [this] {
             asio::post(m_controlLoop, [this] {
@@ -129,6 +130,18 @@
             return m_exchange.rank(now);
         };
     }
+    std::vector<replica::SharedReplica *> sharedReplicas(const Settings &s)
+    {
+        std::vector<replica::SharedReplica *> replicas{&m_configurationReplica, &m_endpointReplica};
+        if (s.evacuationBoundMs > 0) {
+            replicas.push_back(&m_evacuationReplica);
+        }
+        return replicas;
+    }
+    static PublishedOptions publishedOptions(const Settings &s)
+    {
+        return {s.evacuationBoundMs > 0, s.coldOvershoot, s.coldSlack, s.regions};
+    }
     static replica::FreshnessOptions freshness(const Settings &s)
     {
         return replica::freshnessWithin(Millis(std::min(s.configurationBoundMs, s.drainBoundMs)));
@@ -138,6 +151,7 @@
         router::TableOptions options;
         options.policy = Policy::Home;
         options.servicePolicy = Policy::LeastLoaded;
+        options.coldUse = parseName(router::coldUseNames, s.coldUse).value_or(options.coldUse);
         options.home.loadFactor = std::min(s.loadFactor, options.home.loadFactor);
         return options;
     }
@@ -167,6 +181,13 @@
                                 return m_control.followEndpoints();
                             },
                             stop});
+        if (m_settings.evacuationBoundMs > 0) {
+            m_supervisor.start({"evacuations",
+                                [this] {
+                                    return m_control.followEvacuations();
+                                },
+                                stop});
+        }
         m_supervisor.start({"store",
                             [this] {
                                 return m_control.watchStore();
@@ -294,6 +315,8 @@
         gauges.endpoints = m_published.endpointCount();
         gauges.inflight = m_callers.inflight();
         gauges.peers = m_exchange.heardPeers();
+        gauges.evacuatedDomains = m_table.evacuated().size();
+        gauges.coldEndpoints = m_table.coldCount(Clock::now());
         gauges.quarantined = m_quarantine.heldCount(Clock::now());
         std::string text = m_gateway.metricsText(gauges);
         co_await ex.reply(200, std::move(text), {}, "text/plain; version=0.0.4");
@@ -347,6 +370,7 @@
     replica::ChangeClient m_changeClient;
     replica::SharedReplica m_configurationReplica;
     replica::SharedReplica m_endpointReplica;
+    replica::SharedReplica m_evacuationReplica;
     Control<C> m_control;
     peers::LoadExchange m_exchange;
     router::PromptSnapshot m_snapshot;
--- a/src/entry/request_profile.h
+++ b/src/entry/request_profile.h
@@ -52,6 +52,7 @@
     const Route *route = nullptr;
     std::string workspace; ///< empty on public routes
     std::optional<limits::Limits> limits; ///< of the workspace
+    std::vector<std::string> regions; ///< of the workspace: whose endpoints its requests may reach; empty: any
     int priority = 5; ///< 0 is the most urgent
     Clock::time_point arrived;
     Clock::time_point deadline; ///< the caller leaves
@@ -89,9 +90,11 @@
     KeyInUse, ///< an earlier request with the key is in progress, or nobody knows its outcome
     KeyReused, ///< the key was used for something else
     Quarantined, ///< endpoints ended under requests for the same
+    Evacuated, ///< what endpoints are left are in evacuated failure domains
+    Cold, ///< what endpoints are left are cold, and bear no more requests now
 };
 
-inline constexpr NameTable<Rejection, 15> rejectionNames{{{Rejection::NotLoaded, "not_loaded"},
+inline constexpr NameTable<Rejection, 17> rejectionNames{{{Rejection::NotLoaded, "not_loaded"},
                                                           {Rejection::OutOfDate, "out_of_date"},
                                                           {Rejection::NoRoute, "no_route"},
                                                           {Rejection::UnknownKey, "unknown_key"},
@@ -105,7 +108,9 @@
                                                           {Rejection::NotRecorded, "not_recorded"},
                                                           {Rejection::KeyInUse, "key_in_use"},
                                                           {Rejection::KeyReused, "key_reused"},
-                                                          {Rejection::Quarantined, "quarantined"}}};
+                                                          {Rejection::Quarantined, "quarantined"},
+                                                          {Rejection::Evacuated, "evacuated"},
+                                                          {Rejection::Cold, "cold"}}};
 
 /// What a rejection says of the request: it certainly did not run and never
 /// will, or it may have run.
--- a/src/explain.cpp
+++ b/src/explain.cpp
@@ -38,6 +38,8 @@
     {"not_recorded", "its idempotency key could not be claimed in the store, so it was not sent"},
     {"key_in_use", "an earlier request with its idempotency key is in progress, or nobody knows whether it ran"},
     {"key_reused", "its idempotency key was used for another request"},
+    {"evacuated", "operators evacuated the failure domains of the endpoints that could have served it (DomainEvacuated names them)"},
+    {"cold", "the endpoints left had just started or come back, and what they bear was used up"},
     {"quarantined", "endpoints ended while they ran requests for the same (RequestQuarantined has its content), so it was not sent"},
 };
 
--- a/src/load_exchange.cpp
+++ b/src/load_exchange.cpp
@@ -80,6 +80,7 @@
     }
     if (++m_listings >= 2) {
         m_listedRouters = m_directory.peers().size() + m_directory.farPeers().size() + 1;
+        shareLimits();
     }
     std::set<http::Address> listed;
     for (const auto *peers : {&m_directory.peers(), &m_directory.farPeers()}) {
@@ -96,6 +97,18 @@
     co_return true;
 }
 
+// Tells the routing table who shares what cold endpoints bear.
+void LoadExchange::shareLimits()
+{
+    std::vector<std::string> others;
+    for (const auto *peers : {&m_directory.peers(), &m_directory.farPeers()}) {
+        for (const auto &peer : *peers) {
+            others.push_back(peer.id);
+        }
+    }
+    m_table.setRouters(m_self.id, others);
+}
+
 // Entries of VMs that are gone would pile up.
 Task<void> LoadExchange::forgetSilent(Clock::time_point now)
 {
--- a/src/load_exchange.h
+++ b/src/load_exchange.h
@@ -108,6 +108,7 @@
     std::vector<Peer> countersOf(uint64_t content, const std::vector<Peer> &others) const;
     std::vector<Peer> neighbours() const;
     void takeConfirmation(const replica::Confirmation &word, const Peer &from, Clock::time_point now);
+    void shareLimits();
     Task<void> forgetSilent(Clock::time_point now);
     void countHeard(Clock::time_point now);
     void complain(const std::string &peer, const std::string &why, Clock::time_point now);
--- a/src/log.cpp
+++ b/src/log.cpp
@@ -21,7 +21,7 @@
 namespace
 {
 
-constexpr std::array<EventInfo, 44> catalogue{{
+constexpr std::array<EventInfo, 46> catalogue{{
     {Event::ProgramStarted, "ProgramStarted", Level::Info},
     {Event::StopRequested, "StopRequested", Level::Info},
     {Event::ProgramStopped, "ProgramStopped", Level::Info},
@@ -59,6 +59,8 @@
     {Event::EndpointEnded, "EndpointEnded", Level::Warn},
     {Event::RequestQuarantined, "RequestQuarantined", Level::Warn},
     {Event::RequestCleared, "RequestCleared", Level::Info},
+    {Event::DomainEvacuated, "DomainEvacuated", Level::Warn},
+    {Event::DomainReturned, "DomainReturned", Level::Info},
     {Event::OrderAccepted, "OrderAccepted", Level::Info},
     {Event::OrderRefused, "OrderRefused", Level::Warn},
     {Event::Draining, "Draining", Level::Info},
--- a/src/log.h
+++ b/src/log.h
@@ -48,6 +48,8 @@
     EndpointEnded = 2045,
     RequestQuarantined = 2046,
     RequestCleared = 2047,
+    DomainEvacuated = 2048,
+    DomainReturned = 2049,
     OrderAccepted = 3001,
     OrderRefused = 3002,
     Draining = 3003,
--- a/src/router_configuration.cpp
+++ b/src/router_configuration.cpp
@@ -56,7 +56,7 @@
     }
     for (const auto &[name, workspace] : snapshot.workspaces) {
         out.workspaceOfKey[name] = out.workspaces.size();
-        out.workspaces.push_back({name, std::nullopt, workspace.limits, workspace.workClass});
+        out.workspaces.push_back({name, std::nullopt, workspace.limits, {}, workspace.workClass});
     }
     return out;
 }
--- /dev/null
+++ b/src/router_constraints.cpp
@@ -0,0 +1,217 @@
+// The routing table's part on what may take a request besides load: evacuated
+// failure domains, allowed regions, and the limit on cold endpoints.
+#include "router_core.h"
+
+#include <algorithm>
+
+namespace yucca::router
+{
+
+namespace
+{
+
+/// An incarnation that comes back to the list within this time did not start
+/// anew: the store lost its entry, or was away.
+constexpr Millis sameStart{30000};
+
+/// Of its free requests to cold endpoints, what a router keeps from requests of
+/// each rank below the first, so that they do not crowd out the urgent ones.
+constexpr double reservedARank = 0.15;
+constexpr int mostRanks = 4;
+
+} // namespace
+
+void RoutingTable::setEvacuated(std::set<std::string> domains, Clock::time_point now)
+{
+    std::lock_guard lock(m_mutex);
+    if (m_evacuated == domains) {
+        return;
+    }
+    for (const auto &e : m_endpoints) {
+        if (isEvacuated(e) && !domains.count(e.zone)) {
+            auto &until = m_health[e.id].coldUntil;
+            until = std::max<Clock::time_point>(until, now + m_coldLimiter.coldFor(e.pool));
+        }
+    }
+    m_evacuated = std::move(domains);
+    rebuild();
+}
+
+std::set<std::string> RoutingTable::evacuated() const
+{
+    std::lock_guard lock(m_mutex);
+    return m_evacuated;
+}
+
+void RoutingTable::setColdAllowances(std::map<std::string, limits::ColdAllowance> allowances)
+{
+    std::lock_guard lock(m_mutex);
+    m_coldLimiter.setAllowances(std::move(allowances));
+}
+
+void RoutingTable::setRouters(const std::string &self, const std::vector<std::string> &others)
+{
+    std::lock_guard lock(m_mutex);
+    m_coldLimiter.setRouters(self, others);
+}
+
+void RoutingTable::noteCold(const std::string &id, Clock::time_point until)
+{
+    std::lock_guard lock(m_mutex);
+    if (listed(id)) {
+        auto &held = m_health[id].coldUntil;
+        held = std::max(held, until);
+    }
+}
+
+// Takes an endpoint that joined, or does not answer, for one that has just
+// started: its own word of that comes with a heartbeat's delay, or not at all.
+void RoutingTable::presumeCold(const Endpoint &endpoint, Clock::time_point now)
+{
+    const auto coldFor = m_coldLimiter.coldFor(endpoint.pool);
+    if (coldFor > Millis(0) && !m_droppedAt.count(incarnationKey(endpoint))) {
+        auto &until = m_health[endpoint.id].coldUntil;
+        until = std::max<Clock::time_point>(until, now + coldFor);
+    }
+}
+
+void RoutingTable::forgetDropped(Clock::time_point now)
+{
+    std::erase_if(m_droppedAt, [now](const auto &entry) {
+        return now - entry.second > sameStart;
+    });
+}
+
+bool RoutingTable::isCold(const std::string &id, Clock::time_point now) const
+{
+    const auto health = m_health.find(id);
+    return health != m_health.end() && health->second.coldUntil > now;
+}
+
+std::size_t RoutingTable::coldCount(Clock::time_point now) const
+{
+    std::lock_guard lock(m_mutex);
+    return static_cast<std::size_t>(std::count_if(m_endpoints.begin(), m_endpoints.end(), [&](const Endpoint &e) {
+        return isCold(e.id, now);
+    }));
+}
+
+// Marks those of a pool's cold members usable that this router may send to now.
+// Where no other member is usable, a part is kept for more urgent requests.
+std::size_t RoutingTable::allowCold(const std::string &name, const Pool &pool, const std::vector<std::size_t> &cold, int priority, std::size_t warm,
+                                    Clock::time_point now, placement::Usable &usable)
+{
+    std::size_t free = 0;
+    std::size_t whole = 0;
+    std::vector<std::size_t> allowed;
+    for (const auto member : cold) {
+        const auto &id = pool.members[member].id;
+        const auto left = m_options.coldUse == ColdUse::Unlimited ? 1 : m_coldLimiter.available(name, id, now);
+        free += left;
+        whole += m_coldLimiter.share(name, id);
+        if (left > 0) {
+            allowed.push_back(member);
+        }
+    }
+    const auto reserved = reservedARank * std::clamp(priority, 0, mostRanks) * static_cast<double>(whole);
+    if (warm == 0 && static_cast<double>(free) <= reserved) {
+        return 0;
+    }
+    for (const auto member : allowed) {
+        usable[member] = true;
+    }
+    return allowed.size();
+}
+
+// The place of the member that a pool's policy picks.
+std::optional<std::size_t> RoutingTable::pickIn(const std::string &name, Pool &pool, const placement::Affinity &asked, const std::set<std::string> &exclude,
+                                                Clock::time_point now, const Constraints &constraints)
+{
+    placement::Affinity affinity = asked;
+    for (const auto &holder : likelyHolders(asked.conversation, now, constraints)) {
+        affinity.holders.push_back(holder.id);
+    }
+    placement::Usable usable(pool.members.size());
+    std::vector<std::size_t> cold;
+    std::size_t warm = 0;
+    for (std::size_t i = 0; i < pool.members.size(); ++i) {
+        const auto &m = pool.members[i];
+        const auto &health = m_health[m.id];
+        const bool candidate = !exclude.count(m.id) && health.suspectUntil <= now && health.ejectedUntil <= now && constraints.regions.allows(m.region);
+        if (candidate && health.coldUntil > now) {
+            cold.push_back(i);
+        } else if (candidate) {
+            usable[i] = true;
+            ++warm;
+        }
+    }
+    const bool lastResort = m_options.coldUse == ColdUse::LastResort && warm > 0;
+    if (!cold.empty() && !lastResort) {
+        allowCold(name, pool, cold, constraints.priority, warm, now, usable);
+    }
+    return std::visit(
+        [&](auto &picker) {
+            return picker.pick(affinity, usable, now);
+        },
+        pool.picker);
+}
+
+std::optional<Endpoint> RoutingTable::acquire(const std::string &pool, const placement::Affinity &affinity, const std::set<std::string> &exclude,
+                                              Clock::time_point now, const Constraints &constraints)
+{
+    std::lock_guard lock(m_mutex);
+    auto it = m_pools.find(pool);
+    const auto index = it == m_pools.end() ? std::nullopt : pickIn(pool, it->second, affinity, exclude, now, constraints);
+    if (!index) {
+        return std::nullopt;
+    }
+    std::visit(
+        [&](auto &picker) {
+            picker.placed(*index, now);
+        },
+        it->second.picker);
+    const Endpoint &chosen = it->second.members[*index];
+    ++m_health[chosen.id].inflight;
+    ++m_health[chosen.id].placed;
+    m_coldLimiter.sent(pool, chosen.id, now);
+    return chosen;
+}
+
+bool RoutingTable::acquireAgain(const Endpoint &endpoint, Clock::time_point now)
+{
+    std::lock_guard lock(m_mutex);
+    const bool limited = m_options.coldUse != ColdUse::Unlimited && isCold(endpoint.id, now);
+    if (isEvacuated(endpoint) || (limited && m_coldLimiter.available(endpoint.pool, endpoint.id, now) == 0)) {
+        return false;
+    }
+    m_coldLimiter.sent(endpoint.pool, endpoint.id, now);
+    return true;
+}
+
+Obstacle RoutingTable::obstacle(const std::string &pool, const std::set<std::string> &exclude, Clock::time_point now, const Constraints &constraints) const
+{
+    std::lock_guard lock(m_mutex);
+    bool evacuated = false;
+    bool cold = false;
+    bool elsewhere = false;
+    for (const auto &e : m_endpoints) {
+        const auto health = m_health.find(e.id);
+        const bool failed = health != m_health.end() && (health->second.suspectUntil > now || health->second.ejectedUntil > now || health->second.draining);
+        if (e.pool != pool || exclude.count(e.id) || failed) {
+            continue;
+        }
+        const bool allowed = constraints.regions.allows(e.region);
+        elsewhere = elsewhere || !allowed;
+        evacuated = evacuated || (allowed && isEvacuated(e));
+        cold = cold || (allowed && !isEvacuated(e) && isCold(e.id, now));
+    }
+    if (cold) {
+        return Obstacle::Cold;
+    }
+    if (evacuated) {
+        return Obstacle::Evacuated;
+    }
+    return elsewhere ? Obstacle::Region : Obstacle::Unusable;
+}
+
+} // namespace yucca::router
--- a/src/router_control.cpp
+++ b/src/router_control.cpp
@@ -48,7 +48,7 @@
 
 const std::vector<std::string> &Control::kinds()
 {
-    static const std::vector<std::string> followed{catalogue::workspaceKind, catalogue::classKind, platform::vmKind};
+    static const std::vector<std::string> followed{catalogue::workspaceKind, catalogue::classKind, catalogue::evacuationKind, platform::vmKind};
     return followed;
 }
 
@@ -105,6 +105,7 @@
 {
     auto snapshot = m_view.publish();
     m_published.put(configurationOf(*snapshot, m_settings));
+    m_published.replaceEvacuated(snapshot->evacuated());
     m_published.replaceEndpoints(snapshot->endpoints);
     {
         std::lock_guard lock(m_mutex);
--- a/src/router_core.cpp
+++ b/src/router_core.cpp
@@ -68,6 +68,12 @@
         }
         it = !listed && it->second.inflight == 0 ? m_health.erase(it) : std::next(it);
     }
+    for (const auto &e : m_endpoints) {
+        if (!contains(live, e.id)) {
+            m_droppedAt[incarnationKey(e)] = now;
+        }
+    }
+    forgetDropped(now);
     std::set<std::string> restarted;
     for (const auto &e : live) {
         const auto before = findById(m_endpoints, e.id);
@@ -78,6 +84,7 @@
         }
         if (!m_endpoints.empty() && (!before || restarted.count(e.id))) {
             m_health[e.id].joinedAt = now;
+            presumeCold(e, now);
         }
     }
     m_endpoints = std::move(live);
@@ -148,6 +155,9 @@
     const Millis pause = m_options.suspectFor * (1 << std::min(health.failures, mostDoublings));
     ++health.failures;
     health.suspectUntil = now + std::min(pause, m_options.suspectForMost);
+    if (const auto *endpoint = listed(id)) {
+        presumeCold(*endpoint, now); // it may be starting again under its id
+    }
 }
 
 void RoutingTable::eject(const std::string &id, Clock::time_point until)
@@ -200,7 +210,7 @@
     m_poolNames.clear();
     for (const auto &e : m_endpoints) {
         m_poolNames[e.id] = e.pool;
-        if (m_health[e.id].draining) {
+        if (m_health[e.id].draining || isEvacuated(e)) {
             continue;
         }
         auto it = m_pools.find(e.pool);
@@ -212,6 +222,10 @@
         }
         it->second.members.push_back(e);
     }
+    std::map<std::string, std::size_t> idle; // by pool
+    for (const auto &e : m_endpoints) {
+        idle[e.pool] += isEvacuated(e) ? 1 : 0;
+    }
     for (auto it = m_pools.begin(); it != m_pools.end();) {
         std::vector<std::string> ids;
         for (const auto &m : it->second.members) {
@@ -231,52 +245,15 @@
                     picker.setMembers(kept); // forgets the others
                 }
                 picker.setMembers(ids);
+                if constexpr (requires { picker.setIdle(std::size_t{}); }) {
+                    picker.setIdle(idle[it->first]);
+                }
             },
             it->second.picker);
         ++it;
     }
 }
 
-// The place of the member that a pool's policy picks.
-std::optional<std::size_t> RoutingTable::pickIn(Pool &pool, const placement::Affinity &asked, const std::set<std::string> &exclude, Clock::time_point now)
-{
-    placement::Affinity affinity = asked;
-    for (const auto &holder : likelyHolders(asked.conversation, now)) {
-        affinity.holders.push_back(holder.id);
-    }
-    placement::Usable usable;
-    usable.reserve(pool.members.size());
-    for (const auto &m : pool.members) {
-        const auto &health = m_health[m.id];
-        usable.push_back(!exclude.count(m.id) && health.suspectUntil <= now && health.ejectedUntil <= now);
-    }
-    return std::visit(
-        [&](auto &picker) {
-            return picker.pick(affinity, usable, now);
-        },
-        pool.picker);
-}
-
-std::optional<Endpoint> RoutingTable::acquire(const std::string &pool, const placement::Affinity &affinity, const std::set<std::string> &exclude,
-                                              Clock::time_point now)
-{
-    std::lock_guard lock(m_mutex);
-    auto it = m_pools.find(pool);
-    const auto index = it == m_pools.end() ? std::nullopt : pickIn(it->second, affinity, exclude, now);
-    if (!index) {
-        return std::nullopt;
-    }
-    std::visit(
-        [&](auto &picker) {
-            picker.placed(*index, now);
-        },
-        it->second.picker);
-    const Endpoint &chosen = it->second.members[*index];
-    ++m_health[chosen.id].inflight;
-    ++m_health[chosen.id].placed;
-    return chosen;
-}
-
 bool RoutingTable::suspected(const std::string &id, Clock::time_point now) const
 {
     const auto health = m_health.find(id);
--- a/src/router_core.h
+++ b/src/router_core.h
@@ -2,10 +2,12 @@
 // requests on them, and which endpoints are out of use for now.
 #pragma once
 
+#include "cold_limit.h"
 #include "load_digest.h"
 #include "prompt_holders.h"
 #include "task.h"
 #include "yucca/placement.h"
+#include "yucca/regions.h"
 #include "yucca/types.h"
 
 #include <nlohmann/json.hpp>
@@ -22,6 +24,29 @@
 namespace yucca::router
 {
 
+/// What besides load bears on where a request may go.
+struct Constraints {
+    int priority = 0; ///< 0 is the most urgent
+    RegionConstraint regions;
+};
+
+/// Why no endpoint of a pool can take a request.
+enum class Obstacle {
+    Unusable, ///< none is listed, or all have failed lately
+    Evacuated, ///< all that are left are in evacuated failure domains
+    Cold, ///< all that are left are cold, and this router's share of what they bear is used up
+    Region, ///< none is in a region that the request may go to
+};
+
+/// When endpoints that are cold get requests.
+enum class ColdUse {
+    Unlimited, ///< as if they were not
+    LastResort, ///< within the limit, while no other endpoint is usable
+    Share, ///< within the limit
+};
+
+inline constexpr NameTable<ColdUse, 3> coldUseNames{{{ColdUse::Unlimited, "unlimited"}, {ColdUse::LastResort, "last_resort"}, {ColdUse::Share, "share"}}};
+
 /// How the table places requests.
 struct TableOptions {
     Policy policy = Policy::Affinity;
@@ -31,6 +56,7 @@
     int virtualNodes = 64; ///< of Policy::Bounded
     Millis suspectFor{500}; ///< an endpoint is passed by after its first failed connection; doubled by each next
     Millis suspectForMost{8000};
+    ColdUse coldUse = ColdUse::Share;
 };
 
 /// How an endpoint stands that work was sent to.
@@ -77,7 +103,26 @@
 
     /// Picks an endpoint of a pool, skipping those in exclude, and counts
     /// one request in flight on it.
-    std::optional<Endpoint> acquire(const std::string &pool, const placement::Affinity &affinity, const std::set<std::string> &exclude, Clock::time_point now);
+    std::optional<Endpoint> acquire(const std::string &pool, const placement::Affinity &affinity, const std::set<std::string> &exclude, Clock::time_point now,
+                                    const Constraints &constraints = {});
+    /// Counts one more send to an endpoint that was acquired; false when it must get none now.
+    bool acquireAgain(const Endpoint &endpoint, Clock::time_point now);
+    /// Why acquire() finds no endpoint of a pool.
+    Obstacle obstacle(const std::string &pool, const std::set<std::string> &exclude, Clock::time_point now, const Constraints &constraints = {}) const;
+
+    /// Replaces the failure domains whose endpoints get nothing more. Those of
+    /// a domain that is no longer among them are taken for cold.
+    void setEvacuated(std::set<std::string> domains, Clock::time_point now);
+    std::set<std::string> evacuated() const;
+    /// Puts the services' limits on requests to cold endpoints in force.
+    void setColdAllowances(std::map<std::string, limits::ColdAllowance> allowances);
+    /// Replaces the routers that share these limits; self is this one's id.
+    void setRouters(const std::string &self, const std::vector<std::string> &others);
+    /// An endpoint is cold until a moment.
+    void noteCold(const std::string &id, Clock::time_point until);
+    /// The number of listed endpoints that are taken for cold.
+    std::size_t coldCount(Clock::time_point now) const;
+
     /// Notes that an endpoint took a prompt: it likely holds it from now on.
     void tookPrompt(uint64_t prompt, const Endpoint &endpoint, Clock::time_point now);
     /// The same as another router tells it.
@@ -88,7 +133,7 @@
     /// The prompts that endpoints likely hold, the last noted first.
     std::vector<peers::PromptNews> knownPrompts(std::size_t most, Clock::time_point now) const;
     /// Whether an endpoint likely holds a prompt, and who else does.
-    PromptBelief beliefOf(uint64_t prompt, const Endpoint &taker, Clock::time_point now) const;
+    PromptBelief beliefOf(uint64_t prompt, const Endpoint &taker, Clock::time_point now, const Constraints &constraints = {}) const;
     /// The home of a prompt, whatever its load: the first in its rendezvous order.
     std::optional<Endpoint> homeOf(const std::string &pool, uint64_t prompt) const;
     /// An endpoint that is listed and answers, as far as known; also one that is leaving.
@@ -121,19 +166,30 @@
         int failures = 0; ///< connections failed in a row
         Clock::time_point suspectUntil{};
         Clock::time_point ejectedUntil{};
+        Clock::time_point coldUntil{};
         int64_t inflight = 0;
         int64_t placed = 0;
         int64_t heardLoad = 0; ///< of its last report to this router
         Clock::time_point heardAt{};
     };
     Picker makePicker(EndpointKind kind) const;
-    std::optional<std::size_t> pickIn(Pool &pool, const placement::Affinity &asked, const std::set<std::string> &exclude, Clock::time_point now);
+    std::optional<std::size_t> pickIn(const std::string &name, Pool &pool, const placement::Affinity &asked, const std::set<std::string> &exclude,
+                                      Clock::time_point now, const Constraints &constraints);
+    std::size_t allowCold(const std::string &name, const Pool &pool, const std::vector<std::size_t> &cold, int priority, std::size_t warm,
+                          Clock::time_point now, placement::Usable &usable);
+    bool isCold(const std::string &id, Clock::time_point now) const;
+    bool isEvacuated(const Endpoint &endpoint) const
+    {
+        return m_evacuated.count(endpoint.zone) > 0;
+    }
+    void presumeCold(const Endpoint &endpoint, Clock::time_point now);
+    void forgetDropped(Clock::time_point now);
     void rebuild(const std::set<std::string> &restarted = {});
     const Endpoint *listed(const std::string &id) const;
     bool isListed(const Endpoint &endpoint) const;
     bool superseded(const Endpoint &endpoint) const;
-    const Endpoint *firstInOrder(const std::string &pool, uint64_t prompt, const std::string &except) const;
-    std::vector<Endpoint> likelyHolders(uint64_t prompt, Clock::time_point now) const;
+    const Endpoint *firstInOrder(const std::string &pool, uint64_t prompt, const std::string &except, const Constraints &constraints) const;
+    std::vector<Endpoint> likelyHolders(uint64_t prompt, Clock::time_point now, const Constraints &constraints) const;
     bool suspected(const std::string &id, Clock::time_point now) const;
     Pool *poolOf(const std::string &id, std::size_t &member);
     void passOn(const std::string &id, int64_t load, Clock::time_point heardAt);
@@ -148,6 +204,9 @@
     PromptHolders m_holders;
     std::deque<peers::PromptNews> m_promptNews; ///< not yet told, the oldest first
     uint64_t m_restarts = 0;
+    std::set<std::string> m_evacuated; ///< failure domains
+    limits::ColdLimiter m_coldLimiter;
+    std::map<std::string, Clock::time_point> m_droppedAt; ///< by incarnation: when it was last listed
 };
 
 /// Holds one acquired endpoint and releases it at the end of its scope.
--- a/src/router_prompts.cpp
+++ b/src/router_prompts.cpp
@@ -62,12 +62,12 @@
 
 // The first in a prompt's order, also among those that are leaving: they
 // still hold what they read.
-const Endpoint *RoutingTable::firstInOrder(const std::string &pool, uint64_t prompt, const std::string &except) const
+const Endpoint *RoutingTable::firstInOrder(const std::string &pool, uint64_t prompt, const std::string &except, const Constraints &constraints) const
 {
     FirstOf first(prompt, except);
     for (const auto *list : {&m_endpoints, &m_leaving}) {
         for (const auto &endpoint : *list) {
-            if (endpoint.pool == pool) {
+            if (endpoint.pool == pool && !isEvacuated(endpoint) && constraints.regions.allows(endpoint.region)) {
                 first.offer(endpoint);
             }
         }
@@ -127,19 +127,19 @@
 
 // Those of the endpoints that took a prompt that still are what they were
 // then, the last one first.
-std::vector<Endpoint> RoutingTable::likelyHolders(uint64_t prompt, Clock::time_point now) const
+std::vector<Endpoint> RoutingTable::likelyHolders(uint64_t prompt, Clock::time_point now, const Constraints &constraints) const
 {
     auto found = m_holders.find(prompt, now);
     std::erase_if(found, [&](const Endpoint &e) {
-        return !isListed(e) || suspected(e.id, now);
+        return !isListed(e) || suspected(e.id, now) || isEvacuated(e) || !constraints.regions.allows(e.region);
     });
     return found;
 }
 
-PromptBelief RoutingTable::beliefOf(uint64_t prompt, const Endpoint &taker, Clock::time_point now) const
+PromptBelief RoutingTable::beliefOf(uint64_t prompt, const Endpoint &taker, Clock::time_point now, const Constraints &constraints) const
 {
     std::lock_guard lock(m_mutex);
-    const auto holders = likelyHolders(prompt, now);
+    const auto holders = likelyHolders(prompt, now, constraints);
     const bool holds = std::any_of(holders.begin(), holders.end(), [&](const Endpoint &e) {
         return e.id == taker.id;
     });
@@ -151,11 +151,11 @@
     }
     // Nothing is known of the prompt: its home has likely read it. Where the
     // taker is the home because it has just joined, the home before did.
-    const auto *home = firstInOrder(taker.pool, prompt, "");
+    const auto *home = firstInOrder(taker.pool, prompt, "", constraints);
     const auto health = m_health.find(taker.id);
     const bool joinedLately = health != m_health.end() && now - health->second.joinedAt <= newlyJoined;
     if (home && home->id == taker.id) {
-        home = joinedLately ? firstInOrder(taker.pool, prompt, taker.id) : nullptr;
+        home = joinedLately ? firstInOrder(taker.pool, prompt, taker.id, constraints) : nullptr;
     }
     return {false, home && !suspected(home->id, now) ? std::optional(*home) : std::nullopt};
 }
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -40,6 +40,25 @@
     }
 }
 
+void Reader::read(const char *key, std::map<std::string, std::string> &out)
+{
+    const auto *f = field(key);
+    if (!f) {
+        return;
+    }
+    if (!f->is_object()) {
+        m_findings.add(m_path + "/" + key, "must be an object");
+        return;
+    }
+    for (const auto &[name, value] : f->items()) {
+        if (value.is_string()) {
+            out[name] = value.get<std::string>();
+        } else {
+            m_findings.add(m_path + "/" + key + "/" + name, "must be a string");
+        }
+    }
+}
+
 void Reader::read(const char *key, bool &out)
 {
     if (auto v = field(key)) {
--- a/src/settings.h
+++ b/src/settings.h
@@ -25,6 +25,8 @@
     void read(const char *key, int64_t &out, int64_t min, int64_t max);
     void read(const char *key, double &out, double min, double max);
     void read(const char *key, uint16_t &out);
+    /// An object of strings.
+    void read(const char *key, std::map<std::string, std::string> &out);
     /// A nested object; absent keys give an empty object.
     Reader child(const char *key);
     /// Hands each object of a list to a function, then records its unknown keys.
--- /dev/null
+++ b/tests/test_constraints.cpp
@@ -0,0 +1,313 @@
+// What may take a request besides load: evacuated failure domains, allowed
+// regions, and the limit on requests to cold endpoints over all routers.
+#include "codec.h"
+#include "cold_limit.h"
+#include "entry_rig.h"
+
+// CppUTest goes last: its memory-leak macros redefine operator new.
+#include "loop_group.h"
+
+#include <algorithm>
+#include <random>
+
+using namespace yucca;
+using namespace yucca::rig;
+using limits::ColdAllowance;
+using limits::ColdLimiter;
+
+namespace
+{
+
+/// What the users' endpoints bear: 8.9 requests a second for 3 s, never over 18.35.
+const ColdAllowance allowance{Millis(3000), 8.9, 18.35};
+
+std::vector<std::string> named(const std::string &kind, std::size_t count)
+{
+    std::vector<std::string> names;
+    for (std::size_t n = 0; n < count; ++n) {
+        names.push_back(kind + std::to_string(n));
+    }
+    return names;
+}
+
+/// A router's limiter that knows these routers as its fleet.
+ColdLimiter limiterOf(const std::string &self, std::vector<std::string> fleet, const ColdAllowance &bears = allowance)
+{
+    std::erase(fleet, self);
+    ColdLimiter limiter;
+    limiter.setAllowances({{"m", bears}});
+    limiter.setRouters(self, fleet);
+    return limiter;
+}
+
+// Sends as many requests as the limiter allows at a moment.
+std::size_t sendAll(ColdLimiter &limiter, const std::string &endpoint, Clock::time_point now)
+{
+    std::size_t sent = 0;
+    while (limiter.available("m", endpoint, now) > 0) {
+        limiter.sent("m", endpoint, now);
+        ++sent;
+    }
+    return sent;
+}
+
+} // namespace
+
+TEST_GROUP(ColdLimiter)
+{
+    Clock::time_point now{std::chrono::hours(1)};
+};
+
+TEST(ColdLimiter, AllRoutersTogetherStayWithinWhatAnEndpointBears)
+{
+    for (const std::size_t size : {1, 2, 5, 9, 68, 330}) {
+        const auto fleet = named("r", size);
+        for (const auto &endpoint : named("e", 20)) {
+            std::size_t inOneSecond = 0;
+            for (const auto &self : fleet) {
+                auto limiter = limiterOf(self, fleet);
+                for (Millis at(0); at < Millis(1000); at += Millis(50)) {
+                    inOneSecond += sendAll(limiter, endpoint, now + at);
+                }
+            }
+            CHECK(inOneSecond >= 1 && static_cast<double>(inOneSecond) <= allowance.perSecond);
+        }
+    }
+}
+
+// Each router lacks another third of the fleet.
+TEST(ColdLimiter, AlsoWhereEachRouterLacksAThirdOfTheFleet)
+{
+    const auto fleet = named("r", 68);
+    for (uint32_t seed = 1; seed <= 5; ++seed) {
+        std::mt19937 random(seed);
+        for (const auto &endpoint : named("e", 60)) {
+            std::size_t inOneSecond = 0;
+            for (const auto &self : fleet) {
+                auto known = fleet;
+                std::shuffle(known.begin(), known.end(), random);
+                known.resize(fleet.size() * 2 / 3);
+                auto limiter = limiterOf(self, known);
+                inOneSecond += sendAll(limiter, endpoint, now);
+            }
+            CHECK(static_cast<double>(inOneSecond) <= allowance.mostPerSecond);
+        }
+    }
+}
+
+// Of two halves that know nothing of each other, each knows its own whole.
+TEST(ColdLimiter, TwoHalvesOfAFleetThatDoNotKnowOfEachOtherStayWithinTheBound)
+{
+    const auto fleet = named("r", 68);
+    for (const auto &endpoint : named("e", 60)) {
+        std::size_t inOneSecond = 0;
+        for (std::size_t n = 0; n < fleet.size(); ++n) {
+            std::vector<std::string> half;
+            for (std::size_t other = n % 2; other < fleet.size(); other += 2) {
+                half.push_back(fleet[other]);
+            }
+            auto limiter = limiterOf(fleet[n], half);
+            inOneSecond += sendAll(limiter, endpoint, now);
+        }
+        CHECK(static_cast<double>(inOneSecond) <= allowance.mostPerSecond);
+    }
+}
+
+TEST(ColdLimiter, ARouterThatDoesNotYetKnowTheFleetSendsNothing)
+{
+    ColdLimiter limiter;
+    limiter.setAllowances({{"m", allowance}});
+    LONGS_EQUAL(0, limiter.available("m", "e1", now));
+    limiter.setRouters("r", {});
+    CHECK(limiter.available("m", "e1", now) > 0);
+}
+
+TEST(ColdLimiter, WhatWasSentBeforeItWasKnownThatAnEndpointIsColdCounts)
+{
+    auto limiter = limiterOf("r", {"r"});
+    const auto share = limiter.share("m", "e1");
+    for (std::size_t n = 0; n < share; ++n) {
+        limiter.sent("m", "e1", now);
+    }
+    LONGS_EQUAL(0, limiter.available("m", "e1", now + Millis(900)));
+    LONGS_EQUAL(share, limiter.available("m", "e1", now + Millis(1100)));
+}
+
+TEST(ColdLimiter, SharesFollowTheAllowanceAndTheFleet)
+{
+    CHECK((limits::coldShare(allowance, 68) == limits::ColdShare{8, 1}));
+    CHECK((limits::coldShare(allowance, 3) == limits::ColdShare{3, 2}));
+    CHECK((limits::coldShare(allowance, 1) == limits::ColdShare{1, 8}));
+    CHECK((limits::coldShare({Millis(3000), 1, 6.5}, 68) == limits::ColdShare{1, 1}));
+    CHECK((limits::coldShare({Millis(3000), 20, 35}, 9) == limits::ColdShare{9, 1}));
+    CHECK((limits::coldShare({Millis(3000), 0, 1}, 9) == limits::ColdShare{0, 0}));
+}
+
+TEST_GROUP(Constraints)
+{
+    Clock::time_point now = Clock::now();
+    router::RoutingTable table{options()};
+
+    static router::TableOptions options()
+    {
+        router::TableOptions o;
+        o.policy = Policy::Home;
+        return o;
+    }
+    static Endpoint at(const std::string &id, const std::string &domain, const std::string &region = "")
+    {
+        auto e = endpointAt(id, 80, "m", EndpointKind::Engine);
+        e.zone = domain;
+        e.region = region;
+        return e;
+    }
+    // Where requests for many prompts go; empty for those that go nowhere.
+    std::set<std::string> takers(const router::Constraints &constraints = {}, int requests = 200)
+    {
+        std::set<std::string> out;
+        for (int prompt = 0; prompt < requests; ++prompt) {
+            const auto e = table.acquire("m", {uint64_t(prompt), uint64_t(prompt)}, {}, now, constraints);
+            out.insert(e ? e->id : "");
+            if (e) {
+                table.release(*e, now);
+            }
+        }
+        return out;
+    }
+};
+
+TEST(Constraints, AnEvacuatedDomainGetsNothingWhateverHoldsAPrompt)
+{
+    table.setEndpoints({at("a", "north"), at("b", "south"), at("c", "south")});
+    for (uint64_t prompt = 0; prompt < 50; ++prompt) {
+        table.tookPrompt(prompt, at("a", "north"), now);
+    }
+    table.setEvacuated({"north"}, now);
+    CHECK((takers() == std::set<std::string>{"b", "c"}));
+    table.setEndpoints({at("a", "north"), at("b", "south"), at("c", "south"), at("d", "north")});
+    CHECK((takers() == std::set<std::string>{"b", "c"})); // nor do those that join later
+    for (uint64_t prompt = 0; prompt < 50; ++prompt) {
+        const auto belief = table.beliefOf(prompt, at("b", "south"), now);
+        CHECK(!belief.source || belief.source->zone == "south"); // nothing is fetched from it
+    }
+    CHECK(!table.acquireAgain(at("a", "north"), now)); // nor sent once more
+}
+
+TEST(Constraints, WhereAllIsEvacuatedTheReasonIsTold)
+{
+    table.setEndpoints({at("a", "north"), at("b", "south")});
+    table.setEvacuated({"north", "south", "nowhere"}, now);
+    CHECK((takers() == std::set<std::string>{""}));
+    CHECK(table.obstacle("m", {}, now) == router::Obstacle::Evacuated);
+    table.setEvacuated({"north"}, now);
+    CHECK((takers() == std::set<std::string>{"b"}));
+}
+
+TEST(Constraints, ADomainThatReturnsIsTakenForCold)
+{
+    table.setColdAllowances({{"m", allowance}});
+    table.setRouters("r", {});
+    table.setEndpoints({at("a", "north"), at("b", "south")});
+    table.setEvacuated({"north"}, now);
+    LONGS_EQUAL(0, table.coldCount(now));
+    table.setEvacuated({}, now);
+    LONGS_EQUAL(1, table.coldCount(now));
+    LONGS_EQUAL(0, table.coldCount(now + allowance.coldFor));
+}
+
+TEST(Constraints, AColdEndpointGetsItsShareAndTheOthersTheRest)
+{
+    table.setColdAllowances({{"m", allowance}});
+    table.setRouters("r", {});
+    table.setEndpoints({at("a", "north"), at("b", "south")});
+    table.noteCold("a", now + Millis(2000));
+    std::map<std::string, int> taken;
+    for (uint64_t prompt = 0; prompt < 200; ++prompt) {
+        const auto e = table.acquire("m", {prompt, prompt}, {}, now);
+        ++taken[e->id];
+        table.release(*e, now);
+    }
+    CHECK(taken["a"] > 0 && taken["a"] <= allowance.perSecond);
+    LONGS_EQUAL(200, taken["a"] + taken["b"]);
+    CHECK((takers() == std::set<std::string>{"b"}));
+    now += Millis(2000);
+    CHECK((takers() == std::set<std::string>{"a", "b"}));
+}
+
+TEST(Constraints, WhereAllAreColdLessUrgentRequestsAreRefusedFirst)
+{
+    table.setColdAllowances({{"m", allowance}});
+    table.setRouters("r", {});
+    table.setEndpoints({at("a", "north"), at("b", "south")});
+    table.noteCold("a", now + Millis(2000));
+    table.noteCold("b", now + Millis(2000));
+    router::Constraints lowly;
+    lowly.priority = 2;
+    CHECK(takers(lowly).count(""));
+    CHECK(table.obstacle("m", {}, now) == router::Obstacle::Cold);
+    CHECK((!takers({}, 1).count(""))); // the urgent still find a place
+    CHECK(takers().count(""));
+}
+
+TEST(Constraints, ARefusedConnectionMakesAnEndpointSuspectOfAStart)
+{
+    table.setColdAllowances({{"m", allowance}});
+    table.setEndpoints({at("a", "north"), at("b", "south")});
+    table.suspect("a", now);
+    LONGS_EQUAL(1, table.coldCount(now));
+}
+
+TEST(Constraints, WhatJoinsIsColdAndWhatTheStoreLostForAWhileIsNot)
+{
+    table.setColdAllowances({{"m", allowance}});
+    table.setEndpoints({at("a", "north"), at("b", "south")}, now);
+    table.setEndpoints({at("b", "south"), at("c", "south")}, now); // "c" says nothing of being cold
+    LONGS_EQUAL(1, table.coldCount(now));
+    now += Millis(4000);
+    table.setEndpoints({at("a", "north"), at("b", "south"), at("c", "south")}, now);
+    LONGS_EQUAL(0, table.coldCount(now)); // the same start of "a" as before
+    auto again = at("b", "south");
+    again.born = 7;
+    table.setEndpoints({at("a", "north"), again, at("c", "south")}, now);
+    LONGS_EQUAL(1, table.coldCount(now));
+}
+
+TEST(Constraints, RoutesAndWorkspacesBindTheRegions)
+{
+    table.setEndpoints({at("a", "north", "one"), at("b", "south", "two"), at("c", "west", "")});
+    CHECK((takers() == std::set<std::string>{"a", "b", "c"}));
+    router::Constraints constraints;
+    constraints.regions.restrictTo({"one", "two"});
+    CHECK((takers(constraints) == std::set<std::string>{"a", "b"}));
+    for (uint64_t prompt = 0; prompt < 50; ++prompt) {
+        table.tookPrompt(prompt, at("a", "north", "one"), now);
+    }
+    constraints.regions.restrictTo({"two", "three"});
+    CHECK((takers(constraints) == std::set<std::string>{"b"}));
+    CHECK(!table.beliefOf(1, at("b", "south", "two"), now, constraints).source); // nor is anything fetched from elsewhere
+    constraints.regions.restrictTo({"three"});
+    CHECK((takers(constraints) == std::set<std::string>{""}));
+    CHECK(table.obstacle("m", {}, now, constraints) == router::Obstacle::Region);
+}
+
+TEST_GROUP(ConstraintsOnThePlatform){};
+
+TEST(ConstraintsOnThePlatform, TheConfigurationSaysWhatColdEndpointsBearAndWhichRegionsAreAllowed)
+{
+    auto written = entryConfiguration();
+    written["services"][1]["cold_start_s"] = 3.0;
+    written["services"][1]["cold_per_s"] = 8.9;
+    written["routes"][2]["allowed_regions"] = {"one"};
+    written["tenants"][0]["allowed_regions"] = {"one", "two"};
+    Findings findings;
+    const auto configuration = platform::ObjectCodec::configuration(written, findings);
+    STRCMP_EQUAL("", findings.report().c_str());
+    CHECK(configuration->services.at("m").coldFor == Millis(3000));
+    DOUBLES_EQUAL(8.9, configuration->services.at("m").coldPerSecond, 1e-9);
+    CHECK(configuration->services.at("s").coldFor == Millis(0));
+    CHECK((configuration->routes[2].regions == std::vector<std::string>{"one"}));
+    CHECK((configuration->workspaces[0].regions == std::vector<std::string>{"one", "two"}));
+    written["routes"][2]["allowed_regions"] = {7};
+    platform::ObjectCodec::configuration(written, findings);
+    CHECK(findings.report().find("/routes/2/allowed_regions/0") != std::string::npos);
+}
--- a/tests/test_entry_state.cpp
+++ b/tests/test_entry_state.cpp
@@ -254,6 +254,12 @@
         {"{{bounds.grace_s|json}}", "7.5"},
         {"{{bounds.config_apply_ms|json}}", "4000"},
         {"{{bounds.drain_ms|json}}", "2500.5"},
+        {"{{bounds.evacuate_ms|json}}", "5000"},
+        {"{{bounds.cold_overshoot|json}}", "1.5"},
+        {"{{bounds.cold_slack|json}}", "5"},
+        {"{{@}}", "z"},
+        {"{{.}}", "r"},
+        {"{{,}}", ""},
     };
     for (const auto &[placeholder, value] : values) {
         std::size_t at = filled.find(placeholder);
@@ -269,6 +275,10 @@
     LONGS_EQUAL(7500, settings.stopGraceMs);
     LONGS_EQUAL(4000, settings.configurationBoundMs);
     LONGS_EQUAL(2500, settings.drainBoundMs);
+    LONGS_EQUAL(5000, settings.evacuationBoundMs);
+    DOUBLES_EQUAL(1.5, settings.coldOvershoot, 0);
+    DOUBLES_EQUAL(5, settings.coldSlack, 0);
+    CHECK((settings.regions == Regions{{"z", "r"}}));
     DOUBLES_EQUAL(54.5, settings.retrySlack, 0);
     DOUBLES_EQUAL(12, settings.retryWindowS, 0);
     LONGS_EQUAL(8227, settings.traffic.port);
--- /dev/null
+++ b/tests/test_evacuation.cpp
@@ -0,0 +1,329 @@
+// Operators evacuate a failure domain, and its endpoints come back cold: what
+// several routers, each on its own, let through to them.
+#include "entry_rig.h"
+
+// CppUTest goes last: its memory-leak macros redefine operator new.
+#include "loop_group.h"
+
+#include <algorithm>
+
+using namespace yucca;
+using namespace yucca::rig;
+
+namespace
+{
+
+const char *const evacuations = platform::ObjectCodec::evacuationKind;
+
+/// A router's control side over a store, with an endpoint in each of two failure domains.
+struct ControlRig {
+    ControlRig()
+    {
+        auto north = entryAt("10.0.0.1:80");
+        north["zone"] = "north";
+        auto south = entryAt("10.0.0.2:80");
+        south["zone"] = "south";
+        store.put("servers", "i-north", north, std::nullopt);
+        store.put("servers", "i-south", south, std::nullopt);
+        store.put("config", "main", entryConfiguration(), std::nullopt);
+    }
+    void start(Loop &loop)
+    {
+        CHECK(loop.run(control.stepEndpoints()));
+        Findings findings;
+        published.apply(*platform::ObjectCodec::configuration(entryConfiguration(), findings));
+    }
+    // Where requests go; empty for those that go nowhere.
+    std::set<std::string> takers()
+    {
+        std::set<std::string> out;
+        for (uint64_t prompt = 0; prompt < 50; ++prompt) {
+            const auto e = table.acquire("m", {prompt, prompt}, {}, Clock::now());
+            out.insert(e ? e->id : "");
+            if (e) {
+                table.release(*e, Clock::now());
+            }
+        }
+        return out;
+    }
+
+    store::ObjectStore store;
+    platform::LocalObjectApi api{store};
+    router::RoutingTable table{options()};
+    entry::Published published{table, {true, 1.5, 5, {}}};
+    entry::Control<platform::ObjectCodec> control{api, published};
+
+private:
+    static router::TableOptions options()
+    {
+        router::TableOptions o;
+        o.policy = Policy::Home;
+        return o;
+    }
+};
+
+} // namespace
+
+LOOP_GROUP(Evacuation);
+
+TEST(Evacuation, ARouterThatStartsSendsNothingBeforeItKnowsTheOrders)
+{
+    ControlRig rig;
+    rig.store.put(evacuations, "north", nlohmann::json::object(), std::nullopt);
+    rig.start(loop());
+    CHECK(!rig.published.ready());
+    CHECK(loop().run(rig.control.stepEvacuations()));
+    CHECK(rig.published.ready());
+    CHECK((rig.takers() == std::set<std::string>{"i-south"}));
+}
+
+TEST(Evacuation, OrdersAreFollowedTakenBackAndGivenAgain)
+{
+    ControlRig rig;
+    rig.start(loop());
+    CHECK(loop().run(rig.control.stepEvacuations()));
+    const std::set<std::string> both{"i-north", "i-south"};
+    for (int round = 0; round < 2; ++round) {
+        CHECK(rig.takers() == both);
+        rig.store.put(evacuations, "north", nlohmann::json::object(), std::nullopt);
+        CHECK(loop().run(rig.control.stepEvacuations()));
+        CHECK((rig.takers() == std::set<std::string>{"i-south"}));
+        rig.store.put(evacuations, "south", nlohmann::json::object(), std::nullopt);
+        CHECK(loop().run(rig.control.stepEvacuations()));
+        CHECK((rig.takers() == std::set<std::string>{""}));
+        rig.store.remove(evacuations, "north", std::nullopt);
+        rig.store.remove(evacuations, "south", std::nullopt);
+        CHECK(loop().run(rig.control.stepEvacuations()));
+    }
+    CHECK(rig.takers() == both);
+}
+
+TEST(Evacuation, AnOrderThatCannotBeReadIsAnOrderAndOneForAnUnknownDomainChangesNothing)
+{
+    ControlRig rig;
+    rig.store.put(evacuations, "north", nlohmann::json(), std::nullopt);
+    rig.store.put(evacuations, "nowhere", "?", std::nullopt);
+    rig.start(loop());
+    CHECK(loop().run(rig.control.stepEvacuations()));
+    CHECK((rig.takers() == std::set<std::string>{"i-south"}));
+}
+
+TEST(Evacuation, WhileTheStoreIsAwayTheLastOrdersHoldAndWhatChangedMeanwhileFollows)
+{
+    ControlRig rig;
+    rig.store.put(evacuations, "north", nlohmann::json::object(), std::nullopt);
+    rig.start(loop());
+    CHECK(loop().run(rig.control.stepEvacuations()));
+    rig.api.outage = true;
+    CHECK(!loop().run(rig.control.stepEvacuations()));
+    CHECK((rig.takers() == std::set<std::string>{"i-south"}));
+    rig.store.remove(evacuations, "north", std::nullopt);
+    rig.store.put(evacuations, "south", nlohmann::json::object(), std::nullopt);
+    rig.store.compact(); // its history is gone as well
+    rig.api.outage = false;
+    CHECK(loop().run(rig.control.stepEvacuations()));
+    CHECK(loop().run(rig.control.stepEvacuations()));
+    CHECK((rig.takers() == std::set<std::string>{"i-north"}));
+}
+
+namespace
+{
+
+Task<void> answerOk(tcp::socket &socket, const SeenRequest &request)
+{
+    co_await sendBytes(socket, signedAnswer(request.header("Yuccasaddle-Attempt-Id"), "ok"));
+}
+
+// Lists endpoints of a service, each in a failure domain, at a router.
+void listIn(EntryRig &rig, const std::string &service, const std::map<std::string, std::pair<std::string, uint16_t>> &places)
+{
+    std::map<std::string, Endpoint> listed;
+    for (const auto &[id, place] : places) {
+        auto e = endpointAt(id, place.second, service, EndpointKind::Service);
+        e.zone = place.first;
+        listed.emplace(id, e);
+    }
+    rig.published.replaceEndpoints(listed);
+}
+
+} // namespace
+
+TEST(Evacuation, KeptConnectionsAndSecondAttemptsObeyIt)
+{
+    RawEndpoint north(loop(), answerOk);
+    RawEndpoint south(loop(), [](tcp::socket &socket, const SeenRequest &) -> Task<void> {
+        resetConnection(socket);
+        co_return;
+    });
+    EntryRig rig(loop(), {});
+    listIn(rig, "s", {{"n", {"north", north.port}}, {"s", {"south", south.port}}});
+    for (int n = 0; n < 8; ++n) {
+        rig.reply("GET", "/remind/1", "before-" + std::to_string(n));
+    }
+    CHECK(!north.seen.empty());
+    const auto before = north.seen.size();
+    rig.published.setEvacuated("north", true);
+    for (int n = 0; n < 8; ++n) {
+        const auto reply = rig.reply("GET", "/remind/1", "after-" + std::to_string(n));
+        CHECK(reply.status != 200); // the other endpoint breaks all it gets
+    }
+    LONGS_EQUAL(before, north.seen.size());
+}
+
+TEST(Evacuation, AStreamInFlightEndsAsItIs)
+{
+    RawEndpoint north(loop(), [](tcp::socket &socket, const SeenRequest &request) -> Task<void> {
+        co_await sendBytes(socket, streamHead(request.header("Yuccasaddle-Attempt-Id")));
+        for (int event = 1; event <= 10; ++event) {
+            co_await sleepFor(Millis(10));
+            co_await sendBytes(socket, chunk(eventNumber(event)));
+        }
+        co_await sendBytes(socket, "0\r\n\r\n");
+    });
+    EntryRig rig(loop(), {});
+    listIn(rig, "m", {{"n", {"north", north.port}}});
+    std::optional<http::CallResult<http::Reply>> answer;
+    loop().start(rig.send("POST", "/chat/1", EntryRig::caller("c1"), "{}"), answer);
+    loop().until([&] {
+        return !north.seen.empty();
+    });
+    rig.published.setEvacuated("north", true);
+    CHECK(!rig.table.acquire("m", {1, 1}, {}, Clock::now()));
+    loop().until([&] {
+        return answer.has_value();
+    });
+    const auto *reply = std::get_if<http::Reply>(&*answer);
+    CHECK(reply && reply->status == 200 && reply->body.find("token10") != std::string::npos);
+}
+
+TEST(Evacuation, WithNothingLeftACallerIsToldAtOnceThatItDidNotRun)
+{
+    RawEndpoint north(loop(), answerOk);
+    EntryRig rig(loop(), {});
+    listIn(rig, "s", {{"n", {"north", north.port}}});
+    rig.published.setEvacuated("north", true);
+    const auto began = Clock::now();
+    const auto reply = rig.reply("POST", "/book/1", "b1");
+    CHECK(Clock::now() - began < Millis(500));
+    LONGS_EQUAL(503, reply.status);
+    STRCMP_EQUAL("evacuated", reply.body.c_str());
+    CHECK(north.seen.empty());
+    rig.published.setEvacuated("north", false);
+    LONGS_EQUAL(200, rig.reply("POST", "/book/1", "b2").status);
+}
+
+namespace
+{
+
+constexpr double coldPerSecond = 8.9;
+constexpr double boundPerSecond = coldPerSecond * 1.5 + 5;
+
+/// An endpoint that notes when requests arrive, and a fleet of routers before it.
+class ColdFleet
+{
+public:
+    ColdFleet(Loop &loop, std::size_t routers)
+        : m_loop(loop)
+        , m_cold(loop, [this](tcp::socket &socket, const SeenRequest &request) {
+            m_arrivals.push_back(Clock::now());
+            return answerOk(socket, request);
+        })
+    {
+        auto configuration = entryConfiguration(2);
+        configuration["services"][0]["cold_start_s"] = 3.0;
+        configuration["services"][0]["cold_per_s"] = coldPerSecond;
+        for (std::size_t n = 0; n < routers; ++n) {
+            m_routers.push_back(std::make_unique<EntryRig>(loop, std::map<std::string, std::pair<std::string, uint16_t>>{{"n", {"s", m_cold.port}}}));
+            m_routers.back()->configure(configuration);
+        }
+    }
+    EntryRig &operator[](std::size_t n)
+    {
+        return *m_routers[n];
+    }
+    // All routers know each other.
+    void introduce()
+    {
+        for (std::size_t n = 0; n < m_routers.size(); ++n) {
+            std::vector<std::string> others;
+            for (std::size_t other = 0; other < m_routers.size(); ++other) {
+                if (other != n) {
+                    others.push_back("r" + std::to_string(other));
+                }
+            }
+            m_routers[n]->table.setRouters("r" + std::to_string(n), others);
+        }
+    }
+    void becomeCold()
+    {
+        for (auto &router : m_routers) {
+            router->table.noteCold("n", Clock::now() + std::chrono::seconds(10));
+        }
+    }
+    // Each router gets requests one after the other for a while.
+    void load(Millis lasts)
+    {
+        std::vector<std::optional<bool>> done(m_routers.size());
+        for (std::size_t n = 0; n < m_routers.size(); ++n) {
+            m_loop.start(callUntil(*m_routers[n], "r" + std::to_string(n), Clock::now() + lasts), done[n]);
+        }
+        m_loop.until([&] {
+            return std::all_of(done.begin(), done.end(), [](const auto &d) {
+                return d.has_value();
+            });
+        });
+    }
+    std::size_t mostInOneSecond() const
+    {
+        std::size_t most = 0;
+        for (auto first = m_arrivals.begin(); first != m_arrivals.end(); ++first) {
+            const auto last = std::find_if(first, m_arrivals.end(), [&](Clock::time_point at) {
+                return at - *first >= std::chrono::seconds(1);
+            });
+            most = std::max(most, static_cast<std::size_t>(last - first));
+        }
+        return most;
+    }
+    std::size_t refused = 0;
+
+private:
+    Task<bool> callUntil(EntryRig &router, std::string name, Clock::time_point end)
+    {
+        for (int n = 0; Clock::now() < end; ++n) {
+            const auto reply = co_await router.send("POST", "/book/1", EntryRig::caller(name + "-" + std::to_string(n)), "{}");
+            const auto *answer = std::get_if<http::Reply>(&reply);
+            refused += answer && answer->status == 503 && answer->body == "cold" ? 1 : 0;
+            co_await sleepFor(Millis(5));
+        }
+        co_return true;
+    }
+
+    Loop &m_loop;
+    std::vector<Clock::time_point> m_arrivals;
+    RawEndpoint m_cold;
+    std::vector<std::unique_ptr<EntryRig>> m_routers;
+};
+
+} // namespace
+
+LOOP_GROUP(ColdEndpoint);
+
+TEST(ColdEndpoint, RoutersThatKnowEachOtherKeepTheBoundTogetherAndServeWhatItBears)
+{
+    ColdFleet fleet(loop(), 4);
+    fleet.introduce();
+    fleet.becomeCold();
+    fleet.load(Millis(2200));
+    CHECK(static_cast<double>(fleet.mostInOneSecond()) <= boundPerSecond);
+    CHECK(fleet.mostInOneSecond() >= 6); // of the 8.9 that it bears
+    CHECK(fleet.refused > 0);
+}
+
+TEST(ColdEndpoint, ARouterThatHasJustStartedSendsItNothing)
+{
+    ColdFleet fleet(loop(), 1);
+    fleet.becomeCold();
+    fleet.load(Millis(200));
+    LONGS_EQUAL(0, fleet.mostInOneSecond());
+    CHECK(fleet.refused > 0);
+}
