The soak evacuates failure domains, and its endpoints come back cold

An endpoint that starts again is cold for 2 s and ends once more has arrived than it bears: the soak counts that as a broken promise at any time, whatever is cut, killed or paused. Domains are evacuated for a while, overlapping with all else; once all is calm, an evacuated domain must get nothing from any router.

--- a/emulators/endpoint_main.cpp
+++ b/emulators/endpoint_main.cpp
@@ -31,6 +31,8 @@
     int port = options.listen.port;
     int storePort = options.store.port;
     int streams = 0;
+    int coldMs = 0;
+    char *zone = nullptr;
     int advertised = 0;
     int workMs = static_cast<int>(options.work.count());
     char *runLog = nullptr;
@@ -44,6 +46,9 @@
         {"advertise", 0, POPT_ARG_INT, &advertised, 0, "the port that callers are told, where a proxy stands before it", "PORT"},
         {"run-log", 0, POPT_ARG_STRING, &runLog, 0, "a file that gets the id of each request before it runs", "FILE"},
         {"ends-under", 0, POPT_ARG_STRING, &endsUnder, 0, "a request with this body ends the process", "BODY"},
+        {"zone", 0, POPT_ARG_STRING, &zone, 0, "its failure domain", "NAME"},
+        {"cold-ms", 0, POPT_ARG_INT, &coldMs, 0, "it is cold for so long after its start", "MS"},
+        {"cold-most", 0, POPT_ARG_INT, &options.coldMost, 0, "requests in a second that it bears while it is cold; more end the process", "N"},
         {"streams", 0, POPT_ARG_NONE, &streams, 0, "answer with event streams", nullptr},
         {"events", 0, POPT_ARG_INT, &options.events, 0, "events of a stream", "N"},
         POPT_TABLEEND,
@@ -56,6 +61,8 @@
     options.service = service ? service : options.service;
     options.listen.port = static_cast<uint16_t>(port);
     options.store.port = static_cast<uint16_t>(storePort);
+    options.zone = zone ? zone : options.zone;
+    options.coldFor = Millis(coldMs);
     options.streams = streams != 0;
     options.work = Millis(workMs);
     options.advertisedPort = static_cast<uint16_t>(advertised);
--- a/emulators/endpoint_server.cpp
+++ b/emulators/endpoint_server.cpp
@@ -32,7 +32,7 @@
     return {{"Yuccasaddle-Not-Executed", "1"}, {instanceHeader, endpoint}};
 }
 
-json entryOf(const EndpointOptions &o, bool leaving, int64_t sequence, int64_t born)
+json entryOf(const EndpointOptions &o, bool leaving, Millis coldLeft, int64_t sequence, int64_t born)
 {
     const auto port = o.advertisedPort != 0 ? o.advertisedPort : o.listen.port;
     return {{"service", o.service},
@@ -41,7 +41,7 @@
             {"version", "v1"},
             {"slots", o.slots},
             {"state", leaving ? "draining" : "ready"},
-            {"cold_remaining_ms", 0},
+            {"cold_remaining_ms", coldLeft.count()},
             {"sequence", sequence},
             {"born", born}};
 }
@@ -69,12 +69,30 @@
 Task<void> EndpointServer::heartbeat()
 {
     for (;;) {
-        const json entry = entryOf(m_options, m_leaving, ++m_sequence, m_born);
+        const json entry = entryOf(m_options, m_leaving, coldLeft(), ++m_sequence, m_born);
         co_await m_store.put("servers", m_options.id, entry, std::nullopt);
         co_await sleepFor(m_options.heartbeat);
     }
 }
 
+Millis EndpointServer::coldLeft() const
+{
+    return std::max(Millis(0), std::chrono::ceil<Millis>(m_startedAt + m_options.coldFor - Clock::now()));
+}
+
+// Requests that were held up on their way may arrive together: what is sent in
+// a second is bounded, so what has arrived since the start is as well.
+void EndpointServer::countWhileCold()
+{
+    if (coldLeft() == Millis(0)) {
+        return;
+    }
+    const auto seconds = std::chrono::ceil<std::chrono::seconds>(Clock::now() - m_startedAt).count();
+    if (++m_requestsWhileCold > m_options.coldMost * seconds) {
+        std::_Exit(endedWhileCold);
+    }
+}
+
 http::Headers EndpointServer::answerHeaders(const http::Exchange &ex) const
 {
     const std::string id = ex.header(attemptIdHeader);
@@ -98,12 +116,23 @@
     }
     const std::string expected = ex.header("Yuccasaddle-Expected-Instance");
     if (ex.path() == "/health") {
-        co_await ex.reply(m_leaving ? 503 : 200, "", notExecutedHeaders(m_options.id), "");
-    } else if (!expected.empty() && expected != m_options.id) {
+        auto headers = notExecutedHeaders(m_options.id);
+        if (coldLeft() > Millis(0)) {
+            headers.emplace_back("Yuccasaddle-Cold-Ms", std::to_string(coldLeft().count()));
+        }
+        co_await ex.reply(m_leaving ? 503 : 200, "", headers, "");
+        co_return;
+    }
+    if (!expected.empty() && expected != m_options.id) {
         co_await refuse(ex, 421);
-    } else if (ex.header(attemptIdHeader).empty()) {
+        co_return;
+    }
+    if (ex.header(attemptIdHeader).empty()) {
         co_await refuse(ex, 400);
-    } else if (m_faults.shed || m_running >= m_options.slots) {
+        co_return;
+    }
+    countWhileCold();
+    if (m_faults.shed || m_running >= m_options.slots) {
         co_await refuse(ex, 503);
     } else {
         ++m_running;
--- a/emulators/endpoint_server.h
+++ b/emulators/endpoint_server.h
@@ -27,6 +27,8 @@
     int slots = 6;
     uint16_t advertisedPort = 0; ///< that callers are told, where a proxy stands before it; 0: its own
     std::string endsUnder; ///< a request with this body ends the process in the middle of its answer; empty: none
+    Millis coldFor{0}; ///< after its start
+    int coldMost = 0; ///< requests in any second that it bears while it is cold; more of them end the process
     std::string runLog; ///< a file that gets a line with a request's id before it runs; empty: none
     Millis heartbeat{500};
     Millis linger{1500}; ///< serves on after a stop signal
@@ -34,6 +36,8 @@
 
 /// Exit code of an endpoint that a request ended.
 inline constexpr int endedUnderRequest = 70;
+/// Exit code of an endpoint that got more than it bears while it was cold.
+inline constexpr int endedWhileCold = 71;
 
 /// Faults, switched by POST /admin/faults with a JSON object of these names.
 struct EndpointFaults {
@@ -61,6 +65,8 @@
 private:
     Task<void> admin(http::Exchange &ex);
     void noteRun(const std::string &id);
+    Millis coldLeft() const;
+    void countWhileCold();
     Task<void> refuse(http::Exchange &ex, unsigned status);
     Task<void> answerCall(http::Exchange &ex);
     Task<void> answerStream(http::Exchange &ex);
@@ -72,6 +78,8 @@
     bool m_leaving = false;
     int m_running = 0;
     int64_t m_sequence = 0;
+    const Clock::time_point m_startedAt = Clock::now();
+    int m_requestsWhileCold = 0;
     int64_t m_born = std::chrono::duration_cast<Millis>(std::chrono::system_clock::now().time_since_epoch()).count(); ///< Unix ms
     std::map<std::string, int> m_runs; ///< by request id
     std::ofstream m_runLog;
--- a/emulators/soak/endings.cpp
+++ b/emulators/soak/endings.cpp
@@ -38,6 +38,8 @@
             }
             if (*code == emulators::endedUnderRequest) {
                 noteEnding();
+            } else if (*code == emulators::endedWhileCold) {
+                m_broken.push_back("endpoint " + std::to_string(n) + " got more than it bears while it was cold");
             } else {
                 m_broken.push_back("endpoint " + std::to_string(n) + " ended by itself with " + std::to_string(*code));
             }
--- a/emulators/soak/fleet.cpp
+++ b/emulators/soak/fleet.cpp
@@ -19,6 +19,9 @@
 constexpr Millis startPatience{15000};
 constexpr Millis startPatienceEach{200}; ///< on top, for each program
 constexpr std::size_t failureDomains = 3;
+constexpr double coldForS = 2.0; ///< an endpoint after a start that follows an end
+constexpr double coldPerSecond = 8;
+constexpr int coldMost = 17; ///< what the routers' settings make of it: 1.5 times as many, and 5
 
 nlohmann::json route(const char *name, const char *kind, const char *service, int attempts, bool resumable)
 {
@@ -39,7 +42,8 @@
 {
     const nlohmann::json routes{route("book", "non_idempotent", "s", 1, false), route("remind", "idempotent", "s", 2, false),
                                 route("chat", "streaming", "m", 2, true), route("once", "streaming", "m", 1, false)};
-    const nlohmann::json services{{{"name", "s"}, {"max_conns", 100}}, {{"name", "m"}, {"max_conns", 360}, {"engine", {{"slots", 64}}}}};
+    const nlohmann::json services{{{"name", "s"}, {"max_conns", 100}, {"cold_start_s", coldForS}, {"cold_per_s", coldPerSecond}},
+                                  {{"name", "m"}, {"max_conns", 360}, {"cold_start_s", coldForS}, {"cold_per_s", coldPerSecond}, {"engine", {{"slots", 64}}}}};
     const nlohmann::json workspace{{"name", "north"}, {"api_keys", {keyOf(version)}}, {"priority", 1}};
     const nlohmann::json limits{{"max_header_bytes", 16384}, {"max_body_bytes", 1048576}, {"header_timeout_ms", 3000}, {"idle_timeout_ms", 15000}};
     return {{"version", version}, {"routes", routes}, {"services", services}, {"limits", limits}, {"tenants", nlohmann::json::array({workspace})}};
@@ -111,6 +115,7 @@
     noteEnds();
     co_await checkCalm();
     co_await checkEndings();
+    co_await checkEvacuation();
     co_return true;
 }
 
@@ -127,6 +132,7 @@
                                   {"metrics", at(2)},
                                   {"peers", at(3)},
                                   {"store", at(5)},
+                                  {"evacuationBoundMs", 3000},
                                   {"stopGraceS", 4}};
     return settings.dump();
 }
@@ -168,6 +174,12 @@
                                      std::to_string(endpointPort(n, 0)),
                                      "--store-port",
                                      std::to_string(port(storePort)),
+                                     "--zone",
+                                     domainOf(n),
+                                     "--cold-ms",
+                                     std::to_string(endpoint.starts == 1 ? 0 : static_cast<int>(coldForS * 1000)),
+                                     "--cold-most",
+                                     std::to_string(coldMost),
                                      "--advertise",
                                      std::to_string(endpointPort(n, 1)),
                                      "--ends-under",
@@ -286,6 +298,7 @@
     co_await applyToEndpoint(step);
     co_await applyToStore(step);
     co_await applyToCallers(step);
+    co_await applyToOrders(step);
     --m_stepsUnderWay;
     if (disturbs) {
         --m_disturbances;
--- a/emulators/soak/fleet.h
+++ b/emulators/soak/fleet.h
@@ -72,6 +72,10 @@
     Task<void> applyToEndpoint(Step step);
     Task<void> applyToStore(Step step);
     Task<void> applyToCallers(Step step);
+    Task<void> applyToOrders(Step step);
+    Task<bool> evacuate(std::size_t domain, bool ordered);
+    Task<void> checkEvacuation();
+    std::size_t runsIn(std::size_t domain) const;
     Task<void> requestThatEnds(std::size_t router);
     Task<void> reviveEndpoints();
     Task<void> revive(std::size_t n);
@@ -110,6 +114,7 @@
     int m_version = 0; ///< of the configuration
     int m_acceptedVersion = 0;
     bool m_changing = false; ///< one change at a time, so that versions are written in their order
+    std::vector<int> m_evacuations = std::vector<int>(endpointDomains); ///< orders under way, by failure domain
     int m_stepsUnderWay = 0;
     int m_callersUnderWay = 0;
     bool m_ending = false;
--- a/emulators/soak/layout.h
+++ b/emulators/soak/layout.h
@@ -1,6 +1,7 @@
 // Where the programs of a soak listen, and what its callers say.
 #pragma once
 
+#include "soak/plan.h"
 #include "soak/promises.h"
 
 #include <string>
@@ -22,6 +23,20 @@
 inline constexpr const char *endingBody = "{\"ends\":true}";
 inline constexpr Millis endingPause{150};
 
+/// The failure domain of an endpoint, and its name.
+inline std::size_t domainNumber(std::size_t endpoint)
+{
+    return endpoint / 2 % endpointDomains;
+}
+inline std::string domainName(std::size_t domain)
+{
+    return "zone-" + std::to_string(domain);
+}
+inline std::string domainOf(std::size_t endpoint)
+{
+    return domainName(domainNumber(endpoint));
+}
+
 /// The API key of a version of the configuration; each version takes away the one before.
 inline std::string keyOf(int version)
 {
--- a/emulators/soak/plan.cpp
+++ b/emulators/soak/plan.cpp
@@ -16,6 +16,11 @@
 constexpr int longestSeriesGapMs = 900; ///< between the beginnings of a series' faults
 constexpr int shortestMs = 200;
 constexpr int longestMs = 2500;
+/// Faults drawn for the series; those after them have draws of their own, so
+/// that seeds keep the plans under which they once failed.
+constexpr std::size_t seriesFaults = 21;
+constexpr uint64_t evacuationDraws = 0x65766163;
+constexpr int longestEvacuationGapMs = 5000;
 
 // How many things a fault can strike.
 std::size_t targetsOf(Fault fault, const PlanOptions &options)
@@ -44,6 +49,22 @@
     }
 }
 
+void addEvacuations(const PlanOptions &options, std::vector<Step> &plan)
+{
+    boost::random::mt19937_64 random(options.seed ^ evacuationDraws);
+    const auto draw = [&random](int least, int most) {
+        return boost::random::uniform_int_distribution<int>(least, most)(random);
+    };
+    for (Millis at{draw(0, longestEvacuationGapMs)}; at < options.length; at += Millis(draw(0, longestEvacuationGapMs))) {
+        Step step;
+        step.at = at;
+        step.fault = Fault::DomainEvacuated;
+        step.target = static_cast<std::size_t>(draw(0, static_cast<int>(endpointDomains) - 1));
+        step.lasts = Millis(draw(shortestMs, longestMs));
+        plan.push_back(step);
+    }
+}
+
 } // namespace
 
 std::vector<Step> makePlan(const PlanOptions &options)
@@ -56,7 +77,7 @@
     for (Millis at{draw(0, longestGapMs)}; at < options.length; at += Millis(draw(0, longestGapMs))) {
         Step step;
         step.at = at;
-        step.fault = faultNames[static_cast<std::size_t>(draw(0, static_cast<int>(faultNames.size()) - 1))].first;
+        step.fault = faultNames[static_cast<std::size_t>(draw(0, static_cast<int>(seriesFaults) - 1))].first;
         for (int left = draw(1, longestSeries); left > 0 && step.at < options.length; --left) {
             step.target = static_cast<std::size_t>(draw(0, static_cast<int>(targetsOf(step.fault, options)) - 1));
             step.how = disturbanceNames[static_cast<std::size_t>(draw(1, static_cast<int>(disturbanceNames.size()) - 1))].first;
@@ -65,6 +86,7 @@
             step.at += Millis(draw(0, longestSeriesGapMs));
         }
     }
+    addEvacuations(options, plan);
     std::stable_sort(plan.begin(), plan.end(), [](const Step &a, const Step &b) {
         return a.at < b.at;
     });
--- a/emulators/soak/plan.h
+++ b/emulators/soak/plan.h
@@ -32,9 +32,10 @@
     StoreForgets, ///< its history
     ConfigurationChanges, ///< and a workspace's key with it
     RequestEndsEndpoints, ///< one request comes again and again, and ends each endpoint that runs it
+    DomainEvacuated, ///< operators order that a failure domain's endpoints get nothing, and take that back
 };
 
-inline constexpr NameTable<Fault, 21> faultNames{{{Fault::RouterKilled, "router_killed"},
+inline constexpr NameTable<Fault, 22> faultNames{{{Fault::RouterKilled, "router_killed"},
                                                   {Fault::RouterPaused, "router_paused"},
                                                   {Fault::RouterStopped, "router_stopped"},
                                                   {Fault::RouterReloads, "router_reloads"},
@@ -54,7 +55,8 @@
                                                   {Fault::StoreLosesAnswers, "store_loses_answers"},
                                                   {Fault::StoreForgets, "store_forgets"},
                                                   {Fault::ConfigurationChanges, "configuration_changes"},
-                                                  {Fault::RequestEndsEndpoints, "request_ends_endpoints"}}};
+                                                  {Fault::RequestEndsEndpoints, "request_ends_endpoints"},
+                                                  {Fault::DomainEvacuated, "domain_evacuated"}}};
 
 /// One fault of a plan.
 struct Step {
@@ -74,6 +76,9 @@
     std::size_t endpoints = 4;
 };
 
+/// Failure domains of the endpoints, each with endpoints of both services.
+inline constexpr std::size_t endpointDomains = 2;
+
 /// The same options make the same plan. Faults come in series of their kind,
 /// which overlap; steps in the order of time.
 std::vector<Step> makePlan(const PlanOptions &options);
