Endpoints of a service without a limit are not held back while they are cold

A service that states no limit, whose endpoints say that they are cold, got nothing: its share of no allowance is nothing. Cause: an endpoint was taken for cold without asking whether its service limits that. Asked where it is used and not where it is noted, as entries may be listed before the configuration.

Failing first: Constraints.ColdEndpointsOfAServiceWithoutALimitAreNotHeldBack.

--- a/src/cold_limit.cpp
+++ b/src/cold_limit.cpp
@@ -84,9 +84,7 @@
 std::size_t ColdLimiter::available(const std::string &service, const std::string &endpoint, Clock::time_point now)
 {
     auto &held = windowOf(service, endpoint);
-    while (!held.sends.empty() && now - held.sends.front() >= window) {
-        held.sends.pop_front();
-    }
+    forgetOld(held, now);
     return held.share - std::min(held.share, held.sends.size());
 }
 
@@ -97,15 +95,20 @@
 
 void ColdLimiter::sent(const std::string &service, const std::string &endpoint, Clock::time_point now)
 {
-    if (!m_allowances.count(service)) {
+    if (!limits(service)) {
         return;
     }
     auto &held = windowOf(service, endpoint);
+    forgetOld(held, now);
+    held.sends.push_back(now);
+    forgetIdle(now);
+}
+
+void ColdLimiter::forgetOld(Window &held, Clock::time_point now)
+{
     while (!held.sends.empty() && now - held.sends.front() >= window) {
         held.sends.pop_front();
     }
-    held.sends.push_back(now);
-    forgetIdle(now);
 }
 
 void ColdLimiter::forgetIdle(Clock::time_point now)
--- a/src/cold_limit.h
+++ b/src/cold_limit.h
@@ -44,6 +44,11 @@
     void setRouters(const std::string &self, const std::vector<std::string> &others);
     /// Limits by service; a service without one is not limited.
     void setAllowances(std::map<std::string, ColdAllowance> allowances);
+    /// True for a service whose cold endpoints get no more than they bear.
+    bool limits(const std::string &service) const
+    {
+        return m_allowances.count(service) > 0;
+    }
     /// How long an endpoint of a service is cold after a start; 0 where that does not matter.
     Millis coldFor(const std::string &service) const;
     /// How many requests this router may still send to a cold endpoint now.
@@ -61,6 +66,7 @@
     };
     Window &windowOf(const std::string &service, const std::string &endpoint);
     bool owns(const std::string &endpoint, std::size_t owners) const;
+    static void forgetOld(Window &window, Clock::time_point now);
     void forgetIdle(Clock::time_point now);
 
     uint64_t m_self = 0; ///< hash of the id
--- a/src/entry/entry_settings.cpp
+++ b/src/entry/entry_settings.cpp
@@ -1,6 +1,5 @@
 #include "entry/entry_settings.h"
 
-#include "router_core.h"
 #include "settings.h"
 #include "text.h"
 
@@ -66,10 +65,6 @@
     readMillis(reader, "evacuationBoundMs", s.evacuationBoundMs, 1, longestBoundMs);
     reader.read("coldOvershoot", s.coldOvershoot, 1.0, mostColdOvershoot);
     reader.read("coldSlack", s.coldSlack, 0.0, mostColdSlack);
-    reader.read("coldUse", s.coldUse);
-    if (!parseName(router::coldUseNames, s.coldUse)) {
-        findings.add("/coldUse", "is not a known use");
-    }
     reader.read("regions", s.regions);
     readMillis(reader, "stopGraceS", s.stopGraceMs, 1000, longestGraceS);
     reader.finish();
--- a/src/entry/entry_settings.h
+++ b/src/entry/entry_settings.h
@@ -33,7 +33,6 @@
     int64_t evacuationBoundMs = 0; ///< an evacuated failure domain must get nothing this long after the store took the order; 0: there are no such orders
     double coldOvershoot = 1.5; ///< a cold endpoint must never get more than this multiple of what it bears in a second, plus coldSlack
     double coldSlack = 5; ///< requests, over all routers
-    std::string coldUse = "share"; ///< when cold endpoints get requests: a name of router::coldUseNames
     Regions regions; ///< by failure domain; empty: all are in one
     int64_t stopGraceMs = 8000; ///< from the stop signal to the kill
 };
--- a/src/entry/gateway.h
+++ b/src/entry/gateway.h
@@ -163,6 +163,7 @@
     /// A request on its way through one or more attempts.
     struct Flight {
         RequestProfile profile;
+        router::Constraints constraints;
         std::string service;
         AttemptCount count;
         std::optional<idempotency::Claim> claim; ///< of its idempotency key
@@ -275,6 +276,7 @@
         co_return;
     }
     flight.service = chooseService(flight.profile);
+    flight.constraints = constraintsOf(flight.profile);
     flight.events.startAfter(flight.profile.resumeAfter);
     budgetOf(flight.service).earn(now);
     ex.onCallerGone([&flight] {
@@ -302,9 +304,9 @@
         if (quarantinedFor(flight.profile, now)) {
             break; // an endpoint has ended under it meanwhile
         }
-        const auto endpoint = m_table.acquire(flight.service, flight.profile.affinity, flight.tried, now, constraintsOf(flight.profile));
+        const auto endpoint = m_table.acquire(flight.service, flight.profile.affinity, flight.tried, now, flight.constraints);
         if (!endpoint) {
-            flight.obstacle = m_table.obstacle(flight.service, flight.tried, now, constraintsOf(flight.profile));
+            flight.obstacle = m_table.obstacle(flight.service, flight.tried, now, flight.constraints);
             break;
         }
         const router::PlacedRequest placed(m_table, *endpoint);
--- a/src/entry/gateway_place.h
+++ b/src/entry/gateway_place.h
@@ -32,8 +32,7 @@
 // What the endpoint likely holds of the prompt, and where it may fetch it from.
 template <Dialect D> router::PromptBelief Gateway<D>::beliefOf(const Flight &flight, const Endpoint &endpoint, Clock::time_point now) const
 {
-    return sharesPrompt(flight.profile.prompt) ? m_table.beliefOf(promptKey(flight.profile.prompt), endpoint, now, constraintsOf(flight.profile))
-                                               : router::PromptBelief();
+    return sharesPrompt(flight.profile.prompt) ? m_table.beliefOf(promptKey(flight.profile.prompt), endpoint, now, flight.constraints) : router::PromptBelief();
 }
 
 } // namespace yucca::entry
--- a/src/entry/process.h
+++ b/src/entry/process.h
@@ -151,7 +151,6 @@
         router::TableOptions options;
         options.policy = Policy::Home;
         options.servicePolicy = Policy::LeastLoaded;
-        options.coldUse = parseName(router::coldUseNames, s.coldUse).value_or(options.coldUse);
         options.home.loadFactor = std::min(s.loadFactor, options.home.loadFactor);
         return options;
     }
--- a/src/router_constraints.cpp
+++ b/src/router_constraints.cpp
@@ -29,8 +29,7 @@
     }
     for (const auto &e : m_endpoints) {
         if (isEvacuated(e) && !domains.count(e.zone)) {
-            auto &until = m_health[e.id].coldUntil;
-            until = std::max<Clock::time_point>(until, now + m_coldLimiter.coldFor(e.pool));
+            holdCold(e.id, now + m_coldLimiter.coldFor(e.pool));
         }
     }
     m_evacuated = std::move(domains);
@@ -59,19 +58,23 @@
 {
     std::lock_guard lock(m_mutex);
     if (listed(id)) {
-        auto &held = m_health[id].coldUntil;
-        held = std::max(held, until);
+        holdCold(id, until);
     }
 }
 
+void RoutingTable::holdCold(const std::string &id, Clock::time_point until)
+{
+    auto &held = m_health[id].coldUntil;
+    held = std::max(held, until);
+}
+
 // Takes an endpoint that joined, or does not answer, for one that has just
 // started: its own word of that comes with a heartbeat's delay, or not at all.
 void RoutingTable::presumeCold(const Endpoint &endpoint, Clock::time_point now)
 {
     const auto coldFor = m_coldLimiter.coldFor(endpoint.pool);
     if (coldFor > Millis(0) && !m_droppedAt.count(incarnationKey(endpoint))) {
-        auto &until = m_health[endpoint.id].coldUntil;
-        until = std::max<Clock::time_point>(until, now + coldFor);
+        holdCold(endpoint.id, now + coldFor);
     }
 }
 
@@ -82,17 +85,19 @@
     });
 }
 
-bool RoutingTable::isCold(const std::string &id, Clock::time_point now) const
+// Whether a service limits its cold endpoints is asked here and not when one is
+// noted: its entry may be listed before the configuration.
+bool RoutingTable::isCold(const Endpoint &endpoint, Clock::time_point now) const
 {
-    const auto health = m_health.find(id);
-    return health != m_health.end() && health->second.coldUntil > now;
+    const auto health = m_health.find(endpoint.id);
+    return health != m_health.end() && health->second.coldUntil > now && m_coldLimiter.limits(endpoint.pool);
 }
 
 std::size_t RoutingTable::coldCount(Clock::time_point now) const
 {
     std::lock_guard lock(m_mutex);
     return static_cast<std::size_t>(std::count_if(m_endpoints.begin(), m_endpoints.end(), [&](const Endpoint &e) {
-        return isCold(e.id, now);
+        return isCold(e, now);
     }));
 }
 
@@ -106,7 +111,7 @@
     std::vector<std::size_t> allowed;
     for (const auto member : cold) {
         const auto &id = pool.members[member].id;
-        const auto left = m_options.coldUse == ColdUse::Unlimited ? 1 : m_coldLimiter.available(name, id, now);
+        const auto left = m_coldLimiter.available(name, id, now);
         free += left;
         whole += m_coldLimiter.share(name, id);
         if (left > 0) {
@@ -134,19 +139,19 @@
     placement::Usable usable(pool.members.size());
     std::vector<std::size_t> cold;
     std::size_t warm = 0;
+    const bool limited = m_coldLimiter.limits(name);
     for (std::size_t i = 0; i < pool.members.size(); ++i) {
         const auto &m = pool.members[i];
         const auto &health = m_health[m.id];
         const bool candidate = !exclude.count(m.id) && health.suspectUntil <= now && health.ejectedUntil <= now && constraints.regions.allows(m.region);
-        if (candidate && health.coldUntil > now) {
+        if (candidate && limited && health.coldUntil > now) {
             cold.push_back(i);
         } else if (candidate) {
             usable[i] = true;
             ++warm;
         }
     }
-    const bool lastResort = m_options.coldUse == ColdUse::LastResort && warm > 0;
-    if (!cold.empty() && !lastResort) {
+    if (!cold.empty()) {
         allowCold(name, pool, cold, constraints.priority, warm, now, usable);
     }
     return std::visit(
@@ -180,8 +185,7 @@
 bool RoutingTable::acquireAgain(const Endpoint &endpoint, Clock::time_point now)
 {
     std::lock_guard lock(m_mutex);
-    const bool limited = m_options.coldUse != ColdUse::Unlimited && isCold(endpoint.id, now);
-    if (isEvacuated(endpoint) || (limited && m_coldLimiter.available(endpoint.pool, endpoint.id, now) == 0)) {
+    if (isEvacuated(endpoint) || (isCold(endpoint, now) && m_coldLimiter.available(endpoint.pool, endpoint.id, now) == 0)) {
         return false;
     }
     m_coldLimiter.sent(endpoint.pool, endpoint.id, now);
@@ -203,7 +207,7 @@
         const bool allowed = constraints.regions.allows(e.region);
         elsewhere = elsewhere || !allowed;
         evacuated = evacuated || (allowed && isEvacuated(e));
-        cold = cold || (allowed && !isEvacuated(e) && isCold(e.id, now));
+        cold = cold || (allowed && !isEvacuated(e) && isCold(e, now));
     }
     if (cold) {
         return Obstacle::Cold;
--- a/src/router_core.h
+++ b/src/router_core.h
@@ -38,15 +38,6 @@
     Region, ///< none is in a region that the request may go to
 };
 
-/// When endpoints that are cold get requests.
-enum class ColdUse {
-    Unlimited, ///< as if they were not
-    LastResort, ///< within the limit, while no other endpoint is usable
-    Share, ///< within the limit
-};
-
-inline constexpr NameTable<ColdUse, 3> coldUseNames{{{ColdUse::Unlimited, "unlimited"}, {ColdUse::LastResort, "last_resort"}, {ColdUse::Share, "share"}}};
-
 /// How the table places requests.
 struct TableOptions {
     Policy policy = Policy::Affinity;
@@ -56,7 +47,6 @@
     int virtualNodes = 64; ///< of Policy::Bounded
     Millis suspectFor{500}; ///< an endpoint is passed by after its first failed connection; doubled by each next
     Millis suspectForMost{8000};
-    ColdUse coldUse = ColdUse::Share;
 };
 
 /// How an endpoint stands that work was sent to.
@@ -177,11 +167,12 @@
                                       Clock::time_point now, const Constraints &constraints);
     std::size_t allowCold(const std::string &name, const Pool &pool, const std::vector<std::size_t> &cold, int priority, std::size_t warm,
                           Clock::time_point now, placement::Usable &usable);
-    bool isCold(const std::string &id, Clock::time_point now) const;
+    bool isCold(const Endpoint &endpoint, Clock::time_point now) const;
     bool isEvacuated(const Endpoint &endpoint) const
     {
         return m_evacuated.count(endpoint.zone) > 0;
     }
+    void holdCold(const std::string &id, Clock::time_point until);
     void presumeCold(const Endpoint &endpoint, Clock::time_point now);
     void forgetDropped(Clock::time_point now);
     void rebuild(const std::set<std::string> &restarted = {});
--- a/tests/test_constraints.cpp
+++ b/tests/test_constraints.cpp
@@ -234,6 +234,18 @@
     CHECK((takers() == std::set<std::string>{"a", "b"}));
 }
 
+// A service that states no limit bears its usual load also while its endpoints
+// say that they are cold.
+TEST(Constraints, ColdEndpointsOfAServiceWithoutALimitAreNotHeldBack)
+{
+    table.setEndpoints({at("a", "north"), at("b", "south")});
+    table.noteCold("a", now + Millis(2000));
+    table.noteCold("b", now + Millis(2000));
+    CHECK((takers() == std::set<std::string>{"a", "b"}));
+    CHECK(table.acquireAgain(at("a", "north"), now));
+    LONGS_EQUAL(0, table.coldCount(now));
+}
+
 TEST(Constraints, WhereAllAreColdLessUrgentRequestsAreRefusedFirst)
 {
     table.setColdAllowances({{"m", allowance}});
