--- a/src/entry/gateway.h
+++ b/src/entry/gateway.h
@@ -178,6 +178,7 @@
         router::PromptBelief belief; ///< of the prompt at the last endpoint
         std::optional<Endpoint> home; ///< of the prompt, at the last attempt
         unsigned lastStatus = 0; ///< of the last endpoint's own answer
+        AnswerHead lastHead; ///< of the last attempt; empty when nothing came back
         int64_t lastLoad = -1; ///< what the last endpoint reported of itself
         std::optional<KeptAnswer> failure;
         std::optional<router::Obstacle> obstacle; ///< why no endpoint could take it at last
@@ -319,6 +320,7 @@
         ++flight.count.sends;
         m_metrics.resumptions += flight.headSent ? 1 : 0;
         bool stale = false;
+        flight.lastHead = {};
         co_await forgetEarlier(*endpoint);
         m_attempts.insert_or_assign(&flight, *endpoint);
         AttemptEnd end = co_await attemptAt(ex, flight, *endpoint, reuseFor(flight, now), stale);
--- a/src/entry/gateway_account.h
+++ b/src/entry/gateway_account.h
@@ -61,6 +61,8 @@
             .add("content", text::hex(contentKey(flight.profile)))
             .add("endpoint", endpoint.id)
             .add("end", nameOf(attemptEndNames, end))
+            .add("status", static_cast<int64_t>(flight.lastHead.status))
+            .add("retry_after_ms", flight.lastHead.retryAfter ? flight.lastHead.retryAfter->count() : int64_t{-1})
             .add("ms", msSince(began))
             .add("events", static_cast<int64_t>(flight.events.lastId()))
             .add("again", again);
--- a/src/entry/gateway_attempt.h
+++ b/src/entry/gateway_attempt.h
@@ -119,6 +119,7 @@
         }
         head = m_dialect.readHead(response, flight.profile);
     }
+    flight.lastHead = head;
     const bool current = m_table.isCurrent(endpoint);
     if (current) {
         m_table.recovered(endpoint.id);
--- a/src/entry/request_profile.h
+++ b/src/entry/request_profile.h
@@ -170,6 +170,7 @@
     bool authentic = false; ///< the endpoint's own and unaltered: signed, not encoded
     std::optional<bool> leaving; ///< whether the endpoint says that it is about to end; absent: not told
     int64_t load = -1; ///< requests running and waiting at the endpoint; -1: not told
+    std::optional<Millis> retryAfter; ///< of a request turned away: the endpoint wants none from this router for so long
 };
 
 } // namespace yucca::entry
--- a/src/http.cpp
+++ b/src/http.cpp
@@ -18,6 +18,19 @@
     return req;
 }
 
+std::optional<Millis> backOffAskedFor(unsigned status, std::string_view retryAfter)
+{
+    constexpr double longestSeconds = 3600; // a peer's mistake must not shut it out for good
+    if (status != 429 && status != 503) {
+        return std::nullopt;
+    }
+    const auto seconds = text::number<double>(retryAfter);
+    if (!seconds || !(*seconds > 0)) {
+        return std::nullopt;
+    }
+    return std::chrono::ceil<Millis>(std::chrono::duration<double>(std::min(*seconds, longestSeconds)));
+}
+
 std::optional<Address> parseAddress(std::string_view text)
 {
     const auto colon = text.rfind(':');
--- a/src/http.h
+++ b/src/http.h
@@ -60,6 +60,11 @@
     return it == fields.end() ? std::string() : std::string(it->value());
 }
 
+/// How long a peer wants no more requests, by the status and the Retry-After
+/// header of its answer: a request turned away (429, 503) with a number of
+/// seconds, which may have a fraction. No longer than an hour.
+std::optional<Millis> backOffAskedFor(unsigned status, std::string_view retryAfter);
+
 /// A request with a JSON body and the given headers.
 Request makeRequest(std::string_view method, std::string_view target, std::string body = {}, const Headers &headers = {});
 
--- a/src/router_dialect.cpp
+++ b/src/router_dialect.cpp
@@ -142,6 +142,7 @@
     // Plain services need not repeat the id: each has a connection to itself.
     head.ownAnswer = id == profile.id || (id.empty() && profile.route->kind == entry::RequestKind::NonIdempotent);
     head.notExecuted = notExecuted(head.status, response.header("x-not-executed"));
+    head.retryAfter = http::backOffAskedFor(head.status, response.header("Retry-After"));
     head.authentic = true;
     head.load = text::number(response.header("x-engine-load")).value_or(-1);
     const std::string draining = response.header("x-engine-draining");
