--- a/tests/test_endpoint_word.cpp
+++ b/tests/test_endpoint_word.cpp
@@ -63,3 +63,16 @@
     LONGS_EQUAL(1, leaving.seen.size());
     LONGS_EQUAL(7, stays.seen.size());
 }
+
+TEST(EndpointWord, AnEndpointThatAskedForRestGetsNoRequestFromThisRouterUntilItEnds)
+{
+    bool sheds = true;
+    RawEndpoint full(loop(), sheddingWhile(sheds, "Retry-After: 30\r\n"));
+    RawEndpoint free(loop(), answering(""));
+    EntryRig rig(loop(), {{"e1", {"s", full.port}}, {"e2", {"s", free.port}}});
+    callTimes(rig, 8);
+    sheds = false;
+    callTimes(rig, 8);
+    LONGS_EQUAL(1, full.seen.size());
+    LONGS_EQUAL(16, free.seen.size());
+}
