An endpoint whose answer says that it leaves gets nothing more from this router

Cause: leaving was known from the store's entry alone. The platform's dialect did not read the header, and what the own interface's engines said was kept with the listing: an endpoint that was not listed at that moment, or dropped out of the list and came back, was taken for one that stays.

Now the word is kept by incarnation, apart from the listing (EndpointRefusals), and binds every send: first attempts, retries, streams that are resumed, second sends after a kept connection broke, endpoints that are named to fetch a prompt from, and orders. It is read off every head, also of failures, refusals and another request's late answer. A listing does not take it back; another incarnation is not bound by it. 421 goes the same way.

--- a/emulators/endpoint_server.cpp
+++ b/emulators/endpoint_server.cpp
@@ -27,9 +27,18 @@
     return "id: " + std::to_string(number) + "\ndata: token" + std::to_string(number) + "\n\n";
 }
 
-http::Headers notExecutedHeaders(const std::string &endpoint)
+// What an endpoint says of itself in all its answers.
+http::Headers withLeaving(http::Headers headers, bool leaving)
 {
-    return {{"Yuccasaddle-Not-Executed", "1"}, {instanceHeader, endpoint}};
+    if (leaving) {
+        headers.emplace_back("Server-Leaving", "1");
+    }
+    return headers;
+}
+
+http::Headers notExecutedHeaders(const std::string &endpoint, bool leaving)
+{
+    return withLeaving({{"Yuccasaddle-Not-Executed", "1"}, {instanceHeader, endpoint}}, leaving);
 }
 
 json entryOf(const EndpointOptions &o, bool leaving, Millis coldLeft, int64_t sequence, int64_t born)
@@ -96,15 +105,16 @@
 http::Headers EndpointServer::answerHeaders(const http::Exchange &ex) const
 {
     const std::string id = ex.header(attemptIdHeader);
-    return {{attemptIdHeader, id},
-            {"Yuccasaddle-Response-Signature", signatureOf(id, m_options.id)},
-            {"Yuccasaddle-Server-Load", std::to_string(m_running) + ",0," + std::to_string(m_options.slots)},
-            {"Keep-Alive", "timeout=5"}};
+    const http::Headers headers{{attemptIdHeader, id},
+                                {"Yuccasaddle-Response-Signature", signatureOf(id, m_options.id)},
+                                {"Yuccasaddle-Server-Load", std::to_string(m_running) + ",0," + std::to_string(m_options.slots)},
+                                {"Keep-Alive", "timeout=5"}};
+    return withLeaving(headers, m_leaving);
 }
 
 Task<void> EndpointServer::refuse(http::Exchange &ex, unsigned status)
 {
-    const auto headers = notExecutedHeaders(m_options.id);
+    const auto headers = notExecutedHeaders(m_options.id, m_leaving);
     co_await ex.reply(status, "", headers, "");
 }
 
@@ -116,7 +126,7 @@
     }
     const std::string expected = ex.header("Yuccasaddle-Expected-Instance");
     if (ex.path() == "/health") {
-        auto headers = notExecutedHeaders(m_options.id);
+        auto headers = notExecutedHeaders(m_options.id, m_leaving);
         if (coldLeft() > Millis(0)) {
             headers.emplace_back("Yuccasaddle-Cold-Ms", std::to_string(coldLeft().count()));
         }
--- a/emulators/engine_server.cpp
+++ b/emulators/engine_server.cpp
@@ -316,7 +316,7 @@
     }
     log::event(log::Event::OrderAccepted, "kind=" + o.kind + " fence=" + std::to_string(o.fence));
     apply(o);
-    co_await ex.reply(200, appliedOf(o.kind, std::get<uint64_t>(admitted)).dump());
+    co_await ex.reply(200, appliedOf(o.kind, std::get<uint64_t>(admitted)).dump(), answerHeaders(ex.header("x-request-id")));
 }
 
 void EngineServer::apply(const Order &order)
--- a/src/duties.cpp
+++ b/src/duties.cpp
@@ -3,6 +3,7 @@
 #include "connect_probe.h"
 #include "idempotency.h"
 #include "log.h"
+#include "router_dialect.h"
 
 #include <ctime>
 #include <random>
@@ -18,6 +19,7 @@
 constexpr int mostDeletesPerSweep = 100; ///< leaves the platform's write rate to the traffic
 constexpr Millis stopCheck{100};
 constexpr Millis orderTimeout{2000};
+constexpr std::string_view undrainOrder = "undrain"; ///< the one order that is for an engine that leaves
 constexpr Millis probeStaysOpenFor{100}; ///< a connection to a proxy whose server is gone is closed within milliseconds
 
 // An order as the engines take it. (GCC 12 cannot keep braced lists in a
@@ -39,6 +41,15 @@
     return status >= 500 ? orders::Ack::Unknown : orders::Ack::NotSent;
 }
 
+// Notes what an engine says of itself beside its answer to an order.
+void noteRefusals(router::RoutingTable &table, const Endpoint &engine, const http::Reply &reply)
+{
+    const auto leaving = router::leavingSaidIn(reply.header(router::drainingHeader));
+    if (leaving && table.noteLeaving(engine, *leaving, Clock::now())) {
+        log::Line{log::Event::Draining}.add("endpoint", engine.id).add("draining", *leaving);
+    }
+}
+
 // A record name prefix drawn at random.
 std::string randomName()
 {
@@ -171,20 +182,24 @@
     m_settledOrders = std::move(settled);
 }
 
-orders::Sender httpSender(http::Client &client, const router::Control &control, std::string holder)
+orders::Sender httpSender(http::Client &client, const router::Control &control, router::RoutingTable &table, std::string holder)
 {
-    return [&client, &control, holder](orders::Order order, uint64_t fence) -> Task<orders::Ack> {
+    return [&client, &control, &table, holder](orders::Order order, uint64_t fence) -> Task<orders::Ack> {
         const auto snapshot = control.snapshot();
         const auto it = snapshot->endpoints.find(order.engine);
         if (it == snapshot->endpoints.end()) {
             co_return orders::Ack::NotSent;
         }
+        const Endpoint engine = it->second;
+        if (table.refuses(engine) && order.kind != undrainOrder) {
+            co_return orders::Ack::NotSent;
+        }
         const nlohmann::json body = orderBody(order, fence, holder);
         http::CallOptions options;
         options.deadline = Clock::now() + orderTimeout;
         http::Address address;
-        address.host = it->second.host;
-        address.port = it->second.port;
+        address.host = engine.host;
+        address.port = engine.port;
         auto called = co_await client.call(address, http::makeRequest("POST", "/v1/orders", body.dump()), options);
         if (auto *error = std::get_if<http::CallError>(&called)) {
             if (error->stage == http::CallStage::Connect) {
@@ -193,7 +208,9 @@
             const auto probe = co_await http::probeConnection(address, orderTimeout, probeStaysOpenFor);
             co_return probe == http::Probe::Refused ? orders::Ack::EngineEnded : orders::Ack::Unknown;
         }
-        co_return ackOf(std::get<http::Reply>(called).status);
+        const auto &reply = std::get<http::Reply>(called);
+        noteRefusals(table, engine, reply);
+        co_return ackOf(reply.status);
     };
 }
 
--- a/src/duties.h
+++ b/src/duties.h
@@ -59,7 +59,8 @@
     bool m_stopping = false;
 };
 
-/// A sender that posts orders to the engines' own order calls.
-orders::Sender httpSender(http::Client &client, const router::Control &control, std::string holder);
+/// A sender that posts orders to the engines' own order calls. What engines say
+/// of themselves in their answers binds orders as it binds requests.
+orders::Sender httpSender(http::Client &client, const router::Control &control, router::RoutingTable &table, std::string holder);
 
 } // namespace yucca::duties
--- a/src/entry/gateway.h
+++ b/src/entry/gateway.h
@@ -204,6 +204,7 @@
     Task<void> attempt(http::Exchange &ex, Flight &flight);
     Task<AttemptEnd> attemptAt(http::Exchange &ex, Flight &flight, const Endpoint &endpoint, http::Reuse reuse, bool &stale);
     Task<AttemptEnd> takeAnswer(http::Exchange &ex, Flight &flight, const Endpoint &endpoint, http::Response &response);
+    void takeRefusals(const Endpoint &endpoint, const AnswerHead &head);
     Task<AttemptEnd> relayWhole(http::Exchange &ex, Flight &flight, const Endpoint &endpoint, const AnswerHead &head, http::Response &response);
     Task<AttemptEnd> relayStream(http::Exchange &ex, Flight &flight, const Endpoint &endpoint, http::Response &response);
     Task<void> giveUp(http::Exchange &ex, Flight &flight);
--- a/src/entry/gateway_attempt.h
+++ b/src/entry/gateway_attempt.h
@@ -102,12 +102,21 @@
     co_return co_await takeAnswer(ex, flight, endpoint, response);
 }
 
+// Notes what an endpoint says of itself, also beside another request's answer.
+template <Dialect D> void Gateway<D>::takeRefusals(const Endpoint &endpoint, const AnswerHead &head)
+{
+    if (head.leaving && m_table.noteLeaving(endpoint, *head.leaving, Clock::now())) {
+        log::Line{log::Event::Draining}.add("endpoint", endpoint.id).add("draining", *head.leaving);
+    }
+}
+
 // Judges the head of an answer and relays what belongs to the caller. An
 // answer to another request may stand before this one's on the connection.
 template <Dialect D> Task<AttemptEnd> Gateway<D>::takeAnswer(http::Exchange &ex, Flight &flight, const Endpoint &endpoint, http::Response &response)
 {
     constexpr int mostForeignAnswers = D::answersMayBeLate ? 3 : 0;
     AnswerHead head = m_dialect.readHead(response, flight.profile);
+    takeRefusals(endpoint, head);
     for (int foreign = 0; !head.ownAnswer && !head.notExecuted && !head.wrongInstance; ++foreign) {
         log::Line{log::Event::AnswerMismatched}.add("id", flight.profile.id).add("endpoint", endpoint.id);
         if (foreign == mostForeignAnswers) {
@@ -118,6 +127,7 @@
             co_return AttemptEnd::Broken;
         }
         head = m_dialect.readHead(response, flight.profile);
+        takeRefusals(endpoint, head);
     }
     flight.lastHead = head;
     const bool current = m_table.isCurrent(endpoint);
@@ -128,11 +138,8 @@
     if (head.load >= 0 && current) {
         m_table.reported(endpoint.id, head.load, Clock::now());
     }
-    if (head.leaving && current && m_table.setDraining(endpoint.id, *head.leaving)) {
-        log::Line{log::Event::Draining}.add("endpoint", endpoint.id).add("draining", *head.leaving);
-    }
     if (head.wrongInstance) {
-        m_table.setDraining(endpoint.id, true);
+        m_table.noteLeaving(endpoint, true, Clock::now());
         const auto watch = m_endingWatches.find(incarnationKey(endpoint));
         if (watch != m_endingWatches.end()) {
             watch->second->replaced = true;
--- a/src/router_constraints.cpp
+++ b/src/router_constraints.cpp
@@ -185,7 +185,7 @@
 bool RoutingTable::acquireAgain(const Endpoint &endpoint, Clock::time_point now)
 {
     std::lock_guard lock(m_mutex);
-    if (isEvacuated(endpoint) || (isCold(endpoint, now) && m_coldLimiter.available(endpoint.pool, endpoint.id, now) == 0)) {
+    if (m_refusals.refuses(endpoint) || isEvacuated(endpoint) || (isCold(endpoint, now) && m_coldLimiter.available(endpoint.pool, endpoint.id, now) == 0)) {
         return false;
     }
     m_coldLimiter.sent(endpoint.pool, endpoint.id, now);
@@ -200,8 +200,8 @@
     bool elsewhere = false;
     for (const auto &e : m_endpoints) {
         const auto health = m_health.find(e.id);
-        const bool failed = health != m_health.end() && (health->second.suspectUntil > now || health->second.ejectedUntil > now || health->second.draining);
-        if (e.pool != pool || exclude.count(e.id) || failed) {
+        const bool failed = health != m_health.end() && (health->second.suspectUntil > now || health->second.ejectedUntil > now);
+        if (e.pool != pool || exclude.count(e.id) || failed || m_refusals.leaving(e)) {
             continue;
         }
         const bool allowed = constraints.regions.allows(e.region);
--- a/src/router_core.cpp
+++ b/src/router_core.cpp
@@ -54,6 +54,7 @@
     auto leaving = inState(endpoints, EndpointState::Leaving);
     std::lock_guard lock(m_mutex);
     m_leaving = std::move(leaving);
+    m_refusals.forgetUnlisted(live, now);
     if (live == m_endpoints) {
         return false;
     }
@@ -62,7 +63,6 @@
     for (auto it = m_health.begin(); it != m_health.end();) {
         const bool listed = contains(live, it->first);
         if (listed && !contains(m_endpoints, it->first)) {
-            it->second.draining = false;
             it->second.failures = 0;
             it->second.suspectUntil = {};
         }
@@ -82,6 +82,9 @@
             restarted.insert(e.id);
             ++m_restarts;
         }
+        if (!before && e.born == 0) {
+            m_refusals.noteLeaving(e, false, now); // nothing else tells a new incarnation
+        }
         if (!m_endpoints.empty() && (!before || restarted.count(e.id))) {
             m_health[e.id].joinedAt = now;
             presumeCold(e, now);
@@ -131,20 +134,23 @@
     if (!listed(endpoint.id)) {
         return Standing::Unlisted;
     }
-    const auto health = m_health.find(endpoint.id);
-    const bool draining = health != m_health.end() && health->second.draining;
-    return draining || !contains(m_endpoints, endpoint.id) ? Standing::Leaving : Standing::Live;
+    return m_refusals.leaving(endpoint) || !contains(m_endpoints, endpoint.id) ? Standing::Leaving : Standing::Live;
 }
 
-bool RoutingTable::setDraining(const std::string &id, bool draining)
+bool RoutingTable::noteLeaving(const Endpoint &endpoint, bool leaving, Clock::time_point now)
 {
     std::lock_guard lock(m_mutex);
-    if (!contains(m_endpoints, id) || m_health[id].draining == draining) {
-        return false;
+    const bool news = m_refusals.noteLeaving(endpoint, leaving, now);
+    if (news) {
+        rebuild();
     }
-    m_health[id].draining = draining;
-    rebuild();
-    return true;
+    return news;
+}
+
+bool RoutingTable::refuses(const Endpoint &endpoint) const
+{
+    std::lock_guard lock(m_mutex);
+    return m_refusals.refuses(endpoint);
 }
 
 void RoutingTable::suspect(const std::string &id, Clock::time_point now)
@@ -210,7 +216,7 @@
     m_poolNames.clear();
     for (const auto &e : m_endpoints) {
         m_poolNames[e.id] = e.pool;
-        if (m_health[e.id].draining || isEvacuated(e)) {
+        if (m_refusals.leaving(e) || isEvacuated(e)) {
             continue;
         }
         auto it = m_pools.find(e.pool);
@@ -366,8 +372,12 @@
     for (const auto &e : m_endpoints) {
         auto it = m_health.find(e.id);
         const Health h = it == m_health.end() ? Health{} : it->second;
-        out.push_back(
-            {{"id", e.id}, {"pool", e.pool}, {"draining", h.draining}, {"suspect", h.suspectUntil > now}, {"inflight", h.inflight}, {"placed", h.placed}});
+        out.push_back({{"id", e.id},
+                       {"pool", e.pool},
+                       {"draining", m_refusals.leaving(e)},
+                       {"suspect", h.suspectUntil > now},
+                       {"inflight", h.inflight},
+                       {"placed", h.placed}});
     }
     return out;
 }
--- a/src/router_core.h
+++ b/src/router_core.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "cold_limit.h"
+#include "endpoint_refusals.h"
 #include "load_digest.h"
 #include "prompt_holders.h"
 #include "task.h"
@@ -73,9 +74,9 @@
     /// Replaces the endpoint set with the VM list: live endpoints join,
     /// leaving and absent ones go. Returns true when the set changed.
     bool setEndpoints(const std::vector<Endpoint> &endpoints, Clock::time_point now = Clock::now());
-    /// Notes what an endpoint says of itself: a draining one gets no new
-    /// work from now on, before the VM list shows it. True when that is news.
-    bool setDraining(const std::string &id, bool draining);
+    /// Notes what an endpoint says of itself: one that leaves gets nothing more
+    /// from now on, whatever the listing says of this incarnation. True when that is news.
+    bool noteLeaving(const Endpoint &endpoint, bool leaving, Clock::time_point now);
     /// Passes an endpoint by for a while after a failed connection.
     void suspect(const std::string &id, Clock::time_point now);
     /// Passes an endpoint by until a moment.
@@ -97,6 +98,8 @@
                                     const Constraints &constraints = {});
     /// Counts one more send to an endpoint that was acquired; false when it must get none now.
     bool acquireAgain(const Endpoint &endpoint, Clock::time_point now);
+    /// True when the endpoint's own answers forbid to send it anything now.
+    bool refuses(const Endpoint &endpoint) const;
     /// Why acquire() finds no endpoint of a pool.
     Obstacle obstacle(const std::string &pool, const std::set<std::string> &exclude, Clock::time_point now, const Constraints &constraints = {}) const;
 
@@ -151,7 +154,6 @@
     };
     /// What is known of one endpoint besides its listing.
     struct Health {
-        bool draining = false;
         Clock::time_point joinedAt{};
         int failures = 0; ///< connections failed in a row
         Clock::time_point suspectUntil{};
@@ -196,6 +198,7 @@
     std::deque<peers::PromptNews> m_promptNews; ///< not yet told, the oldest first
     uint64_t m_restarts = 0;
     std::set<std::string> m_evacuated; ///< failure domains
+    EndpointRefusals m_refusals;
     limits::ColdLimiter m_coldLimiter;
     std::map<std::string, Clock::time_point> m_droppedAt; ///< by incarnation: when it was last listed
 };
--- a/src/router_dialect.cpp
+++ b/src/router_dialect.cpp
@@ -74,6 +74,11 @@
 
 } // namespace
 
+std::optional<bool> leavingSaidIn(const std::string &header)
+{
+    return header.empty() ? std::nullopt : std::optional(header == "true");
+}
+
 std::string OwnDialect::requestId(const http::Exchange &ex) const
 {
     return ex.header("x-request-id");
@@ -145,10 +150,7 @@
     head.retryAfter = http::backOffAskedFor(head.status, response.header("Retry-After"));
     head.authentic = true;
     head.load = text::number(response.header("x-engine-load")).value_or(-1);
-    const std::string draining = response.header("x-engine-draining");
-    if (!draining.empty()) {
-        head.leaving = draining == "true";
-    }
+    head.leaving = leavingSaidIn(response.header(drainingHeader));
     return head;
 }
 
--- a/src/router_dialect.h
+++ b/src/router_dialect.h
@@ -6,6 +6,7 @@
 
 #include <atomic>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -15,6 +16,11 @@
 inline constexpr std::string_view chatPath = "/v1/chat/completions";
 inline constexpr std::string_view operationPrefix = "/v1/ops/";
 
+/// Whether an engine says that it is about to end, in a header of its answer;
+/// nothing where that is absent.
+std::optional<bool> leavingSaidIn(const std::string &header);
+inline constexpr std::string_view drainingHeader = "x-engine-draining";
+
 /// The own interface's model of entry::Dialect.
 class OwnDialect
 {
--- a/src/router_main.cpp
+++ b/src/router_main.cpp
@@ -52,7 +52,7 @@
         , m_table(tableOptions(settings))
         , m_control(settings, m_controlApi, m_table)
         , m_quarantine(quarantineOptions())
-        , m_duties(settings, m_controlApi, m_control, duties::httpSender(m_orderClient, m_control, settings.id), m_quarantine)
+        , m_duties(settings, m_controlApi, m_control, duties::httpSender(m_orderClient, m_control, m_table, settings.id), m_quarantine)
         , m_quarantineStore(
               m_controlApi, m_quarantine,
               [] {
--- a/tests/test_crashing_requests.cpp
+++ b/tests/test_crashing_requests.cpp
@@ -311,14 +311,14 @@
             return pool.reached == static_cast<std::size_t>(n + 1) || answered;
         });
         for (const auto &endpoint : rig.table.endpoints()) {
-            rig.table.setDraining(endpoint.id, true);
+            rig.table.noteLeaving(endpoint, true, Clock::now());
         }
         loop().until([&] {
             return answered.has_value();
         });
         loop().run(passed(Millis(10)));
         for (const auto &endpoint : rig.table.endpoints()) {
-            rig.table.setDraining(endpoint.id, false);
+            rig.table.noteLeaving(endpoint, false, Clock::now());
         }
     }
     LONGS_EQUAL(0, rig.quarantine.heldCount(Clock::now()));
--- a/tests/test_endpoint_word.cpp
+++ b/tests/test_endpoint_word.cpp
@@ -1,5 +1,6 @@
 // What an endpoint's answers say of itself binds every later send of the router
 // that got them: it leaves, or wants no requests for a while.
+#include "duties.h"
 #include "entry_rig.h"
 
 // CppUTest goes last: its memory-leak macros redefine operator new.
@@ -18,10 +19,10 @@
     return request.header("Yuccasaddle-Attempt-Id");
 }
 
-RawEndpoint::Script answering(const std::string &extra)
+RawEndpoint::Script answering(const std::string &extra, const std::string &status = "200 OK")
 {
     return [=](tcp::socket &socket, const SeenRequest &request) -> Task<void> {
-        co_await sendBytes(socket, signedAnswer(idOf(request), "ok", "200 OK", extra));
+        co_await sendBytes(socket, signedAnswer(idOf(request), "ok", status, extra));
     };
 }
 
@@ -45,11 +46,6 @@
     }
 }
 
-std::size_t seenAfter(const RawEndpoint &endpoint, std::size_t before)
-{
-    return endpoint.seen.size() - before;
-}
-
 } // namespace
 
 LOOP_GROUP(EndpointWord);
@@ -76,3 +72,166 @@
     LONGS_EQUAL(1, full.seen.size());
     LONGS_EQUAL(16, free.seen.size());
 }
+
+namespace
+{
+
+// Answers with a word about itself in front of another request's late answer.
+RawEndpoint::Script answeringLate(const std::string &extra)
+{
+    return [=](tcp::socket &socket, const SeenRequest &request) -> Task<void> {
+        const std::string late = signedAnswer("another", "late", "200 OK", extra);
+        co_await sendBytes(socket, late + signedAnswer(idOf(request), "ok"));
+    };
+}
+
+Endpoint engineAt(const std::string &id, int64_t born = 1)
+{
+    Endpoint e{id, "127.0.0.1", 9000, "m"};
+    e.born = born;
+    return e;
+}
+
+bool takes(router::RoutingTable &table, const std::string &id)
+{
+    for (uint64_t prompt = 0; prompt < 50; ++prompt) {
+        const auto e = table.acquire("m", {prompt, prompt}, {}, Clock::now());
+        if (e) {
+            table.release(*e, Clock::now());
+        }
+        if (e && e->id == id) {
+            return true;
+        }
+    }
+    return false;
+}
+
+router::TableOptions homes()
+{
+    router::TableOptions o;
+    o.policy = Policy::Home;
+    return o;
+}
+
+} // namespace
+
+TEST(EndpointWord, LeavingIsTakenFromAnEndpointsFailuresToo)
+{
+    RawEndpoint leaving(loop(), answering(leavingHeader, "500 Internal Server Error"));
+    RawEndpoint stays(loop(), answering(""));
+    EntryRig rig(loop(), {{"e1", {"s", leaving.port}}, {"e2", {"s", stays.port}}});
+    callTimes(rig, 8);
+    LONGS_EQUAL(1, leaving.seen.size());
+}
+
+TEST(EndpointWord, LeavingIsTakenFromAnEndpointsRefusalsToo)
+{
+    const bool sheds = true;
+    RawEndpoint leaving(loop(), sheddingWhile(sheds, leavingHeader));
+    RawEndpoint stays(loop(), answering(""));
+    EntryRig rig(loop(), {{"e1", {"s", leaving.port}}, {"e2", {"s", stays.port}}});
+    callTimes(rig, 8);
+    LONGS_EQUAL(1, leaving.seen.size());
+}
+
+TEST(EndpointWord, LeavingIsTakenFromAnotherRequestsLateAnswerToo)
+{
+    RawEndpoint leaving(loop(), answeringLate(leavingHeader));
+    RawEndpoint stays(loop(), answering(""));
+    EntryRig rig(loop(), {{"e1", {"s", leaving.port}}, {"e2", {"s", stays.port}}});
+    callTimes(rig, 8);
+    LONGS_EQUAL(1, leaving.seen.size());
+}
+
+TEST(EndpointWord, AStreamOfALeavingEndpointThatBreaksGoesOnElsewhereAndIsRelayedUntilThen)
+{
+    RawEndpoint leaving(loop(), [](tcp::socket &socket, const SeenRequest &request) -> Task<void> {
+        std::string head = streamHead(idOf(request));
+        head.insert(head.find("\r\n") + 2, leavingHeader);
+        co_await sendBytes(socket, head + chunk(eventNumber(1)) + chunk("id: 2\nda"));
+        resetConnection(socket);
+    });
+    RawEndpoint stays(loop(), [](tcp::socket &socket, const SeenRequest &request) -> Task<void> {
+        const bool resumed = request.header("Last-Event-Id") == "1";
+        const std::string first = resumed ? std::string() : chunk(eventNumber(1));
+        co_await sendBytes(socket, streamHead(idOf(request)) + first + chunk(eventNumber(2)) + "0\r\n\r\n");
+    });
+    EntryRig rig(loop(), {{"e1", {"m", leaving.port}}, {"e2", {"m", stays.port}}});
+    for (int i = 0; i < 8; ++i) {
+        const auto reply = rig.reply("POST", "/chat/1", "c" + std::to_string(i));
+        STRCMP_EQUAL((eventNumber(1) + eventNumber(2)).c_str(), reply.body.c_str());
+    }
+    LONGS_EQUAL(1, leaving.seen.size());
+}
+
+TEST(EndpointWord, WhenAllEndpointsLeaveCallersAreToldAtOnceThatNothingRan)
+{
+    RawEndpoint leaving(loop(), answering(leavingHeader));
+    EntryRig rig(loop(), {{"e1", {"s", leaving.port}}});
+    callTimes(rig, 1);
+    const auto reply = rig.reply("POST", "/remind/1", "last");
+    LONGS_EQUAL(503, reply.status);
+    CHECK(!reply.header("Retry-After").empty());
+    LONGS_EQUAL(1, leaving.seen.size());
+}
+
+TEST(EndpointWord, NoListingBringsAnIncarnationBackThatSaidItLeaves)
+{
+    router::RoutingTable table(homes());
+    const auto now = Clock::now();
+    table.setEndpoints({engineAt("a"), engineAt("b")}, now);
+    CHECK(table.noteLeaving(engineAt("a"), true, now));
+    table.setEndpoints({engineAt("b")}, now);
+    table.setEndpoints({engineAt("a"), engineAt("b")}, now + std::chrono::seconds(60));
+    CHECK(!takes(table, "a"));
+    CHECK(!table.acquireAgain(engineAt("a"), now));
+}
+
+TEST(EndpointWord, TheWordIsKeptOfAnEndpointThatIsNotListedAtThatMoment)
+{
+    router::RoutingTable table(homes());
+    const auto now = Clock::now();
+    table.setEndpoints({engineAt("b")}, now);
+    CHECK(table.noteLeaving(engineAt("a"), true, now));
+    table.setEndpoints({engineAt("a"), engineAt("b")}, now);
+    CHECK(!takes(table, "a"));
+}
+
+TEST(EndpointWord, AnIncarnationThatStartsAnewIsNotBoundByTheWordOfTheOneBefore)
+{
+    router::RoutingTable table(homes());
+    const auto now = Clock::now();
+    table.setEndpoints({engineAt("a"), engineAt("b")}, now);
+    table.noteLeaving(engineAt("a"), true, now);
+    table.setEndpoints({engineAt("a", 2), engineAt("b")}, now);
+    CHECK(takes(table, "a"));
+}
+
+TEST(EndpointWord, NoPromptIsFetchedFromAnEndpointThatSaidItLeaves)
+{
+    constexpr uint64_t prompt = 7;
+    router::RoutingTable table(homes());
+    const auto now = Clock::now();
+    table.setEndpoints({engineAt("a"), engineAt("b"), engineAt("c")}, now);
+    table.tookPrompt(prompt, engineAt("a"), now);
+    const auto before = table.beliefOf(prompt, engineAt("b"), now);
+    STRCMP_EQUAL("a", before.source ? before.source->id.c_str() : "");
+    table.noteLeaving(engineAt("a"), true, now);
+    const auto after = table.beliefOf(prompt, engineAt("b"), now);
+    CHECK(!after.source || after.source->id != "a");
+}
+
+TEST(EndpointWord, NoOrderIsSentToAnEngineThatSaysItLeavesButTheOneThatTakesThatBack)
+{
+    int orders = 0;
+    FakeEndpoint engine(loop(), [&](http::Exchange &ex) {
+        ++orders;
+        return ex.reply(200, "{}", {{"x-engine-draining", "true"}});
+    });
+    RouterRig rig(loop(), {endpointAt("e", engine.port, "p", EndpointKind::Engine)});
+    const auto send = duties::httpSender(rig.client, rig.control, rig.table, "router-1");
+    CHECK(loop().run(send({"e", "load_model", "counsel-v2", "load.1"}, 1)) == orders::Ack::Applied);
+    CHECK(loop().run(send({"e", "load_model", "counsel-v3", "load.2"}, 1)) == orders::Ack::NotSent);
+    CHECK(loop().run(send({"e", "undrain", "", "undrain.1"}, 1)) == orders::Ack::Applied);
+    LONGS_EQUAL(2, orders);
+}
--- a/tests/test_ring.cpp
+++ b/tests/test_ring.cpp
@@ -165,7 +165,7 @@
         eps.push_back({"engine-" + std::to_string(i), "127.0.0.1", static_cast<uint16_t>(9000 + i), "pool", EndpointKind::Engine, EndpointState::Live});
     }
     table.setEndpoints(eps);
-    table.setDraining("engine-2", true); // its own load report says so
+    table.noteLeaving(eps[2], true, Clock::now()); // its own load report says so
     table.setEndpoints(eps); // the lagging VM list still shows it live
     for (int k = 0; k < 2000; ++k) {
         auto ep = table.acquire("pool", keyed(std::to_string(k)), {}, Clock::now());
--- a/tests/test_router.cpp
+++ b/tests/test_router.cpp
@@ -370,7 +370,7 @@
         return ex.reply(status, "{}");
     });
     RouterRig rig(loop(), {endpointAt("e", engine.port, "p", EndpointKind::Engine)});
-    const auto send = duties::httpSender(rig.client, rig.control, "router-1");
+    const auto send = duties::httpSender(rig.client, rig.control, rig.table, "router-1");
     const auto ack = [&](unsigned answered) {
         status = answered;
         return loop().run(send({"e", "load_model", "counsel-v2", "load.1"}, 1));
