An endpoint that asked for rest gets nothing from this router until it ends

Cause: a 503 of an endpoint was taken as said of one request. Nothing kept what it asked for, and the outlier detector passed the endpoint by only after ten failures, for 1.5 s. Class: the same as of an endpoint's word that it leaves.

Now the wait is kept by endpoint (EndpointRefusals) and binds first attempts, retries, resumed streams, second sends, endpoints named to fetch from, and orders. It outlasts a listing without the endpoint and a start under its id. Where all endpoints of a service want rest a request is rejected at once, with the moment at which the first of them takes requests again; a caller that leaves before then is sent on soon, as another router may be welcome there.

Ruled out: retries alone, as each request was sent there once.

--- a/emulators/endpoint_server.cpp
+++ b/emulators/endpoint_server.cpp
@@ -118,6 +118,16 @@
     co_await ex.reply(status, "", headers, "");
 }
 
+// Refuses for want of room, and asks for rest where a test says so.
+Task<void> EndpointServer::turnAway(http::Exchange &ex)
+{
+    auto headers = notExecutedHeaders(m_options.id, m_leaving);
+    if (m_faults.restMs > 0) {
+        headers.emplace_back("Retry-After", std::to_string(m_faults.restMs / 1000.0));
+    }
+    co_await ex.reply(503, "", headers, "");
+}
+
 Task<void> EndpointServer::handle(http::Exchange &ex)
 {
     if (ex.path().rfind("/admin/", 0) == 0) {
@@ -143,7 +153,7 @@
     }
     countWhileCold();
     if (m_faults.shed || m_running >= m_options.slots) {
-        co_await refuse(ex, 503);
+        co_await turnAway(ex);
     } else {
         ++m_running;
         noteRun(ex.header(attemptIdHeader));
@@ -203,6 +213,7 @@
     m_faults = {};
     if (body.is_object()) {
         m_faults.shed = body.value("shed", false);
+        m_faults.restMs = body.value("restMs", 0);
         m_faults.loseAnswers = body.value("loseAnswers", false);
         m_faults.fail = body.value("fail", false);
         m_faults.cutAfter = body.value("cutAfter", -1);
--- a/emulators/endpoint_server.h
+++ b/emulators/endpoint_server.h
@@ -42,6 +42,7 @@
 /// Faults, switched by POST /admin/faults with a JSON object of these names.
 struct EndpointFaults {
     bool shed = false; ///< refuses every request without running it
+    int restMs = 0; ///< that it asks for with each refusal; 0: none
     bool loseAnswers = false; ///< runs requests and closes without an answer
     bool fail = false; ///< runs requests and answers 500
     int cutAfter = -1; ///< breaks off streams after this event; -1: never
@@ -68,6 +69,7 @@
     Millis coldLeft() const;
     void countWhileCold();
     Task<void> refuse(http::Exchange &ex, unsigned status);
+    Task<void> turnAway(http::Exchange &ex);
     Task<void> answerCall(http::Exchange &ex);
     Task<void> answerStream(http::Exchange &ex);
     http::Headers answerHeaders(const http::Exchange &ex) const;
--- a/src/duties.cpp
+++ b/src/duties.cpp
@@ -44,6 +44,10 @@
 // Notes what an engine says of itself beside its answer to an order.
 void noteRefusals(router::RoutingTable &table, const Endpoint &engine, const http::Reply &reply)
 {
+    const auto backOff = http::backOffAskedFor(reply.status, reply.header("Retry-After"));
+    if (backOff && table.backOff(engine, Clock::now() + *backOff)) {
+        log::Line{log::Event::EndpointBacksOff}.add("endpoint", engine.id).add("service", engine.pool).add("for_ms", backOff->count());
+    }
     const auto leaving = router::leavingSaidIn(reply.header(router::drainingHeader));
     if (leaving && table.noteLeaving(engine, *leaving, Clock::now())) {
         log::Line{log::Event::Draining}.add("endpoint", engine.id).add("draining", *leaving);
@@ -191,7 +195,9 @@
             co_return orders::Ack::NotSent;
         }
         const Endpoint engine = it->second;
-        if (table.refuses(engine) && order.kind != undrainOrder) {
+        const auto standing = table.standingOf(engine);
+        const bool leaves = standing == router::Standing::Leaving && order.kind != undrainOrder;
+        if (leaves || table.backsOff(engine, Clock::now())) {
             co_return orders::Ack::NotSent;
         }
         const nlohmann::json body = orderBody(order, fence, holder);
--- a/src/endpoint_refusals.cpp
+++ b/src/endpoint_refusals.cpp
@@ -1,5 +1,7 @@
 #include "endpoint_refusals.h"
 
+#include <algorithm>
+
 namespace yucca::router
 {
 
@@ -9,8 +11,25 @@
     return leaving ? m_leaving.insert_or_assign(key, now).second : m_leaving.erase(key) > 0;
 }
 
+bool EndpointRefusals::backOff(const std::string &id, Clock::time_point until)
+{
+    const auto [it, first] = m_backOffUntil.try_emplace(id, until);
+    const bool longer = until > it->second;
+    it->second = std::max(it->second, until);
+    return first || longer;
+}
+
+std::optional<Clock::time_point> EndpointRefusals::backsOffUntil(const std::string &id, Clock::time_point now) const
+{
+    const auto it = m_backOffUntil.find(id);
+    return it != m_backOffUntil.end() && it->second > now ? std::optional(it->second) : std::nullopt;
+}
+
 void EndpointRefusals::forgetUnlisted(const std::vector<Endpoint> &listed, Clock::time_point now)
 {
+    std::erase_if(m_backOffUntil, [now](const auto &entry) {
+        return entry.second <= now;
+    });
     if (m_leaving.empty()) {
         return;
     }
--- a/src/endpoint_refusals.h
+++ b/src/endpoint_refusals.h
@@ -6,9 +6,10 @@
 #include "task.h"
 #include "yucca/types.h"
 
-#include <functional>
 #include <map>
+#include <optional>
 #include <string>
+#include <vector>
 
 namespace yucca::router
 {
@@ -37,17 +38,23 @@
     {
         return m_leaving.count(incarnationKey(endpoint)) > 0;
     }
+    /// The endpoint wants nothing until a moment. Kept by id: one that starts
+    /// again meanwhile is given the rest of that time as well. True when that is news.
+    bool backOff(const std::string &id, Clock::time_point until);
+    /// Until when the endpoint wants nothing; nothing when it takes requests.
+    std::optional<Clock::time_point> backsOffUntil(const std::string &id, Clock::time_point now) const;
     /// True when nothing may be sent to the endpoint now.
-    bool refuses(const Endpoint &endpoint) const
+    bool refuses(const Endpoint &endpoint, Clock::time_point now) const
     {
-        return leaving(endpoint);
+        return leaving(endpoint) || backsOffUntil(endpoint.id, now);
     }
-    /// Forgets incarnations that have not been listed for long.
+    /// Forgets incarnations that have not been listed for long, and what has passed.
     void forgetUnlisted(const std::vector<Endpoint> &listed, Clock::time_point now);
 
 private:
     RefusalOptions m_options;
     std::map<std::string, Clock::time_point> m_leaving; ///< by incarnation: when it was last listed, or said so
+    std::map<std::string, Clock::time_point> m_backOffUntil; ///< by id
 };
 
 } // namespace yucca::router
--- a/src/entry/entry_metrics.cpp
+++ b/src/entry/entry_metrics.cpp
@@ -135,6 +135,7 @@
     writeSingle(out, "yucca_resumptions_total", "counter", "Streams that went on at another endpoint", static_cast<double>(resumptions));
     writeSingle(out, "yucca_replays_total", "counter", "Requests answered with a stored answer", static_cast<double>(replays));
     writeSingle(out, "yucca_ejections_total", "counter", "Endpoints passed by for failing more than the others", static_cast<double>(ejections));
+    writeSingle(out, "yucca_back_offs_total", "counter", "Times that an endpoint asked for no requests for a while", static_cast<double>(backOffs));
     writeSingle(out, "yucca_endpoint_endings_total", "counter", "Endpoints that ended while they ran requests", static_cast<double>(endings));
     writeSingle(out, "yucca_endpoint_connections_total", "counter", "Connections opened to endpoints", static_cast<double>(gauges.connectionsOpened));
     writeSingle(out, "yucca_configuration_version", "gauge", "The version in force", static_cast<double>(gauges.configurationVersion));
--- a/src/entry/entry_metrics.h
+++ b/src/entry/entry_metrics.h
@@ -80,6 +80,7 @@
     uint64_t resumptions = 0; ///< streams that went on at another endpoint
     uint64_t replays = 0; ///< requests answered with the stored answer of an earlier one with their key
     uint64_t ejections = 0; ///< endpoints passed by for failing more than the others
+    uint64_t backOffs = 0; ///< times that an endpoint asked for no requests for a while
     uint64_t endings = 0; ///< endpoints that ended while they ran requests of this router
 
     /// Requests that ended so, of all kinds.
--- a/src/entry/gateway.h
+++ b/src/entry/gateway.h
@@ -377,19 +377,27 @@
         co_await ex.reply(flight.failure->status, std::move(flight.failure->body), std::move(flight.failure->headers), "");
         co_return;
     }
-    const auto heldFor = quarantinedFor(flight.profile, Clock::now());
+    const auto now = Clock::now();
+    const auto heldFor = quarantinedFor(flight.profile, now);
+    const auto backOffEnds = m_table.backOffEnds(flight.service, now, flight.constraints);
     Rejection why = Rejection::NoEndpoint;
+    std::optional<Millis> comeBack;
     if (flight.count.runs > 0 || flight.sendLost) {
         why = flight.timedOut ? Rejection::TimedOut : Rejection::AnswerLost;
     } else if (heldFor) {
         why = Rejection::Quarantined;
+        comeBack = heldFor;
+    } else if (backOffEnds) {
+        why = Rejection::BackingOff;
+        // Later than that, only another router can help: it may be welcome there.
+        comeBack = *backOffEnds < flight.profile.deadline ? std::optional(std::chrono::ceil<Millis>(*backOffEnds - now)) : std::nullopt;
     } else if (flight.count.arrivals > 0) {
         why = Rejection::NotExecuted;
     } else if (flight.obstacle) {
         why = rejectionFor(*flight.obstacle);
     }
     account(flight, RequestEnd::GivenUp, statusOf(why));
-    co_await reject(ex, flight.profile.id, why, why == Rejection::Quarantined ? heldFor : std::nullopt);
+    co_await reject(ex, flight.profile.id, why, comeBack);
 }
 
 } // namespace yucca::entry
--- a/src/entry/gateway_attempt.h
+++ b/src/entry/gateway_attempt.h
@@ -105,6 +105,10 @@
 // Notes what an endpoint says of itself, also beside another request's answer.
 template <Dialect D> void Gateway<D>::takeRefusals(const Endpoint &endpoint, const AnswerHead &head)
 {
+    if (head.retryAfter && m_table.backOff(endpoint, Clock::now() + *head.retryAfter)) {
+        ++m_metrics.backOffs;
+        log::Line{log::Event::EndpointBacksOff}.add("endpoint", endpoint.id).add("service", endpoint.pool).add("for_ms", head.retryAfter->count());
+    }
     if (head.leaving && m_table.noteLeaving(endpoint, *head.leaving, Clock::now())) {
         log::Line{log::Event::Draining}.add("endpoint", endpoint.id).add("draining", *head.leaving);
     }
--- a/src/entry/request_profile.h
+++ b/src/entry/request_profile.h
@@ -92,9 +92,10 @@
     Quarantined, ///< endpoints ended under requests for the same
     Evacuated, ///< what endpoints are left are in evacuated failure domains
     Cold, ///< what endpoints are left are cold, and bear no more requests now
+    BackingOff, ///< all endpoints have asked this router for no requests for a while
 };
 
-inline constexpr NameTable<Rejection, 17> rejectionNames{{{Rejection::NotLoaded, "not_loaded"},
+inline constexpr NameTable<Rejection, 18> rejectionNames{{{Rejection::NotLoaded, "not_loaded"},
                                                           {Rejection::OutOfDate, "out_of_date"},
                                                           {Rejection::NoRoute, "no_route"},
                                                           {Rejection::UnknownKey, "unknown_key"},
@@ -110,7 +111,8 @@
                                                           {Rejection::KeyReused, "key_reused"},
                                                           {Rejection::Quarantined, "quarantined"},
                                                           {Rejection::Evacuated, "evacuated"},
-                                                          {Rejection::Cold, "cold"}}};
+                                                          {Rejection::Cold, "cold"},
+                                                          {Rejection::BackingOff, "backing_off"}}};
 
 /// What a rejection says of the request: it certainly did not run and never
 /// will, or it may have run.
--- a/src/log.cpp
+++ b/src/log.cpp
@@ -21,7 +21,7 @@
 namespace
 {
 
-constexpr std::array<EventInfo, 46> catalogue{{
+constexpr std::array<EventInfo, 47> catalogue{{
     {Event::ProgramStarted, "ProgramStarted", Level::Info},
     {Event::StopRequested, "StopRequested", Level::Info},
     {Event::ProgramStopped, "ProgramStopped", Level::Info},
@@ -61,6 +61,7 @@
     {Event::RequestCleared, "RequestCleared", Level::Info},
     {Event::DomainEvacuated, "DomainEvacuated", Level::Warn},
     {Event::DomainReturned, "DomainReturned", Level::Info},
+    {Event::EndpointBacksOff, "EndpointBacksOff", Level::Info},
     {Event::OrderAccepted, "OrderAccepted", Level::Info},
     {Event::OrderRefused, "OrderRefused", Level::Warn},
     {Event::Draining, "Draining", Level::Info},
--- a/src/log.h
+++ b/src/log.h
@@ -50,6 +50,7 @@
     RequestCleared = 2047,
     DomainEvacuated = 2048,
     DomainReturned = 2049,
+    EndpointBacksOff = 2050,
     OrderAccepted = 3001,
     OrderRefused = 3002,
     Draining = 3003,
--- a/src/router_constraints.cpp
+++ b/src/router_constraints.cpp
@@ -143,7 +143,8 @@
     for (std::size_t i = 0; i < pool.members.size(); ++i) {
         const auto &m = pool.members[i];
         const auto &health = m_health[m.id];
-        const bool candidate = !exclude.count(m.id) && health.suspectUntil <= now && health.ejectedUntil <= now && constraints.regions.allows(m.region);
+        const bool candidate = !exclude.count(m.id) && !m_refusals.backsOffUntil(m.id, now) && health.suspectUntil <= now && health.ejectedUntil <= now
+            && constraints.regions.allows(m.region);
         if (candidate && limited && health.coldUntil > now) {
             cold.push_back(i);
         } else if (candidate) {
@@ -185,13 +186,39 @@
 bool RoutingTable::acquireAgain(const Endpoint &endpoint, Clock::time_point now)
 {
     std::lock_guard lock(m_mutex);
-    if (m_refusals.refuses(endpoint) || isEvacuated(endpoint) || (isCold(endpoint, now) && m_coldLimiter.available(endpoint.pool, endpoint.id, now) == 0)) {
+    if (m_refusals.refuses(endpoint, now) || isEvacuated(endpoint)
+        || (isCold(endpoint, now) && m_coldLimiter.available(endpoint.pool, endpoint.id, now) == 0)) {
         return false;
     }
     m_coldLimiter.sent(endpoint.pool, endpoint.id, now);
     return true;
 }
 
+// True for an endpoint that has failed lately, or leaves.
+bool RoutingTable::passedBy(const Endpoint &endpoint, Clock::time_point now) const
+{
+    const auto health = m_health.find(endpoint.id);
+    const bool failed = health != m_health.end() && (health->second.suspectUntil > now || health->second.ejectedUntil > now);
+    return failed || m_refusals.leaving(endpoint);
+}
+
+std::optional<Clock::time_point> RoutingTable::backOffEnds(const std::string &pool, Clock::time_point now, const Constraints &constraints) const
+{
+    std::lock_guard lock(m_mutex);
+    std::optional<Clock::time_point> first;
+    for (const auto &e : m_endpoints) {
+        if (e.pool != pool || isEvacuated(e) || passedBy(e, now) || !constraints.regions.allows(e.region)) {
+            continue;
+        }
+        const auto until = m_refusals.backsOffUntil(e.id, now);
+        if (!until) {
+            return std::nullopt;
+        }
+        first = first ? std::min(*first, *until) : *until;
+    }
+    return first;
+}
+
 Obstacle RoutingTable::obstacle(const std::string &pool, const std::set<std::string> &exclude, Clock::time_point now, const Constraints &constraints) const
 {
     std::lock_guard lock(m_mutex);
@@ -199,9 +226,7 @@
     bool cold = false;
     bool elsewhere = false;
     for (const auto &e : m_endpoints) {
-        const auto health = m_health.find(e.id);
-        const bool failed = health != m_health.end() && (health->second.suspectUntil > now || health->second.ejectedUntil > now);
-        if (e.pool != pool || exclude.count(e.id) || failed || m_refusals.leaving(e)) {
+        if (e.pool != pool || exclude.count(e.id) || passedBy(e, now)) {
             continue;
         }
         const bool allowed = constraints.regions.allows(e.region);
--- a/src/router_core.cpp
+++ b/src/router_core.cpp
@@ -147,10 +147,16 @@
     return news;
 }
 
-bool RoutingTable::refuses(const Endpoint &endpoint) const
+bool RoutingTable::backsOff(const Endpoint &endpoint, Clock::time_point now) const
 {
     std::lock_guard lock(m_mutex);
-    return m_refusals.refuses(endpoint);
+    return m_refusals.backsOffUntil(endpoint.id, now).has_value();
+}
+
+bool RoutingTable::backOff(const Endpoint &endpoint, Clock::time_point until)
+{
+    std::lock_guard lock(m_mutex);
+    return m_refusals.backOff(endpoint.id, until);
 }
 
 void RoutingTable::suspect(const std::string &id, Clock::time_point now)
--- a/src/router_core.h
+++ b/src/router_core.h
@@ -77,6 +77,8 @@
     /// Notes what an endpoint says of itself: one that leaves gets nothing more
     /// from now on, whatever the listing says of this incarnation. True when that is news.
     bool noteLeaving(const Endpoint &endpoint, bool leaving, Clock::time_point now);
+    /// Passes an endpoint by until a moment, as its answer asked. True when that is news.
+    bool backOff(const Endpoint &endpoint, Clock::time_point until);
     /// Passes an endpoint by for a while after a failed connection.
     void suspect(const std::string &id, Clock::time_point now);
     /// Passes an endpoint by until a moment.
@@ -98,8 +100,11 @@
                                     const Constraints &constraints = {});
     /// Counts one more send to an endpoint that was acquired; false when it must get none now.
     bool acquireAgain(const Endpoint &endpoint, Clock::time_point now);
-    /// True when the endpoint's own answers forbid to send it anything now.
-    bool refuses(const Endpoint &endpoint) const;
+    /// True when the endpoint wants nothing for now.
+    bool backsOff(const Endpoint &endpoint, Clock::time_point now) const;
+    /// When the first endpoint of a pool takes requests again, where all that
+    /// could take this one want none for now; nothing where another one can.
+    std::optional<Clock::time_point> backOffEnds(const std::string &pool, Clock::time_point now, const Constraints &constraints = {}) const;
     /// Why acquire() finds no endpoint of a pool.
     Obstacle obstacle(const std::string &pool, const std::set<std::string> &exclude, Clock::time_point now, const Constraints &constraints = {}) const;
 
@@ -175,13 +180,15 @@
         return m_evacuated.count(endpoint.zone) > 0;
     }
     void holdCold(const std::string &id, Clock::time_point until);
+    bool passedBy(const Endpoint &endpoint, Clock::time_point now) const;
     void presumeCold(const Endpoint &endpoint, Clock::time_point now);
     void forgetDropped(Clock::time_point now);
     void rebuild(const std::set<std::string> &restarted = {});
     const Endpoint *listed(const std::string &id) const;
     bool isListed(const Endpoint &endpoint) const;
     bool superseded(const Endpoint &endpoint) const;
-    const Endpoint *firstInOrder(const std::string &pool, uint64_t prompt, const std::string &except, const Constraints &constraints) const;
+    const Endpoint *firstInOrder(const std::string &pool, uint64_t prompt, const std::string &except, Clock::time_point now,
+                                 const Constraints &constraints) const;
     std::vector<Endpoint> likelyHolders(uint64_t prompt, Clock::time_point now, const Constraints &constraints) const;
     bool suspected(const std::string &id, Clock::time_point now) const;
     Pool *poolOf(const std::string &id, std::size_t &member);
--- a/src/router_dialect.cpp
+++ b/src/router_dialect.cpp
@@ -13,7 +13,7 @@
 {
 
 /// What a caller is told of each rejection, for people.
-constexpr NameTable<entry::Rejection, 15> explanations{{
+constexpr NameTable<entry::Rejection, 18> explanations{{
     {entry::Rejection::NotLoaded, "the catalogue is not loaded yet"},
     {entry::Rejection::OutOfDate, "the router does not know the workspace, and has not heard of the store for a while"},
     {entry::Rejection::NoRoute, "the workspace has no class of work of this kind"},
@@ -29,6 +29,9 @@
     {entry::Rejection::KeyInUse, "an earlier request with this key is in progress or its outcome is unknown"},
     {entry::Rejection::KeyReused, "this Idempotency-Key was used for a different request"},
     {entry::Rejection::Quarantined, "several endpoints ended while they ran this request: it is not sent to others for now"},
+    {entry::Rejection::Evacuated, "the endpoints that are left are in evacuated failure domains"},
+    {entry::Rejection::Cold, "the endpoints that are left have just started and bear no more requests now"},
+    {entry::Rejection::BackingOff, "the endpoints have asked for no more requests for a while"},
 }};
 
 // The status of a rejection on this interface: workspaces are looked up, not
--- a/src/router_prompts.cpp
+++ b/src/router_prompts.cpp
@@ -62,12 +62,13 @@
 
 // The first in a prompt's order, also among those that are leaving: they
 // still hold what they read.
-const Endpoint *RoutingTable::firstInOrder(const std::string &pool, uint64_t prompt, const std::string &except, const Constraints &constraints) const
+const Endpoint *RoutingTable::firstInOrder(const std::string &pool, uint64_t prompt, const std::string &except, Clock::time_point now,
+                                           const Constraints &constraints) const
 {
     FirstOf first(prompt, except);
     for (const auto *list : {&m_endpoints, &m_leaving}) {
         for (const auto &endpoint : *list) {
-            if (endpoint.pool == pool && !isEvacuated(endpoint) && !m_refusals.refuses(endpoint) && constraints.regions.allows(endpoint.region)) {
+            if (endpoint.pool == pool && !isEvacuated(endpoint) && !m_refusals.refuses(endpoint, now) && constraints.regions.allows(endpoint.region)) {
                 first.offer(endpoint);
             }
         }
@@ -131,7 +132,7 @@
 {
     auto found = m_holders.find(prompt, now);
     std::erase_if(found, [&](const Endpoint &e) {
-        return !isListed(e) || m_refusals.refuses(e) || suspected(e.id, now) || isEvacuated(e) || !constraints.regions.allows(e.region);
+        return !isListed(e) || m_refusals.refuses(e, now) || suspected(e.id, now) || isEvacuated(e) || !constraints.regions.allows(e.region);
     });
     return found;
 }
@@ -151,11 +152,11 @@
     }
     // Nothing is known of the prompt: its home has likely read it. Where the
     // taker is the home because it has just joined, the home before did.
-    const auto *home = firstInOrder(taker.pool, prompt, "", constraints);
+    const auto *home = firstInOrder(taker.pool, prompt, "", now, constraints);
     const auto health = m_health.find(taker.id);
     const bool joinedLately = health != m_health.end() && now - health->second.joinedAt <= newlyJoined;
     if (home && home->id == taker.id) {
-        home = joinedLately ? firstInOrder(taker.pool, prompt, taker.id, constraints) : nullptr;
+        home = joinedLately ? firstInOrder(taker.pool, prompt, taker.id, now, constraints) : nullptr;
     }
     return {false, home && !suspected(home->id, now) ? std::optional(*home) : std::nullopt};
 }
--- a/tests/test_endpoint_word.cpp
+++ b/tests/test_endpoint_word.cpp
@@ -235,3 +235,98 @@
     CHECK(loop().run(send({"e", "undrain", "", "undrain.1"}, 1)) == orders::Ack::Applied);
     LONGS_EQUAL(2, orders);
 }
+
+TEST(EndpointWord, RestIsAskedForInSecondsAndBoundedByAnHour)
+{
+    const auto asked = [](unsigned status, const char *text) {
+        const auto wait = http::backOffAskedFor(status, text);
+        return wait ? wait->count() : int64_t{-1};
+    };
+    LONGS_EQUAL(3000, asked(503, "3"));
+    LONGS_EQUAL(1500, asked(503, "1.5"));
+    LONGS_EQUAL(250, asked(429, "0.25"));
+    LONGS_EQUAL(3600000, asked(503, "1e12"));
+    for (const char *text : {"", "0", "-1", "nan", "soon", "Wed, 21 Oct 2026 07:28:00 GMT"}) {
+        LONGS_EQUAL(-1, asked(503, text));
+    }
+    LONGS_EQUAL(-1, asked(500, "3"));
+    LONGS_EQUAL(-1, asked(200, "3"));
+}
+
+TEST(EndpointWord, WhenAllEndpointsWantRestCallersComeBackWhenTheFirstOneTakesRequestsAgain)
+{
+    const bool sheds = true;
+    RawEndpoint first(loop(), sheddingWhile(sheds, "Retry-After: 2\r\n"));
+    RawEndpoint second(loop(), sheddingWhile(sheds, "Retry-After: 60\r\n"));
+    EntryRig rig(loop(), {{"e1", {"s", first.port}}, {"e2", {"s", second.port}}});
+    callTimes(rig, 1);
+    const auto reply = rig.reply("POST", "/remind/1", "last", {{"Yuccasaddle-Deadline-Ms", "4000"}});
+    LONGS_EQUAL(503, reply.status);
+    const double wait = std::stod(reply.header("Retry-After"));
+    CHECK(wait > 1 && wait <= 2);
+    LONGS_EQUAL(1, first.seen.size());
+    LONGS_EQUAL(1, second.seen.size());
+}
+
+TEST(EndpointWord, ACallerWhoseTimeEndsBeforeTheRestIsSentToAnotherRouterSoon)
+{
+    const bool sheds = true;
+    RawEndpoint full(loop(), sheddingWhile(sheds, "Retry-After: 60\r\n"));
+    EntryRig rig(loop(), {{"e1", {"s", full.port}}});
+    const auto reply = rig.reply("POST", "/remind/1", "one", {{"Yuccasaddle-Deadline-Ms", "4000"}});
+    LONGS_EQUAL(503, reply.status);
+    CHECK(std::stod(reply.header("Retry-After")) < 1);
+}
+
+TEST(EndpointWord, RestEndsWhenItsTimeHasPassed)
+{
+    router::RoutingTable table(homes());
+    const auto now = Clock::now();
+    table.setEndpoints({engineAt("a")}, now);
+    CHECK(table.backOff(engineAt("a"), now + std::chrono::seconds(3)));
+    CHECK(!table.backOff(engineAt("a"), now + std::chrono::seconds(1))); // does not shorten it
+    CHECK(!table.acquire("m", {1, 1}, {}, now + std::chrono::milliseconds(2999)));
+    CHECK(table.acquire("m", {1, 1}, {}, now + std::chrono::milliseconds(3000)).has_value());
+}
+
+TEST(EndpointWord, RestOutlastsAListingThatLacksTheEndpointAndItsRestart)
+{
+    router::RoutingTable table(homes());
+    const auto now = Clock::now();
+    table.setEndpoints({engineAt("a"), engineAt("b")}, now);
+    table.backOff(engineAt("a"), now + std::chrono::seconds(3));
+    table.setEndpoints({engineAt("b")}, now);
+    table.setEndpoints({engineAt("a", 2), engineAt("b")}, now);
+    for (uint64_t prompt = 0; prompt < 50; ++prompt) {
+        const auto e = table.acquire("m", {prompt, prompt}, {}, now);
+        STRCMP_EQUAL("b", e ? e->id.c_str() : "");
+    }
+}
+
+TEST(EndpointWord, RestBindsSecondSendsAndFetches)
+{
+    constexpr uint64_t prompt = 7;
+    router::RoutingTable table(homes());
+    const auto now = Clock::now();
+    table.setEndpoints({engineAt("a"), engineAt("b"), engineAt("c")}, now);
+    table.tookPrompt(prompt, engineAt("a"), now);
+    CHECK(table.acquireAgain(engineAt("a"), now));
+    table.backOff(engineAt("a"), now + std::chrono::seconds(3));
+    CHECK(!table.acquireAgain(engineAt("a"), now));
+    const auto belief = table.beliefOf(prompt, engineAt("b"), now);
+    CHECK(!belief.source || belief.source->id != "a");
+}
+
+TEST(EndpointWord, NoOrderIsSentToAnEngineThatWantsRest)
+{
+    int orders = 0;
+    FakeEndpoint engine(loop(), [&](http::Exchange &ex) {
+        ++orders;
+        return ex.reply(503, "{}", {{"Retry-After", "30"}});
+    });
+    RouterRig rig(loop(), {endpointAt("e", engine.port, "p", EndpointKind::Engine)});
+    const auto send = duties::httpSender(rig.client, rig.control, rig.table, "router-1");
+    CHECK(loop().run(send({"e", "load_model", "counsel-v2", "load.1"}, 1)) == orders::Ack::Unknown);
+    CHECK(loop().run(send({"e", "undrain", "", "undrain.1"}, 1)) == orders::Ack::NotSent);
+    LONGS_EQUAL(1, orders);
+}
