The store's epoch is read from its answers and logged when it rises; the stand-in store can return from a copy

StoreRestored tells the epochs and the revisions. No decision changes. The rigs of followers and of a control side move into headers of their own for the tests of this.

--- a/emulators/local_object_api.cpp
+++ b/emulators/local_object_api.cpp
@@ -17,6 +17,18 @@
 {
 }
 
+// All answers tell the epoch, failures too.
+template <typename T> Result<T> LocalObjectApi::answered(Result<T> result)
+{
+    m_epoch = m_store.epoch();
+    if constexpr (std::is_same_v<T, Object>) {
+        if (ok(result)) {
+            std::get<Object>(result).epoch = m_epoch;
+        }
+    }
+    return result;
+}
+
 // Counts a write that took effect, and loses its answer when told to.
 Result<Object> LocalObjectApi::written(Result<Object> result)
 {
@@ -36,7 +48,7 @@
     if (outage) {
         co_return outageError;
     }
-    co_return m_store.get(kind, name);
+    co_return answered(m_store.get(kind, name));
 }
 
 Task<Result<Listing>> LocalObjectApi::list(std::string kind, std::string after, Freshness)
@@ -44,7 +56,7 @@
     if (outage) {
         co_return outageError;
     }
-    co_return m_store.list(kind, after, pageLimit);
+    co_return answered(Result<Listing>(m_store.list(kind, after, pageLimit)));
 }
 
 Task<Result<Object>> LocalObjectApi::put(std::string kind, std::string name, nlohmann::json value, std::optional<uint64_t> ifVersion)
@@ -52,7 +64,7 @@
     if (outage) {
         co_return outageError;
     }
-    co_return written(m_store.put(kind, name, value, ifVersion));
+    co_return answered(written(m_store.put(kind, name, value, ifVersion)));
 }
 
 Task<Result<Object>> LocalObjectApi::remove(std::string kind, std::string name, std::optional<uint64_t> ifVersion)
@@ -60,7 +72,7 @@
     if (outage) {
         co_return outageError;
     }
-    co_return written(m_store.remove(kind, name, ifVersion));
+    co_return answered(written(m_store.remove(kind, name, ifVersion)));
 }
 
 Task<Result<WatchBatch>> LocalObjectApi::watch(std::string kind, uint64_t from, Millis, Freshness freshness, http::Cancellation *)
@@ -70,13 +82,16 @@
         co_return outageError;
     }
     if (freshness == Freshness::MayLag && replicaAt) {
-        co_return WatchBatch{*replicaAt, {}};
+        co_return WatchBatch{*replicaAt, {}, m_store.epoch()};
     }
-    co_return m_store.since(from, {kind});
+    co_return answered(m_store.since(from, {kind}));
 }
 
 Task<bool> LocalObjectApi::answers(std::string)
 {
+    if (!outage) {
+        m_epoch = m_store.epoch();
+    }
     co_return !outage;
 }
 
--- a/emulators/local_object_api.h
+++ b/emulators/local_object_api.h
@@ -21,6 +21,10 @@
     /// Answers at once, also when nothing has changed.
     Task<Result<WatchBatch>> watch(std::string kind, uint64_t from, Millis timeout, Freshness freshness, http::Cancellation *cancellation) override;
     Task<bool> answers(std::string kind) override;
+    store::Epoch epoch() const override
+    {
+        return m_epoch;
+    }
 
     bool outage = false;
     int loseAnswers = 0; ///< the next N writes take effect, then report AnswerLost
@@ -29,9 +33,11 @@
     int currentWatches = 0;
 
 private:
+    template <typename T> Result<T> answered(Result<T> result);
     Result<Object> written(Result<Object> result);
 
     store::ObjectStore &m_store;
+    store::Epoch m_epoch = 0; ///< that an answer told
 };
 
 } // namespace yucca::platform
--- a/emulators/memory_store.cpp
+++ b/emulators/memory_store.cpp
@@ -23,6 +23,7 @@
 {
     Listing l;
     l.revision = m_revision;
+    l.epoch = m_epoch;
     for (auto it = m_objects.upper_bound({kind, after}); it != m_objects.end() && it->first.first == kind; ++it) {
         if (limit > 0 && l.items.size() == limit) {
             l.more = true;
@@ -83,6 +84,10 @@
 {
     WatchBatch b;
     b.revision = m_revision;
+    b.epoch = m_epoch;
+    if (from > m_revision) {
+        return Error{Gone, "revision " + std::to_string(from) + " is not known"};
+    }
     if (!m_history.empty() && from + 1 < m_history.front().revision) {
         return Error{Gone, "revision " + std::to_string(from) + " is no longer kept"};
     }
@@ -106,7 +111,7 @@
 
 bool ObjectStore::changedSince(uint64_t from, const std::vector<std::string> &kinds) const
 {
-    if (!m_history.empty() && from + 1 < m_history.front().revision) {
+    if (from > m_revision || (!m_history.empty() && from + 1 < m_history.front().revision)) {
         return true; // the watcher must hear that it is Gone
     }
     for (std::size_t i = firstAfter(from); i < m_history.size(); ++i) {
@@ -124,6 +129,14 @@
     }
 }
 
+void ObjectStore::restore(Copy copy)
+{
+    m_objects = std::move(copy.objects);
+    m_history = std::move(copy.history);
+    m_revision = copy.revision;
+    ++m_epoch;
+}
+
 uint64_t ObjectStore::revision() const
 {
     return m_revision;
--- a/emulators/memory_store.h
+++ b/emulators/memory_store.h
@@ -37,6 +37,24 @@
     /// Forgets the history kept for watches.
     void compact();
 
+    /// What the store holds at one moment.
+    struct Copy {
+        std::map<std::pair<std::string, std::string>, Object> objects;
+        std::deque<WatchEvent> history;
+        uint64_t revision = 0;
+    };
+    Copy copy() const
+    {
+        return {m_objects, m_history, m_revision};
+    }
+    /// Returns from a copy, in the next epoch: all that was written since is
+    /// lost, and its revisions are given out again.
+    void restore(Copy copy);
+    Epoch epoch() const
+    {
+        return m_epoch;
+    }
+
 private:
     void record(bool deleted, const Object &o);
     std::size_t firstAfter(uint64_t revision) const;
@@ -45,6 +63,7 @@
     std::deque<WatchEvent> m_history;
     std::size_t m_historyLimit;
     uint64_t m_revision = 0;
+    Epoch m_epoch = 1;
 };
 
 } // namespace yucca::store
--- a/emulators/platform_server.cpp
+++ b/emulators/platform_server.cpp
@@ -51,15 +51,27 @@
     return {{"events", events}, {"store_revision", batch.revision}};
 }
 
-Task<void> replyError(http::Exchange &ex, Error e)
+std::string errorBody(const Error &e)
 {
     json body;
     body["error"] = e.message;
-    co_await ex.reply(static_cast<unsigned>(e.code), body.dump());
+    return body.dump();
 }
 
 } // namespace
 
+// All answers tell the store's epoch.
+Task<void> PlatformServer::answer(http::Exchange &ex, unsigned status, std::string body, http::Headers headers)
+{
+    headers.emplace_back("Store-Era", std::to_string(m_store.epoch()));
+    co_await ex.reply(status, std::move(body), std::move(headers));
+}
+
+Task<void> PlatformServer::answerError(http::Exchange &ex, Error e)
+{
+    co_await answer(ex, static_cast<unsigned>(e.code), errorBody(e));
+}
+
 PlatformServer::PlatformServer(const settings::PlatformSettings &settings)
     : m_settings(settings)
     , m_store(static_cast<std::size_t>(settings.watchHistory))
@@ -77,26 +89,36 @@
     }
     removeLapsed(Clock::now());
     if (m_faults.outage) {
-        co_await ex.reply(503, R"({"error":"object API unavailable"})", comeBack());
+        co_await answer(ex, 503, R"({"error":"object API unavailable"})", comeBack());
         co_return;
     }
     if (m_faults.slowMs > 0) {
         co_await sleepFor(Millis(m_faults.slowMs));
     }
     if (path == "/healthz") {
-        co_await ex.reply(200, R"({"ok":true})");
+        co_await answer(ex, 200, R"({"ok":true})");
         co_return;
     }
     const bool write = ex.request().method() != http::bhttp::verb::get;
     if (!(write ? m_writes : m_reads).take(Clock::now())) {
         log::event(log::Event::RateLimited, std::string("op=") + (write ? "write" : "read"));
-        co_await ex.reply(429, R"({"error":"rate limited"})", comeBack());
+        co_await answer(ex, 429, R"({"error":"rate limited"})", comeBack());
         co_return;
     }
     if (path.rfind(objectsPath, 0) == 0) {
         co_await objects(ex, path.substr(objectsPath.size()));
     } else {
-        co_await ex.reply(404, R"({"error":"no such path"})");
+        co_await answer(ex, 404, R"({"error":"no such path"})");
+    }
+}
+
+// Entries of servers that the copy brings back lapse unless their servers live.
+void PlatformServer::restore()
+{
+    m_store.restore(m_copy);
+    m_serverHeardAt.clear();
+    for (const auto &entry : m_store.list(serverKind).items) {
+        m_serverHeardAt[entry.name] = Clock::now();
     }
 }
 
@@ -143,10 +165,10 @@
         }
     }
     if (!ok(result)) {
-        co_await replyError(ex, std::get<Error>(result));
+        co_await answerError(ex, std::get<Error>(result));
         co_return;
     }
-    co_await ex.reply(200, toWire(std::get<store::Object>(result)).dump());
+    co_await answer(ex, 200, toWire(std::get<store::Object>(result)).dump());
 }
 
 // Carries out a call on one object. A revision in the body or the query
@@ -188,7 +210,7 @@
 Task<void> PlatformServer::listing(http::Exchange &ex, std::string kind)
 {
     const auto page = m_store.list(kind, ex.query("after_rev"), pageLimit);
-    co_await ex.reply(200, pageOf(page).dump());
+    co_await answer(ex, 200, pageOf(page).dump());
 }
 
 // A long-polling watch: the changes of a kind after a revision.
@@ -210,10 +232,10 @@
     }
     auto result = m_store.since(from, kinds);
     if (!ok(result)) {
-        co_await replyError(ex, std::get<Error>(result));
+        co_await answerError(ex, std::get<Error>(result));
         co_return;
     }
-    co_await ex.reply(200, batchOf(std::get<store::WatchBatch>(result)).dump());
+    co_await answer(ex, 200, batchOf(std::get<store::WatchBatch>(result)).dump());
 }
 
 // Puts a change of the VM list where the fleet sees it, as late as it lags.
@@ -234,23 +256,29 @@
     const auto &text = ex.request().body();
     json body = json::parse(text.empty() ? "{}" : text, nullptr, false);
     if (!body.is_object()) {
-        co_await replyError(ex, Error{400, "body is not a JSON object"});
+        co_await answerError(ex, Error{400, "body is not a JSON object"});
         co_return;
     }
     if (path == "/admin/faults") {
         m_faults.outage = body.value("outage", false);
         m_faults.slowMs = body.value("slowMs", int64_t{0});
         m_faults.loseAnswers = body.value("loseAnswers", int64_t{0});
+        if (body.value("copy", false)) {
+            m_copy = m_store.copy();
+        }
+        if (body.value("restore", false)) {
+            restore();
+        }
         if (body.value("compact", false)) {
             m_store.compact();
         }
         m_changed.notifyAll();
         log::event(log::Event::FaultSet, body.dump());
-        co_await ex.reply(200, body.dump());
+        co_await answer(ex, 200, body.dump());
         co_return;
     }
     if (path.rfind(vmAdminPrefix, 0) != 0) {
-        co_await replyError(ex, Error{404, "no such admin path"});
+        co_await answerError(ex, Error{404, "no such admin path"});
         co_return;
     }
     const std::string id = path.substr(vmAdminPrefix.size());
@@ -262,7 +290,7 @@
     const std::string published = entry ? entry->dump() : "{}";
     const auto executor = co_await asio::this_coro::executor;
     asio::co_spawn(executor, publishVm(id, std::move(entry)), asio::detached);
-    co_await ex.reply(200, published);
+    co_await answer(ex, 200, published);
 }
 
 } // namespace yucca::platform
--- a/emulators/platform_server.h
+++ b/emulators/platform_server.h
@@ -21,6 +21,8 @@
     bool outage = false;
     int64_t slowMs = 0; ///< every answer takes this much longer
     int64_t loseAnswers = 0; ///< the next N writes take effect and get no answer
+    bool copy = false; ///< take a copy of the store now
+    bool restore = false; ///< return from the last copy now, in the next epoch
     bool compact = false; ///< forget the history now: watches from before are Gone
 };
 
@@ -33,6 +35,9 @@
     Task<void> handle(http::Exchange &ex);
 
 private:
+    Task<void> answer(http::Exchange &ex, unsigned status, std::string body, http::Headers headers = {});
+    Task<void> answerError(http::Exchange &ex, Error e);
+    void restore();
     Task<void> objects(http::Exchange &ex, std::string rest);
     Task<void> listing(http::Exchange &ex, std::string kind);
     Task<void> watch(http::Exchange &ex, std::string kind);
@@ -43,6 +48,7 @@
 
     settings::PlatformSettings m_settings;
     store::ObjectStore m_store;
+    store::ObjectStore::Copy m_copy; ///< the last one that was taken
     limits::TokenBucket m_writes;
     limits::TokenBucket m_reads;
     Faults m_faults;
--- a/src/follower.h
+++ b/src/follower.h
@@ -129,6 +129,20 @@
     }
 
 private:
+    // Revisions of two epochs say nothing of each other.
+    void noteEpoch(store::Epoch epoch, uint64_t revision)
+    {
+        if (epoch > m_epoch && m_epoch != 0) {
+            log::Line{log::Event::StoreRestored}
+                .add("kind", m_kind)
+                .add("epoch", static_cast<int64_t>(epoch))
+                .add("before", static_cast<int64_t>(m_epoch))
+                .add("revision", static_cast<int64_t>(revision))
+                .add("held", static_cast<int64_t>(m_from));
+        }
+        m_epoch = std::max(m_epoch, epoch);
+    }
+
     // True when another router told of something newer: also during a call that
     // then failed. A pause would keep it out of force.
     bool lacks() const
@@ -216,6 +230,7 @@
     {
         if (m_listing.items.empty()) {
             m_listing.revision = page.revision;
+            m_listing.epoch = page.epoch;
         }
         std::move(page.items.begin(), page.items.end(), std::back_inserter(m_listing.items));
     }
@@ -233,6 +248,7 @@
     void noteListed(platform::Freshness freshness)
     {
         const auto listing = std::exchange(m_listing, {});
+        noteEpoch(listing.epoch, listing.revision);
         m_listedAt = Clock::now();
         if (freshness == platform::Freshness::Current) {
             m_lastCurrent = m_listedAt;
@@ -279,6 +295,7 @@
         }
         noteContact();
         const auto &batch = std::get<platform::WatchBatch>(result);
+        noteEpoch(batch.epoch, batch.revision);
         noteAnswered(freshness, batch, askedAt);
         if (batch.revision < m_from) {
             m_listed = m_listed && freshness == platform::Freshness::MayLag; // else a store that went back
@@ -388,6 +405,7 @@
     std::minstd_rand m_random{std::random_device{}()};
     http::Cancellation *m_cancellation = nullptr; ///< of the watch that waits
     uint64_t m_from = 0;
+    store::Epoch m_epoch = 0;
     platform::Listing m_listing; ///< the pages so far
     platform::Freshness m_lastFreshness = platform::Freshness::Current; ///< of the last answered watch
     bool m_hadNews = false; ///< in the last watch
--- a/src/log.cpp
+++ b/src/log.cpp
@@ -21,7 +21,7 @@
 namespace
 {
 
-constexpr std::array<EventInfo, 47> catalogue{{
+constexpr std::array<EventInfo, 48> catalogue{{
     {Event::ProgramStarted, "ProgramStarted", Level::Info},
     {Event::StopRequested, "StopRequested", Level::Info},
     {Event::ProgramStopped, "ProgramStopped", Level::Info},
@@ -62,6 +62,7 @@
     {Event::DomainEvacuated, "DomainEvacuated", Level::Warn},
     {Event::DomainReturned, "DomainReturned", Level::Info},
     {Event::EndpointBacksOff, "EndpointBacksOff", Level::Info},
+    {Event::StoreRestored, "StoreRestored", Level::Warn},
     {Event::OrderAccepted, "OrderAccepted", Level::Info},
     {Event::OrderRefused, "OrderRefused", Level::Warn},
     {Event::Draining, "Draining", Level::Info},
--- a/src/log.h
+++ b/src/log.h
@@ -51,6 +51,7 @@
     DomainEvacuated = 2048,
     DomainReturned = 2049,
     EndpointBacksOff = 2050,
+    StoreRestored = 2051,
     OrderAccepted = 3001,
     OrderRefused = 3002,
     Draining = 3003,
--- a/src/object_api.h
+++ b/src/object_api.h
@@ -44,6 +44,11 @@
     virtual Task<Result<WatchBatch>> watch(std::string kind, uint64_t from, Millis timeout, Freshness freshness, http::Cancellation *cancellation) = 0;
     /// True when the store answers calls: the cheapest question it takes.
     virtual Task<bool> answers(std::string kind) = 0;
+    /// The highest epoch that any answer told so far, failures included; from any thread.
+    virtual store::Epoch epoch() const
+    {
+        return 0;
+    }
 };
 
 /// Lists a kind whole, page by page. Its revision is the first page's, so a
--- a/src/store.h
+++ b/src/store.h
@@ -17,12 +17,18 @@
     MayLag, ///< what a replica of the store holds: cheaper, and at times seconds old
 };
 
+/// Counts the store's returns from an older copy of itself. Revisions are
+/// comparable only within one epoch: after a return those since the copy are
+/// given out again. 0 where the store does not tell.
+using Epoch = uint64_t;
+
 /// One stored object. Its version is the store revision of its last write.
 struct Object {
     std::string kind;
     std::string name;
     uint64_t version = 0;
     nlohmann::json value;
+    Epoch epoch = 0; ///< of the answer that it came in; not told of a listing's or a watch's objects
 };
 
 /// A change seen by a watch.
@@ -36,6 +42,7 @@
 struct WatchBatch {
     uint64_t revision = 0;
     std::vector<WatchEvent> events;
+    Epoch epoch = 0;
 };
 
 /// A list answer: the objects of a kind as of a revision.
@@ -43,6 +50,7 @@
     uint64_t revision = 0;
     std::vector<Object> items;
     bool more = false; ///< a page: go on after the last item's name
+    Epoch epoch = 0;
 };
 
 /// Error codes the store gives (also used on the wire).
--- /dev/null
+++ b/tests/control_rig.h
@@ -0,0 +1,58 @@
+// A router's control side over a store in memory.
+#pragma once
+
+#include "entry_rig.h"
+
+#include <set>
+
+namespace yucca::rig
+{
+
+/// A router's control side over a store, with an endpoint in each of two failure domains.
+struct ControlRig {
+    ControlRig()
+    {
+        auto north = entryAt("10.0.0.1:80");
+        north["zone"] = "north";
+        auto south = entryAt("10.0.0.2:80");
+        south["zone"] = "south";
+        store.put(platform::ObjectCodec::endpointKind, "i-north", north, std::nullopt);
+        store.put(platform::ObjectCodec::endpointKind, "i-south", south, std::nullopt);
+        store.put(platform::ObjectCodec::configurationKind, platform::ObjectCodec::configurationName, entryConfiguration(), std::nullopt);
+    }
+    void start(Loop &loop)
+    {
+        require(loop.run(control.stepEndpoints()));
+        Findings findings;
+        published.apply(*platform::ObjectCodec::configuration(entryConfiguration(), findings));
+    }
+    /// Where requests go; empty for those that go nowhere.
+    std::set<std::string> takers()
+    {
+        std::set<std::string> out;
+        for (uint64_t prompt = 0; prompt < 50; ++prompt) {
+            const auto e = table.acquire("m", {prompt, prompt}, {}, Clock::now());
+            out.insert(e ? e->id : "");
+            if (e) {
+                table.release(*e, Clock::now());
+            }
+        }
+        return out;
+    }
+
+    store::ObjectStore store;
+    platform::LocalObjectApi api{store};
+    router::RoutingTable table{options()};
+    entry::Published published{table, {true, 1.5, 5, {}}};
+    entry::Control<platform::ObjectCodec> control{api, published};
+
+private:
+    static router::TableOptions options()
+    {
+        router::TableOptions o;
+        o.policy = Policy::Home;
+        return o;
+    }
+};
+
+} // namespace yucca::rig
--- /dev/null
+++ b/tests/follower_rig.h
@@ -0,0 +1,118 @@
+// A follower with a neighbour that follows the same store.
+#pragma once
+
+#include "change_exchange.h"
+#include "follower.h"
+#include "local_object_api.h"
+#include "recording_sink.h"
+#include "rig.h"
+
+#include <memory>
+#include <optional>
+
+namespace yucca::rig
+{
+
+/// Hands on what another replica holds, or fails.
+class ReplicaSource : public replica::ChangeSource
+{
+public:
+    Task<Result<replica::Changes>> fetch(http::Address from, std::string, uint64_t since, replica::HandOn handOn) override
+    {
+        ++asked;
+        lastFrom = from;
+        co_await sleepFor(Millis(1));
+        if (!peer) {
+            co_return Error{503, "no answer"};
+        }
+        co_return peer->changesSince(since, handOn);
+    }
+    const replica::SharedReplica *peer = nullptr;
+    int asked = 0;
+    http::Address lastFrom;
+};
+
+/// The object API, counting what a follower asks of it.
+class CountingApi : public platform::LocalObjectApi
+{
+public:
+    using LocalObjectApi::LocalObjectApi;
+    Task<Result<platform::Listing>> list(std::string kind, std::string after, platform::Freshness freshness) override
+    {
+        ++lists;
+        lastListFreshness = freshness;
+        co_return co_await LocalObjectApi::list(kind, after, freshness);
+    }
+    Task<Result<platform::WatchBatch>> watch(std::string kind, uint64_t from, Millis timeout, platform::Freshness freshness,
+                                             http::Cancellation *cancellation) override
+    {
+        ++watches;
+        lastWait = timeout;
+        co_await sleepFor(takes);
+        co_return co_await LocalObjectApi::watch(kind, from, timeout, freshness, cancellation);
+    }
+    int lists = 0;
+    platform::Freshness lastListFreshness = platform::Freshness::Current;
+    int watches = 0;
+    Millis lastWait{};
+    Millis takes{1}; ///< a watch
+};
+
+inline const http::Address neighbour{"10.0.0.2", 7000};
+
+/// A follower whose router is the sixth of its neighbourhood, and one neighbour
+// that follows the same store.
+struct FollowerRig {
+    FollowerRig()
+    {
+        source.peer = &other;
+        options.shared = &own;
+        follower = std::make_unique<Follower<RecordingSink>>(api, "k", sink, options);
+    }
+    // The neighbour lists or watches, and its word is heard.
+    void neighbourAsks(Loop &loop)
+    {
+        if (!neighbourFollower) {
+            FollowerOptions neighbourOptions;
+            neighbourOptions.shared = &other;
+            neighbourFollower = std::make_unique<Follower<RecordingSink>>(neighbourApi, "k", neighbourSink, neighbourOptions);
+        }
+        require(loop.run(neighbourFollower->step()));
+        if (!other.confirmed()) {
+            require(loop.run(neighbourFollower->step()));
+        }
+    }
+    // This router lists, and its first watch confirms the listing.
+    void start(Loop &loop)
+    {
+        require(loop.run(follower->step()));
+        own.confirmed(own.watchFrom(Clock::now()), Clock::now(), false);
+    }
+    void hear()
+    {
+        own.heard(*other.told(), neighbour, Clock::now());
+    }
+
+    store::ObjectStore store;
+    CountingApi api{store};
+    CountingApi neighbourApi{store};
+    RecordingSink sink;
+    RecordingSink neighbourSink;
+    ReplicaSource source;
+    std::optional<std::size_t> rank = 5;
+    replica::SharedReplica own{"k",
+                               [this](Clock::time_point) {
+                                   return rank;
+                               },
+                               source};
+    replica::SharedReplica other{"k",
+                                 [](Clock::time_point) {
+                                     return std::optional<std::size_t>(0);
+                                 },
+                                 source};
+    FollowerOptions options;
+    std::unique_ptr<Follower<RecordingSink>> follower;
+    std::unique_ptr<Follower<RecordingSink>> neighbourFollower;
+};
+
+} // namespace yucca::rig
--- a/tests/rig.h
+++ b/tests/rig.h
@@ -19,6 +19,14 @@
 namespace yucca::rig
 {
 
+/// For rigs, whose headers come before CppUTest's: a test whose rig cannot be set up fails.
+inline void require(bool done)
+{
+    if (!done) {
+        throw std::runtime_error("the rig could not be set up");
+    }
+}
+
 /// Something that happens once and is waited for.
 class Signal
 {
--- a/tests/test_evacuation.cpp
+++ b/tests/test_evacuation.cpp
@@ -1,6 +1,6 @@
 // Operators evacuate a failure domain, and its endpoints come back cold: what
 // several routers, each on its own, let through to them.
-#include "entry_rig.h"
+#include "control_rig.h"
 
 // CppUTest goes last: its memory-leak macros redefine operator new.
 #include "loop_group.h"
@@ -15,53 +15,6 @@
 
 const char *const evacuations = platform::ObjectCodec::evacuationKind;
 
-/// A router's control side over a store, with an endpoint in each of two failure domains.
-struct ControlRig {
-    ControlRig()
-    {
-        auto north = entryAt("10.0.0.1:80");
-        north["zone"] = "north";
-        auto south = entryAt("10.0.0.2:80");
-        south["zone"] = "south";
-        store.put("servers", "i-north", north, std::nullopt);
-        store.put("servers", "i-south", south, std::nullopt);
-        store.put("config", "main", entryConfiguration(), std::nullopt);
-    }
-    void start(Loop &loop)
-    {
-        CHECK(loop.run(control.stepEndpoints()));
-        Findings findings;
-        published.apply(*platform::ObjectCodec::configuration(entryConfiguration(), findings));
-    }
-    // Where requests go; empty for those that go nowhere.
-    std::set<std::string> takers()
-    {
-        std::set<std::string> out;
-        for (uint64_t prompt = 0; prompt < 50; ++prompt) {
-            const auto e = table.acquire("m", {prompt, prompt}, {}, Clock::now());
-            out.insert(e ? e->id : "");
-            if (e) {
-                table.release(*e, Clock::now());
-            }
-        }
-        return out;
-    }
-
-    store::ObjectStore store;
-    platform::LocalObjectApi api{store};
-    router::RoutingTable table{options()};
-    entry::Published published{table, {true, 1.5, 5, {}}};
-    entry::Control<platform::ObjectCodec> control{api, published};
-
-private:
-    static router::TableOptions options()
-    {
-        router::TableOptions o;
-        o.policy = Policy::Home;
-        return o;
-    }
-};
-
 } // namespace
 
 LOOP_GROUP(Evacuation);
