--- a/tests/test_store_restore.cpp
+++ b/tests/test_store_restore.cpp
@@ -47,3 +47,30 @@
     settle(loop(), rig);
     CHECK(heardOf(rig.sink, "listed 4") || heardOf(rig.sink, "set x"));
 }
+
+namespace
+{
+
+nlohmann::json leavingEntryAt(const std::string &address)
+{
+    auto entry = entryAt(address);
+    entry["state"] = "draining";
+    return entry;
+}
+
+} // namespace
+
+TEST(StoreRestore, AnEndpointThatLeavesIsNotUsedAgainWhenTheCopyStillHasItReady)
+{
+    ControlRig rig;
+    rig.start(loop());
+    const auto copy = rig.store.copy();
+    rig.store.put("servers", "i-north", leavingEntryAt("10.0.0.1:80"), std::nullopt);
+    CHECK(loop().run(rig.control.stepEndpoints()));
+    CHECK((rig.takers() == std::set<std::string>{"i-south"}));
+    rig.store.restore(copy);
+    for (int i = 0; i < stepsToSettle; ++i) {
+        loop().run(rig.control.stepEndpoints());
+        CHECK((rig.takers() == std::set<std::string>{"i-south"}));
+    }
+}
