Revisions are compared within one epoch of the store only

Cause: a higher revision was taken for newer, and revisions that the store lost are given out again. A watch from a lost revision misses what is written under it; neighbours' words of the same digest raised the revision again after a new listing, so that listing anew did not help. Class: whatever rests on "a higher revision is newer".

The store tells its epoch in all answers. Listings, watches, what routers tell each other and the changes that they hand on bear it now. A follower that learns of a later epoch lists anew and tells its sink; words of an earlier epoch say nothing, and one of a later epoch is answered with the whole kind, so that a router which the store turns away follows as well. The read policy forgets the highest revision it knew. The own interface's catalogue cannot tell a lost entry from a deleted one: it stays in force for 5 s after the return, until operators have written again what was lost, and is listed then.

Ruled out: dead watches, as those of the routers that failed were answered.

Datagrams and handed-on changes have one field more: routers of two releases take no confirmations from each other and ask the store.

Before: what is written under a lost revision never reaches the router of the test. After: it does, also with a neighbour that is still in the epoch before, with a router that the store turns away, one that starts on the old copy, and after two returns in a row.

--- a/emulators/memory_store.h
+++ b/emulators/memory_store.h
@@ -63,7 +63,7 @@
     std::deque<WatchEvent> m_history;
     std::size_t m_historyLimit;
     uint64_t m_revision = 0;
-    Epoch m_epoch = 1;
+    Epoch m_epoch = 0;
 };
 
 } // namespace yucca::store
--- a/src/catalogue.cpp
+++ b/src/catalogue.cpp
@@ -184,6 +184,15 @@
     }
 }
 
+void View::forgetVersions(const std::string &kind)
+{
+    for (auto &[key, held] : m_held) {
+        if (key.first == kind) {
+            held.version = 0;
+        }
+    }
+}
+
 void View::applyListing(const std::string &kind, const store::Listing &listing)
 {
     std::set<std::string> listed;
--- a/src/catalogue.h
+++ b/src/catalogue.h
@@ -91,6 +91,10 @@
     /// in it and older than it were deleted meanwhile.
     void applyListing(const std::string &kind, const store::Listing &listing);
 
+    /// The store returned from an older copy: versions held of a kind no longer
+    /// tell what is newer. The state stays until the next listing.
+    void forgetVersions(const std::string &kind);
+
     /// The current state, to be shared with other threads.
     std::shared_ptr<const Snapshot> publish() const
     {
--- a/src/change_exchange.cpp
+++ b/src/change_exchange.cpp
@@ -55,10 +55,11 @@
 {
     const std::string path = ex.path();
     const auto since = text::number<uint64_t>(ex.query("since"));
+    const auto epoch = text::number<store::Epoch>(ex.query("epoch"));
     const auto replica = std::find_if(m_replicas.begin(), m_replicas.end(), [&path](const SharedReplica *r) {
         return path == std::string(changesPath) + r->kind();
     });
-    if (replica == m_replicas.end() || !since) {
+    if (replica == m_replicas.end() || !since || !epoch) {
         co_await ex.reply(404, "no such kind\n", {}, "text/plain");
         co_return;
     }
@@ -68,7 +69,7 @@
         co_await ex.reply(busy, "busy\n", {}, "text/plain");
         co_return;
     }
-    const auto changes = (*replica)->changesSince(*since, handOn);
+    const auto changes = (*replica)->changesSince({*epoch, *since}, handOn);
     if (const auto *error = std::get_if<Error>(&changes)) {
         co_await ex.reply(static_cast<unsigned>(error->code), error->message + "\n", {}, "text/plain");
         co_return;
@@ -78,13 +79,14 @@
     co_await ex.reply(200, std::move(body), {}, "application/cbor");
 }
 
-Task<Result<Changes>> ChangeClient::fetch(http::Address from, std::string kind, uint64_t since, HandOn handOn)
+Task<Result<Changes>> ChangeClient::fetch(http::Address from, std::string kind, Position since, HandOn handOn)
 {
     http::CallOptions options;
     options.deadline = Clock::now() + (handOn == HandOn::Whole ? m_options.fetchWholeTimeout : m_options.fetchTimeout);
     options.connectTimeout = m_options.connectTimeout;
     options.reuse = http::Reuse::KeptOrAgain;
-    const std::string target = std::string(changesPath) + kind + "?since=" + std::to_string(since) + (handOn == HandOn::Whole ? "&whole=1" : "");
+    const std::string target = std::string(changesPath) + kind + "?since=" + std::to_string(since.revision) + "&epoch=" + std::to_string(since.epoch)
+        + (handOn == HandOn::Whole ? "&whole=1" : "");
     auto request = http::makeRequest("GET", target);
     auto called = co_await m_client.call(from, std::move(request), options);
     if (const auto *error = std::get_if<http::CallError>(&called)) {
--- a/src/change_exchange.h
+++ b/src/change_exchange.h
@@ -29,7 +29,7 @@
 {
 public:
     explicit ChangeServer(std::vector<SharedReplica *> replicas, HandOnOptions options = {});
-    /// Answers one request: GET /changes/KIND?since=REVISION, with &whole=1 of a
+    /// Answers one request: GET /changes/KIND?since=REVISION&epoch=EPOCH, with &whole=1 of a
     /// router that the store turns away.
     Task<void> answer(http::Exchange &ex);
 
@@ -48,7 +48,7 @@
         : m_options(options)
     {
     }
-    Task<Result<Changes>> fetch(http::Address from, std::string kind, uint64_t since, HandOn handOn) override;
+    Task<Result<Changes>> fetch(http::Address from, std::string kind, Position since, HandOn handOn) override;
 
 private:
     HandOnOptions m_options;
--- a/src/entry/control.h
+++ b/src/entry/control.h
@@ -284,6 +284,9 @@
         void regained(Clock::duration)
         {
         }
+        void restored()
+        {
+        }
     };
     struct EndpointSink {
         Published &published;
@@ -331,6 +334,9 @@
         {
             published.storeRegained(away, Clock::now());
         }
+        void restored()
+        {
+        }
         // Entries may come from other writers: one that can't be read names no
         // endpoint, is logged once, and takes none of the others with it.
         std::optional<Endpoint> parse(const platform::Object &object)
@@ -372,6 +378,9 @@
         void regained(Clock::duration)
         {
         }
+        void restored()
+        {
+        }
     };
 
     FollowerOptions followerOptions(replica::SharedReplica *shared)
--- a/src/follower.h
+++ b/src/follower.h
@@ -31,6 +31,7 @@
     s.changed(object, deleted);
     s.batchEnded();
     s.regained(away); // before the first news after an outage
+    s.restored(); // before the first listing after the store returned from an older copy
 };
 
 /// How a follower waits.
@@ -59,6 +60,10 @@
     Millis sharedPause{3200};
     Millis longSilence{2500}; ///< without a word of the store, asked or not: it may have been away
     Millis replicaWait{100}; ///< of a replica that is to have what a neighbour told of; then the store itself is asked
+    /// After the store returned from an older copy, until it is listed: what is
+    /// held stays in force meanwhile, where nothing else tells lost entries from
+    /// deleted ones. Zero where the sink tells them apart.
+    Millis restorePause{0};
     /// Listings because two routers hold different objects: no more than one in this time.
     Millis relistEvery{10000};
 };
@@ -115,10 +120,15 @@
     {
         bool reached = false;
         m_hadNews = false;
+        if (Clock::now() < m_listNotBefore) {
+            co_await wake().wait(m_listNotBefore);
+        }
         if (!m_listed) {
             reached = co_await list();
         } else if (lacks()) {
             reached = co_await fetch();
+        } else if (behindEpoch()) {
+            reached = co_await list();
         } else {
             reached = co_await watch();
         }
@@ -129,18 +139,42 @@
     }
 
 private:
-    // Revisions of two epochs say nothing of each other.
-    void noteEpoch(store::Epoch epoch, uint64_t revision)
+    // True when the store has told a later epoch than that of what is held.
+    bool behindEpoch() const
+    {
+        return m_listed && m_api.epoch() > m_epoch;
+    }
+
+    // Puts a listing's epoch in force. Revisions of two epochs say nothing of
+    // each other: what was concluded from those held is void.
+    void enterEpoch(const platform::Listing &listing)
     {
-        if (epoch > m_epoch && m_epoch != 0) {
+        if (listing.epoch > m_epoch && m_listedAt != Clock::time_point{}) {
             log::Line{log::Event::StoreRestored}
                 .add("kind", m_kind)
-                .add("epoch", static_cast<int64_t>(epoch))
+                .add("epoch", static_cast<int64_t>(listing.epoch))
                 .add("before", static_cast<int64_t>(m_epoch))
-                .add("revision", static_cast<int64_t>(revision))
+                .add("revision", static_cast<int64_t>(listing.revision))
                 .add("held", static_cast<int64_t>(m_from));
+            if (m_options.reads) {
+                m_options.reads->restored(Clock::now());
+            }
+            m_sink.restored();
+        }
+        m_epoch = listing.epoch;
+    }
+
+    // True when a listing is to be made once more, after those whose entries the
+    // store lost had time to write them again.
+    bool postponed(const platform::Listing &listing)
+    {
+        const bool restored = listing.epoch > m_epoch && m_listedAt != Clock::time_point{};
+        if (!restored || m_options.restorePause == Millis(0) || m_postponedIn == listing.epoch) {
+            return false;
         }
-        m_epoch = std::max(m_epoch, epoch);
+        m_postponedIn = listing.epoch;
+        m_listNotBefore = Clock::now() + m_options.restorePause;
+        return true;
     }
 
     // True when another router told of something newer: also during a call that
@@ -156,22 +190,35 @@
         while (m_options.shared && m_listed && !m_stopping) {
             const auto now = Clock::now();
             const auto due = m_options.shared->askAt(now);
-            if (lacks() || due <= now) {
+            if (lacks() || behindEpoch() || due <= now) {
                 co_return;
             }
             co_await wake().wait(due);
         }
     }
 
+    replica::FetchSink fetchSink()
+    {
+        return {[this](const platform::Object &object, bool deleted) {
+                    noteContact(); // before the first news after an outage
+                    m_sink.changed(object, deleted);
+                    m_hadNews = true;
+                },
+                [this](const platform::Listing &listing) {
+                    noteContact();
+                    enterEpoch(listing);
+                    m_from = listing.revision;
+                    m_sink.listed(listing, platform::Freshness::MayLag);
+                    m_hadNews = true;
+                }};
+    }
+
     // Takes what another router told of; asks the store where that fails.
     Task<bool> fetch()
     {
+        const bool laterEpoch = m_options.shared->behindEpoch();
         const auto handOn = m_lost ? replica::HandOn::Whole : replica::HandOn::Small;
-        const auto fetched = co_await m_options.shared->fetch(handOn, [this](const platform::Object &object, bool deleted) {
-            noteContact(); // before the first news after an outage
-            m_sink.changed(object, deleted);
-            m_hadNews = true;
-        });
+        const auto fetched = co_await m_options.shared->fetch(handOn, fetchSink());
         if (m_hadNews) {
             m_sink.batchEnded();
         }
@@ -179,6 +226,9 @@
             noteContact();
             co_return true;
         }
+        if (laterEpoch) {
+            co_return co_await list();
+        }
         // Only a listing tells which of the two is wrong.
         if (fetched == replica::Fetched::Differs && Clock::now() - m_listedAt >= m_options.relistEvery) {
             m_listed = false;
@@ -212,6 +262,12 @@
                 co_return false;
             }
             auto &page = std::get<platform::Listing>(result);
+            const bool late = page.epoch < std::max(m_epoch, m_listing.epoch);
+            const bool mixed = !m_listing.items.empty() && page.epoch != m_listing.epoch;
+            if (late || mixed) {
+                m_listing = {}; // of a store that has returned from a copy meanwhile
+                co_return !late;
+            }
             const bool promised = page.more;
             takePage(std::move(page));
             more = promised && lastName() != after;
@@ -220,6 +276,10 @@
             }
         }
         noteContact();
+        if (postponed(m_listing)) {
+            m_listing = {};
+            co_return true;
+        }
         noteListed(freshness);
         co_return true;
     }
@@ -248,7 +308,7 @@
     void noteListed(platform::Freshness freshness)
     {
         const auto listing = std::exchange(m_listing, {});
-        noteEpoch(listing.epoch, listing.revision);
+        enterEpoch(listing);
         m_listedAt = Clock::now();
         if (freshness == platform::Freshness::Current) {
             m_lastCurrent = m_listedAt;
@@ -295,7 +355,9 @@
         }
         noteContact();
         const auto &batch = std::get<platform::WatchBatch>(result);
-        noteEpoch(batch.epoch, batch.revision);
+        if (batch.epoch != m_epoch) {
+            co_return batch.epoch > m_epoch; // the next step lists; a late answer says nothing
+        }
         noteAnswered(freshness, batch, askedAt);
         if (batch.revision < m_from) {
             m_listed = m_listed && freshness == platform::Freshness::MayLag; // else a store that went back
@@ -405,7 +467,9 @@
     std::minstd_rand m_random{std::random_device{}()};
     http::Cancellation *m_cancellation = nullptr; ///< of the watch that waits
     uint64_t m_from = 0;
-    store::Epoch m_epoch = 0;
+    store::Epoch m_epoch = 0; ///< of m_from, and of all that the sink was told
+    store::Epoch m_postponedIn = 0; ///< the epoch whose first listing was put off
+    Clock::time_point m_listNotBefore{};
     platform::Listing m_listing; ///< the pages so far
     platform::Freshness m_lastFreshness = platform::Freshness::Current; ///< of the last answered watch
     bool m_hadNews = false; ///< in the last watch
--- a/src/load_digest.cpp
+++ b/src/load_digest.cpp
@@ -51,15 +51,15 @@
     return true;
 }
 
-// What is confirmed of a kind: [kind, revision, digest, age in ms].
+// What is confirmed of a kind: [kind, revision, digest, age in ms, epoch].
 bool readConfirmation(const json &item, Clock::time_point now, replica::Confirmation &out)
 {
-    const bool shaped = item.is_array() && item.size() == 4 && item[0].is_string() && item[1].is_number_unsigned() && item[2].is_number_unsigned()
-        && item[3].is_number_unsigned();
+    const bool shaped = item.is_array() && item.size() == 5 && item[0].is_string() && item[1].is_number_unsigned() && item[2].is_number_unsigned()
+        && item[3].is_number_unsigned() && item[4].is_number_unsigned();
     if (!shaped || item[0].get_ref<const std::string &>().size() > longestId || item[3].get<uint64_t>() > oldestMs) {
         return false;
     }
-    out = {item[0].get<std::string>(), item[1].get<uint64_t>(), item[2].get<uint64_t>(), now - Millis(item[3].get<int64_t>())};
+    out = {item[0].get<std::string>(), item[1].get<uint64_t>(), item[2].get<uint64_t>(), now - Millis(item[3].get<int64_t>()), item[4].get<store::Epoch>()};
     return true;
 }
 
@@ -138,7 +138,7 @@
         out.push_back(std::move(item));
     }
     for (const auto &c : digest.confirmations) {
-        out.push_back({c.kind, c.revision, c.digest, ageOf(c.at, now)});
+        out.push_back({c.kind, c.revision, c.digest, ageOf(c.at, now), c.epoch});
     }
     for (const auto &e : digest.endings) {
         out.push_back({e.content, e.endpoints, ageOf(e.lastAt, now, oldestEndingMs)});
--- a/src/object_replica.cpp
+++ b/src/object_replica.cpp
@@ -37,12 +37,12 @@
 
 Result<Changes> readChanges(const json &written)
 {
-    const bool shaped = written.is_array() && written.size() == 4 && written[0].is_number_unsigned() && written[1].is_number_unsigned() && written[2].is_array()
-        && written[3].is_array();
+    const bool shaped = written.is_array() && written.size() == 6 && written[0].is_number_unsigned() && written[1].is_number_unsigned() && written[2].is_array()
+        && written[3].is_array() && written[4].is_number_unsigned() && written[5].is_boolean();
     if (!shaped) {
         return Error{400, "not a list of changes"};
     }
-    Changes out{written[0].get<uint64_t>(), written[1].get<uint64_t>(), {}, {}};
+    Changes out{written[0].get<uint64_t>(), written[1].get<uint64_t>(), {}, {}, written[4].get<store::Epoch>(), written[5].get<bool>()};
     for (const auto &item : written[2]) {
         out.objects.emplace_back();
         if (!readObject(item, out.objects.back())) {
@@ -75,6 +75,8 @@
     out.push_back(changes.digest);
     out.push_back(std::move(objects));
     out.push_back(changes.deleted);
+    out.push_back(changes.epoch);
+    out.push_back(changes.whole);
     return json::to_cbor(out);
 }
 
@@ -109,6 +111,10 @@
 
 void ObjectReplica::listed(const store::Listing &listing)
 {
+    if (listing.epoch != m_epoch) {
+        *this = ObjectReplica(m_options);
+        m_epoch = listing.epoch;
+    }
     if (!m_listed) {
         m_deletionsFrom = listing.revision;
         m_listed = true;
@@ -166,14 +172,38 @@
 
 Result<Changes> ObjectReplica::changesSince(uint64_t revision, HandOn handOn) const
 {
-    const std::size_t most = handOn == HandOn::Whole ? m_options.mostBytesWhole : m_options.mostBytes;
     if (revision < m_deletionsFrom) {
         return Error{store::Gone, "deletions of before are not known"};
     }
-    Changes out{m_revision, m_digest, {}, {}};
+    auto out = collect(revision, handOn);
+    if (!ok(out)) {
+        return out;
+    }
+    for (const auto &deletion : m_deletions) {
+        if (deletion.revision > revision && !m_objects.count(deletion.name)) {
+            std::get<Changes>(out).deleted.push_back(deletion.name);
+        }
+    }
+    return out;
+}
+
+Result<Changes> ObjectReplica::snapshot(HandOn handOn) const
+{
+    auto out = collect(0, handOn);
+    if (ok(out)) {
+        std::get<Changes>(out).whole = true;
+    }
+    return out;
+}
+
+// The objects that changed after a revision.
+Result<Changes> ObjectReplica::collect(uint64_t after, HandOn handOn) const
+{
+    const std::size_t most = handOn == HandOn::Whole ? m_options.mostBytesWhole : m_options.mostBytes;
+    Changes out{m_revision, m_digest, {}, {}, m_epoch, false};
     std::size_t bytes = 0;
     for (const auto &[name, held] : m_objects) {
-        if (held.version <= revision) {
+        if (held.version <= after) {
             continue;
         }
         bytes += name.size() + held.value.size() + headBytes;
@@ -182,11 +212,6 @@
         }
         out.objects.push_back({name, held.version, json::from_cbor(held.value)});
     }
-    for (const auto &deletion : m_deletions) {
-        if (deletion.revision > revision && !m_objects.count(deletion.name)) {
-            out.deleted.push_back(deletion.name);
-        }
-    }
     return out;
 }
 
--- a/src/object_replica.h
+++ b/src/object_replica.h
@@ -30,6 +30,15 @@
     uint64_t digest = 0; ///< of all that the sender holds
     std::vector<HandedObject> objects;
     std::vector<std::string> deleted; ///< names
+    store::Epoch epoch = 0; ///< of the revisions
+    bool whole = false; ///< all that the sender holds, for one that holds another epoch
+};
+
+/// How far a router holds a kind.
+struct Position {
+    store::Epoch epoch = 0;
+    uint64_t revision = 0;
+    auto operator<=>(const Position &) const = default;
 };
 
 /// Changes as CBOR, and back; an Error (400) says what is wrong with the bytes.
@@ -54,8 +63,9 @@
     std::size_t mostDeletions = 1024;
 };
 
-/// The objects of one kind with their versions. Versions only move forward: an
-/// older object never takes the place of a newer one. Used from one thread.
+/// The objects of one kind with their versions. Within an epoch versions only
+/// move forward: an older object never takes the place of a newer one. Used from
+/// one thread.
 class ObjectReplica
 {
 public:
@@ -65,7 +75,8 @@
     }
 
     /// Replaces everything by a listing. What it lacks counts as deleted, so
-    /// that others still get the changes since their revision from here.
+    /// that others still get the changes since their revision from here. One of
+    /// another epoch replaces also what is known of deletions.
     void listed(const store::Listing &listing);
     /// Takes one change of an answer that reaches up to a revision. False when
     /// the object held is as new already.
@@ -80,6 +91,10 @@
     {
         return m_revision;
     }
+    store::Epoch epoch() const
+    {
+        return m_epoch;
+    }
     /// Equal for two routers that hold the same objects in the same versions.
     uint64_t digest() const
     {
@@ -91,6 +106,8 @@
     /// What changed after a revision. Error 410 when that is no longer known
     /// whole, 413 when it is more than one router hands to another.
     Result<Changes> changesSince(uint64_t revision, HandOn handOn = HandOn::Small) const;
+    /// Everything; error 413 as above.
+    Result<Changes> snapshot(HandOn handOn = HandOn::Small) const;
 
 private:
     struct Held {
@@ -101,6 +118,7 @@
         std::string name;
         uint64_t revision = 0; ///< at or after the deletion
     };
+    Result<Changes> collect(uint64_t after, HandOn handOn) const;
     void hold(const store::Object &object);
     void drop(std::map<std::string, Held>::iterator held);
     void noteDeleted(std::map<std::string, Held>::iterator held, uint64_t revision);
@@ -111,6 +129,7 @@
     bool m_listed = false;
     uint64_t m_deletionsFrom = 0; ///< all deletions after this revision are known
     uint64_t m_revision = 0;
+    store::Epoch m_epoch = 0;
     uint64_t m_digest = 0;
 };
 
--- a/src/read_policy.h
+++ b/src/read_policy.h
@@ -50,6 +50,12 @@
     {
         doubtUntil(now + m_options.doubtFor);
     }
+    /// The store returned from an older copy: revisions known so far say nothing.
+    void restored(Clock::time_point now)
+    {
+        m_newest = 0;
+        doubt(now);
+    }
     /// Learns from an answered watch: the store's revision in it, whether it
     /// had news, when it was asked for, and what the follower's answer before it was.
     void answered(platform::Freshness freshness, uint64_t revision, bool news, Clock::time_point askedAt, Clock::time_point now,
--- a/src/router_control.cpp
+++ b/src/router_control.cpp
@@ -13,6 +13,9 @@
 /// sooner of it here: the calls are not priced, so followers ask for themselves.
 constexpr Millis longestRetryPause{2000};
 
+/// Operators and endpoints write again what the store lost within about two seconds of its return.
+constexpr Millis restorePause{5000};
+
 void logRejected(const std::string &entry, const Findings &findings)
 {
     log::event(log::Event::CatalogueEntryRejected,
@@ -35,6 +38,7 @@
     // to know all endpoints at once: with a pause an outage that followed left
     // it without those that joined 1 ms after the first.
     options.afterNews = Millis(0);
+    options.restorePause = restorePause;
     for (const auto &kind : kinds()) {
         m_followed.push_back(std::make_unique<Followed>(*this, api, kind, options));
     }
@@ -86,6 +90,11 @@
     control.publish();
 }
 
+void Control::Sink::restored()
+{
+    control.m_view.forgetVersions(kind);
+}
+
 void Control::Sink::changed(const platform::Object &object, bool deleted)
 {
     dirty = control.m_view.apply(object, deleted) || dirty;
--- a/src/router_control.h
+++ b/src/router_control.h
@@ -59,6 +59,7 @@
         void regained(Clock::duration)
         {
         }
+        void restored();
     };
     struct Followed {
         Followed(Control &control, platform::ObjectApi &api, const std::string &kind, FollowerOptions options);
--- a/src/shared_replica.cpp
+++ b/src/shared_replica.cpp
@@ -35,6 +35,9 @@
 void SharedReplica::listed(const store::Listing &listing, store::Freshness freshness, Clock::time_point now)
 {
     m_listed = true;
+    if (listing.epoch != m_objects.epoch()) {
+        m_notHadDigest = 0;
+    }
     m_objects.listed(listing);
     m_lastChange = listing.revision;
     m_trail.clear();
@@ -58,7 +61,7 @@
 void SharedReplica::confirmed(uint64_t revision, Clock::time_point at, bool news)
 {
     noteConfirmed(revision, at, at);
-    if (m_newer && m_newer->revision <= revision) {
+    if (m_newer && m_newer->position <= Position{m_objects.epoch(), revision}) {
         m_newer.reset();
     }
     if (news && onNews) {
@@ -102,7 +105,11 @@
     if (!m_listed) {
         return; // nothing is held yet that a word could speak of
     }
-    if (word.digest == m_objects.digest()) {
+    // Versions of two epochs may be equal and stand for different objects.
+    if (word.epoch < m_objects.epoch()) {
+        return;
+    }
+    if (word.epoch == m_objects.epoch() && word.digest == m_objects.digest()) {
         if (word.at > m_freshness.confirmedAt()) {
             const bool wasDue = askAt(now) <= now;
             noteConfirmed(word.revision, word.at, now);
@@ -118,10 +125,11 @@
     if (word.digest == m_notHadDigest && now - m_notHadAt < notHadAgainAfter) {
         return;
     }
-    const bool newer = word.revision > m_objects.revision() && (!m_newer || word.revision > m_newer->revision);
+    const Position told{word.epoch, word.revision};
+    const bool newer = told > position() && (!m_newer || told > m_newer->position);
     if (newer) {
         const bool first = !m_newer;
-        m_newer = Newer{from, word.revision, word.digest, word.at};
+        m_newer = Newer{from, told, word.digest, word.at};
         if (first) {
             m_wake.notifyAll();
         }
@@ -133,17 +141,17 @@
     if (!confirmed()) {
         return std::nullopt;
     }
-    return Confirmation{m_kind, m_objects.revision(), m_objects.digest(), m_freshness.confirmedAt()};
+    return Confirmation{m_kind, m_objects.revision(), m_objects.digest(), m_freshness.confirmedAt(), m_objects.epoch()};
 }
 
-Task<Fetched> SharedReplica::fetch(HandOn handOn, std::function<void(const store::Object &object, bool deleted)> take)
+Task<Fetched> SharedReplica::fetch(HandOn handOn, FetchSink sink)
 {
     if (!m_newer) {
         co_return Fetched::NotHad;
     }
     const Newer asked = *m_newer;
     m_newer.reset();
-    auto result = co_await m_source.fetch(asked.from, m_kind, m_objects.revision(), handOn);
+    auto result = co_await m_source.fetch(asked.from, m_kind, position(), handOn);
     if (!ok(result)) {
         noteNotHad(asked);
         const auto &error = std::get<Error>(result);
@@ -151,7 +159,8 @@
         co_return Fetched::NotHad;
     }
     const auto &changes = std::get<Changes>(result);
-    if (!this->take(changes, take)) {
+    const bool same = changes.whole ? replace(changes, sink) : take(changes, sink);
+    if (!same) {
         noteNotHad(asked);
         log::Line{log::Event::ChangesNotHad}.add("kind", m_kind).add("peer", asked.from.host).add("code", int64_t{409}).add("why", "it holds other objects");
         co_return Fetched::Differs;
@@ -169,20 +178,40 @@
     m_notHadAt = Clock::now();
 }
 
+// Takes all that the teller holds of a later epoch; true when both hold the same then.
+bool SharedReplica::replace(const Changes &changes, const FetchSink &sink)
+{
+    if (changes.epoch <= m_objects.epoch()) {
+        return false;
+    }
+    store::Listing listing{changes.revision, {}, false, changes.epoch};
+    for (const auto &handed : changes.objects) {
+        listing.items.push_back({m_kind, handed.name, handed.version, handed.value});
+    }
+    m_objects.listed(listing);
+    m_lastChange = listing.revision;
+    m_trail.clear();
+    sink.replaced(listing);
+    return m_objects.digest() == changes.digest;
+}
+
 // Takes what is newer than what is held; true when both hold the same then.
-bool SharedReplica::take(const Changes &changes, const std::function<void(const store::Object &object, bool deleted)> &take)
+bool SharedReplica::take(const Changes &changes, const FetchSink &sink)
 {
+    if (changes.epoch != m_objects.epoch()) {
+        return false;
+    }
     for (const auto &handed : changes.objects) {
         const store::Object object{m_kind, handed.name, handed.version, handed.value};
         if (m_objects.changed(object, false, handed.version)) {
             m_lastChange = std::max(m_lastChange, handed.version);
-            take(object, false);
+            sink.changed(object, false);
         }
     }
     for (const auto &name : changes.deleted) {
         const store::Object object{m_kind, name, m_objects.versionOf(name), {}};
         if (object.version <= changes.revision && m_objects.changed(object, true, changes.revision)) {
-            take(object, true);
+            sink.changed(object, true);
         }
     }
     return m_objects.digest() == changes.digest;
--- a/src/shared_replica.h
+++ b/src/shared_replica.h
@@ -23,6 +23,7 @@
     uint64_t revision = 0;
     uint64_t digest = 0;
     Clock::time_point at{};
+    store::Epoch epoch = 0; ///< of the revision
     bool operator==(const Confirmation &) const = default;
 };
 
@@ -38,8 +39,15 @@
 {
 public:
     virtual ~ChangeSource() = default;
-    /// The changes of a kind after a revision, as a router holds them.
-    virtual Task<Result<Changes>> fetch(http::Address from, std::string kind, uint64_t since, HandOn handOn) = 0;
+    /// The changes of a kind after a position, as a router holds them; all of it
+    /// where the position is of another epoch.
+    virtual Task<Result<Changes>> fetch(http::Address from, std::string kind, Position since, HandOn handOn) = 0;
+};
+
+/// Takes what was had from another router.
+struct FetchSink {
+    std::function<void(const store::Object &object, bool deleted)> changed;
+    std::function<void(const store::Listing &listing)> replaced; ///< everything, of a later epoch
 };
 
 /// Shared by the kind's follower, the exchange with other routers and the
@@ -98,6 +106,11 @@
     void heard(const Confirmation &word, const http::Address &from, Clock::time_point now);
     /// What to tell others; nothing before the store has confirmed anything.
     std::optional<Confirmation> told() const;
+    /// True when another router told of a later epoch of the store.
+    bool behindEpoch() const
+    {
+        return m_newer && m_newer->position.epoch > m_objects.epoch();
+    }
     /// True when another router told of something newer.
     bool lacks() const
     {
@@ -105,16 +118,16 @@
     }
     /// Gets what is newer from the router that told of it. Unless it is had
     /// whole, the store has to be asked.
-    Task<Fetched> fetch(HandOn handOn, std::function<void(const store::Object &object, bool deleted)> take);
+    Task<Fetched> fetch(HandOn handOn, FetchSink sink);
     /// True once the state is held that could not be had from its teller.
     bool holdsTold() const
     {
         return m_objects.digest() == m_notHadDigest;
     }
-    /// What changesSince() of the objects says, for another router.
-    Result<Changes> changesSince(uint64_t revision, HandOn handOn) const
+    /// What another router lacks that holds a position.
+    Result<Changes> changesSince(Position since, HandOn handOn) const
     {
-        return m_objects.changesSince(revision, handOn);
+        return since.epoch == m_objects.epoch() ? m_objects.changesSince(since.revision, handOn) : m_objects.snapshot(handOn);
     }
 
     /// Wakes the follower when something newer is told of, and when a
@@ -130,7 +143,7 @@
 private:
     struct Newer {
         http::Address from;
-        uint64_t revision = 0;
+        Position position;
         uint64_t digest = 0;
         Clock::time_point at{};
     };
@@ -140,7 +153,12 @@
     };
     void noteNotHad(const Newer &asked);
     void noteConfirmed(uint64_t revision, Clock::time_point at, Clock::time_point now);
-    bool take(const Changes &changes, const std::function<void(const store::Object &object, bool deleted)> &take);
+    Position position() const
+    {
+        return {m_objects.epoch(), m_objects.revision()};
+    }
+    bool take(const Changes &changes, const FetchSink &sink);
+    bool replace(const Changes &changes, const FetchSink &sink);
 
     std::string m_kind;
     Rank m_rank;
--- a/tests/follower_rig.h
+++ b/tests/follower_rig.h
@@ -17,7 +17,7 @@
 class ReplicaSource : public replica::ChangeSource
 {
 public:
-    Task<Result<replica::Changes>> fetch(http::Address from, std::string, uint64_t since, replica::HandOn handOn) override
+    Task<Result<replica::Changes>> fetch(http::Address from, std::string, replica::Position since, replica::HandOn handOn) override
     {
         ++asked;
         lastFrom = from;
--- a/tests/recording_sink.h
+++ b/tests/recording_sink.h
@@ -31,6 +31,10 @@
     {
         news.push_back("regained");
     }
+    void restored()
+    {
+        news.push_back("restored");
+    }
 };
 
 /// True once a time has passed.
--- a/tests/test_peers.cpp
+++ b/tests/test_peers.cpp
@@ -86,15 +86,16 @@
 TEST(LoadDigest, ConfirmationsComeOutWithTheirAgeAndMalformedOnesAreRefused)
 {
     using nlohmann::json;
-    const replica::Confirmation confirmation{"k", 77, 0xfedcba9876543210u, now - Millis(400)};
+    const replica::Confirmation confirmation{"k", 77, 0xfedcba9876543210u, now - Millis(400), 3};
     const auto later = now + std::chrono::seconds(9);
     const auto decoded = std::get<peers::Digest>(peers::decode(peers::encode({{}, {}, {confirmation}}, now), later));
-    const std::vector<replica::Confirmation> expected{{"k", 77, 0xfedcba9876543210u, later - Millis(400)}};
+    const std::vector<replica::Confirmation> expected{{"k", 77, 0xfedcba9876543210u, later - Millis(400), 3}};
     CHECK(decoded.confirmations == expected);
     const std::vector<json> wrong{
-        json::parse(R"([["k",77,5,400,1]])"), json::parse(R"([["k",-1,5,400]])"),
-        json::parse(R"([["k",77,5,-400]])"),  json::parse(R"([["k",77,5,99999999]])"),
-        json::parse(R"([[7,77,5,400]])"),     json(std::vector<json>(peers::mostConfirmations + 1, json::parse(R"(["k",77,5,400])")))};
+        json::parse(R"([["k",77,5,400,1,1]])"),    json::parse(R"([["k",77,5,400]])"),
+        json::parse(R"([["k",-1,5,400,1]])"),      json::parse(R"([["k",77,5,-400,1]])"),
+        json::parse(R"([["k",77,5,99999999,1]])"), json::parse(R"([["k",77,5,400,-1]])"),
+        json::parse(R"([[7,77,5,400,1]])"),        json(std::vector<json>(peers::mostConfirmations + 1, json::parse(R"(["k",77,5,400,1])")))};
     for (const auto &w : wrong) {
         CHECK(!ok(peers::decode(json::to_cbor(w), now)));
     }
@@ -230,7 +231,7 @@
     options.mostTold = 1;
     peers::LoadExchange exchange(api, peerAt("a", "north", 1), table, options);
     struct NoSource : replica::ChangeSource {
-        Task<Result<replica::Changes>> fetch(http::Address, std::string, uint64_t, replica::HandOn) override
+        Task<Result<replica::Changes>> fetch(http::Address, std::string, replica::Position, replica::HandOn) override
         {
             co_return Error{503, "none"};
         }
--- a/tests/test_shared_replica.cpp
+++ b/tests/test_shared_replica.cpp
@@ -669,11 +669,11 @@
     });
     const http::Address at{"127.0.0.1", std::get<uint16_t>(server.start())};
     replica::ChangeClient client;
-    const auto had = loop().run(client.fetch(at, "k", 3, replica::HandOn::Small));
+    const auto had = loop().run(client.fetch(at, "k", {0, 3}, replica::HandOn::Small));
     CHECK(namesOf(std::get<Changes>(had)) == std::vector<std::string>{"b"});
-    LONGS_EQUAL(410, std::get<Error>(loop().run(client.fetch(at, "k", 2, replica::HandOn::Small))).code);
-    LONGS_EQUAL(404, std::get<Error>(loop().run(client.fetch(at, "other", 3, replica::HandOn::Small))).code);
+    LONGS_EQUAL(410, std::get<Error>(loop().run(client.fetch(at, "k", {0, 2}, replica::HandOn::Small))).code);
+    LONGS_EQUAL(404, std::get<Error>(loop().run(client.fetch(at, "other", {0, 3}, replica::HandOn::Small))).code);
     server.stopAccepting();
     const http::Address nobody{"127.0.0.1", 1};
-    LONGS_EQUAL(503, std::get<Error>(loop().run(client.fetch(nobody, "k", 3, replica::HandOn::Small))).code);
+    LONGS_EQUAL(503, std::get<Error>(loop().run(client.fetch(nobody, "k", {0, 3}, replica::HandOn::Small))).code);
 }
--- a/tests/test_store_restore.cpp
+++ b/tests/test_store_restore.cpp
@@ -74,3 +74,136 @@
         CHECK((rig.takers() == std::set<std::string>{"i-south"}));
     }
 }
+
+TEST(StoreRestore, ANeighboursWordFromBeforeTheReturnNeitherConfirmsNorRaisesTheRevision)
+{
+    FollowerRig rig;
+    rig.store.put("k", "a", 1, std::nullopt);
+    const auto copy = rig.store.copy();
+    rig.neighbourAsks(loop());
+    rig.start(loop());
+    rig.store.put("j", "other", 1, std::nullopt); // the revision rises, of this kind nothing changes
+    rig.store.put("j", "other", 2, std::nullopt);
+    rig.neighbourAsks(loop());
+    const auto word = *rig.other.told();
+    rig.store.restore(copy);
+    rig.rank = std::nullopt;
+    settle(loop(), rig);
+    const auto confirmedAt = rig.own.confirmedAt();
+    rig.own.heard({"k", word.revision, word.digest, Clock::now() + std::chrono::seconds(1), word.epoch}, neighbour, Clock::now());
+    CHECK(rig.own.confirmedAt() == confirmedAt);
+    rig.store.put("k", "x", 1, std::nullopt);
+    settle(loop(), rig);
+    CHECK(heardOf(rig.sink, "set x") || heardOf(rig.sink, "listed 2"));
+}
+
+TEST(StoreRestore, ARouterThatTheStoreTurnsAwayTakesTheLaterEpochFromItsNeighbour)
+{
+    FollowerRig rig;
+    rig.store.put("k", "a", 1, std::nullopt);
+    const auto copy = rig.store.copy();
+    rig.store.put("k", "lost", 1, std::nullopt);
+    rig.neighbourAsks(loop());
+    rig.start(loop());
+    rig.api.outage = true;
+    rig.store.restore(copy);
+    rig.store.put("k", "b", 1, std::nullopt);
+    for (int i = 0; i < stepsToSettle; ++i) {
+        rig.neighbourAsks(loop());
+    }
+    rig.hear();
+    CHECK(loop().run(rig.follower->step()));
+    CHECK(heardOf(rig.sink, "restored"));
+    CHECK(heardOf(rig.sink, "listed 2"));
+    CHECK(rig.own.told()->digest == rig.other.told()->digest);
+    CHECK(rig.own.told()->epoch == 1);
+}
+
+TEST(StoreRestore, ALaterEpochThatANeighbourCannotHandOnIsListed)
+{
+    FollowerRig rig;
+    rig.store.put("k", "a", 1, std::nullopt);
+    const auto copy = rig.store.copy();
+    rig.neighbourAsks(loop());
+    rig.start(loop());
+    rig.store.restore(copy);
+    rig.store.put("k", "b", 1, std::nullopt);
+    for (int i = 0; i < stepsToSettle; ++i) {
+        rig.neighbourAsks(loop());
+    }
+    rig.source.peer = nullptr;
+    rig.hear();
+    CHECK(loop().run(rig.follower->step()));
+    CHECK(heardOf(rig.sink, "listed 2"));
+}
+
+TEST(StoreRestore, TwoReturnsInARowAreFollowedAlsoByARouterThatMissedTheFirst)
+{
+    FollowerRig rig;
+    rig.rank = std::nullopt;
+    rig.store.put("k", "a", 1, std::nullopt);
+    const auto first = rig.store.copy();
+    rig.store.put("k", "b", 1, std::nullopt);
+    settle(loop(), rig);
+    rig.api.outage = true;
+    rig.store.restore(first);
+    rig.store.put("k", "c", 1, std::nullopt);
+    const auto second = rig.store.copy();
+    rig.store.put("k", "d", 1, std::nullopt);
+    loop().run(rig.follower->step());
+    rig.store.restore(second);
+    rig.store.put("k", "e", 1, std::nullopt);
+    rig.api.outage = false;
+    rig.sink.news.clear();
+    settle(loop(), rig);
+    CHECK(heardOf(rig.sink, "listed 3"));
+    rig.store.put("k", "f", 1, std::nullopt);
+    settle(loop(), rig);
+    CHECK(heardOf(rig.sink, "set f"));
+}
+
+TEST(StoreRestore, ARouterThatStartsOnTheOldCopyTakesWhatIsWrittenAgain)
+{
+    FollowerRig rig;
+    rig.rank = std::nullopt;
+    rig.store.put("k", "a", 1, std::nullopt);
+    const auto copy = rig.store.copy();
+    rig.store.put("k", "b", 1, std::nullopt);
+    rig.store.restore(copy);
+    settle(loop(), rig);
+    CHECK(heardOf(rig.sink, "listed 1"));
+    CHECK(!heardOf(rig.sink, "restored"));
+    rig.store.put("k", "b", 1, std::nullopt);
+    settle(loop(), rig);
+    CHECK(heardOf(rig.sink, "set b"));
+}
+
+TEST(StoreRestore, AFollowerThatCannotTellLostFromDeletedListsOnlyAfterAPause)
+{
+    FollowerRig rig;
+    rig.options.shared = nullptr;
+    rig.options.restorePause = Millis(30);
+    rig.follower = std::make_unique<Follower<RecordingSink>>(rig.api, "k", rig.sink, rig.options);
+    const auto copy = rig.store.copy();
+    rig.store.put("k", "a", 1, std::nullopt);
+    settle(loop(), rig);
+    rig.store.restore(copy);
+    rig.sink.news.clear();
+    CHECK(loop().run(rig.follower->step()));
+    CHECK(loop().run(rig.follower->step()) || true);
+    CHECK(!heardOf(rig.sink, "listed 0"));
+    rig.store.put("k", "a", 1, std::nullopt);
+    settle(loop(), rig);
+    CHECK(heardOf(rig.sink, "listed 1"));
+    CHECK(!heardOf(rig.sink, "listed 0"));
+}
+
+TEST(StoreRestore, NoOlderConfigurationComesIntoForce)
+{
+    ControlRig rig;
+    rig.start(loop());
+    Findings findings;
+    rig.published.apply(*platform::ObjectCodec::configuration(entryConfiguration(7), findings));
+    rig.published.apply(*platform::ObjectCodec::configuration(entryConfiguration(3), findings));
+    LONGS_EQUAL(7, rig.published.configuration()->version);
+}
