What is known of leaving endpoints and evacuations outlasts the store's return from an old copy

Cause: the listing had the last word, also on what cannot be taken back or was lost. Class: whatever rests on "the store remembers".

An incarnation that was known to leave stays so, whatever a listing says; one that had gone and is listed by the copy stays out until its entry has outlasted the heartbeats of a dead endpoint (6 s). Versions of the configuration still only rise.

Ruled out: cheap answers alone; the test reads the store itself.

Before: the endpoint of the test gets requests again.

--- a/src/entry/control.cpp
+++ b/src/entry/control.cpp
@@ -53,12 +53,18 @@
 void Published::replaceEvacuated(std::set<std::string> domains)
 {
     m_evacuationsKnown = true;
+    m_evacuationsKept.clear();
+    if (Clock::now() < m_keepEvacuatedUntil) {
+        std::set_difference(m_evacuated.begin(), m_evacuated.end(), domains.begin(), domains.end(), std::inserter(m_evacuationsKept, m_evacuationsKept.end()));
+        domains.insert(m_evacuationsKept.begin(), m_evacuationsKept.end());
+    }
     putEvacuated(std::move(domains));
 }
 
 void Published::setEvacuated(const std::string &domain, bool evacuated)
 {
     auto domains = m_evacuated;
+    m_evacuationsKept.erase(domain); // the store has the last word on it
     if (evacuated) {
         domains.insert(domain);
     } else {
@@ -123,8 +129,10 @@
 {
     noteChange(endpoint);
     m_lapsed.erase(endpoint.id);
+    const bool out = staysOut(endpoint, Clock::now());
     auto &held = m_endpoints[endpoint.id];
     held = endpoint;
+    held.state = out ? EndpointState::Leaving : endpoint.state;
     const auto region = m_options.regions.find(endpoint.zone);
     held.region = region == m_options.regions.end() ? "" : region->second;
     if (endpoint.coldMs > 0) {
@@ -174,10 +182,61 @@
     if (it->second.state == EndpointState::Live) {
         logChange(log::Event::EndpointLeft, it->second);
     }
+    noteGone(it->second);
     m_lapsed.erase(id);
+    m_returned.erase(id);
     m_endpoints.erase(it);
 }
 
+// True for an incarnation that is listed as live and must get nothing: it was
+// known to leave, or had gone and may only be listed by an older copy.
+bool Published::staysOut(const Endpoint &endpoint, Clock::time_point now)
+{
+    const bool restoring = now < m_restoringUntil;
+    const bool final = endpoint.born != 0; // an incarnation that leaves does not stay; where none is told, it may have started anew
+    const auto held = m_endpoints.find(endpoint.id);
+    if (endpoint.state != EndpointState::Live) {
+        m_returned.erase(endpoint.id);
+        return false;
+    }
+    if (held != m_endpoints.end()) {
+        const bool left = held->second.state == EndpointState::Leaving && sameIncarnation(held->second, endpoint);
+        return left && (final || restoring);
+    }
+    const auto gone = m_gone.find(incarnationKey(endpoint));
+    if (gone == m_gone.end()) {
+        return false;
+    }
+    if (gone->second.leaving) {
+        return final || restoring;
+    }
+    if (restoring) {
+        m_returned.insert(endpoint.id);
+    }
+    return restoring;
+}
+
+void Published::noteGone(const Endpoint &endpoint)
+{
+    const auto now = Clock::now();
+    std::erase_if(m_gone, [now](const auto &entry) {
+        return now - entry.second.at > goneRememberedFor;
+    });
+    const bool leaving = endpoint.state == EndpointState::Leaving && !m_returned.count(endpoint.id);
+    m_gone[incarnationKey(endpoint)] = {leaving, now};
+}
+
+void Published::endpointsRestored(Clock::time_point now)
+{
+    m_keepLapsedUntil = std::max(m_keepLapsedUntil, now + lapsedKeptFor);
+    m_restoringUntil = now + restoreSettles;
+}
+
+void Published::evacuationsRestored(Clock::time_point now)
+{
+    m_keepEvacuatedUntil = now + restoreSettles;
+}
+
 void Published::storeRegained(Clock::duration away, Clock::time_point now)
 {
     if (away >= shortestLapse) {
@@ -187,17 +246,49 @@
 
 void Published::dropLapsed(Clock::time_point now)
 {
+    if (now >= m_restoringUntil) {
+        admitReturned();
+    }
+    if (now >= m_keepEvacuatedUntil) {
+        dropEvacuationsKept();
+    }
     if (m_lapsed.empty() || now < m_keepLapsedUntil) {
         return;
     }
     const auto lapsed = std::move(m_lapsed);
     m_lapsed.clear();
     for (const auto &id : lapsed) {
-        removeEndpoint(id);
+        discardEndpoint(id);
+    }
+    publishEndpoints();
+}
+
+// An entry that outlasts the heartbeats of a dead endpoint is that of a living one.
+void Published::admitReturned()
+{
+    if (m_returned.empty()) {
+        return;
+    }
+    for (const auto &id : std::exchange(m_returned, {})) {
+        auto &endpoint = m_endpoints[id];
+        endpoint.state = EndpointState::Live;
+        logChange(log::Event::EndpointJoined, endpoint);
     }
     publishEndpoints();
 }
 
+void Published::dropEvacuationsKept()
+{
+    if (m_evacuationsKept.empty()) {
+        return;
+    }
+    auto domains = m_evacuated;
+    for (const auto &domain : std::exchange(m_evacuationsKept, {})) {
+        domains.erase(domain);
+    }
+    putEvacuated(std::move(domains));
+}
+
 void Published::publishEndpoints()
 {
     const auto configuration = m_configuration.load();
--- a/src/entry/control.h
+++ b/src/entry/control.h
@@ -98,7 +98,13 @@
     /// lapsed in it though they live; their entries come back within about
     /// two seconds. Until then, those that are missing are kept.
     void storeRegained(Clock::duration away, Clock::time_point now);
-    /// Takes endpoints that are still missing after that time as gone.
+    /// The store returned from an older copy. Until entries have been written
+    /// again, what it lacks is kept, and what was known to be gone stays out.
+    void endpointsRestored(Clock::time_point now);
+    /// The same for the evacuations: those that it lacks stay in force.
+    void evacuationsRestored(Clock::time_point now);
+    /// Takes endpoints that are still missing after that time as gone, those that
+    /// are still listed as living, and evacuations that are missing as taken back.
     void dropLapsed(Clock::time_point now);
     /// When the store last answered.
     Clock::time_point lastContact() const
@@ -122,7 +128,16 @@
     void publishEndpoints();
 
 private:
+    /// How an incarnation was last seen that is listed no more.
+    struct Gone {
+        bool leaving = false;
+        Clock::time_point at{};
+    };
     void noteChange(const Endpoint &endpoint) const;
+    bool staysOut(const Endpoint &endpoint, Clock::time_point now);
+    void noteGone(const Endpoint &endpoint);
+    void admitReturned();
+    void dropEvacuationsKept();
     void putEvacuated(std::set<std::string> domains);
     void putColdAllowances(const Configuration &configuration);
 
@@ -137,6 +152,11 @@
     std::map<std::string, Endpoint> m_endpoints;
     std::set<std::string> m_lapsed; ///< of m_endpoints: no longer listed, kept for now
     Clock::time_point m_keepLapsedUntil{};
+    std::map<std::string, Gone> m_gone; ///< by incarnation
+    Clock::time_point m_restoringUntil{}; ///< entries that the store lost are written again by then, and old ones lapsed
+    std::set<std::string> m_returned; ///< of m_endpoints: they had gone, and stay out until it is known that they live
+    Clock::time_point m_keepEvacuatedUntil{};
+    std::set<std::string> m_evacuationsKept; ///< of m_evacuated: the store lacks them
     std::atomic<Clock::time_point> m_lastContact{};
     std::atomic<std::size_t> m_endpointCount{0};
 };
@@ -148,6 +168,14 @@
 /// An outage shorter than this lapses nobody: entries live for three heartbeats, of 1.2 s each at the users' sites.
 inline constexpr Millis shortestLapse{2500};
 
+/// After the store's return from an older copy its writers write again what it
+/// lost, within about two seconds; an entry whose endpoint has ended lapses after
+/// three heartbeats, of 1.2 s each.
+inline constexpr Millis restoreSettles{6000};
+/// An endpoint that has gone may be listed again by a store that returns from an
+/// older copy: copies are seconds old.
+inline constexpr Millis goneRememberedFor{std::chrono::minutes(10)};
+
 inline constexpr Millis askEvery{1000}; ///< a change is to be in force 2 s after it is made, also where a watch has died
 inline constexpr Millis askAgainAfter{200}; ///< the store does not answer: its return is to be noticed soon
 
@@ -336,6 +364,7 @@
         }
         void restored()
         {
+            published.endpointsRestored(Clock::now());
         }
         // Entries may come from other writers: one that can't be read names no
         // endpoint, is logged once, and takes none of the others with it.
@@ -380,6 +409,7 @@
         }
         void restored()
         {
+            published.evacuationsRestored(Clock::now());
         }
     };
 
--- a/tests/test_store_restore.cpp
+++ b/tests/test_store_restore.cpp
@@ -207,3 +207,76 @@
     rig.published.apply(*platform::ObjectCodec::configuration(entryConfiguration(3), findings));
     LONGS_EQUAL(7, rig.published.configuration()->version);
 }
+
+TEST(StoreRestore, AnEndpointThatHadGoneAndIsListedByTheCopyStaysOutUntilItIsKnownToLive)
+{
+    ControlRig rig;
+    rig.start(loop());
+    const auto copy = rig.store.copy();
+    rig.store.remove("servers", "i-north", std::nullopt);
+    CHECK(loop().run(rig.control.stepEndpoints()));
+    CHECK((rig.takers() == std::set<std::string>{"i-south"}));
+    rig.store.restore(copy);
+    for (int i = 0; i < stepsToSettle; ++i) {
+        loop().run(rig.control.stepEndpoints());
+    }
+    CHECK((rig.takers() == std::set<std::string>{"i-south"}));
+    rig.published.dropLapsed(Clock::now() + entry::restoreSettles);
+    CHECK((rig.takers() == std::set<std::string>{"i-north", "i-south"}));
+}
+
+TEST(StoreRestore, AnEndpointThatJoinedAfterTheCopyIsKeptUntilItsEntryIsWrittenAgain)
+{
+    ControlRig rig;
+    rig.start(loop());
+    const auto copy = rig.store.copy();
+    rig.store.put("servers", "i-new", entryAt("10.0.0.3:80"), std::nullopt);
+    CHECK(loop().run(rig.control.stepEndpoints()));
+    rig.store.restore(copy);
+    const std::set<std::string> all{"i-new", "i-north", "i-south"};
+    for (int i = 0; i < stepsToSettle; ++i) {
+        loop().run(rig.control.stepEndpoints());
+        CHECK(rig.takers() == all);
+    }
+    rig.published.dropLapsed(Clock::now() + entry::lapsedKeptFor);
+    CHECK((rig.takers() == std::set<std::string>{"i-north", "i-south"}));
+}
+
+TEST(StoreRestore, AnEvacuationThatTheStoreLostStaysInForceUntilItIsWrittenAgainOrMissingForLong)
+{
+    ControlRig rig;
+    rig.start(loop());
+    CHECK(loop().run(rig.control.stepEvacuations()));
+    const auto copy = rig.store.copy();
+    const std::set<std::string> south{"i-south"};
+    for (int round = 0; round < 2; ++round) { // the second return comes right after the first
+        rig.store.put(platform::ObjectCodec::evacuationKind, "north", nlohmann::json::object(), std::nullopt);
+        loop().run(rig.control.stepEvacuations());
+        rig.store.restore(copy);
+        for (int i = 0; i < stepsToSettle; ++i) {
+            loop().run(rig.control.stepEvacuations());
+            CHECK(rig.takers() == south);
+        }
+    }
+    rig.published.dropLapsed(Clock::now() + entry::restoreSettles);
+    CHECK((rig.takers() == std::set<std::string>{"i-north", "i-south"}));
+}
+
+TEST(StoreRestore, AnEvacuationThatIsTakenBackAfterTheReturnEndsAtOnce)
+{
+    ControlRig rig;
+    rig.start(loop());
+    CHECK(loop().run(rig.control.stepEvacuations()));
+    rig.store.put(platform::ObjectCodec::evacuationKind, "north", nlohmann::json::object(), std::nullopt);
+    const auto copy = rig.store.copy();
+    rig.store.remove(platform::ObjectCodec::evacuationKind, "north", std::nullopt);
+    CHECK(loop().run(rig.control.stepEvacuations()));
+    rig.store.restore(copy);
+    for (int i = 0; i < stepsToSettle; ++i) {
+        loop().run(rig.control.stepEvacuations());
+    }
+    CHECK((rig.takers() == std::set<std::string>{"i-south"})); // the copy has the order
+    rig.store.remove(platform::ObjectCodec::evacuationKind, "north", std::nullopt);
+    CHECK(loop().run(rig.control.stepEvacuations()));
+    CHECK((rig.takers() == std::set<std::string>{"i-north", "i-south"}));
+}
