A lease outlasts the store's return from an older copy: one holder, and no fencing number twice

Cause: who held the lease, and its number, rested on the store's memory. After a return from a copy without the record the next router took it at once, with a number that had been given out, while the last holder still acted; a renewal could meet another's record under its own version.

A holder stops as soon as an answer tells a later epoch. Nobody takes the lease before it has known the epoch for a term. Numbers of an epoch are above all of those before it.

--- a/src/lease.h
+++ b/src/lease.h
@@ -1,5 +1,6 @@
 // Leases kept as objects in the object API: at most one holder at a time,
-// each with a fencing number higher than every holder before it.
+// each with a fencing number higher than every holder before it, also where the
+// store returns from an older copy and has lost who held it last.
 #pragma once
 
 #include "object_api.h"
@@ -47,12 +48,15 @@
     }
 
 private:
+    /// A record of another's, or an epoch, and since when it has been known.
     struct Seen {
+        store::Epoch epoch = 0;
         uint64_t version = 0;
         BootTime since{};
     };
+    bool mayHaveLostHolder(store::Epoch epoch);
     bool lapsed(const platform::Object &object);
-    Task<bool> write(std::optional<uint64_t> ifVersion, uint64_t fence, BootTime began);
+    Task<bool> write(std::optional<uint64_t> ifVersion, uint64_t fence, BootTime began, store::Epoch epoch);
 
     platform::ObjectApi &m_api;
     std::string m_name;
@@ -61,8 +65,10 @@
     BootClock m_clock;
     uint64_t m_fence = 0;
     uint64_t m_version = 0; ///< of the record while it is ours; 0 when it is not
+    store::Epoch m_epoch = 0; ///< in which it was taken
     BootTime m_heldUntil{};
     Seen m_seen;
+    Seen m_epochSeen;
 };
 
 } // namespace yucca::lease
--- a/tests/test_lease.cpp
+++ b/tests/test_lease.cpp
@@ -5,6 +5,8 @@
 #include "local_object_api.h"
 #include "orders.h"
 
+#include <set>
+
 #include <CppUTest/TestHarness.h>
 
 using namespace yucca;
@@ -213,3 +215,55 @@
     CHECK(carryOut(a, "a", lossy) == OrderResult::Pending);
     LONGS_EQUAL(1, engine.gate.applied().size());
 }
+
+TEST(FencingLease, AHolderStopsAndNumbersGoOnWhenTheStoreReturnsFromACopyWithoutItsRecord)
+{
+    const auto copy = store.copy();
+    CHECK(acquire(a));
+    const auto before = a.fence();
+    store.restore(copy);
+    CHECK_FALSE(acquire(b)); // a may still believe that it holds it
+    CHECK_FALSE(acquire(a));
+    CHECK_FALSE(a.held());
+    now += term;
+    CHECK(acquire(b));
+    CHECK(b.fence() > before);
+    CHECK_FALSE(acquire(a));
+}
+
+TEST(FencingLease, ALeaseThatTheCopyHasAsReleasedIsNotTakenBeforeItsLastHoldersTermIsOver)
+{
+    CHECK(acquire(a));
+    runBlocking(a.release());
+    const auto copy = store.copy();
+    CHECK(acquire(a));
+    const auto before = a.fence();
+    store.restore(copy);
+    CHECK_FALSE(acquire(b));
+    now += term;
+    CHECK(acquire(b));
+    CHECK(b.fence() > before);
+}
+
+TEST(FencingLease, ARenewalThatMeetsALaterEpochDoesNotHoldTheLease)
+{
+    CHECK(acquire(a));
+    const auto copy = store.copy();
+    store.restore(copy); // the record stands at the same version
+    CHECK_FALSE(acquire(a));
+    CHECK_FALSE(a.held());
+}
+
+TEST(FencingLease, TwoReturnsInARowGiveNoNumberTwice)
+{
+    const auto copy = store.copy();
+    std::set<uint64_t> numbers;
+    for (int round = 0; round < 3; ++round) {
+        for (int tries = 0; !acquire(a) && tries < 5; ++tries) {
+            now += term;
+        }
+        CHECK(a.held());
+        CHECK(numbers.insert(a.fence()).second);
+        store.restore(copy);
+    }
+}
