Records of calls that run once are written again when the store has lost them

Cause: at most once rested on the store's memory of the claim. A caller that repeated its key after the store's return from an older copy would have had its call run again.

A router remembers its records for a minute, and writes those that the store lost again once it hears of a later epoch; a call that was running then settles its record whatever became of the claim. For 5 s after they hear of the return routers take no claims, and say that the call was not run; the first claim after a return is let go. The same holds for the records of orders.

--- a/src/duties.cpp
+++ b/src/duties.cpp
@@ -120,6 +120,7 @@
 
 Task<void> Duties::step()
 {
+    co_await m_desk.restoreLost();
     const bool holder = co_await m_lease.acquireOrRenew();
     if (holder != m_wasHolder) {
         log::event(holder ? log::Event::LeaseTaken : log::Event::LeaseLost, "lease=" + std::string(leaseName) + " fence=" + std::to_string(m_lease.fence()));
--- a/src/idempotency.cpp
+++ b/src/idempotency.cpp
@@ -2,6 +2,7 @@
 
 #include "yucca/ring.h"
 
+#include <algorithm>
 #include <ctime>
 #include <random>
 
@@ -30,14 +31,93 @@
 }
 } // namespace
 
-Guard::Guard(platform::ObjectApi &api, std::string owner, std::string kind)
+Guard::Guard(platform::ObjectApi &api, std::string owner, std::string kind, RestoreOptions options)
     : m_api(api)
     , m_owner(std::move(owner))
     , m_kind(std::move(kind))
     , m_boot(bootId())
+    , m_options(options)
 {
 }
 
+void Guard::noteEpoch(store::Epoch epoch, Clock::time_point now)
+{
+    std::lock_guard lock(m_mutex);
+    if (epoch > m_epoch) {
+        m_epoch = epoch;
+        m_claimsFrom = now + m_options.claimsAfterRestore;
+        m_restorePending = true;
+    }
+}
+
+// True while a key that looks new may have run: its record may be lost.
+bool Guard::restoring(Clock::time_point now)
+{
+    noteEpoch(m_api.epoch(), now);
+    std::lock_guard lock(m_mutex);
+    return now < m_claimsFrom;
+}
+
+void Guard::remember(const std::string &name, const nlohmann::json &value)
+{
+    const auto now = Clock::now();
+    std::lock_guard lock(m_mutex);
+    m_remembered.insert_or_assign(name, Remembered{value, now});
+    if (m_remembered.size() <= m_options.mostRemembered) {
+        return;
+    }
+    std::erase_if(m_remembered, [&](const auto &entry) {
+        return now - entry.second.at > m_options.rememberedFor;
+    });
+    while (m_remembered.size() > m_options.mostRemembered) {
+        m_remembered.erase(std::min_element(m_remembered.begin(), m_remembered.end(), [](const auto &a, const auto &b) {
+            return a.second.at < b.second.at;
+        }));
+    }
+}
+
+std::map<std::string, Guard::Remembered> Guard::toRestore(Clock::time_point now)
+{
+    noteEpoch(m_api.epoch(), now);
+    std::lock_guard lock(m_mutex);
+    if (!m_restorePending) {
+        return {};
+    }
+    m_restorePending = false;
+    return m_remembered;
+}
+
+Task<void> Guard::restoreLost()
+{
+    for (const auto &[name, kept] : toRestore(Clock::now())) {
+        auto written = co_await writeAgain(name, kept.value);
+        const bool failed = !ok(written) && std::get<Error>(written).code != store::Conflict;
+        if (failed) {
+            std::lock_guard lock(m_mutex);
+            m_restorePending = true;
+            co_return;
+        }
+    }
+}
+
+// Writes a record of this router that the store may hold in an older state, or
+// not at all; Conflict where another claim stands.
+Task<Result<platform::Object>> Guard::writeAgain(std::string name, nlohmann::json record)
+{
+    auto got = co_await m_api.get(m_kind, name, platform::Freshness::Current);
+    if (!ok(got) && std::get<Error>(got).code != store::NotFound) {
+        co_return std::move(got);
+    }
+    const auto *held = std::get_if<platform::Object>(&got);
+    if (held && held->value == record) {
+        co_return std::move(got);
+    }
+    if (held && held->value.value("nonce", "") != record.value("nonce", "")) {
+        co_return Error{store::Conflict, "another claim stands"};
+    }
+    co_return co_await m_api.put(m_kind, name, record, held ? held->version : 0);
+}
+
 std::string Guard::recordName(const std::string &workspace, const std::string &key)
 {
     std::string out = workspace + "." + key;
@@ -81,6 +161,9 @@
 
 Task<Claim> Guard::claim(std::string workspace, std::string key, uint64_t requestHash)
 {
+    if (restoring(Clock::now())) {
+        co_return Claim{};
+    }
     const std::string name = recordName(workspace, key);
     const std::string nonce = m_owner + "-" + m_boot + "-" + std::to_string(++m_attempts);
     const nlohmann::json started = startedRecord(m_owner, nonce, requestHash);
@@ -91,6 +174,11 @@
             Claim won;
             won.decision = Decision::Run;
             won.record = std::get<platform::Object>(put);
+            remember(name, started);
+            if (restoring(Clock::now())) { // the claim itself brought the news
+                co_await settle(won, released(won));
+                co_return Claim{};
+            }
             co_return won;
         }
         const auto &err = std::get<Error>(put);
@@ -137,10 +225,15 @@
 Task<Result<platform::Object>> Guard::settle(Claim claim, nlohmann::json record)
 {
     auto put = co_await m_api.put(m_kind, claim.record.name, record, claim.record.version);
+    remember(claim.record.name, record);
     if (ok(put)) {
         co_return std::move(put);
     }
     const auto error = std::get<Error>(put);
+    const bool mayBeLost = m_api.epoch() > claim.record.epoch && (error.code == store::NotFound || error.code == store::Conflict);
+    if (mayBeLost) {
+        co_return co_await writeAgain(claim.record.name, record);
+    }
     if (error.code != store::AnswerLost && error.code != store::Conflict) {
         co_return error;
     }
--- a/src/idempotency.h
+++ b/src/idempotency.h
@@ -7,6 +7,8 @@
 #include "task.h"
 
 #include <atomic>
+#include <map>
+#include <mutex>
 #include <string>
 
 namespace yucca::idempotency
@@ -38,12 +40,22 @@
     std::string storedBody;
 };
 
+/// What a guard does about a store that returns from an older copy.
+struct RestoreOptions {
+    /// No claims are taken for so long after the return is known: the routers
+    /// whose records were lost write them again meanwhile. Each hears of the
+    /// return within a watch's wait of 2 s.
+    Millis claimsAfterRestore{5000};
+    Millis rememberedFor{std::chrono::minutes(1)}; ///< copies are seconds old
+    std::size_t mostRemembered = 20000; ///< of about 400 B; the oldest go first
+};
+
 /// Takes and settles claims for one router.
 class Guard
 {
 public:
     /// Records are of the given kind.
-    Guard(platform::ObjectApi &api, std::string owner, std::string kind = recordKind);
+    Guard(platform::ObjectApi &api, std::string owner, std::string kind = recordKind, RestoreOptions options = {});
 
     /// Claims key for a request whose body hashes to requestHash.
     /// Each attempt is identified by a fresh nonce so that a claim whose
@@ -60,10 +72,24 @@
     /// growing pauses: a record left "started" would answer "unknown" for good.
     Task<bool> settleEventually(Claim claim, nlohmann::json record);
 
+    /// The store told an epoch to somebody else; from any thread.
+    void noteEpoch(store::Epoch epoch, Clock::time_point now);
+    /// After the store's return, writes again the records of this router that it
+    /// lost; else does nothing. Goes on with the next call where the store fails.
+    Task<void> restoreLost();
+
     /// The record name of a key: workspace and key, URL-safe.
     static std::string recordName(const std::string &workspace, const std::string &key);
 
 private:
+    struct Remembered {
+        nlohmann::json value;
+        Clock::time_point at{};
+    };
+    bool restoring(Clock::time_point now);
+    void remember(const std::string &name, const nlohmann::json &value);
+    std::map<std::string, Remembered> toRestore(Clock::time_point now);
+    Task<Result<platform::Object>> writeAgain(std::string name, nlohmann::json record);
     Claim decide(const platform::Object &existing, uint64_t requestHash, const std::string &nonce);
 
     platform::ObjectApi &m_api;
@@ -71,6 +97,12 @@
     std::string m_kind;
     std::string m_boot; ///< random per process: nonces never repeat across restarts
     std::atomic<uint64_t> m_attempts{0}; ///< traffic threads claim concurrently
+    RestoreOptions m_options;
+    std::mutex m_mutex;
+    std::map<std::string, Remembered> m_remembered; ///< records of this router, by name
+    store::Epoch m_epoch = 0;
+    Clock::time_point m_claimsFrom{};
+    bool m_restorePending = false;
 };
 
 } // namespace yucca::idempotency
--- a/src/orders.h
+++ b/src/orders.h
@@ -71,6 +71,11 @@
     Desk(platform::ObjectApi &api, lease::Lease &lease, std::string holder, Sender sender, quarantine::RequestQuarantine &quarantine);
 
     Task<OrderResult> carryOut(Order order);
+    /// Writes again the records of orders that a store lost which returned from an older copy.
+    Task<void> restoreLost()
+    {
+        return m_guard.restoreLost();
+    }
 
 private:
     lease::Lease &m_lease;
--- a/src/router_main.cpp
+++ b/src/router_main.cpp
@@ -101,6 +101,13 @@
                             [this] {
                                 m_duties.stop();
                             }});
+        m_supervisor.start({"records",
+                            [this] {
+                                return m_router.keepRecords(m_controlApi);
+                            },
+                            [this] {
+                                m_router.beginStop();
+                            }});
         m_supervisor.start({"quarantine",
                             [this] {
                                 return m_quarantineStore.run();
--- a/src/router_traffic.cpp
+++ b/src/router_traffic.cpp
@@ -10,6 +10,7 @@
 namespace
 {
 
+constexpr Millis recordsCheck{200}; ///< whether the store has returned from an older copy; costs no call
 constexpr Millis connectTimeout{1000}; ///< endpoints may be in another region: a SYN may be lost once
 constexpr std::size_t mostKept = 32; ///< connections kept to an endpoint; nobody states a cap here
 
@@ -61,6 +62,15 @@
     return *gateway;
 }
 
+Task<void> Router::keepRecords(const platform::ObjectApi &control)
+{
+    while (!m_stopping) {
+        m_guard.noteEpoch(control.epoch(), Clock::now());
+        co_await m_guard.restoreLost();
+        co_await sleepFor(recordsCheck);
+    }
+}
+
 Task<void> Router::handle(http::Exchange &ex)
 {
     const std::string path = ex.path();
--- a/src/router_traffic.h
+++ b/src/router_traffic.h
@@ -33,6 +33,9 @@
 
     /// Answers one request.
     Task<void> handle(http::Exchange &ex);
+    /// Writes the records of callers' requests again that the store lost, where
+    /// the control side has seen it return from an older copy; until stopped.
+    Task<void> keepRecords(const platform::ObjectApi &control);
     /// A planned stop has begun: /readyz says no from now on.
     void beginStop()
     {
--- a/tests/test_idempotency.cpp
+++ b/tests/test_idempotency.cpp
@@ -152,3 +152,53 @@
     CHECK(attempt(restarted, svc, "k") == Decision::InProgress);
     LONGS_EQUAL(1, svc.runs);
 }
+
+TEST(InvariantAtMostOnce, AKeyWhoseRecordTheStoreLostDoesNotRunAgain)
+{
+    idempotency::Guard first(api, "router-1");
+    idempotency::Guard second(api, "router-2");
+    const auto copy = store.copy();
+    CHECK(attempt(first, svc, "k") == Decision::Run);
+    store.restore(copy);
+    CHECK(attempt(second, svc, "k") == Decision::NotRun);
+    runBlocking(first.restoreLost()); // the router that ran it has seen the return
+    CHECK(attempt(second, svc, "k") != Decision::Run);
+    LONGS_EQUAL(1, svc.runs);
+    CHECK(store.get(idempotency::recordKind, idempotency::Guard::recordName("ws-0", "k")).index() == 0);
+}
+
+TEST(InvariantAtMostOnce, ACallThatRunsWhileTheStoreLosesItsClaimIsSettledAndReplayed)
+{
+    idempotency::Guard g(api, "router-1");
+    const auto copy = store.copy();
+    const auto claim = runBlocking(g.claim("ws-0", "k", 11));
+    store.restore(copy);
+    CHECK(complete(g, claim, "done"));
+    idempotency::Guard other(api, "router-2", idempotency::recordKind, {.claimsAfterRestore = Millis(0)});
+    CHECK(runBlocking(other.claim("ws-0", "k", 11)).decision == Decision::Replay);
+}
+
+TEST(InvariantAtMostOnce, AClaimThatIsTheFirstCallAfterAReturnIsLetGo)
+{
+    idempotency::Guard g(api, "router-1");
+    CHECK(attempt(g, svc, "before") == Decision::Run);
+    store.restore(store.copy());
+    CHECK(attempt(g, svc, "k") == Decision::NotRun);
+    LONGS_EQUAL(1, svc.runs);
+}
+
+TEST(InvariantAtMostOnce, RecordsAreWrittenAgainAfterEachOfTwoReturnsInARow)
+{
+    idempotency::Guard g(api, "router-1");
+    const auto copy = store.copy();
+    CHECK(attempt(g, svc, "k") == Decision::Run);
+    const std::string name = idempotency::Guard::recordName("ws-0", "k");
+    for (int round = 0; round < 2; ++round) {
+        store.restore(copy);
+        runBlocking(api.answers(idempotency::recordKind));
+        runBlocking(g.restoreLost());
+        const auto held = store.get(idempotency::recordKind, name);
+        CHECK(held.index() == 0);
+        STRCMP_EQUAL("done", std::get<store::Object>(held).value.value("state", "").c_str());
+    }
+}
