Quarantined requests are saved again when the store has lost their records

Cause: a record was saved once. Routers that started after the store's return from an older copy did not know of it, and one that started alone sent the request on to endpoints.

--- a/src/quarantine.cpp
+++ b/src/quarantine.cpp
@@ -366,6 +366,14 @@
     return unsaved;
 }
 
+void RequestQuarantine::allUnsaved()
+{
+    std::lock_guard lock(m_mutex);
+    for (const auto &[content, record] : m_records) {
+        m_unsaved.insert(content);
+    }
+}
+
 void RequestQuarantine::notSaved(uint64_t content)
 {
     std::lock_guard lock(m_mutex);
--- a/src/quarantine.h
+++ b/src/quarantine.h
@@ -112,6 +112,8 @@
     std::vector<uint64_t> takeUnsaved();
     /// Notes that the store could not be told; takeUnsaved() returns it again.
     void notSaved(uint64_t content);
+    /// The store has lost what it was told lately: all is to be told again.
+    void allUnsaved();
     std::optional<Record> find(uint64_t content) const;
     std::size_t heldCount(Clock::time_point now) const;
     const QuarantineOptions &options() const
--- a/src/quarantine_store.cpp
+++ b/src/quarantine_store.cpp
@@ -103,6 +103,7 @@
 Task<void> QuarantineStore::run()
 {
     while (!m_stopping) {
+        noteEpoch();
         if (m_loads == 0 || Clock::now() - m_triedAt >= interval()) {
             co_await load();
         }
@@ -113,6 +114,15 @@
     }
 }
 
+// A store that has returned from an older copy has lost what was saved since.
+void QuarantineStore::noteEpoch()
+{
+    if (m_api.epoch() > m_epoch) {
+        m_epoch = m_api.epoch();
+        m_quarantine.allUnsaved();
+    }
+}
+
 Task<bool> QuarantineStore::load()
 {
     auto result = co_await platform::listAll(m_api, recordKind, platform::Freshness::MayLag);
@@ -122,6 +132,7 @@
         log::Line{log::Event::PlatformUnreachable}.add("op", "quarantine").add("code", int64_t{std::get<Error>(result).code});
         co_return false;
     }
+    noteEpoch();
     ++m_loads;
     for (const auto &object : std::get<platform::Listing>(result).items) {
         co_await take(object);
--- a/src/quarantine_store.h
+++ b/src/quarantine_store.h
@@ -52,6 +52,7 @@
     Task<bool> save(uint64_t content);
 
 private:
+    void noteEpoch();
     Task<void> saveAll();
     Task<void> take(platform::Object object);
     Task<int> write(std::string name, std::optional<Record> record, uint64_t heldVersion);
@@ -65,6 +66,7 @@
     StoreOptions m_options;
     std::set<std::string> m_complainedOf; ///< entries that could not be read
     int m_loads = 0;
+    store::Epoch m_epoch = 0;
     bool m_reached = false; ///< by the last call
     Clock::time_point m_triedAt{};
     bool m_stopping = false;
--- a/tests/test_quarantine.cpp
+++ b/tests/test_quarantine.cpp
@@ -620,6 +620,25 @@
     CHECK(b.holds());
 }
 
+TEST(QuarantineStore, WhatTheStoreLostIsSavedAgain)
+{
+    store::ObjectStore store;
+    platform::LocalObjectApi api(store);
+    StoredRouter before(api);
+    const auto copy = store.copy();
+    CHECK(loop().run(before.keeper.load()));
+    before.endpointsEnd(1, 3);
+    before.saveAll(loop());
+    for (int round = 0; round < 2; ++round) {
+        store.restore(copy);
+        CHECK(loop().run(before.keeper.load()));
+        before.saveAll(loop());
+    }
+    StoredRouter starts(api);
+    CHECK(loop().run(starts.keeper.load()));
+    CHECK(starts.holds());
+}
+
 TEST(QuarantineStore, AWholeAnswerTakesTheRecordAway)
 {
     store::ObjectStore store;
