The soak knows endpoints that leave or rest, and a store that returns from an old copy

Endpoints that leave say so in their answers.

Checked from what callers and endpoints see: a router that has handed on an endpoint's word that it leaves sends it no later request; a router that was asked for rest sends no more than two; after all, the last configuration is in force. A start or pause of a router excuses it, as does a disturbed endpoint.

--- a/emulators/endpoint_main.cpp
+++ b/emulators/endpoint_main.cpp
@@ -36,6 +36,7 @@
     int advertised = 0;
     int workMs = static_cast<int>(options.work.count());
     char *runLog = nullptr;
+    char *restLog = nullptr;
     char *endsUnder = nullptr;
     const poptOption own[] = {
         {"id", 0, POPT_ARG_STRING, &id, 0, "the endpoint's id", "ID"},
@@ -45,6 +46,7 @@
         {"work-ms", 0, POPT_ARG_INT, &workMs, 0, "of a plain call", "MS"},
         {"advertise", 0, POPT_ARG_INT, &advertised, 0, "the port that callers are told, where a proxy stands before it", "PORT"},
         {"run-log", 0, POPT_ARG_STRING, &runLog, 0, "a file that gets the id of each request before it runs", "FILE"},
+        {"rest-log", 0, POPT_ARG_STRING, &restLog, 0, "a file that gets the senders that go on in spite of a rest that was asked for", "FILE"},
         {"ends-under", 0, POPT_ARG_STRING, &endsUnder, 0, "a request with this body ends the process", "BODY"},
         {"zone", 0, POPT_ARG_STRING, &zone, 0, "its failure domain", "NAME"},
         {"cold-ms", 0, POPT_ARG_INT, &coldMs, 0, "it is cold for so long after its start", "MS"},
@@ -67,6 +69,7 @@
     options.work = Millis(workMs);
     options.advertisedPort = static_cast<uint16_t>(advertised);
     options.runLog = runLog ? runLog : "";
+    options.restLog = restLog ? restLog : "";
     options.endsUnder = endsUnder ? endsUnder : "";
     log::init("yucca-endpoint", "info");
     asio::io_context loop(1);
--- a/emulators/endpoint_server.cpp
+++ b/emulators/endpoint_server.cpp
@@ -12,6 +12,8 @@
 {
 
 constexpr const char *attemptIdHeader = "Yuccasaddle-Attempt-Id";
+constexpr Millis restBegins{500}; ///< after it was asked for: what is on its way by then still arrives
+constexpr int mostWhileResting = 2; ///< requests of one sender
 constexpr const char *instanceHeader = "Yuccasaddle-Instance-Id";
 
 // A signature that a test can recompute from the id and the endpoint.
@@ -22,6 +24,19 @@
     return text;
 }
 
+// Callers of a soak name the router in their requests' ids: TEXT-ROUTER-NUMBER.
+std::string senderOf(const std::string &requestId)
+{
+    const auto first = requestId.find('-');
+    const auto last = requestId.rfind('-');
+    return first < last ? requestId.substr(first + 1, last - first - 1) : std::string();
+}
+
+int64_t unixMs()
+{
+    return std::chrono::duration_cast<Millis>(std::chrono::system_clock::now().time_since_epoch()).count();
+}
+
 std::string eventText(int number)
 {
     return "id: " + std::to_string(number) + "\ndata: token" + std::to_string(number) + "\n\n";
@@ -64,6 +79,9 @@
     if (!m_options.runLog.empty()) {
         m_runLog.open(m_options.runLog, std::ios::app);
     }
+    if (!m_options.restLog.empty()) {
+        m_restLog.open(m_options.restLog, std::ios::app);
+    }
 }
 
 // Written before the work begins, so that it outlives the process.
@@ -108,6 +126,7 @@
     const http::Headers headers{{attemptIdHeader, id},
                                 {"Yuccasaddle-Response-Signature", signatureOf(id, m_options.id)},
                                 {"Yuccasaddle-Server-Load", std::to_string(m_running) + ",0," + std::to_string(m_options.slots)},
+                                {instanceHeader, m_options.id},
                                 {"Keep-Alive", "timeout=5"}};
     return withLeaving(headers, m_leaving);
 }
@@ -118,11 +137,28 @@
     co_await ex.reply(status, "", headers, "");
 }
 
+void EndpointServer::countWhileResting(const std::string &sender)
+{
+    const auto it = m_rests.find(sender);
+    const auto now = Clock::now();
+    if (sender.empty() || it == m_rests.end() || now < it->second.from || now >= it->second.until) {
+        return;
+    }
+    if (++it->second.got == mostWhileResting + 1 && m_restLog.is_open()) {
+        m_restLog << unixMs() << " " << sender << std::endl;
+    }
+}
+
 // Refuses for want of room, and asks for rest where a test says so.
 Task<void> EndpointServer::turnAway(http::Exchange &ex)
 {
     auto headers = notExecutedHeaders(m_options.id, m_leaving);
     if (m_faults.restMs > 0) {
+        const auto now = Clock::now();
+        auto &rest = m_rests[senderOf(ex.header(attemptIdHeader))];
+        if (now >= rest.until) {
+            rest = {now + restBegins, now + Millis(m_faults.restMs), 0};
+        }
         headers.emplace_back("Retry-After", std::to_string(m_faults.restMs / 1000.0));
     }
     co_await ex.reply(503, "", headers, "");
@@ -152,6 +188,7 @@
         co_return;
     }
     countWhileCold();
+    countWhileResting(senderOf(ex.header(attemptIdHeader)));
     if (m_faults.shed || m_running >= m_options.slots) {
         co_await turnAway(ex);
     } else {
--- a/emulators/endpoint_server.h
+++ b/emulators/endpoint_server.h
@@ -29,6 +29,7 @@
     std::string endsUnder; ///< a request with this body ends the process in the middle of its answer; empty: none
     Millis coldFor{0}; ///< after its start
     int coldMost = 0; ///< requests in any second that it bears while it is cold; more of them end the process
+    std::string restLog; ///< a file that gets a line with a sender that goes on in spite of a rest that was asked for; empty: none
     std::string runLog; ///< a file that gets a line with a request's id before it runs; empty: none
     Millis heartbeat{500};
     Millis linger{1500}; ///< serves on after a stop signal
@@ -64,6 +65,13 @@
     }
 
 private:
+    /// A time for which a sender was asked to send nothing.
+    struct Rest {
+        Clock::time_point from;
+        Clock::time_point until;
+        int got = 0; ///< requests meanwhile
+    };
+    void countWhileResting(const std::string &sender);
     Task<void> admin(http::Exchange &ex);
     void noteRun(const std::string &id);
     Millis coldLeft() const;
@@ -85,6 +93,8 @@
     int64_t m_born = std::chrono::duration_cast<Millis>(std::chrono::system_clock::now().time_since_epoch()).count(); ///< Unix ms
     std::map<std::string, int> m_runs; ///< by request id
     std::ofstream m_runLog;
+    std::map<std::string, Rest> m_rests; ///< by sender
+    std::ofstream m_restLog;
 };
 
 } // namespace yucca::emulators
--- a/emulators/platform_server.cpp
+++ b/emulators/platform_server.cpp
@@ -120,6 +120,8 @@
     for (const auto &entry : m_store.list(serverKind).items) {
         m_serverHeardAt[entry.name] = Clock::now();
     }
+    m_changed.notifyAll();
+    log::event(log::Event::FaultSet, "restored to epoch " + std::to_string(m_store.epoch()));
 }
 
 // Removes the entries of servers that have been silent for too long. Looked at
@@ -250,7 +252,8 @@
     m_changed.notifyAll();
 }
 
-// /admin/vms/{id} (PUT an endpoint, DELETE it) and /admin/faults.
+// /admin/vms/{id} (PUT an endpoint, DELETE it), /admin/faults, /admin/copy, and
+// /admin/restore: the store returns from the last copy, in the next epoch.
 Task<void> PlatformServer::admin(http::Exchange &ex, std::string path)
 {
     const auto &text = ex.request().body();
@@ -263,12 +266,6 @@
         m_faults.outage = body.value("outage", false);
         m_faults.slowMs = body.value("slowMs", int64_t{0});
         m_faults.loseAnswers = body.value("loseAnswers", int64_t{0});
-        if (body.value("copy", false)) {
-            m_copy = m_store.copy();
-        }
-        if (body.value("restore", false)) {
-            restore();
-        }
         if (body.value("compact", false)) {
             m_store.compact();
         }
@@ -277,6 +274,15 @@
         co_await answer(ex, 200, body.dump());
         co_return;
     }
+    if (path == "/admin/copy" || path == "/admin/restore") {
+        if (path == "/admin/copy") {
+            m_copy = m_store.copy();
+        } else {
+            restore();
+        }
+        co_await answer(ex, 200, "{}");
+        co_return;
+    }
     if (path.rfind(vmAdminPrefix, 0) != 0) {
         co_await answerError(ex, Error{404, "no such admin path"});
         co_return;
--- a/emulators/platform_server.h
+++ b/emulators/platform_server.h
@@ -21,8 +21,6 @@
     bool outage = false;
     int64_t slowMs = 0; ///< every answer takes this much longer
     int64_t loseAnswers = 0; ///< the next N writes take effect and get no answer
-    bool copy = false; ///< take a copy of the store now
-    bool restore = false; ///< return from the last copy now, in the next epoch
     bool compact = false; ///< forget the history now: watches from before are Gone
 };
 
--- a/emulators/soak/callers.cpp
+++ b/emulators/soak/callers.cpp
@@ -39,10 +39,10 @@
 {
     ++m_callersUnderWay;
     while (!m_ending) {
-        const int n = m_requests++;
-        const std::string id = "q" + std::to_string(m_options.plan.seed) + "-" + std::to_string(n);
+        const int n = m_requests;
         const auto kind = kindNames[static_cast<std::size_t>(n) % kindNames.size()].first;
         const auto router = static_cast<std::size_t>(n / 4 + caller) % m_routers.size();
+        const std::string id = requestId("q" + std::to_string(m_options.plan.seed), router);
         co_await request(id, kind, router, keyOf(m_acceptedVersion));
         co_await sleepFor(callerPause);
     }
@@ -55,6 +55,8 @@
     options.deadline = Clock::now() + callerPatience;
     options.reuse = http::Reuse::Kept;
     const http::Address to{"127.0.0.1", routerPort(router, 4)};
+    const std::string sender = senderName(router);
+    const auto sentAt = Clock::now();
     const std::string method = kind == Kind::Reminder ? "GET" : "POST";
     auto headers = callerHeaders(id, key);
     auto opened = co_await m_client.open(to, http::makeRequest(method, pathOf(kind), kind == Kind::Reminder ? "" : "{}", headers), options);
@@ -62,6 +64,7 @@
     record.kind = kind;
     if (auto *response = std::get_if<std::unique_ptr<http::Response>>(&opened)) {
         record.status = (*response)->status();
+        noteLeavingWord(sender, **response, sentAt);
         record.authentic = !(*response)->header("Yuccasaddle-Response-Signature").empty();
         for (bool more = true; more;) {
             auto read = co_await(*response)->read();
@@ -80,7 +83,7 @@
     http::CallOptions options;
     options.deadline = Clock::now() + callerPatience;
     const http::Address to{"127.0.0.1", routerPort(router, 0)};
-    const std::string id = "calm-" + std::to_string(m_requests++);
+    const std::string id = requestId("calm", router);
     auto headers = callerHeaders(id, key);
     auto called = co_await m_client.call(to, http::makeRequest("GET", "/remind/1", "", headers), options);
     const auto *reply = std::get_if<http::Reply>(&called);
--- a/emulators/soak/faults.cpp
+++ b/emulators/soak/faults.cpp
@@ -41,9 +41,11 @@
         }
         break;
     case Fault::RouterPaused:
+        ++router.life;
         router.process->signal(SIGSTOP);
         co_await sleepFor(step.lasts);
         router.process->signal(SIGCONT);
+        ++router.life;
         break;
     case Fault::RouterReloads:
         router.process->signal(SIGHUP);
@@ -95,10 +97,16 @@
         co_await sleepFor(step.lasts);
         endpoint.process->signal(SIGCONT);
         break;
-    case Fault::EndpointDisturbed:
+    case Fault::EndpointDisturbed: {
+        const auto from = std::chrono::system_clock::now();
         endpoint.proxy->disturb(step.how);
         co_await sleepFor(step.lasts);
         endpoint.proxy->disturb(Disturbance::None);
+        m_disturbed.push_back({step.target, from, std::chrono::system_clock::now()});
+        break;
+    }
+    case Fault::EndpointAsksForRest:
+        faults = R"({"shed": true, "restMs": 2000})";
         break;
     case Fault::EndpointSheds:
         faults = R"({"shed": true})";
--- a/emulators/soak/fleet.cpp
+++ b/emulators/soak/fleet.cpp
@@ -61,6 +61,7 @@
     case Fault::StoreSlow:
     case Fault::StoreLosesAnswers:
     case Fault::StoreForgets:
+    case Fault::StoreRestored:
         return true;
     default:
         return false;
@@ -113,6 +114,7 @@
         co_await sleepFor(pollInterval);
     }
     noteEnds();
+    checkRests();
     co_await checkCalm();
     co_await checkEndings();
     co_await checkEvacuation();
@@ -157,6 +159,7 @@
         m_broken.push_back(std::get<Error>(started).message);
     }
     router.down = false;
+    ++router.life;
 }
 
 // A new instance at the same place: another id, as the platform gives it.
@@ -186,6 +189,8 @@
                                      endingBody,
                                      "--events",
                                      std::to_string(events),
+                                     "--rest-log",
+                                     m_options.directory + "/rests-" + std::to_string(n),
                                      "--run-log",
                                      m_options.directory + "/runs-" + std::to_string(n)};
     if (streams) {
@@ -236,6 +241,15 @@
 Task<bool> SoakFleet::writeConfiguration()
 {
     const int version = ++m_version;
+    const bool accepted = co_await putConfiguration(version);
+    if (accepted) {
+        m_acceptedVersion = version;
+    }
+    co_return accepted;
+}
+
+Task<bool> SoakFleet::putConfiguration(int version)
+{
     const nlohmann::json object{{"metadata", {{"name", "main"}}}, {"spec", configuration(version)}};
     http::CallOptions options;
     options.deadline = Clock::now() + callerPatience;
@@ -244,11 +258,7 @@
     const http::Address to{"127.0.0.1", port(storePort)};
     auto written = co_await m_client.call(to, http::makeRequest(method, path, object.dump()), options);
     const auto *reply = std::get_if<http::Reply>(&written);
-    const bool accepted = reply && reply->status == 200;
-    if (accepted) {
-        m_acceptedVersion = version;
-    }
-    co_return accepted;
+    co_return reply && reply->status == 200;
 }
 
 // Changes the configuration as an operator does: until the store says so.
@@ -299,6 +309,7 @@
     co_await applyToStore(step);
     co_await applyToCallers(step);
     co_await applyToOrders(step);
+    co_await restoreStore(step);
     --m_stepsUnderWay;
     if (disturbs) {
         --m_disturbances;
--- a/emulators/soak/fleet.h
+++ b/emulators/soak/fleet.h
@@ -49,6 +49,13 @@
         std::unique_ptr<Proxy> store;
         std::string settingsFile;
         bool down = false; ///< ended by the soak
+        int life = 0; ///< of its memory: another one after a start or a pause
+    };
+    /// A time in which an endpoint's answers may not have reached routers.
+    struct Disturbed {
+        std::size_t endpoint = 0;
+        std::chrono::system_clock::time_point from;
+        std::chrono::system_clock::time_point until;
     };
     /// An endpoint; its name changes with each start, as that of a new instance.
     struct Endpoint {
@@ -65,6 +72,7 @@
     void writeSettings(std::size_t n, const std::string &text) const;
     std::string settingsOf(std::size_t n) const;
     Task<bool> writeConfiguration();
+    Task<bool> putConfiguration(int version);
     Task<void> changeConfiguration();
     Task<void> applyPlan();
     Task<void> apply(Step step);
@@ -73,6 +81,12 @@
     Task<void> applyToStore(Step step);
     Task<void> applyToCallers(Step step);
     Task<void> applyToOrders(Step step);
+    Task<void> restoreStore(Step step);
+    Task<void> rewriteOrders();
+    std::string senderName(std::size_t router) const;
+    std::string requestId(const std::string &text, std::size_t router);
+    void noteLeavingWord(const std::string &sender, const http::Response &response, Clock::time_point sentAt);
+    void checkRests();
     Task<bool> evacuate(std::size_t domain, bool ordered);
     Task<void> checkEvacuation();
     std::size_t runsIn(std::size_t domain) const;
@@ -115,6 +129,8 @@
     int m_acceptedVersion = 0;
     bool m_changing = false; ///< one change at a time, so that versions are written in their order
     std::vector<int> m_evacuations = std::vector<int>(endpointDomains); ///< orders under way, by failure domain
+    std::map<std::pair<std::string, std::string>, Clock::time_point> m_heardLeaving; ///< when callers got the word, by sender and endpoint
+    std::vector<Disturbed> m_disturbed;
     int m_stepsUnderWay = 0;
     int m_callersUnderWay = 0;
     bool m_ending = false;
--- a/emulators/soak/plan.cpp
+++ b/emulators/soak/plan.cpp
@@ -4,6 +4,7 @@
 #include <boost/random/uniform_int_distribution.hpp>
 
 #include <algorithm>
+#include <array>
 
 namespace yucca::soak
 {
@@ -19,8 +20,13 @@
 /// Faults drawn for the series; those after them have draws of their own, so
 /// that seeds keep the plans under which they once failed.
 constexpr std::size_t seriesFaults = 21;
-constexpr uint64_t evacuationDraws = 0x65766163;
-constexpr int longestEvacuationGapMs = 5000;
+struct OwnDraws {
+    Fault fault;
+    uint64_t salt; ///< of the seed
+    int longestGapMs;
+};
+constexpr std::array<OwnDraws, 3> ownDraws{
+    {{Fault::DomainEvacuated, 0x65766163, 5000}, {Fault::EndpointAsksForRest, 0x72657374, 5000}, {Fault::StoreRestored, 0x72657475, 6000}}};
 
 // How many things a fault can strike.
 std::size_t targetsOf(Fault fault, const PlanOptions &options)
@@ -43,23 +49,26 @@
     case Fault::EndpointLosesAnswers:
     case Fault::EndpointFails:
     case Fault::EndpointCutsStreams:
+    case Fault::EndpointAsksForRest:
         return options.endpoints;
+    case Fault::DomainEvacuated:
+        return endpointDomains;
     default:
         return 1;
     }
 }
 
-void addEvacuations(const PlanOptions &options, std::vector<Step> &plan)
+void addOwnDraws(const OwnDraws &draws, const PlanOptions &options, std::vector<Step> &plan)
 {
-    boost::random::mt19937_64 random(options.seed ^ evacuationDraws);
+    boost::random::mt19937_64 random(options.seed ^ draws.salt);
     const auto draw = [&random](int least, int most) {
         return boost::random::uniform_int_distribution<int>(least, most)(random);
     };
-    for (Millis at{draw(0, longestEvacuationGapMs)}; at < options.length; at += Millis(draw(0, longestEvacuationGapMs))) {
+    for (Millis at{draw(0, draws.longestGapMs)}; at < options.length; at += Millis(draw(0, draws.longestGapMs))) {
         Step step;
         step.at = at;
-        step.fault = Fault::DomainEvacuated;
-        step.target = static_cast<std::size_t>(draw(0, static_cast<int>(endpointDomains) - 1));
+        step.fault = draws.fault;
+        step.target = static_cast<std::size_t>(draw(0, static_cast<int>(targetsOf(draws.fault, options)) - 1));
         step.lasts = Millis(draw(shortestMs, longestMs));
         plan.push_back(step);
     }
@@ -86,7 +95,9 @@
             step.at += Millis(draw(0, longestSeriesGapMs));
         }
     }
-    addEvacuations(options, plan);
+    for (const auto &draws : ownDraws) {
+        addOwnDraws(draws, options, plan);
+    }
     std::stable_sort(plan.begin(), plan.end(), [](const Step &a, const Step &b) {
         return a.at < b.at;
     });
--- a/emulators/soak/plan.h
+++ b/emulators/soak/plan.h
@@ -33,9 +33,11 @@
     ConfigurationChanges, ///< and a workspace's key with it
     RequestEndsEndpoints, ///< one request comes again and again, and ends each endpoint that runs it
     DomainEvacuated, ///< operators order that a failure domain's endpoints get nothing, and take that back
+    EndpointAsksForRest, ///< turns all away, and wants nothing for a while
+    StoreRestored, ///< returns from a copy of some moments ago; operators and endpoints write again what it lost
 };
 
-inline constexpr NameTable<Fault, 22> faultNames{{{Fault::RouterKilled, "router_killed"},
+inline constexpr NameTable<Fault, 24> faultNames{{{Fault::RouterKilled, "router_killed"},
                                                   {Fault::RouterPaused, "router_paused"},
                                                   {Fault::RouterStopped, "router_stopped"},
                                                   {Fault::RouterReloads, "router_reloads"},
@@ -56,7 +58,9 @@
                                                   {Fault::StoreForgets, "store_forgets"},
                                                   {Fault::ConfigurationChanges, "configuration_changes"},
                                                   {Fault::RequestEndsEndpoints, "request_ends_endpoints"},
-                                                  {Fault::DomainEvacuated, "domain_evacuated"}}};
+                                                  {Fault::DomainEvacuated, "domain_evacuated"},
+                                                  {Fault::EndpointAsksForRest, "endpoint_asks_for_rest"},
+                                                  {Fault::StoreRestored, "store_restored"}}};
 
 /// One fault of a plan.
 struct Step {
