--- a/tests/test_peers.cpp
+++ b/tests/test_peers.cpp
@@ -131,6 +131,22 @@
     LONGS_EQUAL(9, b.peers().front().address.port);
 }
 
+TEST(PeerDirectory, AnEntryThatTheStoreLostIsAnnouncedAgainAfterEachReturn)
+{
+    store::ObjectStore store;
+    platform::LocalObjectApi api(store);
+    peers::Directory a(api, peerAt("a", "north", 1));
+    peers::Directory b(api, peerAt("b", "north", 2));
+    const auto copy = store.copy();
+    CHECK(loop().run(a.refresh()));
+    for (int round = 0; round < 2; ++round) {
+        store.restore(copy);
+        CHECK(loop().run(a.refresh()));
+        CHECK(loop().run(b.refresh()));
+        CHECK(idsOf(b.peers()) == std::vector<std::string>{"a"});
+    }
+}
+
 TEST(PeerDirectory, AnEntryThatWasTakenForGoneComesBack)
 {
     store::ObjectStore store;
