--- a/include/yucca/observed_load.h
+++ b/include/yucca/observed_load.h
@@ -4,6 +4,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -42,6 +43,11 @@
     }
     /// The weight of the last report: 1 when fresh, divided by e per elapsed lifetime, 0 without a report.
     double weight(TimePoint now, std::chrono::duration<double> lifetime) const;
+    /// The age of the last report, or nothing before the first one.
+    std::optional<std::chrono::duration<double>> reportAge(TimePoint now) const
+    {
+        return m_lastReport < 0 ? std::nullopt : std::optional<std::chrono::duration<double>>(now - m_reportedAt);
+    }
     /// Estimates the requests in flight from all routers. A fresh report is corrected by what this router has sent and
     /// finished since. As the report ages, the estimate moves toward the prior. The result is never below this router's
     /// own requests in flight.
@@ -54,6 +60,13 @@
     TimePoint m_reportedAt{};
 };
 
+/// What a policy knows of a member's load when it places a request.
+struct LoadView {
+    double estimate = 0; ///< requests in flight on the member from all routers
+    double mean = 0; ///< mean load of the service
+    std::optional<std::chrono::duration<double>> reportAge; ///< age of the last report; nothing before the first one
+};
+
 /// How a member without a load report enters a mean.
 enum class MissingReport {
     Exclude, ///< the mean is taken over the other members
--- a/include/yucca/placement.h
+++ b/include/yucca/placement.h
@@ -200,8 +200,13 @@
     }
 
     std::optional<std::size_t> pick(const Affinity &affinity, const Usable &usable, TimePoint now);
+    /// What this router knows of a member's load.
+    LoadView loadView(std::size_t member, TimePoint now) const;
 
 private:
+    /// The assumed load of a member without a fresh report: the mean of the usable members.
+    double priorLoad(const Usable &usable, TimePoint now) const;
+
     HomeOptions m_options;
 };
 
--- a/src/entry/gateway.h
+++ b/src/entry/gateway.h
@@ -180,6 +180,8 @@
         std::string lastEndpoint;
         router::PromptEstimate promptEstimate; ///< what the last endpoint likely holds of the prompt
         std::optional<Endpoint> home; ///< of the prompt, at the time of the last attempt
+        std::optional<router::PlacementView> placement; ///< what was known when the last endpoint was picked
+        Clock::time_point placedAt{};
         unsigned lastStatus = 0; ///< status of the last endpoint's own response
         ResponseHead lastHead; ///< head of the last attempt's response; default values if none arrived
         int64_t lastLoad = -1; ///< load that the last endpoint reported; -1: not reported
@@ -320,6 +322,8 @@
         }
         state.lastEndpoint = endpoint->id;
         state.home = sharesPrompt(state.profile.prompt) ? m_table.homeOf(state.service, state.profile.affinity.conversation) : std::nullopt;
+        state.placement = m_table.placementView(*endpoint, state.profile.affinity.conversation, now, state.constraints);
+        state.placedAt = now;
         state.tried.insert(endpoint->id);
         ++state.count.attempts;
         m_metrics.resumptions += state.headSent ? 1 : 0;
--- a/src/entry/gateway_statistics.h
+++ b/src/entry/gateway_statistics.h
@@ -4,6 +4,8 @@
 #include "entry/gateway.h"
 #include "text.h"
 
+#include <cmath>
+
 namespace yucca::entry
 {
 
@@ -80,6 +82,19 @@
     }
 }
 
+// Adds to a log line what was known when a request was placed. Loads are in tenths of a request.
+inline void addPlacement(log::Line &line, const router::PlacementView &placement)
+{
+    const auto tenths = [](double load) {
+        return static_cast<int64_t>(std::lround(10 * load));
+    };
+    const auto age = placement.load.reportAge;
+    line.add("holders", static_cast<int64_t>(placement.holders))
+        .add("estimate_tenths", tenths(placement.load.estimate))
+        .add("mean_tenths", tenths(placement.load.mean))
+        .add("report_age_ms", age ? std::chrono::duration_cast<Millis>(*age).count() : int64_t{-1});
+}
+
 // Counts a finished request and writes its log line.
 template <Dialect D> void Gateway<D>::recordRequest(const RequestState &state, RequestEnd end, int64_t status)
 {
@@ -93,8 +108,8 @@
     if (!m_logLimiter.tryTake(end != RequestEnd::Delivered, now)) {
         return;
     }
-    log::Line{log::Event::RequestFinished}
-        .add("id", p.id)
+    log::Line line{log::Event::RequestFinished};
+    line.add("id", p.id)
         .add("content", text::toHex(contentKey(p)))
         .add("end", nameOf(requestEndNames, end))
         .add("status", status)
@@ -112,6 +127,10 @@
         .add("events", static_cast<int64_t>(state.events.lastId()))
         .add("first_ms", firstByte < 0 ? int64_t{-1} : static_cast<int64_t>(firstByte * 1000))
         .add("ms", elapsedMs(p.arrived));
+    if (state.placement) {
+        line.add("prompt", text::toHex(p.affinity.conversation)).add("placed_ms", std::chrono::duration_cast<Millis>(state.placedAt - p.arrived).count());
+        addPlacement(line, *state.placement);
+    }
 }
 
 } // namespace yucca::entry
--- a/src/placement.cpp
+++ b/src/placement.cpp
@@ -259,11 +259,22 @@
     return best;
 }
 
+double PromptHome::priorLoad(const Usable &usable, TimePoint now) const
+{
+    return meanLoad(m_loads, usable, now, m_options.reportLifetime, MissingReport::CountOwnInflight);
+}
+
+LoadView PromptHome::loadView(std::size_t member, TimePoint now) const
+{
+    const auto &load = m_loads[member];
+    const double prior = priorLoad(Usable(m_loads.size(), true), now);
+    return {load.estimate(prior, now, m_options.reportLifetime), serviceMeanLoad(now, m_options.reportLifetime), load.reportAge(now)};
+}
+
 std::optional<std::size_t> PromptHome::pick(const Affinity &affinity, const Usable &usable, TimePoint now)
 {
     const double mean = serviceMeanLoad(now, m_options.reportLifetime);
-    // Assumed load of a member without a fresh report: the mean of the usable members.
-    const double prior = meanLoad(m_loads, usable, now, m_options.reportLifetime, MissingReport::CountOwnInflight);
+    const double prior = priorLoad(usable, now);
     const double limit = std::max(m_options.loadFactor * mean + m_options.slack, m_options.usableMeanFactor * prior + 1);
     std::optional<std::size_t> home;
     bool homeHolds = false;
--- a/src/router_core.h
+++ b/src/router_core.h
@@ -64,6 +64,12 @@
     std::optional<Endpoint> source; ///< if not held: another endpoint that likely holds it
 };
 
+/// What this router knows when it places a request on an endpoint, for the log.
+struct PlacementView {
+    std::size_t holders = 0; ///< endpoints that likely hold the prompt
+    placement::LoadView load; ///< includes the request, if it has been acquired
+};
+
 /// The endpoints that a router may send to, grouped by pool. Thread-safe: the control thread updates it, the traffic
 /// threads use it.
 class RoutingTable
@@ -134,6 +140,10 @@
     std::vector<peers::PromptAnnouncement> knownPrompts(std::size_t limit, Clock::time_point now) const;
     /// Whether the receiving endpoint likely holds a prompt and, if not, which other endpoint does.
     PromptEstimate estimatePrompt(uint64_t prompt, const Endpoint &receiver, Clock::time_point now, const PlacementConstraints &constraints = {}) const;
+    /// What this router knows of a prompt's holders and of an endpoint's load. Returns nothing if the endpoint is not in
+    /// a pool whose policy estimates loads against the mean of the service.
+    std::optional<PlacementView> placementView(const Endpoint &endpoint, uint64_t prompt, Clock::time_point now,
+                                               const PlacementConstraints &constraints = {});
     /// The home of a prompt regardless of load: the first member in the prompt's rendezvous order. Returns nothing for
     /// an empty pool.
     std::optional<Endpoint> homeOf(const std::string &pool, uint64_t prompt) const;
--- a/src/router_prompts.cpp
+++ b/src/router_prompts.cpp
@@ -59,6 +59,25 @@
     return home.found() ? std::optional(*home.found()) : std::nullopt;
 }
 
+std::optional<PlacementView> RoutingTable::placementView(const Endpoint &endpoint, uint64_t prompt, Clock::time_point now,
+                                                         const PlacementConstraints &constraints)
+{
+    std::lock_guard lock(m_mutex);
+    std::size_t member = 0;
+    auto *pool = findPool(endpoint.id, member);
+    if (!pool) {
+        return std::nullopt;
+    }
+    return std::visit(
+        [&](const auto &picker) -> std::optional<PlacementView> {
+            if constexpr (requires { picker.loadView(member, now); }) {
+                return PlacementView{likelyHolders(prompt, now, constraints).size(), picker.loadView(member, now)};
+            }
+            return std::nullopt;
+        },
+        pool->picker);
+}
+
 // The first endpoint in a prompt's rendezvous order. Endpoints listed as leaving are included, because they still hold the
 // prompts that they received.
 const Endpoint *RoutingTable::firstInOrder(const std::string &pool, uint64_t prompt, const std::string &excluded, Clock::time_point now,
--- a/tests/test_prompt_holders.cpp
+++ b/tests/test_prompt_holders.cpp
@@ -84,6 +84,25 @@
     STRCMP_EQUAL("c", table.estimatePrompt(prompt, makeEngine("b"), now).source->id.c_str());
 }
 
+TEST(HolderPlacement, PlacementViewShowsHoldersLoadsAndAgeOfReport)
+{
+    table.setEndpoints(engines({"a", "b", "c", "d"}), now);
+    table.recordPromptHolder(7, makeEngine("a"), now);
+    table.recordPromptHolder(7, makeEngine("c"), now);
+    for (const char *id : {"a", "b", "c"}) {
+        table.recordLoadReport(id, 4, now);
+    }
+    const auto known = table.placementView(makeEngine("a"), 7, now + std::chrono::seconds(1));
+    LONGS_EQUAL(2, known->holders);
+    DOUBLES_EQUAL(3, known->load.mean, 0.1); // d has no report
+    CHECK(known->load.estimate > 3.5 && known->load.estimate < 4);
+    DOUBLES_EQUAL(1, known->load.reportAge->count(), 1e-6);
+    const auto unknown = table.placementView(makeEngine("d"), 8, now);
+    LONGS_EQUAL(0, unknown->holders);
+    CHECK(!unknown->load.reportAge);
+    CHECK(!table.placementView(makeEngine("e"), 7, now));
+}
+
 TEST(HolderPlacement, LeavingHomeIsSourceOfPrompt)
 {
     table.setEndpoints(engines({"a", "b", "c"}), now);
