A hot prompt overflows to members that differ by router

Callers' requests for a prompt that became popular piled up on one engine after the other: in the model of 68 routers, 5.6 in 100 requests reach an engine over the load bound in the worst five seconds (3 allowed), of 295 routers 8.0; most of them are for that one prompt, at four or five members that hold 35 each.

Cause: what the home had no room for went to the next member in the prompt's order, which every router computes alike. Until reports of the overload reach them, all routers send there; then all go on to the next. Faster reports do not help: with every placement known to all within 0.1 s it is still 4.9.

The home stays common to all routers. The overflow now follows an order of the router's own, seeded by its name, so that it spreads over the pool whatever a router has heard; endpoints known to hold the prompt still come first.

Model.HotPromptKeepsTheLoadBoundAtManyRouters fails on the code before (0.056). The bound of the test with 84 routers is now the stated 3 in 100 too (0.04 before).

--- a/emulators/model/fleet.cpp
+++ b/emulators/model/fleet.cpp
@@ -64,7 +64,9 @@
     m_retryLimits.ratio = scenario.retryRatio;
     m_retryLimits.minRetries = static_cast<double>(scenario.retrySlack) / static_cast<double>(scenario.routers);
     for (int64_t i = 0; i < scenario.routers; ++i) {
-        m_routers.push_back(std::make_unique<Router>(table));
+        auto options = table;
+        options.home.spillSeed = ring::hash("router-" + std::to_string(i));
+        m_routers.push_back(std::make_unique<Router>(options));
     }
     makePools();
     makeSources();
--- a/include/yucca/placement.h
+++ b/include/yucca/placement.h
@@ -185,12 +185,16 @@
     /// The bound is at least this multiple of the mean load of the usable members, plus one. Without this minimum, when
     /// the other members are kept idle, all routers would send to the member that looks least loaded.
     double usableMeanFactor = 1.1;
+    /// Seed of this router's spill orders. Routers need different seeds, which they keep across restarts.
+    uint64_t spillSeed = 0;
 };
 
 /// Gives each prompt one home. Of the members that likely hold the prompt, the least loaded one is picked. If none is
-/// known, the first member in the prompt's rendezvous order is picked, which every router computes alike. Members at
-/// the load bound are skipped. A prompt that spills to a second member is processed twice, and both members then share
-/// its load.
+/// known, the home is picked: the first member in the prompt's rendezvous order, which every router computes alike.
+/// Members at the load bound are skipped. A prompt that has no other place spills to a member that this router alone
+/// determines. With an order common to all routers, the requests of all routers for a hot prompt would move from one
+/// member to the next before any report of the overload reaches them. A prompt that spills is processed again at the
+/// other member, and both members then share its load.
 class PromptHome : public ObservedMembers
 {
 public:
@@ -202,10 +206,16 @@
     std::optional<std::size_t> pick(const Affinity &affinity, const Usable &usable, TimePoint now);
     /// What this router knows of a member's load.
     LoadView loadView(std::size_t member, TimePoint now) const;
+    /// The upper bound of a member's load if all members are usable.
+    double loadLimit(TimePoint now) const
+    {
+        return loadLimit(Usable(m_loads.size(), true), now);
+    }
 
 private:
     /// The assumed load of a member without a fresh report: the mean of the usable members.
     double priorLoad(const Usable &usable, TimePoint now) const;
+    double loadLimit(const Usable &usable, TimePoint now) const;
 
     HomeOptions m_options;
 };
--- a/src/entry/process.h
+++ b/src/entry/process.h
@@ -153,6 +153,7 @@
         options.policy = Policy::Home;
         options.servicePolicy = Policy::LeastLoaded;
         options.home.loadFactor = std::min(s.loadFactor, options.home.loadFactor);
+        options.home.spillSeed = ring::hash(s.id);
         return options;
     }
     static GatewayOptions gatewayOptions(const Settings &s)
--- a/src/placement.cpp
+++ b/src/placement.cpp
@@ -21,6 +21,23 @@
 constexpr double minDecayedCount = 0.01; ///< a decayed count below this is dropped
 constexpr double marginSigmas = 1.0; ///< standard errors subtracted from a count
 
+/// The member with the highest score so far; of equal ones the first.
+template <typename Score> struct Best {
+    std::optional<std::size_t> member;
+    Score score{};
+
+    /// Returns true if the candidate is the best so far.
+    bool consider(std::size_t candidate, Score candidateScore)
+    {
+        const bool better = !member || candidateScore > score;
+        if (better) {
+            member = candidate;
+            score = candidateScore;
+        }
+        return better;
+    }
+};
+
 } // namespace
 
 FrequencySketch::FrequencySketch(std::size_t capacity, std::chrono::duration<double> halfLife)
@@ -271,37 +288,47 @@
     return {load.estimate(prior, now, m_options.reportLifetime), serviceMeanLoad(now, m_options.reportLifetime), load.reportAge(now)};
 }
 
-std::optional<std::size_t> PromptHome::pick(const Affinity &affinity, const Usable &usable, TimePoint now)
+double PromptHome::loadLimit(const Usable &usable, TimePoint now) const
 {
     const double mean = serviceMeanLoad(now, m_options.reportLifetime);
+    return std::max(m_options.loadFactor * mean + m_options.slack, m_options.usableMeanFactor * priorLoad(usable, now) + 1);
+}
+
+std::optional<std::size_t> PromptHome::pick(const Affinity &affinity, const Usable &usable, TimePoint now)
+{
     const double prior = priorLoad(usable, now);
-    const double limit = std::max(m_options.loadFactor * mean + m_options.slack, m_options.usableMeanFactor * prior + 1);
-    std::optional<std::size_t> home;
-    bool homeHolds = false;
-    double homeLoad = 0;
-    uint64_t homeRank = 0;
-    std::optional<std::size_t> least;
-    double leastLoad = 0;
+    const double limit = loadLimit(usable, now);
+    const uint64_t spillKey = affinity.conversation ^ m_options.spillSeed;
+    Best<double> holder; // scores are negative loads
+    Best<uint64_t> home;
+    Best<uint64_t> spill;
+    Best<double> least;
+    bool homeAtBound = false;
     for (std::size_t i = 0; i < m_loads.size(); ++i) {
         if (!usable[i]) {
             continue;
         }
         const double load = m_loads[i].estimate(prior, now, m_options.reportLifetime);
-        const bool holds = std::find(affinity.holders.begin(), affinity.holders.end(), m_ids[i]) != affinity.holders.end();
-        const auto candidateRank = rendezvousScore(m_hashes[i], affinity.conversation);
-        const bool better = !home || (holds != homeHolds ? holds : holds ? load < homeLoad : candidateRank > homeRank);
-        if (load + 1 <= limit && better) {
-            home = i;
-            homeHolds = holds;
-            homeLoad = load;
-            homeRank = candidateRank;
+        const bool atBound = load + 1 > limit;
+        least.consider(i, -load);
+        if (home.consider(i, rendezvousScore(m_hashes[i], affinity.conversation))) {
+            homeAtBound = atBound;
+        }
+        if (atBound) {
+            continue;
         }
-        if (!least || load < leastLoad) {
-            least = i;
-            leastLoad = load;
+        spill.consider(i, rendezvousScore(m_hashes[i], spillKey));
+        if (std::find(affinity.holders.begin(), affinity.holders.end(), m_ids[i]) != affinity.holders.end()) {
+            holder.consider(i, -load);
         }
     }
-    return home ? home : least;
+    if (holder.member) {
+        return holder.member;
+    }
+    if (home.member && !homeAtBound) {
+        return home.member;
+    }
+    return spill.member ? spill.member : least.member;
 }
 
 void RoundRobin::setMembers(std::vector<std::string> ids)
--- a/tests/test_model.cpp
+++ b/tests/test_model.cpp
@@ -29,6 +29,9 @@
     return model::Fleet(scenario, options).play();
 }
 
+/// Requirement: in any five seconds, at most 3 of 100 requests arrive at an engine over the load bound.
+constexpr double maxShareOverBound = 0.03;
+
 double cacheReuse(const model::PoolOutcome &pool)
 {
     return static_cast<double>(pool.tokensCached) / static_cast<double>(pool.tokensCached + pool.tokensPrefilled);
@@ -56,7 +59,7 @@
 
 TEST(ModelScenario, SampleScenariosParseWithoutProblems)
 {
-    for (const char *file : {"lonestar", "association", "association-grown", "lonestar-surge"}) {
+    for (const char *file : {"lonestar", "association", "association-grown", "lonestar-surge", "lonestar-shifted", "lonestar-large"}) {
         CHECK(!loadScenario(file).kinds.empty());
     }
 }
@@ -113,16 +116,20 @@
 TEST(Model, ManyRoutersKeepTheLoadBoundOnlyIfTheyShareLoads)
 {
     // With 84 routers and 90 engines, each router receives a report of an engine only every 13 s, so the load bound
-    // depends on routers sharing loads. Requirement: in any five seconds, at most 3 of 100 requests arrive at an
-    // engine whose load is over twice the mean plus three. The simulation counts more strictly than the users' own.
+    // depends on routers sharing loads.
     auto scenario = loadScenario("association-grown");
     const double withSharing = play(scenario).pools.at("model").worstWindow;
     scenario.shareEveryMs = 0;
     const double withoutSharing = play(scenario).pools.at("model").worstWindow;
-    CHECK(withSharing < 0.04);
+    CHECK(withSharing < maxShareOverBound);
     CHECK(withoutSharing > 2 * withSharing);
 }
 
+TEST(Model, HotPromptKeepsTheLoadBoundAtManyRouters)
+{
+    CHECK(play(loadScenario("lonestar-shifted")).pools.at("model").worstWindow < maxShareOverBound);
+}
+
 TEST(Model, RequiredSurgesAreAbsorbedByEndpointQueues)
 {
     // The largest surges of the requirements: all requests at 1.7 times, one workspace at 7.5 times its usual rate.
--- a/tests/test_placement_decisions.cpp
+++ b/tests/test_placement_decisions.cpp
@@ -6,6 +6,7 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <algorithm>
 #include <random>
 
 using namespace yucca;
@@ -111,6 +112,30 @@
     }
 }
 
+TEST(PromptHome, OverflowOfAHotPromptGoesToADifferentMemberAtEachRouter)
+{
+    constexpr int routers = 60;
+    constexpr int members = 20;
+    const placement::Usable usable(members, true);
+    std::vector<int> placed(members, 0);
+    for (int router = 0; router < routers; ++router) {
+        placement::HomeOptions options;
+        options.spillSeed = ring::hash("router-" + std::to_string(router));
+        placement::PromptHome policy(options);
+        policy.setMembers(names(members));
+        const auto home = *policy.pick(prompt(7), usable, now);
+        for (std::size_t m = 0; m < members; ++m) {
+            policy.recordLoadReport(m, m == home ? 30 : 2, now);
+        }
+        const auto spilled = *policy.pick(prompt(7), usable, now);
+        CHECK(spilled != home);
+        LONGS_EQUAL(spilled, *policy.pick(prompt(7), usable, now));
+        ++placed[spilled];
+    }
+    // Each of 19 members gets about 3 of the 60; one member would get all of them from an order common to all routers.
+    CHECK(*std::max_element(placed.begin(), placed.end()) <= 10);
+}
+
 TEST(PromptHome, LoadsStayUnderTwiceTheMeanWithManyRoutersAndDelayedReports)
 {
     // 7 routers share the traffic equally and get load reports as late as answers. One popular prompt makes up a fifth
