Routers forward reports of loaded endpoints once

Requests kept reaching engines that had been over the load bound for seconds.

Cause: a router gets four responses a second, and of the others' only those whose router draws it among its twelve receivers of a round: a report of each of 320 engines once in six seconds.

A round now forwards up to four reports of peers on engines at the load bound, none older than 200 ms, so that most are forwarded once. Few engines are at the bound, and theirs are the reports that change a placement. The datagrams' format is unchanged; a fleet that one round reaches forwards nothing. It holds nobody up where nothing is heard: then a router places as before.

--- a/emulators/model/fleet.cpp
+++ b/emulators/model/fleet.cpp
@@ -281,7 +281,13 @@
 void Fleet::shareLoads(std::size_t router, Ms now)
 {
     const auto domains = static_cast<std::size_t>(m_scenario.failureDomains);
-    const auto reports = m_routers[router]->table.reportsReceivedSince(clockTime(m_routers[router]->lastShareAt));
+    const auto since = clockTime(m_routers[router]->lastShareAt);
+    auto reports = m_routers[router]->table.reportsReceivedSince(since);
+    const peers::ExchangeOptions exchange;
+    if (m_routers.size() > static_cast<std::size_t>(m_scenario.sharePeers) + 1) {
+        const auto forwarded = m_routers[router]->table.reportsToForward(since, exchange.maxForwardedReports, exchange.maxForwardedAge, clockTime(now));
+        reports.insert(reports.end(), forwarded.begin(), forwarded.end());
+    }
     m_routers[router]->lastShareAt = now;
     const auto prompts = m_routers[router]->table.takePromptAnnouncements(peers::maxPrompts);
     std::vector<std::size_t> sameDomain;
@@ -292,13 +298,13 @@
         }
     }
     const auto peerLimit = static_cast<std::size_t>(m_scenario.sharePeers);
-    keepRandomSubset(sameDomain, std::min(peerLimit, peers::ExchangeOptions().maxDomainPeersPerRound));
+    keepRandomSubset(sameDomain, std::min(peerLimit, exchange.maxDomainPeersPerRound));
     keepRandomSubset(otherDomains, peerLimit - sameDomain.size());
     sameDomain.insert(sameDomain.end(), otherDomains.begin(), otherDomains.end());
     schedule(now + shareDelay, [this, receivers = std::move(sameDomain), reports, prompts](Ms at) {
         for (const std::size_t peer : receivers) {
             for (const auto &report : reports) {
-                m_routers[peer]->table.mergePeerReport(report);
+                m_routers[peer]->table.mergePeerReport(report, clockTime(at));
             }
             for (const auto &prompt : prompts) {
                 m_routers[peer]->table.mergePeerPrompt(prompt, clockTime(at));
--- a/src/load_exchange.cpp
+++ b/src/load_exchange.cpp
@@ -137,12 +137,17 @@
     }
 }
 
+bool LoadExchange::reachesAllPeers() const
+{
+    return m_directory.domainPeers().size() + m_directory.otherDomainPeers().size() <= m_options.maxPeersPerRound;
+}
+
 // Returns the routers of the failure domain, or all routers of a fleet small enough to be reached in one round.
 std::vector<Peer> LoadExchange::neighbours() const
 {
     auto out = m_directory.domainPeers();
     const auto &far = m_directory.otherDomainPeers();
-    if (out.size() + far.size() <= m_options.maxPeersPerRound) {
+    if (reachesAllPeers()) {
         out.insert(out.end(), far.begin(), far.end());
     }
     std::sort(out.begin(), out.end(), [](const Peer &a, const Peer &b) {
@@ -200,6 +205,10 @@
     const auto now = Clock::now();
     PeerMessage message;
     message.loads = m_table.reportsReceivedSince(m_sentUpTo);
+    if (!reachesAllPeers()) {
+        const auto forwarded = m_table.reportsToForward(m_sentUpTo, m_options.maxForwardedReports, m_options.maxForwardedAge, now);
+        message.loads.insert(message.loads.end(), forwarded.begin(), forwarded.end());
+    }
     m_sentUpTo = now;
     countActivePeers(now);
     message.prompts = m_table.takePromptAnnouncements(maxPrompts);
@@ -272,7 +281,7 @@
     heard->second = now;
     const auto &message = std::get<PeerMessage>(decoded);
     for (const auto &report : message.loads) {
-        m_table.mergePeerReport(report);
+        m_table.mergePeerReport(report, now);
     }
     for (const auto &announcement : message.prompts) {
         m_table.mergePeerPrompt(announcement, now);
--- a/src/load_exchange.h
+++ b/src/load_exchange.h
@@ -28,6 +28,11 @@
     /// Of these, peers of the same failure domain, where loads are most useful and bytes are cheapest. The remaining datagrams go to
     /// other domains.
     std::size_t maxDomainPeersPerRound = 8;
+    /// Reports of peers on endpoints at the load bound that a round forwards, if the fleet is too large to be reached in one round.
+    /// An endpoint over the bound gets requests from all routers, each of which hears of it seldom; few endpoints are, so that
+    /// forwarding their reports alone costs 1.5 KB/s.
+    std::size_t maxForwardedReports = 4;
+    Millis maxForwardedAge{200}; ///< of a forwarded report; below roundInterval, so that most reports are forwarded once
     Millis refreshInterval{10000}; ///< between reads of the list of routers
     Millis firstRefreshDelay{1200}; ///< after the first read; routers that started together are all listed by then
     Millis retryDelay{5000}; ///< after the store could not be reached, or the socket could not be bound
@@ -101,6 +106,8 @@
     Task<void> send(const std::vector<Peer> &receivers, const PeerMessage &message, Clock::time_point now);
     Task<void> sendCrashRecords(bool includeSilent, Clock::time_point now);
     std::vector<Peer> countersFor(uint64_t content, const std::vector<Peer> &others) const;
+    /// True if one round of datagrams can reach all routers of the fleet.
+    bool reachesAllPeers() const;
     std::vector<Peer> neighbours() const;
     void dispatchConfirmation(const replica::Confirmation &confirmation, const Peer &from, Clock::time_point now);
     void publishRouters();
--- a/src/router_core.h
+++ b/src/router_core.h
@@ -96,9 +96,12 @@
     /// Records an endpoint's own report of its requests in flight.
     void recordLoadReport(const std::string &id, int64_t load, Clock::time_point now);
     /// Records a load report that a peer router received. A report older than the last one is ignored.
-    void mergePeerReport(const peers::LoadReport &report);
+    void mergePeerReport(const peers::LoadReport &report, Clock::time_point now);
     /// The reports that this router itself received after the given time.
     std::vector<peers::LoadReport> reportsReceivedSince(Clock::time_point then) const;
+    /// The reports of endpoints at the load bound that this router got from peers after the given time and should
+    /// forward to others: at most `limit`, none older than maxAge, the highest loads first.
+    std::vector<peers::LoadReport> reportsToForward(Clock::time_point then, std::size_t limit, Millis maxAge, Clock::time_point now) const;
 
     /// Picks an endpoint of a pool, except those in exclude, and counts one request in flight on it. Returns nothing if
     /// no endpoint can receive the request; noEndpointReason() gives the reason.
@@ -142,8 +145,7 @@
     PromptEstimate estimatePrompt(uint64_t prompt, const Endpoint &receiver, Clock::time_point now, const PlacementConstraints &constraints = {}) const;
     /// What this router knows of a prompt's holders and of an endpoint's load. Returns nothing if the endpoint is not in
     /// a pool whose policy estimates loads against the mean of the service.
-    std::optional<PlacementView> placementView(const Endpoint &endpoint, uint64_t prompt, Clock::time_point now,
-                                               const PlacementConstraints &constraints = {});
+    std::optional<PlacementView> placementView(const Endpoint &endpoint, uint64_t prompt, Clock::time_point now, const PlacementConstraints &constraints = {});
     /// The home of a prompt regardless of load: the first member in the prompt's rendezvous order. Returns nothing for
     /// an empty pool.
     std::optional<Endpoint> homeOf(const std::string &pool, uint64_t prompt) const;
@@ -185,6 +187,9 @@
         int64_t placed = 0;
         int64_t reportedLoad = 0; ///< load in the last report that this router itself received
         Clock::time_point receivedAt{};
+        int64_t peerLoad = 0; ///< load in the newest report that a peer received
+        Clock::time_point peerReceivedAt{}; ///< when the peer received it
+        Clock::time_point peerMergedAt{}; ///< when this router got it from a peer
     };
     Picker makePicker(EndpointKind kind) const;
     std::optional<std::size_t> pickMember(const std::string &name, Pool &pool, const placement::Affinity &requestAffinity, const std::set<std::string> &exclude,
@@ -209,7 +214,7 @@
     std::vector<Endpoint> likelyHolders(uint64_t prompt, Clock::time_point now, const PlacementConstraints &constraints) const;
     bool isSuspected(const std::string &id, Clock::time_point now) const;
     Pool *findPool(const std::string &id, std::size_t &member);
-    void forwardReport(const std::string &id, int64_t load, Clock::time_point receivedAt);
+    void applyReport(const std::string &id, int64_t load, Clock::time_point receivedAt);
 
     mutable std::mutex m_mutex;
     TableOptions m_options;
--- a/tests/test_incarnation.cpp
+++ b/tests/test_incarnation.cpp
@@ -75,9 +75,9 @@
     now += std::chrono::seconds(1);
     list(secondStart);
     table.recordLoadReport("b", 5, now);
-    table.mergePeerReport({"a", 40, receivedAt});
+    table.mergePeerReport({"a", 40, receivedAt}, now);
     STRCMP_EQUAL("a", chosen().c_str());
-    table.mergePeerReport({"a", 40, now}); // a report on the current incarnation
+    table.mergePeerReport({"a", 40, now}, now); // a report on the current incarnation
     STRCMP_EQUAL("b", chosen().c_str());
 }
 
--- a/tests/test_model.cpp
+++ b/tests/test_model.cpp
@@ -130,6 +130,11 @@
     CHECK(play(loadScenario("lonestar-shifted")).pools.at("model").worstWindow < maxShareOverBound);
 }
 
+TEST(Model, LoadedEndpointsAreAvoidedByRoutersThatSeldomReachThem)
+{
+    CHECK(play(loadScenario("lonestar-large")).pools.at("model").worstWindow < maxShareOverBound);
+}
+
 TEST(Model, RequiredSurgesAreAbsorbedByEndpointQueues)
 {
     // The largest surges of the requirements: all requests at 1.7 times, one workspace at 7.5 times its usual rate.
--- a/tests/test_peers.cpp
+++ b/tests/test_peers.cpp
@@ -208,6 +208,31 @@
 
 const http::Address addressOfB{"127.0.0.1", 2};
 
+/// A table of twenty engines "e1" to "e20", each known to hold one request.
+std::unique_ptr<router::RoutingTable> tableOfEngines(Clock::time_point now)
+{
+    router::TableOptions options;
+    options.policy = Policy::Home;
+    auto table = std::make_unique<router::RoutingTable>(options);
+    std::vector<Endpoint> engines;
+    for (uint16_t i = 1; i <= 20; ++i) {
+        engines.push_back(endpointAt("e" + std::to_string(i), i, "p", EndpointKind::Engine));
+    }
+    table->setEndpoints(engines, now - std::chrono::seconds(10));
+    for (const auto &engine : engines) {
+        table->recordLoadReport(engine.id, 1, now - std::chrono::seconds(1));
+    }
+    return table;
+}
+
+/// Receives and decodes one datagram.
+Task<peers::PeerMessage> receiveMessage(asio::ip::udp::socket &socket)
+{
+    std::array<uint8_t, 2048> buffer;
+    const auto size = co_await socket.async_receive(asio::buffer(buffer), asio::use_awaitable);
+    co_return std::get<peers::PeerMessage>(peers::decode({buffer.data(), size}, Clock::now()));
+}
+
 } // namespace
 
 // The ranks of routers "a" to "d" of one domain, and of "z" in another, as seen by "c".
@@ -300,6 +325,57 @@
     LONGS_EQUAL(0, fixture.table->reportsReceivedSince(now).size());
 }
 
+TEST(LoadExchange, RecentPeerReportsOfLoadedEnginesAreForwardedHighestFirst)
+{
+    const auto now = Clock::now();
+    const auto table = tableOfEngines(now);
+    table->recordLoadReport("e1", 60, now); // this router's own report
+    table->mergePeerReport({"e2", 30, now - Millis(100)}, now);
+    table->mergePeerReport({"e3", 40, now - Millis(100)}, now);
+    table->mergePeerReport({"e4", 50, now - Millis(300)}, now);
+    table->mergePeerReport({"e5", 2, now}, now);
+    table->mergePeerReport({"unlisted", 90, now}, now);
+    const Millis maxAge{200};
+    const peers::LoadReport second{"e2", 30, now - Millis(100)};
+    const peers::LoadReport first{"e3", 40, now - Millis(100)};
+    CHECK((table->reportsToForward(now - Millis(1), 4, maxAge, now) == std::vector<peers::LoadReport>{first, second}));
+    CHECK((table->reportsToForward(now - Millis(1), 1, maxAge, now) == std::vector<peers::LoadReport>{first}));
+    CHECK(table->reportsToForward(now, 4, maxAge, now).empty()); // forwarded in the round before
+}
+
+TEST(LoadExchange, ARoundForwardsReportsOfLoadedEnginesUnlessItReachesAllRouters)
+{
+    for (const bool reachesAll : {false, true}) {
+        asio::ip::udp::socket listener(loop().io, {asio::ip::make_address("127.0.0.1"), 0});
+        const uint16_t port = listener.local_endpoint().port();
+        ExchangeFixture fixture;
+        for (const auto &peer : {peerAt("b", "south", 2), peerAt("c", "north", port), peerAt("d", "south", 4)}) {
+            CHECK(loop().run(peers::PeerDirectory(fixture.api, peer).refresh()));
+        }
+        const auto now = Clock::now();
+        const auto table = tableOfEngines(now);
+        peers::ExchangeOptions options;
+        options.maxPeersPerRound = reachesAll ? 3 : 2;
+        options.maxForwardedAge = std::chrono::seconds(30);
+        peers::LoadExchange exchange(fixture.api, peerAt("a", "north", 0), *table, options);
+        CHECK(loop().run(exchange.refreshPeers(now)));
+        exchange.handleDatagram(peers::encode({{{"e3", 40, now}}, {}, {}}, now), addressOfB, now);
+        bool stopped = false;
+        asio::co_spawn(loop().io, exchange.runSender(), [&stopped](std::exception_ptr) {
+            stopped = true;
+        });
+        const auto message = loop().run(receiveMessage(listener));
+        exchange.stop();
+        loop().runUntil([&stopped] {
+            return stopped;
+        });
+        const bool forwarded = std::any_of(message.loads.begin(), message.loads.end(), [](const peers::LoadReport &report) {
+            return report.endpoint == "e3" && report.load == 40;
+        });
+        CHECK_EQUAL(!reachesAll, forwarded);
+    }
+}
+
 TEST(LoadExchange, DatagramsFromUnlistedSendersAreIgnored)
 {
     ExchangeFixture fixture;
