The mean load leaves out the request that came with each report

Routers took the mean load of a service for higher than it was: 4.0 where it was 3.0 on the large deployment, and so set their own bound at 8.0 where the fleet's was 9.0; with forwarded reports, which are those of loaded endpoints, 5.0 and 9.5: above it.

Cause: an endpoint reports its load with a response, and counts the request that it answers. So every report is that of an endpoint with a request more than an arrival finds.

The mean deducts that request, for all policies. PromptHome's own bound is 1.5 times the mean and three (two before, on a mean that was one too high): below the fleet's, twice the mean and three, for any mean.

PromptHome.MeanLoadLeavesOutTheRequestThatCameWithEachReport fails on the code before (3 instead of 2).

--- a/include/yucca/placement.h
+++ b/include/yucca/placement.h
@@ -180,7 +180,7 @@
     /// The upper bound of a member's load, as a multiple of the service's mean load, plus the slack. The value is below
     /// the bound that the fleet must keep, because reports are delayed.
     double loadFactor = 1.5;
-    double slack = 2.0; ///< requests added to the bound: at a few requests in flight, the error of a delayed report must not look like overload
+    double slack = 3.0; ///< requests added to the bound: at a few requests in flight, the error of a delayed report must not look like overload
     std::chrono::duration<double> reportLifetime{3.0};
     /// The bound is at least this multiple of the mean load of the usable members, plus one. Without this minimum, when
     /// the other members are kept idle, all routers would send to the member that looks least loaded.
--- a/src/observed_load.cpp
+++ b/src/observed_load.cpp
@@ -43,6 +43,7 @@
                 MissingReport missingReport)
 {
     constexpr double meanLifetimeFactor = 5; // multiple of the report lifetime in a member's own estimate
+    constexpr int64_t answeredRequests = 1; // a report counts the request whose response carries it
     double sum = 0;
     double weights = 0;
     int64_t own = 0;
@@ -59,7 +60,7 @@
             continue;
         }
         const double w = loads[i].weight(now, meanLifetimeFactor * lifetime);
-        sum += w * static_cast<double>(std::max<int64_t>(0, loads[i].lastReport()));
+        sum += w * static_cast<double>(std::max<int64_t>(0, loads[i].lastReport() - answeredRequests));
         weights += w;
     }
     const double ownMean = n ? static_cast<double>(own) / static_cast<double>(n) : 0;
--- a/tests/test_placement_decisions.cpp
+++ b/tests/test_placement_decisions.cpp
@@ -112,6 +112,16 @@
     }
 }
 
+TEST(PromptHome, MeanLoadLeavesOutTheRequestThatCameWithEachReport)
+{
+    placement::PromptHome policy;
+    policy.setMembers(names(4));
+    for (std::size_t m = 0; m < 4; ++m) {
+        policy.recordLoadReport(m, 1 + static_cast<int64_t>(m % 2) * 4, now); // found 0 and 4 requests besides the reported one
+    }
+    DOUBLES_EQUAL(2, policy.loadView(0, now).mean, 1e-9);
+}
+
 TEST(PromptHome, OverflowOfAHotPromptGoesToADifferentMemberAtEachRouter)
 {
     constexpr int routers = 60;
