--- a/emulators/soak/fleet.cpp
+++ b/emulators/soak/fleet.cpp
@@ -63,6 +63,7 @@
     case Fault::StoreLosesAnswers:
     case Fault::StoreForgets:
     case Fault::StoreRestored:
+    case Fault::PowerLost:
         return true;
     default:
         return false;
--- a/emulators/soak/fleet.h
+++ b/emulators/soak/fleet.h
@@ -83,6 +83,7 @@
     Task<void> applyToCallers(Step step);
     Task<void> applyEvacuation(Step step);
     Task<void> restoreStore(Step step);
+    std::vector<std::size_t> killAllRouters();
     Task<void> rewriteEvacuations();
     std::string senderName(std::size_t router) const;
     std::string requestId(const std::string &text, std::size_t router);
--- a/emulators/soak/plan.cpp
+++ b/emulators/soak/plan.cpp
@@ -27,6 +27,8 @@
 };
 constexpr std::array<IndependentFault, 3> independentFaults{
     {{Fault::DomainEvacuated, 0x65766163, 5000}, {Fault::EndpointAsksForRest, 0x72657374, 5000}, {Fault::StoreRestored, 0x72657475, 6000}}};
+constexpr uint64_t powerLossSalt = 0x706f7772; ///< XORed with the seed
+constexpr Millis powerLossLead{1}; ///< before the end of the plan
 
 // Returns the number of routers, endpoints or domains that a fault can apply to.
 std::size_t targetCountOf(Fault fault, const PlanOptions &options)
@@ -74,6 +76,16 @@
     }
 }
 
+void addPowerLoss(const PlanOptions &options, std::vector<Step> &plan)
+{
+    boost::random::mt19937_64 random(options.seed ^ powerLossSalt);
+    Step step;
+    step.at = options.duration - powerLossLead;
+    step.fault = Fault::PowerLost;
+    step.duration = Millis(boost::random::uniform_int_distribution<int>(minDurationMs, maxDurationMs)(random));
+    plan.push_back(step);
+}
+
 } // namespace
 
 std::vector<Step> makePlan(const PlanOptions &options)
@@ -98,6 +110,9 @@
     for (const auto &independent : independentFaults) {
         addIndependentFault(independent, options, plan);
     }
+    if (options.powerLoss) {
+        addPowerLoss(options, plan);
+    }
     std::stable_sort(plan.begin(), plan.end(), [](const Step &a, const Step &b) {
         return a.at < b.at;
     });
--- a/emulators/soak/plan.h
+++ b/emulators/soak/plan.h
@@ -35,9 +35,10 @@
     DomainEvacuated, ///< operators evacuate a failure domain, and end the evacuation later
     EndpointAsksForRest, ///< rejects all requests with a back-off time
     StoreRestored, ///< is restored from a recent backup; operators and endpoints rewrite the lost changes
+    PowerLost, ///< all routers lose power when the store does, which is then restored from a recent backup
 };
 
-inline constexpr NameTable<Fault, 24> faultNames{{{Fault::RouterKilled, "router_killed"},
+inline constexpr NameTable<Fault, 25> faultNames{{{Fault::RouterKilled, "router_killed"},
                                                   {Fault::RouterPaused, "router_paused"},
                                                   {Fault::RouterStopped, "router_stopped"},
                                                   {Fault::RouterReloads, "router_reloads"},
@@ -60,7 +61,8 @@
                                                   {Fault::RequestEndsEndpoints, "request_ends_endpoints"},
                                                   {Fault::DomainEvacuated, "domain_evacuated"},
                                                   {Fault::EndpointAsksForRest, "endpoint_asks_for_rest"},
-                                                  {Fault::StoreRestored, "store_restored"}}};
+                                                  {Fault::StoreRestored, "store_restored"},
+                                                  {Fault::PowerLost, "power_lost"}}};
 
 /// One fault of a plan.
 struct Step {
@@ -78,6 +80,7 @@
     Millis duration{8000}; ///< in which faults start
     std::size_t routers = 3;
     std::size_t endpoints = 4;
+    bool powerLoss = false; ///< ends the plan with PowerLost
 };
 
 /// The number of failure domains of endpoints. With four endpoints or more, each domain has endpoints of both services.
--- a/emulators/soak_main.cpp
+++ b/emulators/soak_main.cpp
@@ -25,6 +25,7 @@
     int port = options.basePort;
     int routers = static_cast<int>(options.plan.routers);
     int endpoints = static_cast<int>(options.plan.endpoints);
+    int powerLoss = 0;
     char *directory = nullptr;
     char *programs = nullptr;
     const poptOption soakOptions[] = {
@@ -32,6 +33,7 @@
         {"seconds", 0, POPT_ARG_INT, &seconds, 0, "duration of the fault plan; the checks afterwards take extra time", "S"},
         {"routers", 0, POPT_ARG_INT, &routers, 0, "number of routers", "N"},
         {"endpoints", 0, POPT_ARG_INT, &endpoints, 0, "number of endpoints, half of which serve streams", "N"},
+        {"power-loss", 0, POPT_ARG_NONE, &powerLoss, 0, "end the plan with a loss of power of the store and all routers", nullptr},
         {"port", 'p', POPT_ARG_INT, &port, 0, "first port; each router uses ten, each endpoint two", "PORT"},
         {"directory", 0, POPT_ARG_STRING, &directory, 0, "for settings, logs and run logs; must not exist yet", "DIR"},
         {"programs", 0, POPT_ARG_STRING, &programs, 0, "directory of the programs", "DIR"},
@@ -49,6 +51,7 @@
     options.plan.duration = std::chrono::seconds(seconds);
     options.plan.routers = static_cast<std::size_t>(routers);
     options.plan.endpoints = static_cast<std::size_t>(endpoints);
+    options.plan.powerLoss = powerLoss != 0;
     options.callers = callersPerRouter * routers;
     options.directory = directory;
     options.programs = programs ? programs : options.programs;
--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -1,7 +1,8 @@
 #!/usr/bin/env bash
 # Runs soak tests with a range of seeds, LANES at a time; each takes about 20 s:
 #   scripts/soak.sh FIRST LAST [DIRECTORY [ROUTERS ENDPOINTS [LANES]]]
-# The logs of each seed stay in DIRECTORY/SEED. Uses loopback only. Each lane runs ROUTERS + ENDPOINTS + 2 programs:
+# Odd seeds end with a loss of power. The logs of each seed stay in DIRECTORY/SEED. Uses loopback only. Each lane runs
+# ROUTERS + ENDPOINTS + 2 programs:
 # keep the total to a few hundred.
 set -euo pipefail
 cd "$(dirname "$0")/.."
@@ -12,7 +13,9 @@
 run_lane() { # number
     local port=$((20000 + ports_per_lane * $1))
     for seed in $(seq $((first + $1)) "$lanes" "$last"); do
-        build/yucca-soak --seed "$seed" --seconds 8 --port $port --routers "$routers" --endpoints "$endpoints" --directory "$out/$seed" || true
+        local power_loss=()
+        [ $((seed % 2)) = 0 ] || power_loss=(--power-loss)
+        build/yucca-soak --seed "$seed" --seconds 8 ${power_loss[@]+"${power_loss[@]}"} --port $port --routers "$routers" --endpoints "$endpoints" --directory "$out/$seed" || true
     done
 }
 for n in $(seq 0 $((lanes - 1))); do run_lane "$n" & done | tee "$out/outcome.txt"
--- a/tests/test_soak.cpp
+++ b/tests/test_soak.cpp
@@ -29,6 +29,7 @@
     for (uint64_t seed = 1; seed <= 50; ++seed) {
         soak::PlanOptions options;
         options.seed = seed;
+        options.powerLoss = seed % 2 == 1;
         Millis previous{0};
         for (const auto &step : soak::makePlan(options)) {
             CHECK(step.at >= previous && step.at < options.duration);
@@ -37,6 +38,7 @@
             previous = step.at;
             seen.insert(step.fault);
         }
+        CHECK_EQUAL(options.powerLoss, soak::makePlan(options).back().fault == soak::Fault::PowerLost);
     }
     LONGS_EQUAL(soak::faultNames.size(), seen.size());
 }
