--- a/include/yucca/observed_load.h
+++ b/include/yucca/observed_load.h
@@ -75,8 +75,9 @@
 
 /// The mean load of the usable members: the reports weighted by their age, and never below the mean of this router's
 /// own requests in flight. Of each report, the request whose response carries it is deducted: reports are made only when
-/// a member has a request, so they would show a load that is higher by one than the mean over time. Reports decay more slowly here than in a member's own
-/// estimate, because the mean of a pool changes slowly and errors of many reports average out.
+/// a member has a request, so they would show a load that is higher by one than the mean over time. Reports decay more
+/// slowly here than in a member's own estimate, because the mean of a pool changes slowly and errors of many reports
+/// average out.
 double meanLoad(const std::vector<ObservedLoad> &loads, const Usable &usable, TimePoint now, std::chrono::duration<double> lifetime,
                 MissingReport missingReport);
 
--- a/src/load_exchange.h
+++ b/src/load_exchange.h
@@ -28,9 +28,8 @@
     /// Of these, peers of the same failure domain, where loads are most useful and bytes are cheapest. The remaining datagrams go to
     /// other domains.
     std::size_t maxDomainPeersPerRound = 8;
-    /// Reports of peers on endpoints at the load bound that a round forwards, if the fleet is too large to be reached in one round.
-    /// An endpoint over the bound gets requests from all routers, each of which hears of it seldom; few endpoints are, so that
-    /// forwarding their reports alone costs 1.5 KB/s.
+    /// Peers' reports that a round forwards, if one round does not reach the whole fleet. Only endpoints at the load bound are
+    /// reported again: each router reaches them seldom itself, and a report below the bound does not change a placement.
     std::size_t maxForwardedReports = 4;
     Millis maxForwardedAge{200}; ///< of a forwarded report; below roundInterval, so that most reports are forwarded once
     Millis refreshInterval{10000}; ///< between reads of the list of routers
