--- /dev/null
+++ b/src/router_reports.cpp
@@ -0,0 +1,92 @@
+// Load reports in the routing table: this router's own and those of peers, and which of them to share.
+#include "router_core.h"
+
+#include <algorithm>
+
+namespace yucca::router
+{
+
+// Passes a load report to the picker of the endpoint's pool.
+void RoutingTable::applyReport(const std::string &id, int64_t load, Clock::time_point receivedAt)
+{
+    std::size_t member = 0;
+    if (auto *pool = findPool(id, member)) {
+        std::visit(
+            [&](auto &picker) {
+                picker.recordLoadReport(member, load, receivedAt);
+            },
+            pool->picker);
+    }
+}
+
+void RoutingTable::recordLoadReport(const std::string &id, int64_t load, Clock::time_point now)
+{
+    std::lock_guard lock(m_mutex);
+    auto &health = m_health[id];
+    health.reportedLoad = load;
+    health.receivedAt = now;
+    applyReport(id, load, now);
+}
+
+void RoutingTable::mergePeerReport(const peers::LoadReport &report, Clock::time_point now)
+{
+    std::lock_guard lock(m_mutex);
+    if (!m_poolNames.count(report.endpoint)) {
+        return; // not listed here
+    }
+    auto &health = m_health[report.endpoint];
+    if (report.receivedAt < health.joinedAt) {
+        return; // from an earlier incarnation
+    }
+    if (report.receivedAt > std::max(health.peerReceivedAt, health.receivedAt)) {
+        health.peerLoad = report.load;
+        health.peerReceivedAt = report.receivedAt;
+        health.peerMergedAt = now;
+    }
+    applyReport(report.endpoint, report.load, report.receivedAt);
+}
+
+std::vector<peers::LoadReport> RoutingTable::reportsToForward(Clock::time_point then, std::size_t limit, Millis maxAge, Clock::time_point now) const
+{
+    std::lock_guard lock(m_mutex);
+    std::map<std::string, double> limits; // by pool, of the pools with a load bound
+    for (const auto &[name, pool] : m_pools) {
+        std::visit(
+            [&](const auto &picker) {
+                if constexpr (requires { picker.loadLimit(now); }) {
+                    limits.emplace(name, picker.loadLimit(now));
+                }
+            },
+            pool.picker);
+    }
+    std::vector<peers::LoadReport> out;
+    for (const auto &[id, health] : m_health) {
+        if (health.peerMergedAt <= then || now - health.peerReceivedAt > maxAge) {
+            continue;
+        }
+        const auto pool = m_poolNames.find(id);
+        const auto bound = pool == m_poolNames.end() ? limits.end() : limits.find(pool->second);
+        if (bound != limits.end() && static_cast<double>(health.peerLoad + 1) > bound->second) {
+            out.push_back({id, health.peerLoad, health.peerReceivedAt});
+        }
+    }
+    std::sort(out.begin(), out.end(), [](const peers::LoadReport &a, const peers::LoadReport &b) {
+        return a.load > b.load;
+    });
+    out.resize(std::min(out.size(), limit));
+    return out;
+}
+
+std::vector<peers::LoadReport> RoutingTable::reportsReceivedSince(Clock::time_point then) const
+{
+    std::lock_guard lock(m_mutex);
+    std::vector<peers::LoadReport> out;
+    for (const auto &[id, health] : m_health) {
+        if (health.receivedAt > then) {
+            out.push_back({id, health.reportedLoad, health.receivedAt});
+        }
+    }
+    return out;
+}
+
+} // namespace yucca::router
