Evacuation orders lost in a restore end once the store confirms that they are gone

Cause: an order that the copy lacks was kept for restoreSettleTime, 6 s from the last restore. That time is set by endpoints' heartbeats; operators write lost orders again within about 2 s. In the log both domains' orders are lost in two restores 1.7 s apart and revoked meanwhile; the store has none, so no event ends them, and they last until 6.2 s after the second restore. Revisions can't tell a revoked order from a later one, as they are assigned again.

Now EvacuationOrders keeps a lost order until the store, asked by this router or a neighbour, confirms 2.5 s after its return was noticed or later that it is not there. A router that is cut off keeps it: it can't know whether the order was written again. A second restore starts the time anew, as operators could not write while the store was away. The endpoints of such a domain count as cold from the restore on, not from the end of the hold: what became cold since says so in its entry.

The test of a lost order now requires a confirmation beside the time, and that the order lasts without one.

--- a/src/entry/control.cpp
+++ b/src/entry/control.cpp
@@ -53,29 +53,33 @@
 void Published::replaceEvacuated(std::set<std::string> domains)
 {
     m_evacuationsKnown = true;
-    m_retainedEvacuations.clear();
-    if (Clock::now() < m_keepEvacuatedUntil) {
-        std::set_difference(m_evacuated.begin(), m_evacuated.end(), domains.begin(), domains.end(),
-                            std::inserter(m_retainedEvacuations, m_retainedEvacuations.end()));
-        domains.insert(m_retainedEvacuations.begin(), m_retainedEvacuations.end());
-    }
-    applyEvacuated(std::move(domains));
+    m_evacuations.replaceListed(std::move(domains));
+    applyEvacuated(Clock::now());
 }
 
 void Published::setEvacuated(const std::string &domain, bool evacuated)
 {
-    auto domains = m_evacuated;
-    m_retainedEvacuations.erase(domain); // the store decides on this domain from now on
-    if (evacuated) {
-        domains.insert(domain);
-    } else {
-        domains.erase(domain);
+    m_evacuations.setListed(domain, evacuated);
+    applyEvacuated(Clock::now());
+}
+
+void Published::onEvacuationsRestored(Clock::time_point now)
+{
+    m_evacuations.recordRestore(now);
+}
+
+void Published::recordEvacuationsConfirmed(Clock::time_point at)
+{
+    // The lost orders had been revoked around the restore: endpoints that became cold then have said so in their entries.
+    if (m_evacuations.recordConfirmation(at)) {
+        applyEvacuated(m_evacuations.restoredAt());
     }
-    applyEvacuated(std::move(domains));
 }
 
-void Published::applyEvacuated(std::set<std::string> domains)
+// Endpoints of domains that are no longer evacuated are treated as cold from revokedAt on.
+void Published::applyEvacuated(Clock::time_point revokedAt)
 {
+    auto domains = m_evacuations.inEffect();
     const auto count = [this](const std::string &domain) {
         return std::count_if(m_endpoints.begin(), m_endpoints.end(), [&domain](const auto &entry) {
             return entry.second.zone == domain;
@@ -92,7 +96,7 @@
         }
     }
     m_evacuated = std::move(domains);
-    m_table.setEvacuated(m_evacuated, Clock::now());
+    m_table.setEvacuated(m_evacuated, revokedAt);
 }
 
 void Published::replaceEndpoints(std::map<std::string, Endpoint> endpoints)
@@ -235,11 +239,6 @@
     m_restoringUntil = now + restoreSettleTime;
 }
 
-void Published::onEvacuationsRestored(Clock::time_point now)
-{
-    m_keepEvacuatedUntil = now + restoreSettleTime;
-}
-
 void Published::onStoreRecovered(Clock::duration outageDuration, Clock::time_point now)
 {
     if (outageDuration >= minOutageForExpiry) {
@@ -252,9 +251,6 @@
     if (now >= m_restoringUntil) {
         admitReappeared();
     }
-    if (now >= m_keepEvacuatedUntil) {
-        dropRetainedEvacuations();
-    }
     if (m_expired.empty() || now < m_retainExpiredUntil) {
         return;
     }
@@ -280,18 +276,6 @@
     publishEndpoints();
 }
 
-void Published::dropRetainedEvacuations()
-{
-    if (m_retainedEvacuations.empty()) {
-        return;
-    }
-    auto domains = m_evacuated;
-    for (const auto &domain : std::exchange(m_retainedEvacuations, {})) {
-        domains.erase(domain);
-    }
-    applyEvacuated(std::move(domains));
-}
-
 void Published::publishEndpoints()
 {
     const auto configuration = m_configuration.load();
--- a/src/entry/control.h
+++ b/src/entry/control.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "entry/configuration.h"
+#include "entry/evacuation_orders.h"
 #include "findings.h"
 #include "follower.h"
 #include "router_core.h"
@@ -104,11 +105,12 @@
     /// stay excluded.
     void onEndpointsRestored(Clock::time_point now);
     /// Called when the store has been restored from a backup: evacuations that it lacks stay
-    /// in effect until they have been written again.
+    /// in effect until they have been written again, see EvacuationOrders.
     void onEvacuationsRestored(Clock::time_point now);
-    /// Ends the retention periods that have passed: removes endpoints that are still missing,
-    /// readmits endpoints that are still listed after a restore, and ends evacuations that are
-    /// still missing.
+    /// Records that the store confirmed at a time that no evacuation order is missing.
+    void recordEvacuationsConfirmed(Clock::time_point at);
+    /// Ends the retention periods that have passed: removes endpoints that are still missing, and
+    /// readmits endpoints that are still listed after a restore.
     void endExpiredRetention(Clock::time_point now);
     /// Returns when the store last answered.
     Clock::time_point lastContact() const
@@ -142,15 +144,15 @@
     bool mustStayExcluded(const Endpoint &endpoint, Clock::time_point now);
     void recordRemoval(const Endpoint &endpoint);
     void admitReappeared();
-    void dropRetainedEvacuations();
-    void applyEvacuated(std::set<std::string> domains);
+    void applyEvacuated(Clock::time_point revokedAt);
     void applyColdAllowances(const Configuration &configuration);
 
     router::RoutingTable &m_table;
     PublishedOptions m_options;
     std::atomic<ConfigurationPtr> m_configuration;
     std::atomic<bool> m_evacuationsKnown{false};
-    std::set<std::string> m_evacuated; ///< names of evacuated failure domains
+    EvacuationOrders m_evacuations;
+    std::set<std::string> m_evacuated; ///< names of evacuated failure domains, as last applied
     std::vector<std::pair<std::string, Clock::time_point>> m_coldUntil; ///< endpoint ids and the ends of their cold periods, read since the last publication
     std::atomic<bool> m_endpointsUsable{false};
     std::atomic<bool> m_endpointsKnown{false};
@@ -160,8 +162,6 @@
     std::map<std::string, RemovedIncarnation> m_removed; ///< by incarnation key
     Clock::time_point m_restoringUntil{}; ///< until then, lost entries are written again and outdated ones expire
     std::set<std::string> m_reappeared; ///< ids in m_endpoints that were removed before the restore; excluded until they are known to be alive
-    Clock::time_point m_keepEvacuatedUntil{};
-    std::set<std::string> m_retainedEvacuations; ///< domains in m_evacuated that the store lacks
     std::atomic<Clock::time_point> m_lastContact{};
     std::atomic<std::size_t> m_endpointCount{0};
 };
@@ -174,9 +174,9 @@
 /// each.
 inline constexpr Millis minOutageForExpiry{2500};
 
-/// Time after a restore of the store from a backup until its content is reliable: writers
-/// write lost entries again within about two seconds, and the entry of a dead endpoint expires
-/// after three heartbeats of 1.2 s each.
+/// Time after a restore of the store from a backup until its list of endpoints is reliable:
+/// endpoints write lost entries again within about two seconds, and the entry of a dead endpoint
+/// expires after three heartbeats of 1.2 s each.
 inline constexpr Millis restoreSettleTime{6000};
 /// How long removed incarnations are stored: a store that is restored from a backup may list
 /// them again. Backups are seconds old.
@@ -210,15 +210,18 @@
         , m_shared(shared)
         , m_configurationSink{published}
         , m_endpointSink{published}
-        , m_evacuationSink{published}
+        , m_evacuationSink{published, shared.evacuations != nullptr}
         , m_configurations(api, C::configurationKind, m_configurationSink, followerOptions(shared.configuration))
         , m_endpoints(api, C::endpointKind, m_endpointSink, followerOptions(shared.endpoints))
         , m_evacuations(api, C::evacuationKind, m_evacuationSink, followerOptions(shared.evacuations))
     {
         for (auto *replica : {shared.configuration, shared.endpoints, shared.evacuations}) {
             if (replica) {
-                replica->onConfirmed = [this](Clock::time_point at) {
+                replica->onConfirmed = [this, evacuations = replica == m_shared.evacuations](Clock::time_point at) {
                     m_published.recordConfirmation(at);
+                    if (evacuations) {
+                        m_published.recordEvacuationsConfirmed(at);
+                    }
                 };
             }
         }
@@ -394,6 +397,7 @@
     // malformed order is still in effect.
     struct EvacuationSink {
         Published &published;
+        bool shared; ///< a replica shared with other routers reports the confirmations
         void onListing(const platform::Listing &listing, platform::Freshness)
         {
             std::set<std::string> domains;
@@ -411,7 +415,11 @@
         }
         void onBatchEnd()
         {
-            published.recordContact(Clock::now());
+            const auto now = Clock::now();
+            published.recordContact(now);
+            if (!shared) {
+                published.recordEvacuationsConfirmed(now); // after a restore, all watches ask for current answers
+            }
         }
         void onStoreRecovered(Clock::duration)
         {
--- a/src/router_constraints.cpp
+++ b/src/router_constraints.cpp
@@ -21,7 +21,7 @@
 
 } // namespace
 
-void RoutingTable::setEvacuated(std::set<std::string> domains, Clock::time_point now)
+void RoutingTable::setEvacuated(std::set<std::string> domains, Clock::time_point revokedAt)
 {
     std::lock_guard lock(m_mutex);
     if (m_evacuated == domains) {
@@ -29,7 +29,7 @@
     }
     for (const auto &e : m_endpoints) {
         if (isEvacuated(e) && !domains.count(e.zone)) {
-            extendCold(e.id, now + m_coldLimiter.coldDuration(e.pool));
+            extendCold(e.id, revokedAt + m_coldLimiter.coldDuration(e.pool));
         }
     }
     m_evacuated = std::move(domains);
--- a/src/router_core.h
+++ b/src/router_core.h
@@ -120,8 +120,8 @@
                                       const PlacementConstraints &constraints = {}) const;
 
     /// Replaces the set of evacuated failure domains, whose endpoints receive no requests. Endpoints of a domain that
-    /// is no longer in the set are treated as cold.
-    void setEvacuated(std::set<std::string> domains, Clock::time_point now);
+    /// is no longer in the set are treated as cold, as if they had become cold at revokedAt.
+    void setEvacuated(std::set<std::string> domains, Clock::time_point revokedAt);
     /// The evacuated failure domains.
     std::set<std::string> evacuated() const;
     /// Replaces the limits on requests to cold endpoints, by service.
--- a/tests/e2e/soak.sh
+++ b/tests/e2e/soak.sh
@@ -6,7 +6,8 @@
 RUN=$(mktemp -d)
 SEEDS=(1 2)
 REGRESSIONS=(1000 1006 1013 1014 # a request crashed more endpoints than allowed, as crashes behind a proxy were known late or never
-    3000 3010) # endpoints that announced leaving or a back-off kept receiving requests
+    3000 3010 # endpoints that announced leaving or a back-off kept receiving requests
+    7001) # evacuations revoked across two restores of the store stayed in effect
 if ! $B/yucca-soak --programs "$B" --seed 3 --power-loss --seconds 8 --port 24000 --directory "$RUN/power-loss"; then
     echo "FAIL: loss of power, logs in $RUN/power-loss"
     exit 1
--- a/tests/test_store_restore.cpp
+++ b/tests/test_store_restore.cpp
@@ -259,6 +259,8 @@
         }
     }
     fixture.published.endExpiredRetention(Clock::now() + entry::restoreSettleTime);
+    CHECK(fixture.placementTargets() == south); // the store may not have answered since
+    fixture.published.recordEvacuationsConfirmed(Clock::now() + entry::orderRewriteTime);
     CHECK((fixture.placementTargets() == std::set<std::string>{"i-north", "i-south"}));
 }
 
@@ -280,3 +282,84 @@
     CHECK(loop().run(fixture.control.stepEvacuations()));
     CHECK((fixture.placementTargets() == std::set<std::string>{"i-north", "i-south"}));
 }
+
+TEST_GROUP(EvacuationOrders)
+{
+    const std::set<std::string> none;
+    const std::set<std::string> north{"north"};
+    const Clock::time_point start{std::chrono::hours(1)};
+    entry::EvacuationOrders orders;
+};
+
+TEST(EvacuationOrders, ALostOrderEndsOnceTheStoreHasBeenBackForTheTimeInWhichItIsRewritten)
+{
+    orders.replaceListed(north);
+    orders.recordRestore(start);
+    orders.replaceListed(none);
+    CHECK(!orders.recordConfirmation(start + entry::orderRewriteTime - Millis(1)));
+    CHECK(orders.inEffect() == north);
+    CHECK(orders.recordConfirmation(start + entry::orderRewriteTime));
+    CHECK(orders.inEffect() == none);
+}
+
+// A router that is cut off cannot know whether the order was written again.
+TEST(EvacuationOrders, ALostOrderStaysInEffectWithoutAConfirmation)
+{
+    orders.replaceListed(north);
+    orders.recordRestore(start);
+    orders.replaceListed(none);
+    orders.replaceListed(none); // listed from a replica that may lag
+    CHECK(orders.inEffect() == north);
+}
+
+TEST(EvacuationOrders, ARewrittenOrderIsKeptAndItsDeletionEndsIt)
+{
+    orders.replaceListed(north);
+    orders.recordRestore(start);
+    orders.replaceListed(none);
+    orders.setListed("north", true);
+    CHECK(!orders.recordConfirmation(start + entry::orderRewriteTime));
+    CHECK(orders.inEffect() == north);
+    orders.setListed("north", false);
+    CHECK(orders.inEffect() == none);
+}
+
+// Operators could not write while the store was away, so a lost order is kept anew; but an order that ended is not.
+TEST(EvacuationOrders, OfTwoRestoresInARowEachKeepsTheOrdersInEffectBeforeIt)
+{
+    const Millis between = entry::orderRewriteTime / 2;
+    orders.replaceListed({"north", "south"});
+    orders.recordRestore(start);
+    orders.replaceListed(none);
+    orders.setListed("south", true);
+    orders.setListed("south", false); // revoked between the restores
+    orders.recordRestore(start + between);
+    orders.replaceListed(none);
+    CHECK(!orders.recordConfirmation(start + entry::orderRewriteTime));
+    CHECK(orders.inEffect() == north);
+    CHECK(orders.recordConfirmation(start + between + entry::orderRewriteTime));
+    orders.recordRestore(start + between + 2 * entry::orderRewriteTime);
+    orders.replaceListed(none);
+    CHECK(orders.inEffect() == none);
+}
+
+TEST(StoreRestore, OrdersRevokedAcrossTwoRestoresLeaveNoServiceWithoutEndpoints)
+{
+    ControlFixture fixture;
+    fixture.start(loop());
+    CHECK(loop().run(fixture.control.stepEvacuations()));
+    const auto backup = fixture.store.backup();
+    for (const char *domain : {"north", "south"}) {
+        fixture.store.put(platform::ObjectCodec::evacuationKind, domain, nlohmann::json::object(), std::nullopt);
+    }
+    CHECK(loop().run(fixture.control.stepEvacuations()));
+    for (int restores = 0; restores < 2; ++restores) {
+        fixture.store.restore(backup); // the operators revoke both orders and find none
+        for (int i = 0; i < stepsToConverge; ++i) {
+            loop().run(fixture.control.stepEvacuations());
+        }
+    }
+    CHECK((fixture.placementTargets() == std::set<std::string>{""}));
+    fixture.published.recordEvacuationsConfirmed(Clock::now() + entry::orderRewriteTime);
+    CHECK((fixture.placementTargets() == std::set<std::string>{"i-north", "i-south"}));
+}
