An endpoint that writes its entry after a restore is used at once

A change that follows the listing of the new epoch was written since, so its endpoint runs: it ends the exclusion. Leaving incarnations stay excluded, and an entry that is only listed waits as before.

StoreRestore.ARemovedEndpointThatWritesItsEntryAfterTheRestoreIsUsedAtOnce shows both cases; not run against the code before.

--- a/src/entry/control.cpp
+++ b/src/entry/control.cpp
@@ -111,7 +111,7 @@
         removeEndpoint(id);
     }
     for (const auto &[id, endpoint] : endpoints) {
-        setEndpoint(endpoint);
+        applyEntry(endpoint, EntrySource::Listing);
     }
     if (!m_endpointsKnown) {
         log::Line{log::Event::EndpointsListed}.add("endpoints", static_cast<int64_t>(m_endpoints.size()));
@@ -124,17 +124,22 @@
 void Published::applyPartialListing(const std::map<std::string, Endpoint> &endpoints)
 {
     for (const auto &[id, endpoint] : endpoints) {
-        setEndpoint(endpoint);
+        applyEntry(endpoint, EntrySource::Listing);
     }
     m_endpointsUsable = true;
     publishEndpoints();
 }
 
 void Published::setEndpoint(const Endpoint &endpoint)
+{
+    applyEntry(endpoint, EntrySource::Change);
+}
+
+void Published::applyEntry(const Endpoint &endpoint, EntrySource source)
 {
     logEndpointChange(endpoint);
     m_expired.erase(endpoint.id);
-    const bool excluded = mustStayExcluded(endpoint, Clock::now());
+    const bool excluded = mustStayExcluded(endpoint, source, Clock::now());
     auto &held = m_endpoints[endpoint.id];
     held = endpoint;
     held.state = excluded ? EndpointState::Leaving : endpoint.state;
@@ -196,13 +201,14 @@
 // Returns true for an incarnation that is listed as live but must get no requests: it was known to
 // be leaving, or it had been removed and may be listed only because the store was restored from a
 // backup.
-bool Published::mustStayExcluded(const Endpoint &endpoint, Clock::time_point now)
+bool Published::mustStayExcluded(const Endpoint &endpoint, EntrySource source, Clock::time_point now)
 {
     const bool restoring = now < m_restoringUntil;
+    const bool reappeared = m_reappeared.count(endpoint.id) > 0;
     // A leaving incarnation never becomes live again; without a start time, the endpoint may have restarted.
     const bool hasStartTime = endpoint.startedAtMs != 0;
     const auto held = m_endpoints.find(endpoint.id);
-    if (endpoint.state != EndpointState::Live) {
+    if (endpoint.state != EndpointState::Live || (reappeared && source == EntrySource::Change)) {
         m_reappeared.erase(endpoint.id);
         return false;
     }
@@ -217,10 +223,11 @@
     if (removed->second.leaving) {
         return hasStartTime || restoring;
     }
-    if (restoring) {
+    const bool mayHaveEnded = restoring && source == EntrySource::Listing;
+    if (mayHaveEnded) {
         m_reappeared.insert(endpoint.id);
     }
-    return restoring;
+    return mayHaveEnded;
 }
 
 void Published::recordRemoval(const Endpoint &endpoint)
--- a/src/entry/control.h
+++ b/src/entry/control.h
@@ -88,6 +88,7 @@
     /// before the listing is complete. When a large fleet of routers starts at once, the last page
     /// arrives more than a second after the first.
     void applyPartialListing(const std::map<std::string, Endpoint> &endpoints);
+    /// Applies an entry that was written since the last listing.
     void setEndpoint(const Endpoint &endpoint);
     void removeEndpoint(const std::string &id);
     /// Removes an endpoint at once, even while endpoints with expired entries are retained: its
@@ -140,8 +141,14 @@
         bool leaving = false;
         Clock::time_point at{};
     };
+    /// Where an entry was read. A change shows that the endpoint was running after the listing.
+    enum class EntrySource {
+        Listing,
+        Change,
+    };
+    void applyEntry(const Endpoint &endpoint, EntrySource source);
     void logEndpointChange(const Endpoint &endpoint) const;
-    bool mustStayExcluded(const Endpoint &endpoint, Clock::time_point now);
+    bool mustStayExcluded(const Endpoint &endpoint, EntrySource source, Clock::time_point now);
     void recordRemoval(const Endpoint &endpoint);
     void admitReappeared();
     void applyEvacuated(Clock::time_point revokedAt);
--- a/tests/test_store_restore.cpp
+++ b/tests/test_store_restore.cpp
@@ -225,6 +225,29 @@
     CHECK((fixture.placementTargets() == std::set<std::string>{"i-north", "i-south"}));
 }
 
+// The endpoint's entry had expired although it was running. Its heartbeat writes the entry after the restore.
+TEST(StoreRestore, ARemovedEndpointThatWritesItsEntryAfterTheRestoreIsUsedAtOnce)
+{
+    for (const bool backupListsIt : {true, false}) {
+        ControlFixture fixture;
+        fixture.start(loop());
+        auto backup = fixture.store.backup();
+        fixture.store.remove("servers", "i-north", std::nullopt);
+        CHECK(loop().run(fixture.control.stepEndpoints()));
+        backup = backupListsIt ? backup : fixture.store.backup();
+        fixture.store.restore(backup);
+        for (int i = 0; i < stepsToConverge; ++i) {
+            loop().run(fixture.control.stepEndpoints());
+            CHECK((fixture.placementTargets() == std::set<std::string>{"i-south"}));
+        }
+        auto entry = endpointEntryAt("10.0.0.1:80");
+        entry["zone"] = "north";
+        fixture.store.put("servers", "i-north", entry, std::nullopt);
+        CHECK(loop().run(fixture.control.stepEndpoints()));
+        CHECK((fixture.placementTargets() == std::set<std::string>{"i-north", "i-south"}));
+    }
+}
+
 TEST(StoreRestore, AnEndpointAddedAfterTheBackupIsKeptUntilItsEntryHasExpired)
 {
     ControlFixture fixture;
