The soak holds senders to a back-off that they got from a paused endpoint

The check of back-offs excused all senders for 4 s after a pause of the endpoint, also those that got its Retry-After. The traced case was narrower: an endpoint that goes on after a pause answers a request whose sender has closed the connection meanwhile. The endpoint stand-in now starts a sender's back-off only where the connection is still open when it answers, checked on the socket, since the event loop may not have seen the end yet. Pauses no longer excuse anyone.

StrictHttp.CallerThatClosedTheConnectionBeforeItsRequestWasHandledIsSeenAtOnce covers the check.

--- a/emulators/endpoint_server.cpp
+++ b/emulators/endpoint_server.cpp
@@ -149,14 +149,15 @@
     }
 }
 
-// Rejects a request because all slots are busy, with Retry-After if a test has set one.
+// Rejects a request because all slots are busy, with Retry-After if a test has set one. A sender that has closed the
+// connection does not receive it.
 Task<void> EndpointServer::rejectForCapacity(http::Exchange &ex)
 {
     auto headers = notExecutedHeaders(m_options.id, m_leaving);
     if (m_faults.restMs > 0) {
         const auto now = Clock::now();
         auto &backoff = m_backoffs[senderFromRequestId(ex.header(attemptIdHeader))];
-        if (now >= backoff.until) {
+        if (now >= backoff.until && !ex.pollCallerDisconnected()) {
             backoff = {now + backoffStartDelay, now + Millis(m_faults.restMs), 0};
         }
         headers.emplace_back("Retry-After", std::to_string(m_faults.restMs / 1000.0));
--- a/emulators/soak/faults.cpp
+++ b/emulators/soak/faults.cpp
@@ -92,15 +92,11 @@
             startEndpoint(step.target);
         }
         break;
-    case Fault::EndpointPaused: {
-        // An endpoint that continues answers requests which routers have given up.
-        const auto start = std::chrono::system_clock::now();
+    case Fault::EndpointPaused:
         endpoint.process->signal(SIGSTOP);
         co_await sleepFor(step.duration);
         endpoint.process->signal(SIGCONT);
-        m_disturbedPeriods.push_back({step.target, start, std::chrono::system_clock::now()});
         break;
-    }
     case Fault::EndpointDisturbed: {
         const auto start = std::chrono::system_clock::now();
         endpoint.proxy->disturb(step.disturbance);
--- a/src/http_exchange.cpp
+++ b/src/http_exchange.cpp
@@ -3,6 +3,8 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/chunk_encode.hpp>
 
+#include <sys/socket.h>
+
 namespace yucca::http
 {
 
@@ -19,6 +21,15 @@
     }
 }
 
+// True if the peer has closed or reset the connection. Peeks, so that no byte of
+// a pipelined request is consumed.
+bool peerClosed(tcp::socket &socket)
+{
+    char byte;
+    const auto n = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return n == 0 || (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
 } // namespace
 
 Exchange::Exchange(boost::beast::tcp_stream &stream, const Request &request, bool keepAlive, Millis writeTimeout)
@@ -63,6 +74,14 @@
     }
 }
 
+bool Exchange::pollCallerDisconnected()
+{
+    if (peerClosed(m_stream.socket())) {
+        markCallerDisconnected();
+    }
+    return m_callerDisconnected;
+}
+
 // Completes a write: stops the write timeout; a failed write means that the caller has disconnected.
 void Exchange::finishWrite(const boost::system::error_code &ec)
 {
--- a/src/http_exchange.h
+++ b/src/http_exchange.h
@@ -58,6 +58,8 @@
     {
         return m_callerDisconnected;
     }
+    /// Checks now whether the caller has closed the connection: the event loop may not have noticed yet.
+    bool pollCallerDisconnected();
     /// Sets a function to call when the caller disconnects before the response is complete.
     void onCallerDisconnect(std::function<void()> action)
     {
--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -6,8 +6,6 @@
 
 #include <array>
 
-#include <sys/socket.h>
-
 namespace yucca::http
 {
 
@@ -46,15 +44,6 @@
     return request.version() < 11 ? "a transfer coding in HTTP/1.0" : nullptr;
 }
 
-// True if the peer has closed or reset the connection. Peeks, so that no byte of
-// a pipelined request is consumed.
-bool peerClosed(tcp::socket &socket)
-{
-    char byte;
-    const auto n = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    return n == 0 || (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
-}
-
 } // namespace
 
 Server::Server(std::vector<asio::io_context *> loops, std::string host, uint16_t port, Handler handler, ServerLimits limits)
@@ -263,8 +252,10 @@
 {
     auto &socket = c->stream.socket();
     socket.async_wait(tcp::socket::wait_read, [c, exchange](const boost::system::error_code &ec) {
-        if (*exchange && (ec || peerClosed(c->stream.socket()))) {
+        if (*exchange && ec) {
             (*exchange)->markCallerDisconnected();
+        } else if (*exchange) {
+            (*exchange)->pollCallerDisconnected();
         }
     });
 }
--- a/tests/test_http.cpp
+++ b/tests/test_http.cpp
@@ -118,3 +118,27 @@
     CHECK(answer.find("Connection: close") != std::string::npos);
     LONGS_EQUAL(1, echo.paths.size());
 }
+
+// The event loop reads the request before it notices the end of the connection, as in a process that was paused meanwhile.
+TEST(StrictHttp, CallerThatClosedTheConnectionBeforeItsRequestWasHandledIsSeenAtOnce)
+{
+    std::vector<bool> disconnected;
+    FakeEndpoint server(loop(), [&disconnected](http::Exchange &ex) {
+        disconnected.push_back(ex.pollCallerDisconnected());
+        return ex.reply(200, "");
+    });
+    const std::string request = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+    for (const bool closes : {true, false}) {
+        tcp::socket socket(loop().io);
+        socket.connect({asio::ip::make_address("127.0.0.1"), server.port});
+        asio::write(socket, asio::buffer(request));
+        if (closes) {
+            socket.close();
+        }
+        const std::size_t handled = disconnected.size() + 1;
+        loop().runUntil([&] {
+            return disconnected.size() == handled;
+        });
+    }
+    CHECK((disconnected == std::vector<bool>{true, false}));
+}
