yucca-ctl refuses a change that crosses a restore of the store

Left by the incident of the store's return: a conditional write that crosses it may meet another change under the version that was read, and yucca-ctl wrote over it and reported it as applied.

The epoch of the read is compared with that of the audit record's answer: if it differs, nothing is written, and the change is reported as a lost race. If the store returns between the record and the write, the answer of the write shows it, and the outcome is reported as unknown. AuditTrail.ChangeThatCrossesARestoreOfTheStoreIsNotReportedAsApplied fails against the code before.

--- a/src/ctl.cpp
+++ b/src/ctl.cpp
@@ -75,6 +75,19 @@
     }
 }
 
+// Versions of different epochs are not comparable: after a restore, the version that was read may belong to another value.
+Error restoredError()
+{
+    return {store::Conflict, "the store was restored from a backup meanwhile"};
+}
+
+Change writtenAfterRestore(const Entry &entry, uint64_t version)
+{
+    return {ChangeResult::Unknown, version,
+            describe(entry) + " was written at version " + std::to_string(version)
+                + " after the store was restored from a backup; it may have replaced another change than the one read. Run history to check."};
+}
+
 Change unchanged(const Entry &entry, uint64_t version)
 {
     return {ChangeResult::Unchanged, version, describe(entry) + " unchanged at version " + std::to_string(version)};
@@ -130,6 +143,7 @@
     if (!ok(current) && std::get<Error>(current).code != store::NotFound) {
         co_return toChange(entry, current);
     }
+    const auto epoch = api.epoch();
     const bool exists = ok(current);
     const json before = exists ? withoutChangeId(std::get<platform::Object>(current).value) : json();
     const uint64_t version = exists ? std::get<platform::Object>(current).version : 0;
@@ -150,11 +164,17 @@
     }
     json taggedValue = entry.value;
     taggedValue[changeIdKey] = changeId;
-    auto put = co_await api.put(entry.kind, entry.name, taggedValue, expected);
+    Result<platform::Object> put = restoredError();
+    if (api.epoch() == epoch) {
+        put = co_await api.put(entry.kind, entry.name, taggedValue, expected);
+    }
     if (!ok(put) && std::get<Error>(put).code == store::AnswerLost) {
         put = co_await resolveLostWrite(api, entry, taggedValue);
     }
-    const Change change = toChange(entry, put);
+    Change change = toChange(entry, put);
+    if (change.result == ChangeResult::Applied && api.epoch() != epoch) {
+        change = writtenAfterRestore(entry, change.version);
+    }
     if (change.result != ChangeResult::Unknown) {
         record["outcome"] = change.result == ChangeResult::Applied ? "accepted" : "refused";
         record["version"] = change.version;
--- a/src/ctl.h
+++ b/src/ctl.h
@@ -36,7 +36,7 @@
     Unchanged, ///< the entry already had this value
     LostRace, ///< conflict with another change; nothing was written
     Failed, ///< nothing was written
-    Unknown, ///< the response to the write was lost, and reading the entry back failed
+    Unknown, ///< the response to the write was lost, and reading the entry back failed; or the store was restored just before the write
 };
 
 inline constexpr NameTable<ChangeResult, 5> changeResultNames{{{ChangeResult::Applied, "applied"},
--- a/tests/test_catalogue.cpp
+++ b/tests/test_catalogue.cpp
@@ -208,3 +208,59 @@
     api.outage = false;
     STRCMP_EQUAL("a", std::get<store::Object>(store.get(catalogue::workspaceKind, "ws-0")).value["owner"].get<std::string>().c_str());
 }
+
+namespace
+{
+
+/// An object API whose store is restored from a backup right before or after the audit record of a change is written.
+class RestoringApi : public platform::LocalObjectApi
+{
+public:
+    RestoringApi(store::ObjectStore &store, store::ObjectStore::Backup backup, bool beforeRecord)
+        : LocalObjectApi(store)
+        , m_store(store)
+        , m_backup(std::move(backup))
+        , m_beforeRecord(beforeRecord)
+    {
+    }
+    Task<Result<store::Object>> put(std::string kind, std::string name, nlohmann::json value, std::optional<uint64_t> ifVersion) override
+    {
+        const bool restores = kind == catalogue::auditKind && !std::exchange(m_restored, true);
+        if (restores && m_beforeRecord) {
+            m_store.restore(m_backup);
+        }
+        auto written = co_await LocalObjectApi::put(kind, name, std::move(value), ifVersion);
+        if (restores && !m_beforeRecord) {
+            m_store.restore(m_backup);
+        }
+        co_return written;
+    }
+
+private:
+    store::ObjectStore &m_store;
+    store::ObjectStore::Backup m_backup;
+    bool m_beforeRecord;
+    bool m_restored = false;
+};
+
+} // namespace
+
+// The version that was read belongs to another change after the restore.
+TEST(AuditTrail, ChangeThatCrossesARestoreOfTheStoreIsNotReportedAsApplied)
+{
+    for (const bool beforeRecord : {true, false}) {
+        store::ObjectStore restored;
+        const nlohmann::json other{{"owner", "other"}, {"class", "counsel"}};
+        const auto version = std::get<store::Object>(restored.put(catalogue::workspaceKind, "ws-0", other, std::nullopt)).version;
+        const auto backup = restored.backup();
+        restored = store::ObjectStore();
+        const nlohmann::json read{{"owner", "a"}, {"class", "counsel"}};
+        LONGS_EQUAL(version, std::get<store::Object>(restored.put(catalogue::workspaceKind, "ws-0", read, std::nullopt)).version);
+        RestoringApi restoringApi(restored, backup, beforeRecord);
+        const ctl::Entry entry{catalogue::workspaceKind, "ws-0", {{"owner", "b"}, {"class", "counsel"}}, std::nullopt};
+        const auto result = runBlocking(ctl::applyEntry(restoringApi, entry, {"alice", "test"})).result;
+        CHECK(result == (beforeRecord ? ctl::ChangeResult::LostRace : ctl::ChangeResult::Unknown));
+        const auto owner = std::get<store::Object>(restored.get(catalogue::workspaceKind, "ws-0")).value["owner"].get<std::string>();
+        STRCMP_EQUAL(beforeRecord ? "other" : "b", owner.c_str());
+    }
+}
