Cold endpoints take their share first where the others are at the load bound

Cold members were picked only by requests that were diverted, and these follow the reports.

Where the mean load of the warm members, known from the counts of requests in flight at once, is at the bound, a request goes to a cold member that may get one. The limits of cold endpoints are unchanged.

--- a/include/yucca/placement.h
+++ b/include/yucca/placement.h
@@ -212,6 +212,8 @@
     std::optional<std::size_t> pick(const Affinity &affinity, const Usable &usable, TimePoint now);
     /// What this router knows of a member's load.
     LoadView loadView(std::size_t member, TimePoint now) const;
+    /// True if the mean load of the given members is at the load bound, so that they can't take the service's requests alone.
+    bool areAtBound(const Usable &members, TimePoint now) const;
     /// The upper bound of a member's load if all members are usable.
     double loadLimit(TimePoint now) const
     {
@@ -222,6 +224,7 @@
     /// The assumed load of a member without a fresh report: the mean of the usable members.
     double priorLoad(const Usable &usable, TimePoint now) const;
     double loadLimit(const Usable &usable, TimePoint now) const;
+    double serviceLimit(TimePoint now) const;
     double diversionShare(std::size_t member, double load, double limit) const;
     std::optional<std::size_t> pickByRoom(uint64_t key, const Usable &usable, const std::vector<double> &loads, double limit) const;
 
--- a/src/placement.cpp
+++ b/src/placement.cpp
@@ -288,10 +288,20 @@
     return {load.estimate(prior, now, m_options.reportLifetime), serviceMeanLoad(now, m_options.reportLifetime), load.reportAge(now)};
 }
 
+// The bound that follows from the service's mean load.
+double PromptHome::serviceLimit(TimePoint now) const
+{
+    return m_options.loadFactor * serviceMeanLoad(now, m_options.reportLifetime) + m_options.slack;
+}
+
 double PromptHome::loadLimit(const Usable &usable, TimePoint now) const
 {
-    const double mean = serviceMeanLoad(now, m_options.reportLifetime);
-    return std::max(m_options.loadFactor * mean + m_options.slack, m_options.usableMeanFactor * priorLoad(usable, now) + 1);
+    return std::max(serviceLimit(now), m_options.usableMeanFactor * priorLoad(usable, now) + 1);
+}
+
+bool PromptHome::areAtBound(const Usable &members, TimePoint now) const
+{
+    return priorLoad(members, now) + 1 > serviceLimit(now);
 }
 
 // The share of the requests for a member over the load bound that this router sends elsewhere. All routers see the same reports, and
--- a/src/router_constraints.cpp
+++ b/src/router_constraints.cpp
@@ -128,7 +128,20 @@
     return allowed.size();
 }
 
-// The index of the member that the pool's policy picks.
+// True if the pool's policy has a load bound and the given members are at it.
+bool RoutingTable::areAtBound(const Pool &pool, const placement::Usable &members, Clock::time_point now)
+{
+    return std::visit(
+        [&](const auto &picker) {
+            if constexpr (requires { picker.areAtBound(members, now); }) {
+                return picker.areAtBound(members, now);
+            }
+            return false;
+        },
+        pool.picker);
+}
+
+// The index of the member that the pool's policy picks. Cold members take what they may where the others are at the load bound.
 std::optional<std::size_t> RoutingTable::pickMember(const std::string &name, Pool &pool, const placement::Affinity &requestAffinity,
                                                     const std::set<std::string> &exclude, Clock::time_point now, const PlacementConstraints &constraints)
 {
@@ -153,7 +166,13 @@
         }
     }
     if (!cold.empty()) {
-        allowCold(name, pool, cold, constraints.priority, warm, now, usable);
+        const placement::Usable warmMembers = usable;
+        const auto allowed = allowCold(name, pool, cold, constraints.priority, warm, now, usable);
+        if (allowed > 0 && warm > 0 && areAtBound(pool, warmMembers, now)) {
+            for (std::size_t i = 0; i < usable.size(); ++i) {
+                usable[i] = usable[i] && !warmMembers[i];
+            }
+        }
     }
     return std::visit(
         [&](auto &picker) {
--- a/src/router_core.h
+++ b/src/router_core.h
@@ -201,6 +201,7 @@
                                           Clock::time_point now, const PlacementConstraints &constraints);
     std::size_t allowCold(const std::string &name, const Pool &pool, const std::vector<std::size_t> &cold, int priority, std::size_t warm,
                           Clock::time_point now, placement::Usable &usable);
+    static bool areAtBound(const Pool &pool, const placement::Usable &members, Clock::time_point now);
     bool isCold(const Endpoint &endpoint, Clock::time_point now) const;
     bool isEvacuated(const Endpoint &endpoint) const
     {
--- a/tests/test_constraints.cpp
+++ b/tests/test_constraints.cpp
@@ -235,6 +235,27 @@
 }
 
 // A service without a limit sends its cold endpoints the usual load.
+// With one of two endpoints cold, the other alone cannot keep the load bound.
+TEST(Constraints, ColdEndpointTakesItsShareFirstWhereTheOthersAreAtTheLoadBound)
+{
+    for (const bool atBound : {false, true}) {
+        router::RoutingTable table(options());
+        table.setEndpoints({endpointAt("a", 1, "m", EndpointKind::Engine), endpointAt("b", 2, "m", EndpointKind::Engine)}, now);
+        table.setColdAllowances({{"m", allowance}});
+        table.setRouters("r", {});
+        uint64_t prompt = 0;
+        while (table.homeOf("m", prompt)->id != "b") {
+            ++prompt;
+        }
+        table.recordCold("a", now + Millis(2000));
+        for (const char *id : {"a", "b"}) {
+            table.recordLoadReport(id, id == std::string("b") && atBound ? 41 : 1, now);
+        }
+        const auto endpoint = table.acquire("m", {prompt, prompt}, {}, now);
+        STRCMP_EQUAL(atBound ? "a" : "b", endpoint->id.c_str());
+    }
+}
+
 TEST(Constraints, ColdEndpointsWithoutAllowanceAreNotLimited)
 {
     table.setEndpoints({at("a", "north"), at("b", "south")});
