--- a/include/yucca/placement.h
+++ b/include/yucca/placement.h
@@ -186,10 +186,12 @@
     /// The bound is at least this multiple of the mean load of the usable members, plus one. Without this minimum, when
     /// the other members are kept idle, all routers would send to the member that looks least loaded.
     double usableMeanFactor = 1.1;
-    /// Share of a member's requests that is diverted per excess of its load over the bound, as a multiple of the bound. One would
-    /// compensate the excess if reports were never late; the value also allows for their fading.
+    /// Share of a member's requests that a router diverts, per excess of the member's load over the bound as a multiple of the bound.
+    /// One would compensate the excess if reports were never late; the value also allows for their fading.
     double diversionGain = 2.5;
-    double ownRequestWeight = 10; ///< weight of this router's share of the member's load, which multiplies the gain
+    /// The gain is multiplied by one plus this weight times the router's own share of the member's load: a router that sends most of
+    /// the load knows it, and diverts all of the excess.
+    double ownRequestWeight = 10;
     /// Seed of this router's spill orders and random choices. Routers need different seeds, which they keep across restarts.
     uint64_t spillSeed = 0;
 };
--- a/src/entry/evacuation_orders.h
+++ b/src/entry/evacuation_orders.h
@@ -3,7 +3,6 @@
 
 #include "task.h"
 
-#include <map>
 #include <set>
 #include <string>
 
--- a/src/load_exchange.cpp
+++ b/src/load_exchange.cpp
@@ -212,8 +212,9 @@
     return out;
 }
 
-// Sends the counts of requests in flight, and the load reports and prompt announcements since the last round to random peers, and to neighbours also the
-// store's confirmations. In one round of silentPeerRounds, silent peers are included and empty datagrams are sent, which show that this router is running.
+// Sends the counts of requests in flight, and the load reports and prompt announcements since the last round, to random peers, and to
+// neighbours also the store's confirmations. In one round of silentPeerRounds, silent peers are included and empty datagrams are sent,
+// which show that this router is running.
 Task<void> LoadExchange::sendRound()
 {
     const auto now = Clock::now();
--- a/src/load_exchange.h
+++ b/src/load_exchange.h
@@ -1,6 +1,6 @@
 // Exchanges state with other routers by datagrams: reported endpoint loads, counts of requests in flight, which endpoints processed
-// which prompts, and the store's confirmations, most of all within a failure domain. A router with a small part of the traffic gets a report of a given
-// endpoint only about every ten seconds; all routers of the domain together get one within a second.
+// which prompts, and the store's confirmations, most of all within a failure domain. A router with a small part of the traffic gets a
+// report of a given endpoint only about every ten seconds; all routers of the domain together get one within a second.
 #pragma once
 
 #include "fleet_inflight.h"
--- a/src/placement.cpp
+++ b/src/placement.cpp
@@ -304,9 +304,9 @@
     return priorLoad(members, now) + 1 > serviceLimit(now);
 }
 
-// The share of the requests for a member over the load bound that this router sends elsewhere. All routers see the same reports, and
-// see the effect of a decision only after some time: if each diverted all of its requests, the loads would oscillate. A router diverts
-// in proportion to the excess, and more where many of the requests are its own: their number is known at once.
+// The share of the requests for a member over the load bound that this router sends elsewhere, 1 or more for all. All routers see the
+// same reports, and see the effect of a decision only after some time: if each diverted all of its requests, the loads would oscillate.
+// A router diverts in proportion to the excess, and more where many of the requests are its own: their number is known at once.
 double PromptHome::diversionShare(std::size_t member, double load, double limit) const
 {
     const double excess = load + 1 - limit;
