The soak cuts routers off from endpoints; a test that fails

net::connectStream() is now the one place where outgoing connections begin. The soak runs a router with another definition of it, which sends connections to the ports that a file names, so that the paths of one router can be cut: new connections are refused or stay unanswered, open ones hang, are reset or live on. Plans cut single routers and whole domains from all or some endpoints, in series with the other faults. No logic of the router has changed.

--- a/emulators/soak/callers.cpp
+++ b/emulators/soak/callers.cpp
@@ -57,6 +57,7 @@
     const http::Address to{"127.0.0.1", routerPort(router, 4)};
     const std::string sender = senderName(router);
     const auto sentAt = Clock::now();
+    auto *service = currentService(router);
     const std::string method = kind == Kind::Reminder ? "GET" : "POST";
     auto headers = callerHeaders(id, key);
     auto opened = co_await m_client.open(to, http::makeRequest(method, pathOf(kind), kind == Kind::Reminder ? "" : "{}", headers), options);
@@ -74,6 +75,10 @@
             record.body += bytes ? *bytes : "";
         }
     }
+    if (service) {
+        ++service->sent;
+        service->served += record.status == 200 && record.complete ? 1 : 0;
+    }
     m_invariants.recordResponse(id, std::move(record));
 }
 
--- a/emulators/soak/child.cpp
+++ b/emulators/soak/child.cpp
@@ -33,11 +33,19 @@
         argv.push_back(argument.data());
     }
     argv.push_back(nullptr);
+    std::vector<char *> environment;
+    for (char **variable = environ; *variable; ++variable) {
+        environment.push_back(*variable);
+    }
+    for (auto &variable : m_environment) {
+        environment.push_back(variable.data());
+    }
+    environment.push_back(nullptr);
     posix_spawn_file_actions_t actions;
     posix_spawn_file_actions_init(&actions);
     posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, m_outputFile.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
     posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
-    const int error = posix_spawn(&m_pid, argv[0], &actions, nullptr, argv.data(), environ);
+    const int error = posix_spawn(&m_pid, argv[0], &actions, nullptr, argv.data(), environment.data());
     posix_spawn_file_actions_destroy(&actions);
     if (error) {
         m_pid = -1;
--- a/emulators/soak/child.h
+++ b/emulators/soak/child.h
@@ -16,9 +16,11 @@
 class Child
 {
 public:
-    Child(std::vector<std::string> command, std::string outputFile)
+    /// environment holds variables, NAME=VALUE, in addition to those of this process.
+    Child(std::vector<std::string> command, std::string outputFile, std::vector<std::string> environment = {})
         : m_command(std::move(command))
         , m_outputFile(std::move(outputFile))
+        , m_environment(std::move(environment))
     {
     }
     /// Kills and reaps the process if it still runs.
@@ -43,6 +45,7 @@
 private:
     std::vector<std::string> m_command;
     std::string m_outputFile;
+    std::vector<std::string> m_environment;
     pid_t m_pid = -1;
 };
 
--- a/emulators/soak/endpoint_announcements.cpp
+++ b/emulators/soak/endpoint_announcements.cpp
@@ -52,7 +52,8 @@
         for (std::string sender; log >> unixMs >> sender;) {
             const std::chrono::system_clock::time_point at{Millis(unixMs)};
             const bool excused = std::any_of(m_disturbedPeriods.begin(), m_disturbedPeriods.end(), [&](const DisturbedPeriod &d) {
-                return d.endpoint == n && d.start <= at && at - maxBackOffDuration <= d.end;
+                const bool concerns = !d.router || sender.starts_with("r" + std::to_string(*d.router) + ".");
+                return concerns && d.endpoint == n && d.start <= at && at - maxBackOffDuration <= d.end;
             });
             if (!excused) {
                 m_violations.push_back(sender + " keeps sending to endpoint " + std::to_string(n) + ", which asked it to back off");
--- a/emulators/soak/faults.cpp
+++ b/emulators/soak/faults.cpp
@@ -102,7 +102,7 @@
         endpoint.proxy->disturb(step.disturbance);
         co_await sleepFor(step.duration);
         endpoint.proxy->disturb(Disturbance::None);
-        m_disturbedPeriods.push_back({step.target, start, std::chrono::system_clock::now()});
+        m_disturbedPeriods.push_back({step.target, std::nullopt, start, std::chrono::system_clock::now()});
         break;
     }
     case Fault::EndpointAsksForRest:
--- a/emulators/soak/fleet.cpp
+++ b/emulators/soak/fleet.cpp
@@ -1,5 +1,6 @@
 #include "soak/fleet.h"
 #include "soak/layout.h"
+#include "soak/redirects.h"
 
 #include <boost/asio/detached.hpp>
 
@@ -18,7 +19,6 @@
 constexpr Millis settleTimeAfterFaults{4000}; ///< after the last fault, before service must be normal again
 constexpr Millis startTimeout{15000};
 constexpr Millis startTimeoutPerProgram{200}; ///< added to startTimeout
-constexpr std::size_t routerDomains = 3;
 constexpr double coldDurationS = 2.0; ///< of an endpoint that was restarted
 constexpr double coldRequestsPerS = 8;
 constexpr int maxColdRequests = 17; ///< in any second; the routers' settings allow 1.5 times coldRequestsPerS, plus 5
@@ -64,6 +64,8 @@
     case Fault::StoreForgets:
     case Fault::StoreRestored:
     case Fault::PowerLost:
+    case Fault::RouterCutOff:
+    case Fault::DomainCutOff:
         return true;
     default:
         return false;
@@ -117,6 +119,7 @@
     }
     checkRouterExits();
     checkBackOff();
+    checkCutOffService();
     co_await checkServiceAfterFaults();
     co_await checkCrashLimit();
     co_await checkEvacuation();
@@ -154,7 +157,8 @@
     writeSettings(n, settingsFor(n));
     if (!router.process) {
         router.process =
-            std::make_unique<Child>(std::vector<std::string>{m_options.programs + "/yucca-router", "--config", router.settingsFile}, name + ".jsonl");
+            std::make_unique<Child>(std::vector<std::string>{m_options.programs + "/yucca-router-redirected", "--config", router.settingsFile}, name + ".jsonl",
+                                    std::vector<std::string>{std::string(redirectsVariable) + "=" + m_pathCuts->redirectsFile(n)});
     }
     const auto started = router.process->start();
     if (!ok(started)) {
@@ -223,6 +227,12 @@
         m_endpoints[n].proxy = std::make_unique<Proxy>(m_loop, endpointPort(n, 1), endpointPort(n, 0));
         startEndpoint(n);
     }
+    const auto firstPathPort = endpointPort(m_endpoints.size(), 0);
+    PathPorts paths{firstPathPort, {}};
+    for (std::size_t n = 0; n < m_endpoints.size(); ++n) {
+        paths.endpoints.push_back(endpointPort(n, 1));
+    }
+    m_pathCuts = std::make_unique<PathCuts>(m_loop, cuttableRouters(), std::move(paths), m_options.directory);
     for (std::size_t n = 0; n < m_routers.size(); ++n) {
         m_routers[n].callerProxy = std::make_unique<Proxy>(m_loop, routerPort(n, 4), routerPort(n, 0));
         m_routers[n].storeProxy = std::make_unique<Proxy>(m_loop, routerPort(n, 5), port(storePortOffset));
@@ -310,6 +320,7 @@
     co_await applyToEndpoint(step);
     co_await applyToStore(step);
     co_await applyToCallers(step);
+    co_await applyPathCut(step);
     co_await applyEvacuation(step);
     co_await restoreStore(step);
     --m_activeSteps;
--- a/emulators/soak/fleet.h
+++ b/emulators/soak/fleet.h
@@ -5,8 +5,10 @@
 #include "soak/child.h"
 #include "soak/invariants.h"
 #include "soak/layout.h"
+#include "soak/path_cuts.h"
 #include "soak/plan.h"
 
+#include <algorithm>
 #include <functional>
 #include <map>
 #include <memory>
@@ -51,13 +53,21 @@
         std::string settingsFile;
         bool stopped = false; ///< by the test, so that its exit is no violation
         int generation = 0; ///< changes with each start and pause: the router may not know what an earlier generation received
+        int pathCuts = 0; ///< in progress
+        std::optional<Clock::time_point> cutOffSince; ///< from all endpoints
     };
     /// A period in which an endpoint's responses may not have reached the routers.
     struct DisturbedPeriod {
         std::size_t endpoint = 0;
+        std::optional<std::size_t> router; ///< the only router that this concerns; none: all
         std::chrono::system_clock::time_point start;
         std::chrono::system_clock::time_point end;
     };
+    /// Requests while routers are cut off from all endpoints for longer than pathContactTime.
+    struct CutOffService {
+        std::size_t sent = 0;
+        std::size_t served = 0;
+    };
     /// An endpoint. Each start is a new instance with a new id.
     struct Endpoint {
         std::unique_ptr<Child> process;
@@ -81,6 +91,10 @@
     Task<void> applyToEndpoint(Step step);
     Task<void> applyToStore(Step step);
     Task<void> applyToCallers(Step step);
+    Task<void> applyPathCut(Step step);
+    bool isCutOff(std::size_t router) const;
+    CutOffService *currentService(std::size_t router);
+    void checkCutOffService();
     Task<void> applyEvacuation(Step step);
     Task<void> restoreStore(Step step);
     std::vector<std::size_t> killAllRouters();
@@ -114,6 +128,10 @@
     {
         return port(portsPerRouter * static_cast<int>(m_routers.size() + 1) + portsPerEndpoint * static_cast<int>(n) + offset);
     }
+    std::size_t cuttableRouters() const
+    {
+        return std::min(m_routers.size(), maxCuttableRouters);
+    }
     uint16_t port(int offset) const
     {
         return static_cast<uint16_t>(m_options.basePort + offset);
@@ -134,6 +152,9 @@
     std::map<std::pair<std::string, std::string>, Clock::time_point>
         m_leavingReceivedAt; ///< when callers first received an endpoint's leaving announcement, by sender and endpoint
     std::vector<DisturbedPeriod> m_disturbedPeriods;
+    std::unique_ptr<PathCuts> m_pathCuts;
+    CutOffService m_cutOffService; ///< by routers that are cut off
+    CutOffService m_otherService; ///< by the other routers, at the same times
     int m_activeSteps = 0;
     int m_activeCallers = 0;
     bool m_stopping = false;
--- a/emulators/soak/layout.h
+++ b/emulators/soak/layout.h
@@ -16,7 +16,9 @@
 // Offsets from the base port.
 inline constexpr int storePortOffset = 0;
 inline constexpr int portsPerRouter = 10; ///< used: traffic, readiness, metrics, peers, callers' proxy, store proxy
-inline constexpr int portsPerEndpoint = 2; ///< the endpoint and its proxy
+inline constexpr int portsPerEndpoint = 2; ///< the endpoint and its proxy; the ports of the paths to endpoints follow
+/// The time within which a router must have adapted to the loss of its paths to endpoints.
+inline constexpr Millis pathContactTime{3000};
 
 /// The request that crashes every endpoint that runs it: its path, its body, and the delay between repeats.
 inline constexpr const char *crashingPath = "/chat/ends";
--- a/emulators/soak/plan.cpp
+++ b/emulators/soak/plan.cpp
@@ -25,8 +25,17 @@
     uint64_t salt; ///< XORed with the seed
     int maxIntervalMs; ///< between two starts
 };
-constexpr std::array<IndependentFault, 3> independentFaults{
-    {{Fault::DomainEvacuated, 0x65766163, 5000}, {Fault::EndpointAsksForRest, 0x72657374, 5000}, {Fault::StoreRestored, 0x72657475, 6000}}};
+constexpr std::array<IndependentFault, 5> independentFaults{{{Fault::DomainEvacuated, 0x65766163, 5000},
+                                                             {Fault::EndpointAsksForRest, 0x72657374, 5000},
+                                                             {Fault::StoreRestored, 0x72657475, 6000},
+                                                             {Fault::RouterCutOff, 0x72637574, 2500},
+                                                             {Fault::DomainCutOff, 0x64637574, 6000}}};
+/// What happens to open connections over a path that is cut.
+constexpr std::array<Disturbance, 5> cutDisturbances{Disturbance::None, Disturbance::Reset, Disturbance::MuteForth, Disturbance::MuteBack,
+                                                     Disturbance::Silence};
+constexpr std::array<CutScope, 4> cutScopes{CutScope::All, CutScope::All, CutScope::OneService, CutScope::Half};
+constexpr Millis longCutDuration{7000};
+constexpr Millis longCutInterval{8000}; ///< between the starts of two
 constexpr uint64_t powerLossSalt = 0x706f7772; ///< XORed with the seed
 constexpr Millis powerLossLead{1}; ///< before the end of the plan
 
@@ -55,6 +64,10 @@
         return options.endpoints;
     case Fault::DomainEvacuated:
         return endpointDomains;
+    case Fault::RouterCutOff:
+        return std::min(options.routers, maxCuttableRouters);
+    case Fault::DomainCutOff:
+        return routerDomains;
     default:
         return 1;
     }
@@ -72,8 +85,31 @@
         step.fault = independent.fault;
         step.target = static_cast<std::size_t>(draw(0, static_cast<int>(targetCountOf(independent.fault, options)) - 1));
         step.duration = Millis(draw(minDurationMs, maxDurationMs));
+        if (step.fault == Fault::RouterCutOff || step.fault == Fault::DomainCutOff) {
+            step.cut.scope = cutScopes[static_cast<std::size_t>(draw(0, static_cast<int>(cutScopes.size()) - 1))];
+            step.cut.established = cutDisturbances[static_cast<std::size_t>(draw(0, static_cast<int>(cutDisturbances.size()) - 1))];
+            step.cut.refusing = draw(0, 1) == 1;
+        }
+        plan.push_back(step);
+    }
+}
+
+// Returns cuts of one router and of a whole domain, in which connections hang, are reset, or live on.
+std::vector<Step> makeLongCuts()
+{
+    constexpr std::array<PathCut, 3> cuts{
+        {{CutScope::All, Disturbance::Silence, false}, {CutScope::All, Disturbance::Reset, true}, {CutScope::All, Disturbance::None, true}}};
+    std::vector<Step> plan;
+    for (const auto &cut : cuts) {
+        Step step;
+        step.at = longCutInterval * plan.size();
+        step.fault = plan.empty() ? Fault::RouterCutOff : Fault::DomainCutOff;
+        step.target = plan.size();
+        step.duration = longCutDuration;
+        step.cut = cut;
         plan.push_back(step);
     }
+    return plan;
 }
 
 void addPowerLoss(const PlanOptions &options, std::vector<Step> &plan)
@@ -90,6 +126,9 @@
 
 std::vector<Step> makePlan(const PlanOptions &options)
 {
+    if (options.longCutsOnly) {
+        return makeLongCuts();
+    }
     boost::random::mt19937_64 random(options.seed);
     const auto draw = [&random](int min, int max) {
         return boost::random::uniform_int_distribution<int>(min, max)(random);
--- a/emulators/soak/plan.h
+++ b/emulators/soak/plan.h
@@ -1,7 +1,7 @@
 // A seeded plan of the faults of a soak test and their times.
 #pragma once
 
-#include "soak/proxy.h"
+#include "soak/path_cuts.h"
 
 #include <cstdint>
 #include <vector>
@@ -36,9 +36,11 @@
     EndpointAsksForRest, ///< rejects all requests with a back-off time
     StoreRestored, ///< is restored from a recent backup; operators and endpoints rewrite the lost changes
     PowerLost, ///< all routers lose power when the store does, which is then restored from a recent backup
+    RouterCutOff, ///< a router loses its paths to endpoints, and is reached by callers, the store and the other routers
+    DomainCutOff, ///< as RouterCutOff, for all routers of a failure domain
 };
 
-inline constexpr NameTable<Fault, 25> faultNames{{{Fault::RouterKilled, "router_killed"},
+inline constexpr NameTable<Fault, 27> faultNames{{{Fault::RouterKilled, "router_killed"},
                                                   {Fault::RouterPaused, "router_paused"},
                                                   {Fault::RouterStopped, "router_stopped"},
                                                   {Fault::RouterReloads, "router_reloads"},
@@ -62,7 +64,9 @@
                                                   {Fault::DomainEvacuated, "domain_evacuated"},
                                                   {Fault::EndpointAsksForRest, "endpoint_asks_for_rest"},
                                                   {Fault::StoreRestored, "store_restored"},
-                                                  {Fault::PowerLost, "power_lost"}}};
+                                                  {Fault::PowerLost, "power_lost"},
+                                                  {Fault::RouterCutOff, "router_cut_off"},
+                                                  {Fault::DomainCutOff, "domain_cut_off"}}};
 
 /// One fault of a plan.
 struct Step {
@@ -71,6 +75,7 @@
     std::size_t target = 0; ///< index of the router, endpoint or failure domain
     Disturbance disturbance = Disturbance::None; ///< for the faults whose names end in Disturbed
     Millis duration{};
+    PathCut cut = {}; ///< for the faults whose names end in CutOff
     bool operator==(const Step &) const = default;
 };
 
@@ -81,10 +86,15 @@
     std::size_t routers = 3;
     std::size_t endpoints = 4;
     bool powerLoss = false; ///< ends the plan with PowerLost
+    bool longCutsOnly = false; ///< the plan has only a few long cuts between routers and all endpoints
 };
 
 /// The number of failure domains of endpoints. With four endpoints or more, each domain has endpoints of both services.
 inline constexpr std::size_t endpointDomains = 2;
+/// The number of failure domains of routers.
+inline constexpr std::size_t routerDomains = 3;
+/// The routers from this number on are never cut off: each path of a router that can be takes a port.
+inline constexpr std::size_t maxCuttableRouters = 8;
 
 /// Returns the steps of a plan, ordered by time. Most faults come in series of one kind, and series overlap. The same
 /// options always give the same plan.
--- a/emulators/soak_main.cpp
+++ b/emulators/soak_main.cpp
@@ -26,6 +26,7 @@
     int routers = static_cast<int>(options.plan.routers);
     int endpoints = static_cast<int>(options.plan.endpoints);
     int powerLoss = 0;
+    int longCutsOnly = 0;
     char *directory = nullptr;
     char *programs = nullptr;
     const poptOption soakOptions[] = {
@@ -34,6 +35,7 @@
         {"routers", 0, POPT_ARG_INT, &routers, 0, "number of routers", "N"},
         {"endpoints", 0, POPT_ARG_INT, &endpoints, 0, "number of endpoints, half of which serve streams", "N"},
         {"power-loss", 0, POPT_ARG_NONE, &powerLoss, 0, "end the plan with a loss of power of the store and all routers", nullptr},
+        {"cut-routers", 0, POPT_ARG_NONE, &longCutsOnly, 0, "only cut routers off from all endpoints, a few times for seconds", nullptr},
         {"port", 'p', POPT_ARG_INT, &port, 0, "first port; each router uses ten, each endpoint two", "PORT"},
         {"directory", 0, POPT_ARG_STRING, &directory, 0, "for settings, logs and run logs; must not exist yet", "DIR"},
         {"programs", 0, POPT_ARG_STRING, &programs, 0, "directory of the programs", "DIR"},
@@ -52,6 +54,7 @@
     options.plan.routers = static_cast<std::size_t>(routers);
     options.plan.endpoints = static_cast<std::size_t>(endpoints);
     options.plan.powerLoss = powerLoss != 0;
+    options.plan.longCutsOnly = longCutsOnly != 0;
     options.callers = callersPerRouter * routers;
     options.directory = directory;
     options.programs = programs ? programs : options.programs;
--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -8,7 +8,7 @@
 cd "$(dirname "$0")/.."
 scripts/build.sh
 first=$1 last=$2 out=${3:-$(mktemp -d)} routers=${4:-3} endpoints=${5:-4} lanes=${6:-3}
-ports_per_lane=$((10 * (routers + 1) + 2 * endpoints))
+ports_per_lane=$((10 * (routers + 1) + 2 * endpoints + (routers < 8 ? routers : 8) * endpoints + 1))
 mkdir -p "$out"
 run_lane() { # number
     local port=$((20000 + ports_per_lane * $1))
--- a/src/connect_probe.cpp
+++ b/src/connect_probe.cpp
@@ -1,5 +1,7 @@
 #include "connect_probe.h"
 
+#include "connect.h"
+
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/error.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -19,7 +21,7 @@
     boost::beast::tcp_stream stream(co_await asio::this_coro::executor);
     stream.expires_after(connectTimeout);
     const asio::ip::tcp::endpoint endpoint(address, to.port);
-    co_await stream.async_connect(endpoint, asio::redirect_error(asio::use_awaitable, ec));
+    ec = co_await net::connectStream(stream, endpoint);
     if (ec) {
         co_return ec == asio::error::connection_refused ? Probe::Refused : Probe::Silent;
     }
--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -1,5 +1,6 @@
 #include "http_client.h"
 
+#include "connect.h"
 #include "forwarding.h"
 #include "text.h"
 
@@ -291,7 +292,7 @@
     ++m_opened;
     c.stream.expires_at(std::min(options.deadline, Clock::now() + options.connectTimeout));
     const tcp::endpoint endpoint(address, to.port);
-    co_await c.stream.async_connect(endpoint, asio::redirect_error(asio::use_awaitable, ec));
+    ec = co_await net::connectStream(c.stream, endpoint);
     if (ec) {
         co_return CallError{CallStage::Connect, ec.message()};
     }
