Clients open tunnels, confirm kept connections, and reset what they give up

Cause: a kept connection over a cut path stays open and silent, so that a request on it counts as sent until its deadline; and it is closed in order when it is given up, so that what the path holds back may arrive later.

Change: on a kept connection that was idle for a while (confirmAfterIdle) the empty line that ends the head is sent only after the peer's host has acknowledged the rest (SIOCOUTQ). Without that the request was never complete: the call fails as one that sent nothing. A connection on which the peer has hung up is replaced, for the same reason. Connections are reset when a call is given up (SO_LINGER), and closed in order after a complete response. A call may go through a tunnel of a peer, which is asked for before anything is sent; a response whose end is that of the connection needs the tunnel's end marker.

--- a/emulators/experiment_calls.h
+++ b/emulators/experiment_calls.h
@@ -16,7 +16,10 @@
 
 inline http::CallOptions callOptions(Clock::duration timeout, http::ConnectionReuse reuse)
 {
-    return {Clock::now() + timeout, reuse, nullptr};
+    http::CallOptions options;
+    options.deadline = Clock::now() + timeout;
+    options.reuse = reuse;
+    return options;
 }
 
 inline http::Address addressOf(const Endpoint &e)
--- a/src/http.h
+++ b/src/http.h
@@ -43,6 +43,7 @@
     CallStage stage = CallStage::Connect;
     std::string message;
     bool reused = false; ///< the request was sent on a keep-alive connection
+    unsigned tunnelStatus = 0; ///< the status with which a peer refused a tunnel; 0: none, or the peer did not answer
 };
 
 template <typename T> using CallResult = std::variant<T, CallError>;
--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -2,9 +2,11 @@
 
 #include "connect.h"
 #include "forwarding.h"
+#include "socket_queue.h"
 #include "text.h"
 
 #include <boost/asio/execution/context.hpp>
+#include <boost/asio/write.hpp>
 
 #include <limits>
 
@@ -22,6 +24,8 @@
 constexpr double idleTimeoutShare = 0.7; ///< of the idle timeout that a peer states; the remainder covers a request in transit
 constexpr Millis closeIdleInterval{1000};
 constexpr std::size_t responseHeaderLimit = 64 * 1024;
+constexpr std::size_t heldHeadBytes = 2; ///< the empty line that completes a head
+constexpr Millis firstAcknowledgementPoll{1}; ///< doubled for each further one
 
 // True if an idle connection can carry a request: the peer has not closed it, and
 // there are no unread bytes of a response that no call is waiting for.
@@ -32,6 +36,16 @@
     return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
+std::string headText(const Request &request)
+{
+    std::string head = std::string(request.method_string()) + " " + std::string(request.target()) + " HTTP/1.1\r\n";
+    for (const auto &field : request) {
+        head.append(field.name_string().data(), field.name_string().size()).append(": ");
+        head.append(field.value().data(), field.value().size()).append("\r\n");
+    }
+    return head + "\r\n";
+}
+
 // Returns how long a connection may stay idle, given the Keep-Alive header of its last response.
 Millis idleLifetime(const std::string &keepAlive)
 {
@@ -45,6 +59,11 @@
     return seconds ? Millis(static_cast<int64_t>(idleTimeoutShare * 1000.0 * static_cast<double>(*seconds))) : defaultIdleLifetime;
 }
 
+std::optional<std::size_t> unacknowledged(boost::beast::tcp_stream &stream)
+{
+    return net::unacknowledgedBytes(stream.socket().native_handle());
+}
+
 } // namespace
 
 std::string Reply::header(std::string_view name) const
@@ -65,6 +84,21 @@
     }
 }
 
+void ClientConnection::resetOnClose()
+{
+    boost::system::error_code ec; // without the option, connections are closed in order
+    stream.socket().set_option(asio::socket_base::linger(true, 0), ec);
+}
+
+void ClientConnection::closeInOrder()
+{
+    if (stream.socket().is_open()) {
+        boost::system::error_code ec;
+        stream.socket().set_option(asio::socket_base::linger(false, 0), ec);
+        stream.close();
+    }
+}
+
 Response::Response(Client &client, Address peer, std::shared_ptr<ClientConnection> connection, const CallOptions &options)
     : m_client(client)
     , m_peer(std::move(peer))
@@ -134,10 +168,14 @@
 // the next request as the remainder of this one.
 void Response::releaseConnection()
 {
-    const bool clean = m_reusable && m_connection && !m_connection->writing && m_connection->buffer.size() == 0;
+    const bool clean = m_reusable && !m_options.tunnel && m_connection && !m_connection->writing && m_connection->buffer.size() == 0;
     if (clean && m_parser->get().keep_alive()) {
-        m_connection->closeDeadline = Clock::now() + idleLifetime(header("keep-alive"));
+        m_connection->wire.clear();
+        m_connection->idleSince = Clock::now();
+        m_connection->closeDeadline = m_connection->idleSince + idleLifetime(header("keep-alive"));
         m_client.addIdle(m_peer, std::move(m_connection), m_options.maxIdleConnections);
+    } else if (m_connection && !m_connection->writing) {
+        m_connection->closeInOrder();
     } else if (m_connection) {
         m_connection->stream.close();
     }
@@ -175,7 +213,39 @@
     co_return co_await readHead();
 }
 
+// True if only the end of the tunnel marks the end of this response.
+bool Response::endsWithTunnel() const
+{
+    return m_options.tunnel && m_parser->need_eof();
+}
+
+// Holds back as many bytes as the end marker of a tunnel has, if the response has no other end: it is complete only if
+// these turn out to be the marker.
 Task<CallResult<std::string>> Response::readSome()
+{
+    for (;;) {
+        auto part = co_await readBody();
+        const auto *bytes = std::get_if<std::string>(&part);
+        if (!bytes || !endsWithTunnel()) {
+            co_return std::move(part);
+        }
+        const std::string &marker = m_options.tunnel->endMarker;
+        if (bytes->empty() && m_heldBack != marker) {
+            co_return CallError{CallStage::Receive, "the tunnel broke before the end of the response"};
+        }
+        if (bytes->empty()) {
+            co_return std::string();
+        }
+        m_heldBack += *bytes;
+        if (m_heldBack.size() > marker.size()) {
+            std::string ready = m_heldBack.substr(0, m_heldBack.size() - marker.size());
+            m_heldBack.erase(0, ready.size());
+            co_return std::move(ready);
+        }
+    }
+}
+
+Task<CallResult<std::string>> Response::readBody()
 {
     while (m_connection && !m_parser->is_done()) {
         auto &body = m_parser->get().body();
@@ -285,21 +355,69 @@
 Task<std::optional<CallError>> Client::connect(ClientConnection &c, Address to, CallOptions options)
 {
     boost::system::error_code ec;
-    const auto address = asio::ip::make_address(to.host, ec);
+    const Address next = options.tunnel ? options.tunnel->peer : to;
+    const auto address = asio::ip::make_address(next.host, ec);
     if (ec) {
-        co_return CallError{CallStage::Connect, "bad address " + to.host};
+        co_return CallError{CallStage::Connect, "bad address " + next.host};
     }
     ++m_opened;
     c.stream.expires_at(std::min(options.deadline, Clock::now() + options.connectTimeout));
-    const tcp::endpoint endpoint(address, to.port);
+    const tcp::endpoint endpoint(address, next.port);
     ec = co_await net::connectStream(c.stream, endpoint);
     if (ec) {
         co_return CallError{CallStage::Connect, ec.message()};
     }
     c.stream.socket().set_option(tcp::no_delay(true), ec);
+    c.resetOnClose();
+    if (options.tunnel) {
+        const auto refused = co_await openTunnel(c.stream, c.buffer, *options.tunnel);
+        if (refused) {
+            CallError error{CallStage::Connect, "no tunnel"};
+            error.tunnelStatus = *refused;
+            co_return error;
+        }
+    }
     co_return std::nullopt;
 }
 
+Task<std::optional<unsigned>> Client::tryTunnel(TunnelRequest request, Millis timeout)
+{
+    ClientConnection connection(co_await asio::this_coro::executor);
+    CallOptions options;
+    options.connectTimeout = timeout;
+    options.deadline = Clock::now() + timeout;
+    options.tunnel = std::move(request);
+    const auto failed = co_await connect(connection, options.tunnel->peer, options);
+    if (failed) {
+        co_return failed->tunnelStatus;
+    }
+    co_return std::nullopt;
+}
+
+// Sends the request on a kept connection but for the end of its head, and waits until the peer's host has acknowledged it.
+Task<Client::Confirmation> Client::confirmPath(std::shared_ptr<ClientConnection> connection, const Request &request, const CallOptions &options)
+{
+    auto &stream = connection->stream;
+    connection->wire = headText(request);
+    const auto until = std::min(options.deadline, Clock::now() + options.confirmTimeout);
+    stream.expires_at(until);
+    boost::system::error_code ec;
+    const auto beginning = asio::buffer(connection->wire.data(), connection->wire.size() - heldHeadBytes);
+    co_await asio::async_write(stream, beginning, asio::redirect_error(asio::use_awaitable, ec));
+    for (auto poll = firstAcknowledgementPoll; !ec && stream.socket().is_open(); poll *= 2) {
+        co_await sleepFor(poll);
+        const auto left = stream.socket().is_open() ? unacknowledged(stream) : std::optional<std::size_t>(1);
+        if (!left || *left == 0) {
+            co_return isReusable(stream.socket()) ? Confirmation::Confirmed : Confirmation::Closed;
+        }
+        if (Clock::now() >= until) {
+            break;
+        }
+    }
+    const bool closed = ec && ec != boost::beast::error::timeout && ec != asio::error::operation_aborted;
+    co_return closed ? Confirmation::Closed : Confirmation::Unacknowledged;
+}
+
 // Writes the request and reads the head of the response concurrently, since a
 // peer may respond before it has read the whole request.
 Task<CallResult<std::unique_ptr<Response>>> Client::exchange(std::unique_ptr<Response> response, Request request)
@@ -308,9 +426,15 @@
     c->stream.expires_at(response->m_options.deadline);
     c->request = std::move(request);
     c->writing = true;
-    bhttp::async_write(c->stream, c->request, [c](const boost::system::error_code &ec, std::size_t) {
+    const auto written = [c](const boost::system::error_code &ec, std::size_t) {
         c->writing = ec.failed(); // a truncated request leaves the connection unusable
-    });
+    };
+    if (c->wire.empty()) {
+        bhttp::async_write(c->stream, c->request, written);
+    } else {
+        c->wire = c->wire.substr(c->wire.size() - heldHeadBytes) + c->request.body();
+        asio::async_write(c->stream, asio::buffer(c->wire), written);
+    }
     const auto failed = co_await response->readHead();
     if (failed) {
         co_return CallError{c->writing ? CallStage::Send : CallStage::Receive, failed->message, response->m_reused};
@@ -328,7 +452,20 @@
     if (options.cancellation && options.cancellation->isCancelled()) {
         co_return CallError{CallStage::Connect, "cancelled"};
     }
-    auto idle = options.reuse == ConnectionReuse::Never ? nullptr : takeIdle(ex, to);
+    auto idle = options.reuse == ConnectionReuse::Never || options.tunnel ? nullptr : takeIdle(ex, to);
+    if (idle && options.confirmAfterIdle && Clock::now() - idle->idleSince >= *options.confirmAfterIdle) {
+        auto response = std::make_unique<Response>(*this, to, std::move(idle), options);
+        response->m_reused = true;
+        const auto confirmation = co_await confirmPath(response->m_connection, request, options);
+        if (confirmation == Confirmation::Confirmed) {
+            auto result = co_await exchange(std::move(response), std::move(request));
+            co_return std::move(result);
+        }
+        if (confirmation == Confirmation::Unacknowledged || (options.cancellation && options.cancellation->isCancelled())) {
+            co_return CallError{CallStage::Connect, "the peer does not acknowledge what a kept connection sends", true};
+        }
+        idle = nullptr; // the peer has closed the connection and cannot have run the request: send it on a new one
+    }
     if (idle) {
         auto response = std::make_unique<Response>(*this, to, std::move(idle), options);
         response->m_reused = true;
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "http.h"
+#include "tunnel.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -63,6 +64,12 @@
     Cancellation *cancellation = nullptr; ///< must outlive the call and its Response
     Millis connectTimeout{1000}; ///< bounds the wait for a peer that does not answer a SYN
     std::size_t maxIdleConnections = 32; ///< maximum number of idle connections kept to the peer
+    /// On a keep-alive connection that was idle for at least this long, the end of the request's head is sent only after the
+    /// beginning has been acknowledged. If that fails, the request was never complete at the peer and has not run. Nothing:
+    /// requests are sent as a whole.
+    std::optional<Millis> confirmAfterIdle;
+    Millis confirmTimeout{150}; ///< for that acknowledgement, which takes one round trip
+    std::optional<TunnelRequest> tunnel; ///< connect through this tunnel, which carries one request and is not kept
 };
 
 /// A client connection, in use or idle.
@@ -71,9 +78,24 @@
         : stream(ex)
     {
     }
+    /// Closes an idle connection in order.
+    ~ClientConnection()
+    {
+        closeInOrder();
+    }
+    ClientConnection(const ClientConnection &) = delete;
+    ClientConnection &operator=(const ClientConnection &) = delete;
+    /// Makes every close a reset, which discards what has not been delivered: a request that was given up must not arrive
+    /// later.
+    void resetOnClose();
+    /// Closes the connection without a reset, after a complete response.
+    void closeInOrder();
+
     boost::beast::tcp_stream stream;
     boost::beast::flat_buffer buffer;
     Request request; ///< the request being sent; stored here because its write may outlast the call
+    std::string wire; ///< the same as text, if it is sent in two parts
+    Clock::time_point idleSince{};
     bool writing = false; ///< the write is in progress or failed; a peer may respond before it has read the whole request
     Clock::time_point closeDeadline; ///< when an idle connection must be closed: before the peer closes it
 };
@@ -96,6 +118,11 @@
     Headers headers() const;
     /// All header fields except the hop-by-hop ones.
     Headers endToEndHeaders() const;
+    /// True if the request was sent on a keep-alive connection.
+    bool reused() const
+    {
+        return m_reused;
+    }
     /// Returns the next part of the body; an empty string at its complete end; an error if the connection breaks.
     Task<CallResult<std::string>> read();
     /// Reads this response to its end, then the head of the next one on the
@@ -110,6 +137,8 @@
     friend class Client;
     Task<std::optional<CallError>> readHead();
     Task<CallResult<std::string>> readSome();
+    Task<CallResult<std::string>> readBody();
+    bool endsWithTunnel() const;
     void startParser();
     void releaseConnection();
 
@@ -121,6 +150,7 @@
     bool m_reusable = true;
     std::optional<bhttp::response_parser<bhttp::buffer_body>> m_parser;
     std::array<char, 8192> m_bodyBuffer;
+    std::string m_heldBack; ///< the last bytes received through a tunnel, which may be its end marker
 };
 
 /// Counts bytes sent and received: bodies, plus an estimate for the heads.
@@ -143,6 +173,9 @@
     /// Sends a request and reads its complete response. Fails with the stage at which the call broke.
     Task<CallResult<Reply>> call(Address to, Request request, CallOptions options);
 
+    /// Asks for a tunnel and closes it unused. Returns nothing if it was opened, otherwise the peer's status, 0 if it did not answer.
+    Task<std::optional<unsigned>> tryTunnel(TunnelRequest request, Millis timeout);
+
     /// Number of connections opened since the start, including failed attempts.
     uint64_t connectionsOpened() const
     {
@@ -164,6 +197,13 @@
     std::shared_ptr<ClientConnection> takeIdle(const asio::any_io_executor &ex, const Address &to);
     void addIdle(const Address &peer, std::shared_ptr<ClientConnection> connection, std::size_t maxIdle);
     Task<std::optional<CallError>> connect(ClientConnection &c, Address to, CallOptions options);
+    /// How the confirmation that a kept connection still reaches its peer ended.
+    enum class Confirmation {
+        Confirmed,
+        Closed, ///< the peer has closed the connection
+        Unacknowledged,
+    };
+    Task<Confirmation> confirmPath(std::shared_ptr<ClientConnection> connection, const Request &request, const CallOptions &options);
     Task<CallResult<std::unique_ptr<Response>>> exchange(std::unique_ptr<Response> response, Request request);
 
     std::mutex m_mutex;
--- a/src/http_exchange.cpp
+++ b/src/http_exchange.cpp
@@ -144,6 +144,16 @@
     finishWrite(ec);
 }
 
+int Exchange::detach()
+{
+    m_answered = true;
+    m_callerDisconnected = true;
+    boost::system::error_code ec;
+    auto socket = m_stream.release_socket();
+    const int descriptor = socket.release(ec);
+    return ec ? -1 : descriptor;
+}
+
 void Exchange::abort()
 {
     m_answered = true;
--- a/src/http_exchange.h
+++ b/src/http_exchange.h
@@ -47,6 +47,8 @@
     Task<void> endStream();
     /// Shuts the connection down without completing the response, so that the caller sees it as truncated.
     void abort();
+    /// Takes the connection away from the server, for another protocol. Returns its descriptor, which the caller then owns, or -1.
+    int detach();
 
     /// True once any part of a response was passed to the connection.
     bool answered() const
