Routers reach endpoints by way of a peer when their own paths are cut

Cause: a router takes an endpoint that it cannot connect to for down, and had one path only. Class: a router that serves callers but cannot reach endpoints; it also judged endpoints and requests by its own broken paths (ejections, and a refused probe counted as a crash under a request).

Change: a failed connection is checked by a peer. One that reaches the endpoint shows that the path is cut: from then on requests to it go through a tunnel of a peer drawn at random, one hop, until a probe connects again. Peers accept a tunnel only once they are connected, so "not executed" stays true. Admission, quarantine, retry budget, attempts, deadline and placement stay at the router that the caller reached. Crashes are confirmed by two peers; a cut path withdraws suspicions and ejections. Requests stay within their regions on the way.

--- a/scripts/proofs.sh
+++ b/scripts/proofs.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Model-checks the claim protocol and fuzzes the event relay and the decoders. All runs are bounded and seeded, so that
+# Model-checks the claim protocol and the relay of requests, and fuzzes the event relay and the decoders. All runs are bounded and seeded, so that
 # results are reproducible.
 set -euo pipefail
 cd "$(dirname "$0")/.."
@@ -9,20 +9,28 @@
 
 # Model check: expects no error with fresh nonces, and an error when nonces are reused, which shows that the model
 # detects this fault.
-model_check() { # directory, then spin defines; prints the number of errors found
+model_check() { # directory, model, then spin defines; prints the number of errors found
     mkdir -p "$1" && cd "$1"
-    spin -a "${@:2}" "$ROOT/proofs/claim.pml" >/dev/null
+    spin -a "${@:3}" "$ROOT/proofs/$2.pml" >/dev/null
     gcc -O2 -DSAFETY -DCOLLAPSE -w -o pan pan.c
     ./pan -m100000 >pan.log
     cd "$ROOT"
     grep -oE 'errors: [0-9]+' "$1/pan.log" | cut -d' ' -f2
 }
-errors=$(model_check $OUT/claim)
+errors=$(model_check $OUT/claim claim)
 states=$(grep -oE '[0-9.e+]+ states, stored' $OUT/claim/pan.log)
 [ "$errors" = 0 ] || { echo "proofs: claim protocol: $errors errors"; exit 1; }
-seeded_errors=$(model_check $OUT/claim-nonce-reused -DNONCE_REUSED)
+seeded_errors=$(model_check $OUT/claim-nonce-reused claim -DNONCE_REUSED)
 [ "$seeded_errors" -gt 0 ] || { echo "proofs: the seeded fault was not found"; exit 1; }
 echo "proofs: claim protocol: at most one run ($states); the seeded fault is found"
+errors=$(model_check $OUT/relay relay)
+states=$(grep -oE '[0-9.e+]+ states, stored' $OUT/relay/pan.log)
+[ "$errors" = 0 ] || { echo "proofs: relay: $errors errors"; exit 1; }
+for fault in RESEND_AFTER_SEND NOT_RUN_AFTER_SEND NO_END_MARKER; do
+    seeded_errors=$(model_check "$OUT/relay-$fault" relay "-D$fault")
+    [ "$seeded_errors" -gt 0 ] || { echo "proofs: relay: the seeded fault $fault was not found"; exit 1; }
+done
+echo "proofs: relay: at most one run, true answers ($states); three seeded faults are found"
 
 # Fuzzing: a fixed number of runs with a fixed seed. The programs are linked without PIE, because libFuzzer's choices
 # depend on code addresses.
--- a/src/entry/entry_metrics.cpp
+++ b/src/entry/entry_metrics.cpp
@@ -144,6 +144,13 @@
     writeSingle(out, "yucca_peers", "gauge", "Routers of the failure domain that were heard lately", static_cast<double>(gauges.peers));
     writeSingle(out, "yucca_quarantined_requests", "gauge", "Requests that are kept from endpoints", static_cast<double>(gauges.quarantined));
     writeSingle(out, "yucca_evacuated_domains", "gauge", "Failure domains that get nothing, by operators' order", static_cast<double>(gauges.evacuatedDomains));
+    writeSingle(out, "yucca_relayed_attempts_total", "counter", "Attempts at endpoints that a peer relayed", static_cast<double>(relayed));
+    writeSingle(out, "yucca_relays_refused_total", "counter", "Attempts that no peer relayed although the direct path failed",
+                static_cast<double>(relaysRefused));
+    writeSingle(out, "yucca_cut_paths", "gauge", "Endpoints that only peers reach", static_cast<double>(gauges.cutPaths));
+    writeSingle(out, "yucca_tunnels", "gauge", "Open tunnels of peers to endpoints", static_cast<double>(gauges.tunnels));
+    writeSingle(out, "yucca_tunnels_accepted_total", "counter", "Tunnels opened for peers", static_cast<double>(gauges.tunnelsAccepted));
+    writeSingle(out, "yucca_tunnels_refused_total", "counter", "Tunnels refused to peers", static_cast<double>(gauges.tunnelsRefused));
     writeSingle(out, "yucca_cold_endpoints", "gauge", "Endpoints that are taken for cold", static_cast<double>(gauges.coldEndpoints));
     writeSingle(out, "yucca_requests_in_flight", "gauge", "Requests in flight", static_cast<double>(gauges.inflight));
     return out;
--- a/src/entry/entry_metrics.h
+++ b/src/entry/entry_metrics.h
@@ -56,6 +56,10 @@
     std::size_t coldEndpoints = 0; ///< number of endpoints that are treated as cold
     std::size_t quarantined = 0; ///< number of requests that the quarantine keeps from endpoints
     uint64_t connectionsOpened = 0; ///< to endpoints, since the start
+    std::size_t cutPaths = 0; ///< number of endpoints that only peers reach
+    int64_t tunnels = 0; ///< number of open tunnels of peers to endpoints
+    uint64_t tunnelsAccepted = 0; ///< since the start
+    uint64_t tunnelsRefused = 0; ///< since the start
 };
 
 /// The counters of one traffic thread. They must be used on that thread only. Labels come from
@@ -81,6 +85,8 @@
     uint64_t replays = 0; ///< requests answered with the stored response of an earlier request with the same idempotency key
     uint64_t ejections = 0; ///< endpoints ejected because they failed more often than the others
     uint64_t backOffs = 0; ///< times that an endpoint asked this router to back off
+    uint64_t relayed = 0; ///< attempts that a peer relayed
+    uint64_t relaysRefused = 0; ///< attempts that no peer relayed although the direct path was cut or failed
     uint64_t endpointCrashes = 0; ///< endpoints that crashed while they ran requests of this router
 
     /// Returns the number of requests of all kinds that ended this way.
--- a/src/entry/entry_settings.cpp
+++ b/src/entry/entry_settings.cpp
@@ -12,6 +12,7 @@
 {
 
 constexpr double maxGraceS = 600;
+constexpr int64_t maxTunnelLimit = 100000;
 constexpr double assumedRouters = 100; ///< assumed while the number of routers is unknown: deployments have up to 84
 constexpr double maxBoundMs = 600000;
 constexpr double maxColdOvershoot = 100;
@@ -55,6 +56,7 @@
     readAddress(reader, "metrics", s.metrics, findings);
     readAddress(reader, "store", s.store, findings);
     readAddress(reader, "peers", s.peers, findings);
+    reader.read("maxTunnels", s.maxTunnels, int64_t{0}, maxTunnelLimit);
     reader.read("logLevel", s.logLevel);
     reader.read("retryRatio", s.retryRatio, 0.0, 1.0);
     reader.read("retrySlack", s.retrySlack, 0.0, 1000000.0);
--- a/src/entry/entry_settings.h
+++ b/src/entry/entry_settings.h
@@ -23,6 +23,7 @@
     http::Address metrics{"127.0.0.1", 7002}; ///< address for the metrics in the Prometheus text format
     http::Address store{"127.0.0.1", 7400}; ///< address of the platform's object store
     http::Address peers{"127.0.0.1", 0}; ///< address for datagrams of the other routers; port 0: no exchange with other routers
+    int64_t maxTunnels = 64; ///< connections to endpoints that this router relays for its peers at the same time; 0: none
     std::string logLevel = "info";
     double retryRatio = 0.2; ///< extra arrivals at a service for each request to it, over all routers
     double retrySlack = 50; ///< additional extra arrivals in a window, over all routers
--- a/src/entry/gateway.h
+++ b/src/entry/gateway.h
@@ -9,6 +9,7 @@
 #include "entry/entry_settings.h"
 #include "entry/log_rate_limiter.h"
 #include "entry/outlier_detector.h"
+#include "entry/path_monitor.h"
 #include "entry/placement_rules.h"
 #include "entry/request_profile.h"
 #include "entry/retry_after.h"
@@ -19,6 +20,7 @@
 #include "log.h"
 #include "notifier.h"
 #include "quarantine.h"
+#include "relay_peers.h"
 #include "router_core.h"
 #include "sse.h"
 
@@ -84,6 +86,8 @@
     double eventGapTimeoutFactor = 2.0; ///< multiple of a route's event gap target after which a resumable stream moves to another endpoint
     RetryAfterOptions retryAfter;
     std::size_t routersPerConnectionCap = 16; ///< number of routers that share the connection limit of an endpoint
+    /// A path that carried a response more recently than this is taken for intact. After a longer pause, hosts acknowledge at once.
+    Millis confirmAfterIdle{250};
     /// If set, non-repeatable requests always use a new connection, at the cost of one connection
     /// for each request. The peer may close a keep-alive connection while a request is in transit,
     /// and such a request can't be sent again.
@@ -101,6 +105,13 @@
     Millis crashPollInterval{100};
     Millis probeInterval{500}; ///< minimum interval between probes of one endpoint: connections are expensive, and many responses may break at once
     Millis probeOpenTime{100}; ///< a proxy whose server is gone closes a new connection within milliseconds
+    std::size_t maxRelayPeers = 3; ///< peers that are asked for a tunnel for one attempt
+    int minUnreachablePeers = 2; ///< peers that must fail to reach an endpoint before it counts as down
+    Millis crashConfirmPause{300}; ///< between two such peers where a crash is in question: one that was just cut off has noticed by then
+    Millis relayConnectTimeout{400}; ///< for a tunnel: the peer's own attempt at the endpoint included
+    Millis relayPeerPause{1000}; ///< during which a peer that offered no tunnel is not asked
+    Millis relayUnsupportedPause{30000}; ///< the same for a peer of a release without tunnels
+    Millis pathProbeInterval{200}; ///< between two probes of cut paths
 };
 
 /// Objects that a gateway shares with the rest of its process; the gateway doesn't own them.
@@ -110,6 +121,7 @@
     limits::Admission &admission;
     quarantine::RequestQuarantine &quarantine;
     idempotency::Guard *claims = nullptr; ///< null if requests carry no idempotency keys
+    relay::RelayPeers *relayPeers = nullptr; ///< null if this router has no peers
 };
 
 /// Serves requests of callers by forwarding them to endpoints. Runs on one traffic thread.
@@ -122,6 +134,7 @@
         , m_admission(parts.admission)
         , m_quarantine(parts.quarantine)
         , m_claims(parts.claims)
+        , m_relayPeers(parts.relayPeers)
         , m_options(options)
         , m_dialect(std::move(dialect))
     {
@@ -134,6 +147,11 @@
     /// Cancels the attempts at endpoints that have restarted since: their responses will never
     /// arrive, even if no connection reset reports that. Must be called on the traffic thread.
     void cancelAttemptsAtRestarted();
+    /// Returns true if this router reaches the endpoint by its own path. Must be called on the traffic thread.
+    bool reachesDirectly(const Endpoint &endpoint) const
+    {
+        return m_paths.pathTo(endpoint) == Path::Direct;
+    }
     /// Returns the counters of all requests so far. Must be called on the traffic thread.
     const Metrics &metrics() const
     {
@@ -148,6 +166,7 @@
     std::string metricsText(Gauges gauges) const
     {
         gauges.connectionsOpened = m_client.connectionsOpened();
+        gauges.cutPaths = m_paths.cutCount();
         return m_metrics.text(gauges);
     }
     /// Rejects all new requests from now on, because this router is about to stop.
@@ -178,6 +197,7 @@
         bool timedOut = false;
         bool endpointRestarted = false; ///< the endpoint of the current attempt has restarted
         std::string lastEndpoint;
+        Path path = Path::Direct; ///< of the last attempt
         router::PromptEstimate promptEstimate; ///< what the last endpoint likely holds of the prompt
         std::optional<Endpoint> home; ///< of the prompt, at the time of the last attempt
         std::optional<router::PlacementView> placement; ///< what was known when the last endpoint was picked
@@ -198,6 +218,13 @@
         bool replaced = false; ///< another instance answers at the endpoint's address
     };
     using CrashWatchPtr = std::shared_ptr<CrashWatch>;
+    using OpenResult = http::CallResult<std::unique_ptr<http::Response>>;
+    /// Whether a peer reaches an endpoint.
+    enum class PeerView {
+        Reached,
+        Unreachable,
+        Unknown, ///< no peer could tell
+    };
 
     std::variant<RequestProfile, Rejection> identify(const http::Exchange &ex, Clock::time_point now);
     bool configurationMayBeStale(Clock::time_point now) const;
@@ -208,6 +235,21 @@
     Task<void> reject(http::Exchange &ex, const std::string &id, Rejection why, std::optional<Millis> retryAfter = std::nullopt);
     Task<void> attempt(http::Exchange &ex, RequestState &state);
     Task<AttemptEnd> attemptAt(http::Exchange &ex, RequestState &state, const Endpoint &endpoint, http::ConnectionReuse reuse, bool &staleConnection);
+    http::Request makeRequestFor(const http::Exchange &ex, const RequestState &state, const Endpoint &endpoint) const;
+    Task<OpenResult> openDirect(http::Exchange &ex, RequestState &state, Endpoint endpoint, http::CallOptions options);
+    Task<OpenResult> openRelayed(http::Exchange &ex, RequestState &state, Endpoint endpoint, http::CallOptions options);
+    Task<OpenResult> openByAnyPath(http::Exchange &ex, RequestState &state, Endpoint endpoint, http::CallOptions options);
+    bool shouldRelayAtOnce(const Endpoint &endpoint, const http::CallError &error, Clock::time_point began) const;
+    void excludeAfterRefusal(const http::Address &peer, unsigned status);
+    bool mayAskPeers() const
+    {
+        return m_relayPeers && !m_relayPeers->empty();
+    }
+    Task<PeerView> askPeers(Endpoint endpoint);
+    Task<void> verifyByPeer(Endpoint endpoint);
+    Task<void> recordCutPath(Endpoint endpoint);
+    void recordConnected(const Endpoint &endpoint);
+    Task<void> probeCutPaths();
     Task<AttemptEnd> handleResponse(http::Exchange &ex, RequestState &state, const Endpoint &endpoint, http::Response &response);
     void applySelfReport(const Endpoint &endpoint, const ResponseHead &head);
     Task<AttemptEnd> relayBuffered(http::Exchange &ex, RequestState &state, const Endpoint &endpoint, const ResponseHead &head, http::Response &response);
@@ -235,6 +277,7 @@
     limits::Admission &m_admission;
     quarantine::RequestQuarantine &m_quarantine;
     idempotency::Guard *m_claims;
+    relay::RelayPeers *m_relayPeers;
     GatewayOptions m_options;
     D m_dialect;
     http::Client m_client;
@@ -244,6 +287,9 @@
     std::map<std::string, int64_t> m_incarnationStart; ///< by endpoint id: start of the incarnation that a request was last sent to, in Unix ms
     std::map<RequestState *, Endpoint> m_attempts; ///< current attempts and their endpoints
     std::map<std::string, CrashWatchPtr> m_crashWatches; ///< by incarnation key
+    PathMonitor m_paths;
+    std::set<std::string> m_verifying; ///< incarnation keys of endpoints about which peers are being asked
+    bool m_probingPaths = false;
     Metrics m_metrics;
     LogRateLimiter m_logLimiter;
     std::minstd_rand m_random{std::random_device{}()};
@@ -414,5 +460,6 @@
 #include "entry/gateway_admit.h"
 #include "entry/gateway_attempt.h"
 #include "entry/gateway_crashes.h"
+#include "entry/gateway_paths.h"
 #include "entry/gateway_place.h"
 #include "entry/gateway_statistics.h"
--- a/src/entry/gateway_attempt.h
+++ b/src/entry/gateway_attempt.h
@@ -78,18 +78,17 @@
     options.reuse = reuse;
     options.cancellation = &state.cancellation;
     options.connectTimeout = m_options.connectTimeout;
+    options.confirmAfterIdle = m_options.confirmAfterIdle;
     const std::size_t share = service ? static_cast<std::size_t>(service->maxConnections) / m_options.routersPerConnectionCap : 1;
     options.maxIdleConnections = std::clamp<std::size_t>(share, 2, m_options.maxIdleConnections);
-    const auto left = std::chrono::duration_cast<Millis>(state.profile.responseDeadline - now);
     state.promptEstimate = estimatePrompt(state, endpoint, now);
-    ForwardOptions forward{endpoint, left, state.events.lastId(), state.promptEstimate.source};
-    auto request = m_dialect.makeForwardedRequest(ex, state.profile, forward);
-    const http::Address address{endpoint.host, endpoint.port};
     staleConnection = false;
-    auto opened = co_await m_client.open(address, std::move(request), options);
+    auto opened = co_await openByAnyPath(ex, state, endpoint, options);
     if (const auto *error = std::get_if<http::CallError>(&opened)) {
         if (error->stage == http::CallStage::Connect) {
-            m_table.suspect(endpoint.id, Clock::now());
+            if (!state.cancellation.isCancelled() && Clock::now() < options.deadline) {
+                m_table.suspect(endpoint.id, Clock::now());
+            }
             co_return AttemptEnd::Unreached;
         }
         ++state.count.arrivals;
--- a/src/entry/gateway_crashes.h
+++ b/src/entry/gateway_crashes.h
@@ -71,8 +71,22 @@
         const auto it = m_crashWatches.find(key);
         return it != m_crashWatches.end() && it->second == watch;
     };
+    auto peerView = PeerView::Unknown;
+    if (probe == http::Probe::Refused || probe == http::Probe::Silent) {
+        peerView = co_await askPeers(endpoint);
+    }
+    if (peerView == PeerView::Unreachable && probe == http::Probe::Refused) {
+        co_await sleepFor(m_options.crashConfirmPause);
+        peerView = co_await askPeers(endpoint);
+    }
+    if (peerView == PeerView::Reached) {
+        recordAlive(endpoint, *watch); // the path was cut, not the endpoint
+        co_await recordCutPath(endpoint);
+    }
+    // A refusal shows a crash only if it is not the path's: unless there are no peers, one of them must confirm it.
+    const bool refused = probe == http::Probe::Refused && (peerView == PeerView::Unreachable || !mayAskPeers());
     auto listingState = m_table.listingState(endpoint);
-    bool crashed = listingState == router::ListingState::Restarted || (probe == http::Probe::Refused && listingState != router::ListingState::Leaving);
+    bool crashed = listingState == router::ListingState::Restarted || (refused && listingState != router::ListingState::Leaving);
     while (!crashed && listingState == router::ListingState::Live && newest() && Clock::now() < until) {
         co_await sleepFor(m_options.crashPollInterval);
         listingState = m_table.listingState(endpoint);
--- a/src/entry/gateway_statistics.h
+++ b/src/entry/gateway_statistics.h
@@ -46,7 +46,9 @@
     if (end == AttemptEnd::Delivered && state.lastStatus / 100 == 2) {
         m_quarantine.recordCompleteResponse(contentKey(state.profile), now);
     }
-    if (end != AttemptEnd::CallerGone) {
+    // A failure over a cut path, or at a peer, says nothing about the endpoint.
+    const bool pathAtFault = end != AttemptEnd::Delivered && m_paths.pathTo(endpoint) == Path::Relayed;
+    if (end != AttemptEnd::CallerGone && !pathAtFault) {
         const bool failed = end != AttemptEnd::Delivered || state.lastStatus >= 500;
         const auto ejection = m_outliers[state.service].record(incarnationKey(endpoint), failed, m_table.poolSize(state.service), now);
         if (ejection && m_table.isCurrentIncarnation(endpoint)) {
@@ -69,6 +71,7 @@
             .add("status", static_cast<int64_t>(state.lastHead.status))
             .add("retry_after_ms", state.lastHead.retryAfter ? state.lastHead.retryAfter->count() : int64_t{-1})
             .add("ms", elapsedMs(began))
+            .add("path", nameOf(pathNames, state.path))
             .add("events", static_cast<int64_t>(state.events.lastId()))
             .add("again", willRetry);
     }
@@ -118,6 +121,7 @@
         .add("workspace", p.workspace)
         .add("config", p.configuration->version)
         .add("endpoint", state.lastEndpoint)
+        .add("path", nameOf(pathNames, state.path))
         .add("load", state.lastLoad)
         .add("at_home", state.home && state.home->id == state.lastEndpoint)
         .add("held", state.promptEstimate.held)
--- a/src/entry/outlier_detector.h
+++ b/src/entry/outlier_detector.h
@@ -44,6 +44,12 @@
     /// if the endpoint must get no requests from now on, otherwise nothing.
     std::optional<Ejection> record(const std::string &endpoint, bool failed, std::size_t endpoints, Clock::time_point now);
 
+    /// Forgets the outcomes and ejections of an endpoint.
+    void forget(const std::string &endpoint)
+    {
+        m_counts.erase(endpoint);
+    }
+
 private:
     struct Counts {
         double succeeded = 0;
--- a/src/entry/process.h
+++ b/src/entry/process.h
@@ -8,6 +8,8 @@
 #include "load_exchange.h"
 #include "prompt_snapshot.h"
 #include "quarantine_store.h"
+#include "relay_peers.h"
+#include "relay_server.h"
 #include "settings.h"
 #include "supervisor.h"
 
@@ -61,8 +63,15 @@
               [this] {
                   return m_exchange.isFirstByName(Clock::now());
               })
-        , m_gateway(GatewayParts{m_published, m_table, m_admission, m_quarantine}, gatewayOptions(settings))
+        , m_relayPeers(settings.regions)
+        , m_gateway(GatewayParts{m_published, m_table, m_admission, m_quarantine, nullptr, &m_relayPeers}, gatewayOptions(settings))
         , m_changes(sharedReplicas(settings))
+        , m_relay(
+              m_trafficLoop, m_table, m_relayPeers,
+              [this](const Endpoint &endpoint) {
+                  return m_gateway.reachesDirectly(endpoint);
+              },
+              relayOptions(settings))
         , m_supervisor(m_controlLoop, logChildFailure)
         , m_callerServer({&m_trafficLoop}, settings.traffic.host, settings.traffic.port,
                          [this](http::Exchange &ex) {
@@ -77,7 +86,7 @@
                               return answerMetrics(ex);
                           })
         , m_neighbourServer({&m_controlLoop}, settings.peers.host, settings.peers.port, [this](http::Exchange &ex) {
-            return m_changes.handle(ex);
+            return answerPeer(ex);
         })
     {
         m_exchange.shareReplicas(sharedReplicas(settings));
@@ -162,6 +171,12 @@
         options.retries = retryLimits(s, 0);
         return options;
     }
+    static relay::RelayOptions relayOptions(const Settings &s)
+    {
+        relay::RelayOptions options;
+        options.maxTunnels = s.maxTunnels;
+        return options;
+    }
     static void logChildFailure(const std::string &child, const std::string &error, int failures)
     {
         log::Line{log::Event::ChildFailed}.add("child", child).add("failures", int64_t{failures}).add("error", error);
@@ -240,7 +255,7 @@
                             stop});
     }
 
-    // Periodic work: applies new limits on callers, removes endpoints whose retention has ended,
+    // Periodic work: applies new limits on callers, updates the peers that may relay, removes endpoints whose retention has ended,
     // cancels attempts at restarted endpoints, updates retry limits and reloads a changed settings
     // file.
     Task<void> runMaintenance()
@@ -248,6 +263,7 @@
         ConfigurationPtr seen;
         uint64_t restarts = 0;
         std::size_t routers = 0;
+        Clock::time_point peersDue{};
         for (;;) {
             const auto configuration = m_published.configuration();
             if (configuration != seen) {
@@ -255,6 +271,10 @@
                 m_callerServer.setLimits(configuration->callerLimits);
             }
             m_published.endExpiredRetention(Clock::now());
+            if (const auto now = Clock::now(); now >= peersDue) {
+                updateRelayPeers(now);
+                peersDue = now + relayPeersInterval;
+            }
             if (m_table.restartCount() != restarts) {
                 restarts = m_table.restartCount();
                 asio::post(m_trafficLoop, [this] {
@@ -274,6 +294,15 @@
         }
     }
 
+    void updateRelayPeers(Clock::time_point now)
+    {
+        std::vector<relay::RelayPeer> active;
+        for (const auto &peer : m_exchange.activePeers(now)) {
+            active.push_back({peer.address, peer.failureDomain});
+        }
+        m_relayPeers.setPeers(std::move(active), m_exchange.listedHosts());
+    }
+
     static std::filesystem::file_time_type modificationTime(const std::string &path)
     {
         std::error_code ec;
@@ -303,6 +332,15 @@
         m_settings.retryWindowS = fresh.retryWindowS;
     }
 
+    Task<void> answerPeer(http::Exchange &ex)
+    {
+        if (relay::RelayServer::isTunnelRequest(ex)) {
+            m_relay.handle(ex);
+            co_return;
+        }
+        co_await m_changes.handle(ex);
+    }
+
     Task<void> answerProbe(http::Exchange &ex)
     {
         const bool ready = m_published.ready() && !m_stopping;
@@ -321,6 +359,9 @@
         gauges.evacuatedDomains = m_table.evacuated().size();
         gauges.coldEndpoints = m_table.coldCount(Clock::now());
         gauges.quarantined = m_quarantine.quarantinedCount(Clock::now());
+        gauges.tunnels = m_relay.counters().open;
+        gauges.tunnelsAccepted = m_relay.counters().accepted;
+        gauges.tunnelsRefused = m_relay.counters().refused;
         std::string text = m_gateway.metricsText(gauges);
         co_await ex.reply(200, std::move(text), {}, "text/plain; version=0.0.4");
     }
@@ -333,12 +374,13 @@
         const auto began = Clock::now();
         m_stopping = true;
         m_callerServer.closeConnectionsAfterResponses();
+        m_relay.stop(); // peers have other routers to ask, and open tunnels must end within the grace period
         log::Line{log::Event::StopRequested}.add("inflight", m_callerServer.inflight());
         co_await sleepFor(std::min(m_stop.acceptRequestsFor, Millis(m_stopGraceMs) / 2));
         m_gateway.rejectNewRequests();
         m_callerServer.stopAccepting();
         const auto end = began + Millis(m_stopGraceMs) - m_stop.reserve;
-        while (m_callerServer.inflight() > 0 && Clock::now() < end) {
+        while ((m_callerServer.inflight() > 0 || m_relay.counters().open > 0) && Clock::now() < end) {
             co_await sleepFor(m_stop.pollInterval);
         }
     }
@@ -359,6 +401,7 @@
         }
     }
 
+    static constexpr Millis relayPeersInterval{1000}; ///< between updates of the peers that may relay
     static constexpr Millis maintenanceInterval{200}; ///< maximum delay until new limits on callers are in effect and expired endpoints are removed
 
     Settings m_settings; ///< as at the start, except for the retry limits
@@ -380,13 +423,15 @@
     quarantine::RequestQuarantine m_quarantine;
     quarantine::QuarantineStore m_quarantineStore;
     limits::Admission m_admission; ///< sets no limits here, because the workspaces of the platform define none
+    relay::RelayPeers m_relayPeers;
     Gateway<D> m_gateway;
     replica::ChangeServer m_changes;
+    relay::RelayServer m_relay;
     Supervisor m_supervisor;
     http::Server m_callerServer;
     http::Server m_probeServer;
     http::Server m_metricsServer;
-    http::Server m_neighbourServer; ///< serves changes of store objects to other routers
+    http::Server m_neighbourServer; ///< serves changes of store objects and tunnels to other routers
     std::atomic<bool> m_stopping{false};
 };
 
--- a/src/load_exchange.cpp
+++ b/src/load_exchange.cpp
@@ -361,6 +361,30 @@
     }
 }
 
+std::vector<Peer> LoadExchange::activePeers(Clock::time_point now) const
+{
+    std::vector<Peer> active;
+    for (const auto *peers : {&m_directory.domainPeers(), &m_directory.otherDomainPeers()}) {
+        for (const auto &peer : *peers) {
+            if (!isSilent(peer, now)) {
+                active.push_back(peer);
+            }
+        }
+    }
+    return active;
+}
+
+std::set<std::string> LoadExchange::listedHosts() const
+{
+    std::set<std::string> hosts;
+    for (const auto *peers : {&m_directory.domainPeers(), &m_directory.otherDomainPeers()}) {
+        for (const auto &peer : *peers) {
+            hosts.insert(peer.address.host);
+        }
+    }
+    return hosts;
+}
+
 void LoadExchange::countActivePeers(Clock::time_point now)
 {
     const auto &peers = m_directory.domainPeers();
--- a/src/load_exchange.h
+++ b/src/load_exchange.h
@@ -71,6 +71,10 @@
     {
         return m_activePeerCount;
     }
+    /// Returns all peers that were heard recently, in any failure domain.
+    std::vector<Peer> activePeers(Clock::time_point now) const;
+    /// Returns the host addresses of all listed peers.
+    std::set<std::string> listedHosts() const;
     /// Returns the number of routers listed in the store, including this one; callable from any thread. It is 0 until the second
     /// listing, because routers that start together are not all in the first one.
     std::size_t listedRouterCount() const
--- a/src/log.cpp
+++ b/src/log.cpp
@@ -21,7 +21,7 @@
 namespace
 {
 
-constexpr std::array<EventInfo, 48> catalogue{{
+constexpr std::array<EventInfo, 51> catalogue{{
     {Event::ProgramStarted, "ProgramStarted", Level::Info},
     {Event::StopRequested, "StopRequested", Level::Info},
     {Event::ProgramStopped, "ProgramStopped", Level::Info},
@@ -63,6 +63,9 @@
     {Event::DomainReturned, "DomainReturned", Level::Info},
     {Event::EndpointBacksOff, "EndpointBacksOff", Level::Info},
     {Event::StoreRestored, "StoreRestored", Level::Warn},
+    {Event::PathCut, "PathCut", Level::Warn},
+    {Event::PathRestored, "PathRestored", Level::Info},
+    {Event::RelayRefused, "RelayRefused", Level::Warn},
     {Event::OrderAccepted, "OrderAccepted", Level::Info},
     {Event::OrderRefused, "OrderRefused", Level::Warn},
     {Event::Draining, "Draining", Level::Info},
--- /dev/null
+++ b/src/relay_server.cpp
@@ -0,0 +1,252 @@
+#include "relay_server.h"
+
+#include "connect.h"
+#include "log.h"
+#include "text.h"
+
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+
+#include <algorithm>
+#include <vector>
+
+namespace yucca::relay
+{
+
+namespace
+{
+
+using Stream = boost::beast::tcp_stream;
+
+constexpr std::size_t relayBufferBytes = 8192;
+
+// Closes a connection with a reset: bytes that have not been delivered are lost, and the other side does not take the end
+// for an orderly one.
+void abortStream(Stream &stream)
+{
+    boost::system::error_code ec;
+    stream.socket().set_option(asio::socket_base::linger(true, 0), ec);
+    stream.close();
+}
+
+std::string headFor(http::TunnelStatus status)
+{
+    const auto code = std::to_string(static_cast<unsigned>(status));
+    if (status == http::TunnelStatus::Open) {
+        return "HTTP/1.1 " + code + " Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: " + std::string(http::tunnelProtocol) + "\r\n\r\n";
+    }
+    return "HTTP/1.1 " + code + " Refused\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
+}
+
+Task<bool> writeAll(Stream &stream, asio::const_buffer bytes, Millis timeout)
+{
+    boost::system::error_code ec;
+    stream.expires_after(timeout);
+    co_await asio::async_write(stream, bytes, asio::redirect_error(asio::use_awaitable, ec));
+    co_return !ec;
+}
+
+} // namespace
+
+/// Two connections between which bytes are passed on.
+struct RelayServer::Tunnel {
+    Tunnel(Tcp::socket peerSocket, RelayCounters &relayCounters)
+        : peer(std::move(peerSocket))
+        , endpoint(peer.get_executor())
+        , lifetimeTimer(peer.get_executor())
+        , counters(relayCounters)
+    {
+        ++counters.open;
+    }
+    ~Tunnel()
+    {
+        --counters.open;
+    }
+    Tunnel(const Tunnel &) = delete;
+    Tunnel &operator=(const Tunnel &) = delete;
+
+    void abort()
+    {
+        abortStream(endpoint);
+        abortStream(peer);
+        lifetimeTimer.cancel();
+    }
+
+    Stream peer;
+    Stream endpoint;
+    asio::steady_timer lifetimeTimer;
+    RelayCounters &counters;
+    std::string endpointKey;
+    std::string endMarker;
+    Millis lifetime{};
+    Millis writeTimeout{};
+};
+
+namespace
+{
+
+// Passes bytes of the peer on until it closes the tunnel, which ends the request at the endpoint.
+template <typename TunnelPtr> Task<void> forwardToEndpoint(TunnelPtr tunnel)
+{
+    std::array<char, relayBufferBytes> buffer;
+    for (;;) {
+        boost::system::error_code ec;
+        tunnel->peer.expires_never();
+        const auto n = co_await tunnel->peer.async_read_some(asio::buffer(buffer), asio::redirect_error(asio::use_awaitable, ec));
+        const bool written = !ec && co_await writeAll(tunnel->endpoint, asio::buffer(buffer.data(), n), tunnel->writeTimeout);
+        if (!written) {
+            tunnel->abort();
+            co_return;
+        }
+    }
+}
+
+// Passes bytes of the endpoint on. An orderly end is marked; any other end resets the tunnel.
+template <typename TunnelPtr> Task<void> forwardToPeer(TunnelPtr tunnel)
+{
+    std::array<char, relayBufferBytes> buffer;
+    for (;;) {
+        boost::system::error_code ec;
+        tunnel->endpoint.expires_never();
+        const auto n = co_await tunnel->endpoint.async_read_some(asio::buffer(buffer), asio::redirect_error(asio::use_awaitable, ec));
+        if (ec == asio::error::eof) {
+            const bool marked = co_await writeAll(tunnel->peer, asio::buffer(tunnel->endMarker), tunnel->writeTimeout);
+            if (marked) {
+                tunnel->peer.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ec);
+                co_return;
+            }
+            ec = asio::error::broken_pipe;
+        }
+        const bool written = !ec && co_await writeAll(tunnel->peer, asio::buffer(buffer.data(), n), tunnel->writeTimeout);
+        if (!written) {
+            tunnel->abort();
+            co_return;
+        }
+    }
+}
+
+} // namespace
+
+RelayServer::RelayServer(asio::io_context &trafficLoop, const router::RoutingTable &table, const RelayPeers &peers, ReachesDirectly reachesDirectly,
+                         RelayOptions options)
+    : m_trafficLoop(trafficLoop)
+    , m_table(table)
+    , m_peers(peers)
+    , m_reachesDirectly(std::move(reachesDirectly))
+    , m_options(options)
+{
+}
+
+bool RelayServer::isTunnelRequest(const http::Exchange &ex)
+{
+    return ex.path() == http::tunnelPath && boost::beast::iequals(ex.header("Upgrade"), http::beastView(http::tunnelProtocol));
+}
+
+void RelayServer::handle(http::Exchange &ex)
+{
+    const auto lifetime = text::parseNumber(ex.header(http::tunnelLifetimeHeader)).value_or(0);
+    const auto key = ex.header(http::tunnelEndpointHeader);
+    const auto marker = ex.header(http::tunnelEndMarkerHeader);
+    const int descriptor = ex.detach();
+    if (descriptor < 0) {
+        return;
+    }
+    asio::post(m_trafficLoop, [this, descriptor, lifetime, key, marker] {
+        boost::system::error_code ec;
+        Tcp::socket socket(m_trafficLoop);
+        socket.assign(Tcp::v4(), descriptor, ec);
+        if (ec) {
+            log::Line{log::Event::RelayRefused}.add("endpoint", key).add("why", ec.message());
+            return;
+        }
+        auto tunnel = std::make_shared<Tunnel>(std::move(socket), m_counters);
+        tunnel->endpointKey = key;
+        tunnel->endMarker = marker.substr(0, http::maxTunnelEndMarkerBytes);
+        tunnel->lifetime = std::clamp(Millis(lifetime), Millis(0), m_options.maxLifetime);
+        tunnel->writeTimeout = m_options.writeTimeout;
+        asio::co_spawn(m_trafficLoop, serve(tunnel), asio::detached);
+    });
+}
+
+// Tells whether a tunnel may be opened, and to which endpoint.
+http::TunnelStatus RelayServer::connectable(const Tunnel &tunnel, std::optional<Endpoint> &endpoint) const
+{
+    boost::system::error_code ec;
+    const auto sender = tunnel.peer.socket().remote_endpoint(ec);
+    if (ec || !m_peers.isPeer(sender.address().to_string())) {
+        return http::TunnelStatus::Forbidden;
+    }
+    if (m_stopping || m_counters.open > m_options.maxTunnels) {
+        return http::TunnelStatus::Unavailable;
+    }
+    endpoint = m_table.findLive(tunnel.endpointKey);
+    if (!endpoint) {
+        return http::TunnelStatus::Unknown;
+    }
+    // A back-off that the endpoint asked of this router holds for all that it sends.
+    if (!m_reachesDirectly(*endpoint) || m_table.backsOff(*endpoint, Clock::now())) {
+        return http::TunnelStatus::Unavailable;
+    }
+    return http::TunnelStatus::Open;
+}
+
+Task<http::TunnelStatus> RelayServer::connect(Tunnel &tunnel) const
+{
+    std::optional<Endpoint> endpoint;
+    const auto status = connectable(tunnel, endpoint);
+    if (status != http::TunnelStatus::Open) {
+        co_return status;
+    }
+    boost::system::error_code ec;
+    const auto address = asio::ip::make_address(endpoint->host, ec);
+    if (ec) {
+        co_return http::TunnelStatus::Unknown;
+    }
+    tunnel.endpoint.expires_after(m_options.connectTimeout);
+    ec = co_await net::connectStream(tunnel.endpoint, Tcp::endpoint(address, endpoint->port));
+    if (ec) {
+        co_return http::TunnelStatus::Unreachable;
+    }
+    boost::system::error_code ignored; // an optimisation only
+    tunnel.endpoint.socket().set_option(Tcp::no_delay(true), ignored);
+    co_return http::TunnelStatus::Open;
+}
+
+Task<void> RelayServer::serve(TunnelPtr tunnel)
+{
+    const auto status = co_await connect(*tunnel);
+    const std::string head = headFor(status);
+    const bool answered = co_await writeAll(tunnel->peer, asio::buffer(head), m_options.writeTimeout);
+    if (status != http::TunnelStatus::Open) {
+        ++m_counters.refused;
+        if (status == http::TunnelStatus::Forbidden) {
+            log::Line{log::Event::RelayRefused}.add("endpoint", tunnel->endpointKey).add("why", "the sender is not a listed router");
+        }
+        tunnel->endpoint.close();
+        tunnel->peer.close();
+        co_return;
+    }
+    ++m_counters.accepted;
+    if (!answered) {
+        tunnel->abort();
+        co_return;
+    }
+    asio::co_spawn(m_trafficLoop, closeAfterLifetime(tunnel), asio::detached);
+    asio::co_spawn(m_trafficLoop, forwardToPeer(tunnel), asio::detached);
+    co_await forwardToEndpoint(tunnel);
+}
+
+// Aborts a tunnel whose peer is gone without a sign.
+Task<void> RelayServer::closeAfterLifetime(TunnelPtr tunnel)
+{
+    boost::system::error_code ec;
+    tunnel->lifetimeTimer.expires_after(tunnel->lifetime);
+    co_await tunnel->lifetimeTimer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+    if (!ec) {
+        tunnel->abort();
+    }
+}
+
+} // namespace yucca::relay
--- a/src/router_constraints.cpp
+++ b/src/router_constraints.cpp
@@ -59,6 +59,8 @@
     std::lock_guard lock(m_mutex);
     if (findListed(id)) {
         extendCold(id, until);
+        auto &before = m_health[id].coldUntilBefore;
+        before = std::max(before, until);
     }
 }
 
--- a/src/router_core.cpp
+++ b/src/router_core.cpp
@@ -164,6 +164,9 @@
     constexpr int maxDoublings = 10;
     std::lock_guard lock(m_mutex);
     auto &health = m_health[id];
+    if (health.failures == 0) {
+        health.coldUntilBefore = health.coldUntil;
+    }
     const Millis pause = m_options.suspectDuration * (1 << std::min(health.failures, maxDoublings));
     ++health.failures;
     health.suspectUntil = now + std::min(pause, m_options.maxSuspectDuration);
@@ -172,6 +175,17 @@
     }
 }
 
+void RoutingTable::withdrawSuspicion(const std::string &id)
+{
+    std::lock_guard lock(m_mutex);
+    const auto health = m_health.find(id);
+    if (health != m_health.end() && health->second.failures > 0) {
+        health->second.failures = 0;
+        health->second.suspectUntil = {};
+        health->second.coldUntil = health->second.coldUntilBefore;
+    }
+}
+
 void RoutingTable::eject(const std::string &id, Clock::time_point until)
 {
     std::lock_guard lock(m_mutex);
@@ -278,6 +292,16 @@
     return endpoint ? std::optional(*endpoint) : std::nullopt;
 }
 
+std::optional<Endpoint> RoutingTable::findLive(const std::string &key) const
+{
+    std::lock_guard lock(m_mutex);
+    const auto found = std::find_if(m_endpoints.begin(), m_endpoints.end(), [&key](const Endpoint &e) {
+        return incarnationKey(e) == key;
+    });
+    const bool usable = found != m_endpoints.end() && !m_refusals.isLeaving(*found) && !isEvacuated(*found) && !isSuspected(found->id, Clock::now());
+    return usable ? std::optional(*found) : std::nullopt;
+}
+
 Clock::time_point RoutingTable::joinedAt(const std::string &id) const
 {
     std::lock_guard lock(m_mutex);
--- a/src/router_core.h
+++ b/src/router_core.h
@@ -87,6 +87,8 @@
     bool backOff(const Endpoint &endpoint, Clock::time_point until);
     /// Excludes an endpoint after a failed connection, for a time that doubles with each consecutive failure.
     void suspect(const std::string &id, Clock::time_point now);
+    /// Withdraws the suspicion of an endpoint that another router reached, with what suspect() concluded from it.
+    void withdrawSuspicion(const std::string &id);
     /// Excludes an endpoint until the given time.
     void eject(const std::string &id, Clock::time_point until);
     /// The number of endpoints of a pool that accept new requests.
@@ -156,6 +158,8 @@
     std::optional<Endpoint> homeOf(const std::string &pool, uint64_t prompt) const;
     /// A listed endpoint that is not suspected of having failed; may be leaving. Returns nothing otherwise.
     std::optional<Endpoint> find(const std::string &id, Clock::time_point now) const;
+    /// The endpoint with this incarnation key if it may receive requests: live, not evacuated and not suspected of having failed.
+    std::optional<Endpoint> findLive(const std::string &key) const;
     /// When an endpoint joined. Returns a default-constructed time point for endpoints of the first listing and for
     /// unknown ones.
     Clock::time_point joinedAt(const std::string &id) const;
@@ -186,6 +190,7 @@
         Clock::time_point joinedAt{};
         int failures = 0; ///< consecutive failed connections
         Clock::time_point suspectUntil{};
+        Clock::time_point coldUntilBefore{}; ///< coldUntil before the first of the failures
         Clock::time_point ejectedUntil{};
         Clock::time_point coldUntil{};
         int64_t inflight = 0;
