Routers keep within the rejections that brittle endpoints bear

What is asked: endpoints that state Server-Brittle = N crash if they reject more than N requests in a second for want of room, whoever sent them.

Change: while a service's endpoints state it, half of N is dealt to the routers, to each endpoint's first ones in its rendezvous order, as the allowance of a cold endpoint is. A router counts the requests to an endpoint that may still be rejected, and sends no more than its share; accepted requests are taken back. An endpoint reported to be at most half full within the last second gets requests from all routers. The caller gets 503 brittle with Retry-After where none is left. The stand-in endpoint states the limit and crashes beyond it (--brittle N).

Measured: four routers with ten requests each at a full endpoint that bears 6: at most 6 rejections, 40 without the statement (BrittleEndpoint); shares of 1 to 330 routers add up to at most half of the limit, to at most all of it if a third of them don't know each other (RejectionLimiter).

--- a/emulators/endpoint_main.cpp
+++ b/emulators/endpoint_main.cpp
@@ -53,6 +53,8 @@
         {"cold-ms", 0, POPT_ARG_INT, &coldMs, 0, "how long the endpoint is cold after its start", "MS"},
         {"cold-most", 0, POPT_ARG_INT, &options.maxColdRequestsPerS, 0,
          "limit of requests while cold: N per second begun, counted since the start; more crash the endpoint", "N"},
+        {"brittle", 0, POPT_ARG_INT, &options.brittleAfter, 0, "state that more than N rejections for want of room in a second crash the endpoint (0: none)",
+         "N"},
         {"streams", 0, POPT_ARG_NONE, &streams, 0, "respond with event streams", nullptr},
         {"events", 0, POPT_ARG_INT, &options.events, 0, "number of events in a stream", "N"},
         POPT_TABLEEND,
--- a/emulators/endpoint_server.cpp
+++ b/emulators/endpoint_server.cpp
@@ -51,9 +51,9 @@
     return headers;
 }
 
-http::Headers notExecutedHeaders(const std::string &endpoint, bool leaving)
+http::Headers notExecutedHeaders(const std::string &endpoint)
 {
-    return addLeavingHeader({{"Yuccasaddle-Not-Executed", "1"}, {instanceHeader, endpoint}}, leaving);
+    return {{"Yuccasaddle-Not-Executed", "1"}, {instanceHeader, endpoint}};
 }
 
 json makeEntry(const EndpointOptions &o, bool leaving, Millis coldRemaining, int64_t sequence, int64_t startTimeMs)
@@ -116,10 +116,31 @@
     }
     const auto seconds = std::chrono::ceil<std::chrono::seconds>(Clock::now() - m_startedAt).count();
     if (++m_requestsWhileCold > m_options.maxColdRequestsPerS * seconds) {
-        std::_Exit(exitCodeColdOverload);
+        m_options.crash(exitCodeColdOverload);
     }
 }
 
+void EndpointServer::recordRejection()
+{
+    const auto now = Clock::now();
+    m_rejections.push_back(now);
+    while (now - m_rejections.front() >= std::chrono::seconds(1)) {
+        m_rejections.pop_front();
+    }
+    if (m_options.brittleAfter > 0 && static_cast<int>(m_rejections.size()) > m_options.brittleAfter) {
+        m_options.crash(exitCodeBrittle);
+    }
+}
+
+// Adds what the endpoint states of itself in all answers.
+http::Headers EndpointServer::withStatements(http::Headers headers) const
+{
+    if (m_options.brittleAfter > 0) {
+        headers.emplace_back("Server-Brittle", std::to_string(m_options.brittleAfter));
+    }
+    return addLeavingHeader(std::move(headers), m_leaving);
+}
+
 http::Headers EndpointServer::responseHeaders(const http::Exchange &ex) const
 {
     const std::string id = ex.header(attemptIdHeader);
@@ -128,12 +149,12 @@
                                 {"Yuccasaddle-Server-Load", std::to_string(m_running) + ",0," + std::to_string(m_options.slots)},
                                 {instanceHeader, m_options.id},
                                 {"Keep-Alive", "timeout=5"}};
-    return addLeavingHeader(headers, m_leaving);
+    return withStatements(headers);
 }
 
 Task<void> EndpointServer::reject(http::Exchange &ex, unsigned status)
 {
-    const auto headers = notExecutedHeaders(m_options.id, m_leaving);
+    const auto headers = withStatements(notExecutedHeaders(m_options.id));
     co_await ex.reply(status, "", headers, "");
 }
 
@@ -153,7 +174,9 @@
 // connection does not receive it.
 Task<void> EndpointServer::rejectForCapacity(http::Exchange &ex)
 {
-    auto headers = notExecutedHeaders(m_options.id, m_leaving);
+    recordRejection();
+    auto headers = withStatements(notExecutedHeaders(m_options.id));
+    headers.emplace_back("Yuccasaddle-Server-Load", std::to_string(m_running) + ",0," + std::to_string(m_options.slots));
     if (m_faults.restMs > 0) {
         const auto now = Clock::now();
         auto &backoff = m_backoffs[senderFromRequestId(ex.header(attemptIdHeader))];
@@ -173,7 +196,7 @@
     }
     const std::string expected = ex.header("Yuccasaddle-Expected-Instance");
     if (ex.path() == "/health") {
-        auto headers = notExecutedHeaders(m_options.id, m_leaving);
+        auto headers = withStatements(notExecutedHeaders(m_options.id));
         if (coldRemaining() > Millis(0)) {
             headers.emplace_back("Yuccasaddle-Cold-Ms", std::to_string(coldRemaining().count()));
         }
@@ -197,7 +220,7 @@
         recordRun(ex.header(attemptIdHeader));
         if (!m_options.crashBody.empty() && ex.request().body() == m_options.crashBody) {
             co_await sleepFor(m_options.work);
-            std::_Exit(exitCodeCrashRequest);
+            m_options.crash(exitCodeCrashRequest);
         }
         if (m_options.streams) {
             co_await sendStream(ex);
--- a/emulators/endpoint_server.h
+++ b/emulators/endpoint_server.h
@@ -6,7 +6,10 @@
 #include "object_store.h"
 
 #include <atomic>
+#include <cstdlib>
+#include <deque>
 #include <fstream>
+#include <functional>
 #include <string>
 
 namespace yucca::emulators
@@ -28,6 +31,10 @@
     std::string crashBody; ///< a request with this body crashes the endpoint while it runs; empty: none
     Millis coldFor{0}; ///< how long the endpoint is cold after its start
     int maxColdRequestsPerS = 0; ///< limit while cold: this many per second begun, counted since the start; more crash the endpoint
+    int brittleAfter = 0; ///< states this limit in all answers, and crashes if it rejects more requests in a second for want of room; 0: none
+    std::function<void(int)> crash = [](int code) {
+        std::_Exit(code);
+    }; ///< ends the process; tests replace it
     std::string backoffViolationLog; ///< file that lists the senders which did not respect Retry-After; empty: none
     std::string runLog; ///< file that lists the id of each request before it runs; empty: none
     Millis heartbeatInterval{500}; ///< between two updates of the entry in the store
@@ -38,6 +45,8 @@
 inline constexpr int exitCodeCrashRequest = 70;
 /// Exit code of an endpoint that crashed because it received too many requests while it was cold.
 inline constexpr int exitCodeColdOverload = 71;
+/// Exit code of a brittle endpoint that crashed because it had to reject too many requests.
+inline constexpr int exitCodeBrittle = 72;
 
 /// Faults, set by POST /admin/faults with a JSON object of these names. Absent names are reset.
 struct EndpointFaults {
@@ -76,6 +85,8 @@
     void recordRun(const std::string &id);
     Millis coldRemaining() const;
     void checkColdLimit();
+    void recordRejection();
+    http::Headers withStatements(http::Headers headers) const;
     Task<void> reject(http::Exchange &ex, unsigned status);
     Task<void> rejectForCapacity(http::Exchange &ex);
     Task<void> sendResponse(http::Exchange &ex);
@@ -90,6 +101,7 @@
     int64_t m_sequence = 0;
     const Clock::time_point m_startedAt = Clock::now();
     int m_requestsWhileCold = 0;
+    std::deque<Clock::time_point> m_rejections; ///< for want of room, in the last second
     /// Unix time in milliseconds.
     int64_t m_startTimeMs = std::chrono::duration_cast<Millis>(std::chrono::system_clock::now().time_since_epoch()).count();
     std::map<std::string, int> m_runs; ///< executions by request id
--- a/src/cold_limit.cpp
+++ b/src/cold_limit.cpp
@@ -104,6 +104,19 @@
     dropIdleWindows(now);
 }
 
+void ColdLimiter::withdrawSend(const std::string &endpoint, Clock::time_point sentAt)
+{
+    const auto window = m_windows.find(endpoint);
+    if (window == m_windows.end()) {
+        return;
+    }
+    auto &sends = window->second.sends;
+    const auto sent = std::find(sends.begin(), sends.end(), sentAt);
+    if (sent != sends.end()) {
+        sends.erase(sent);
+    }
+}
+
 void ColdLimiter::dropExpired(Window &window, Clock::time_point now)
 {
     while (!window.sends.empty() && now - window.sends.front() >= windowLength) {
--- a/src/cold_limit.h
+++ b/src/cold_limit.h
@@ -54,6 +54,8 @@
     std::size_t share(const std::string &service, const std::string &endpoint);
     /// Counts one request to an endpoint, cold or not.
     void recordSend(const std::string &service, const std::string &endpoint, Clock::time_point now);
+    /// Takes back the count of a request that was recorded at the given time.
+    void withdrawSend(const std::string &endpoint, Clock::time_point sentAt);
 
 private:
     struct Window {
--- a/src/entry/gateway.h
+++ b/src/entry/gateway.h
@@ -202,6 +202,7 @@
         std::optional<Endpoint> home; ///< of the prompt, at the time of the last attempt
         std::optional<router::PlacementView> placement; ///< what was known when the last endpoint was picked
         Clock::time_point placedAt{};
+        Clock::time_point acquiredAt{}; ///< when the current attempt was counted at its endpoint
         unsigned lastStatus = 0; ///< status of the last endpoint's own response
         ResponseHead lastHead; ///< head of the last attempt's response; default values if none arrived
         int64_t lastLoad = -1; ///< load that the last endpoint reported; -1: not reported
@@ -370,6 +371,7 @@
         state.home = sharesPrompt(state.profile.prompt) ? m_table.homeOf(state.service, state.profile.affinity.conversation) : std::nullopt;
         state.placement = m_table.placementView(*endpoint, state.profile.affinity.conversation, now, state.constraints);
         state.placedAt = now;
+        state.acquiredAt = now;
         state.tried.insert(endpoint->id);
         ++state.count.attempts;
         m_metrics.resumptions += state.headSent ? 1 : 0;
@@ -383,7 +385,9 @@
         }
         state.sendLost = state.sendLost || staleConnection;
         const bool mayRepeat = staleConnection && repeatable(route) && !state.cancellation.isCancelled() && !quarantineRemaining(state.profile, Clock::now());
-        if (mayRepeat && m_table.acquireForResend(*endpoint, Clock::now()) && spendRetry(state.service)) {
+        const auto resendAt = Clock::now();
+        if (mayRepeat && m_table.acquireForResend(*endpoint, resendAt) && spendRetry(state.service)) {
+            state.acquiredAt = resendAt;
             // The keep-alive connection was closed during the request; the endpoint itself may be
             // healthy.
             end = co_await attemptAt(ex, state, *endpoint, http::ConnectionReuse::Never, staleConnection);
--- a/src/entry/gateway_attempt.h
+++ b/src/entry/gateway_attempt.h
@@ -142,7 +142,13 @@
     }
     state.lastLoad = head.load;
     if (head.load >= 0 && current) {
-        m_table.recordLoadReport(endpoint.id, head.load, Clock::now());
+        m_table.recordLoadReport(endpoint.id, head.load, Clock::now(), head.slots);
+    }
+    if (current && !head.wrongInstance && (head.notExecuted || head.authentic)) {
+        m_table.recordRejectionLimit(endpoint, head.rejectionLimit, Clock::now());
+    }
+    if (!head.notExecuted && !head.wrongInstance) {
+        m_table.recordAccepted(endpoint, state.acquiredAt);
     }
     if (head.wrongInstance) {
         m_table.recordLeaving(endpoint, true, Clock::now());
--- a/src/entry/placement_rules.h
+++ b/src/entry/placement_rules.h
@@ -26,6 +26,8 @@
         return Rejection::Evacuated;
     case router::NoEndpointReason::Cold:
         return Rejection::Cold;
+    case router::NoEndpointReason::Brittle:
+        return Rejection::Brittle;
     case router::NoEndpointReason::Region:
     case router::NoEndpointReason::Unusable:
         break;
--- a/src/entry/request_profile.h
+++ b/src/entry/request_profile.h
@@ -94,9 +94,10 @@
     Evacuated, ///< all remaining endpoints are in evacuated failure domains
     Cold, ///< all remaining endpoints are cold and can take no more requests now
     BackingOff, ///< all endpoints have asked this router to back off
+    Brittle, ///< all remaining endpoints may be full, and would crash if they had to reject more requests
 };
 
-inline constexpr NameTable<Rejection, 18> rejectionNames{{{Rejection::NotLoaded, "not_loaded"},
+inline constexpr NameTable<Rejection, 19> rejectionNames{{{Rejection::NotLoaded, "not_loaded"},
                                                           {Rejection::OutOfDate, "out_of_date"},
                                                           {Rejection::NoRoute, "no_route"},
                                                           {Rejection::UnknownKey, "unknown_key"},
@@ -113,7 +114,8 @@
                                                           {Rejection::Quarantined, "quarantined"},
                                                           {Rejection::Evacuated, "evacuated"},
                                                           {Rejection::Cold, "cold"},
-                                                          {Rejection::BackingOff, "backing_off"}}};
+                                                          {Rejection::BackingOff, "backing_off"},
+                                                          {Rejection::Brittle, "brittle"}}};
 
 /// Returns the outcome that a rejection implies: the request did not run and never will, or it may
 /// have run.
@@ -173,6 +175,8 @@
     bool authentic = false; ///< the response is unaltered: signed by the endpoint and not encoded
     std::optional<bool> leaving; ///< whether the endpoint states that it is about to stop; absent: not stated
     int64_t load = -1; ///< number of requests running and waiting at the endpoint; -1: not reported
+    int64_t slots = 0; ///< number of requests that the endpoint runs at the same time; 0: not reported
+    std::optional<int64_t> rejectionLimit; ///< the endpoint crashes if it rejects more requests in a second; absent: it does not
     std::optional<Millis> retryAfter; ///< in a rejection: how long the endpoint wants no requests from this router
 };
 
--- a/src/explain.cpp
+++ b/src/explain.cpp
@@ -39,6 +39,7 @@
     {"key_in_use", "an earlier request with the same idempotency key is in progress, or it is unknown whether that request ran"},
     {"key_reused", "the idempotency key was used for a different request"},
     {"evacuated", "the failure domains of the endpoints that could have served the request are evacuated (see DomainEvacuated)"},
+    {"brittle", "the remaining endpoints could have been full, and bear few rejections"},
     {"cold", "the remaining endpoints had just started or returned, and their limit for cold endpoints was reached"},
     {"quarantined", "endpoints crashed while they ran requests with the same content (see RequestQuarantined), so the request was not sent"},
 };
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -67,9 +67,9 @@
     /// On a keep-alive connection that was idle for at least this long, the end of the request's head is sent only after the
     /// beginning has been acknowledged. If that fails, the request was never complete at the peer and has not run. Nothing:
     /// requests are sent as a whole.
-    std::optional<Millis> confirmAfterIdle;
+    std::optional<Millis> confirmAfterIdle = {};
     Millis confirmTimeout{150}; ///< for that acknowledgement, which takes one round trip
-    std::optional<TunnelRequest> tunnel; ///< connect through this tunnel, which carries one request and is not kept
+    std::optional<TunnelRequest> tunnel = {}; ///< connect through this tunnel, which carries one request and is not kept
 };
 
 /// A client connection, in use or idle.
--- a/src/router_constraints.cpp
+++ b/src/router_constraints.cpp
@@ -19,6 +19,8 @@
 constexpr double reservedPerPriority = 0.15;
 constexpr int maxReservedPriorities = 4;
 
+constexpr Millis roomReportLifetime{1000}; ///< how long a report shows that a brittle endpoint has room
+
 } // namespace
 
 void RoutingTable::setEvacuated(std::set<std::string> domains, Clock::time_point revokedAt)
@@ -52,6 +54,7 @@
 {
     std::lock_guard lock(m_mutex);
     m_coldLimiter.setRouters(self, others);
+    m_rejections.setRouters(self, others);
 }
 
 void RoutingTable::recordCold(const std::string &id, Clock::time_point until)
@@ -130,6 +133,32 @@
     return allowed.size();
 }
 
+void RoutingTable::recordRejectionLimit(const Endpoint &endpoint, std::optional<int64_t> maxPerSecond, Clock::time_point now)
+{
+    std::lock_guard lock(m_mutex);
+    m_rejections.recordStatement(endpoint.pool, maxPerSecond, now);
+}
+
+void RoutingTable::recordAccepted(const Endpoint &endpoint, Clock::time_point sentAt)
+{
+    std::lock_guard lock(m_mutex);
+    m_rejections.recordAccepted(endpoint.id, sentAt);
+}
+
+// True if the newest report, own or a peer's, shows an endpoint that is at most half full.
+bool RoutingTable::hasRoom(const Health &health, Clock::time_point now)
+{
+    const bool peerIsNewer = health.peerReceivedAt > health.receivedAt;
+    const auto load = peerIsNewer ? health.peerLoad : health.reportedLoad;
+    const auto at = peerIsNewer ? health.peerReceivedAt : health.receivedAt;
+    return now - at <= roomReportLifetime && 2 * std::max(load, health.inflight) < health.slots;
+}
+
+bool RoutingTable::mayRiskRejection(const Endpoint &endpoint, Clock::time_point now)
+{
+    return !m_rejections.isBrittle(endpoint.pool, now) || hasRoom(m_health[endpoint.id], now) || m_rejections.available(endpoint.pool, endpoint.id, now) > 0;
+}
+
 // True if the pool's policy has a load bound and the given members are at it.
 bool RoutingTable::areAtBound(const Pool &pool, const placement::Usable &members, Clock::time_point now)
 {
@@ -159,7 +188,7 @@
         const auto &m = pool.members[i];
         const auto &health = m_health[m.id];
         const bool candidate = !exclude.count(m.id) && !m_refusals.backOffEnd(m.id, now) && health.suspectUntil <= now && health.ejectedUntil <= now
-            && constraints.regions.allows(m.region);
+            && constraints.regions.allows(m.region) && mayRiskRejection(m, now);
         if (candidate && limited && health.coldUntil > now) {
             cold.push_back(i);
         } else if (candidate) {
@@ -201,17 +230,23 @@
     ++m_health[chosen.id].inflight;
     ++m_health[chosen.id].placed;
     m_coldLimiter.recordSend(pool, chosen.id, now);
+    if (m_rejections.isBrittle(pool, now)) {
+        m_rejections.recordSend(pool, chosen.id, now);
+    }
     return chosen;
 }
 
 bool RoutingTable::acquireForResend(const Endpoint &endpoint, Clock::time_point now)
 {
     std::lock_guard lock(m_mutex);
-    if (m_refusals.refuses(endpoint, now) || isEvacuated(endpoint)
+    if (m_refusals.refuses(endpoint, now) || isEvacuated(endpoint) || !mayRiskRejection(endpoint, now)
         || (isCold(endpoint, now) && m_coldLimiter.available(endpoint.pool, endpoint.id, now) == 0)) {
         return false;
     }
     m_coldLimiter.recordSend(endpoint.pool, endpoint.id, now);
+    if (m_rejections.isBrittle(endpoint.pool, now)) {
+        m_rejections.recordSend(endpoint.pool, endpoint.id, now);
+    }
     return true;
 }
 
@@ -241,10 +276,11 @@
 }
 
 NoEndpointReason RoutingTable::noEndpointReason(const std::string &pool, const std::set<std::string> &exclude, Clock::time_point now,
-                                                const PlacementConstraints &constraints) const
+                                                const PlacementConstraints &constraints)
 {
     std::lock_guard lock(m_mutex);
     bool evacuated = false;
+    bool brittle = false;
     bool cold = false;
     bool otherRegion = false;
     for (const auto &e : m_endpoints) {
@@ -254,8 +290,12 @@
         const bool allowed = constraints.regions.allows(e.region);
         otherRegion = otherRegion || !allowed;
         evacuated = evacuated || (allowed && isEvacuated(e));
+        brittle = brittle || (allowed && !isEvacuated(e) && !mayRiskRejection(e, now));
         cold = cold || (allowed && !isEvacuated(e) && isCold(e, now));
     }
+    if (brittle) {
+        return NoEndpointReason::Brittle;
+    }
     if (cold) {
         return NoEndpointReason::Cold;
     }
--- a/src/router_core.h
+++ b/src/router_core.h
@@ -6,6 +6,7 @@
 #include "endpoint_refusals.h"
 #include "peer_message.h"
 #include "prompt_holders.h"
+#include "rejection_limit.h"
 #include "task.h"
 #include "yucca/placement.h"
 #include "yucca/regions.h"
@@ -37,6 +38,7 @@
     Evacuated, ///< all remaining endpoints are in evacuated failure domains
     Cold, ///< all remaining endpoints are cold, and this router has used up its share of their allowance
     Region, ///< no endpoint is in an allowed region
+    Brittle, ///< all remaining endpoints may be full, and this router has used up its share of the rejections that they bear
 };
 
 /// How the table places requests.
@@ -95,8 +97,14 @@
     std::size_t poolSize(const std::string &pool) const;
     /// Clears the failure count and the suspicion of an endpoint that answered.
     void clearFailures(const std::string &id);
-    /// Records an endpoint's own report of its requests in flight.
-    void recordLoadReport(const std::string &id, int64_t load, Clock::time_point now);
+    /// Records an endpoint's own report of its requests in flight, and of its slots if it states them.
+    void recordLoadReport(const std::string &id, int64_t load, Clock::time_point now, int64_t slots = 0);
+    /// Records what an endpoint's answer states of the rejections in a second that each endpoint of its service bears; nothing: any
+    /// number. While there is a limit, an endpoint gets a request only if it was just reported to be at most half full, or if this
+    /// router's share of the limit allows that the request is rejected.
+    void recordRejectionLimit(const Endpoint &endpoint, std::optional<int64_t> maxPerSecond, Clock::time_point now);
+    /// Records that an endpoint accepted a request which was acquired at the given time.
+    void recordAccepted(const Endpoint &endpoint, Clock::time_point sentAt);
     /// Records a load report that a peer router received. A report older than the last one is ignored.
     void mergePeerReport(const peers::LoadReport &report, Clock::time_point now);
     /// The reports that this router itself received after the given time.
@@ -124,7 +132,7 @@
     std::optional<Clock::time_point> earliestBackOffEnd(const std::string &pool, Clock::time_point now, const PlacementConstraints &constraints = {}) const;
     /// The reason why acquire() finds no endpoint of a pool.
     NoEndpointReason noEndpointReason(const std::string &pool, const std::set<std::string> &exclude, Clock::time_point now,
-                                      const PlacementConstraints &constraints = {}) const;
+                                      const PlacementConstraints &constraints = {});
 
     /// Replaces the set of evacuated failure domains, whose endpoints receive no requests. Endpoints of a domain that
     /// is no longer in the set are treated as cold, as if they had become cold at revokedAt.
@@ -195,6 +203,7 @@
         Clock::time_point coldUntil{};
         int64_t inflight = 0;
         int64_t placed = 0;
+        int64_t slots = 0; ///< 0: not stated
         int64_t reportedLoad = 0; ///< load in the last report that this router itself received
         Clock::time_point receivedAt{};
         int64_t peerLoad = 0; ///< load in the newest report that a peer received
@@ -208,6 +217,8 @@
                           Clock::time_point now, placement::Usable &usable);
     static bool areAtBound(const Pool &pool, const placement::Usable &members, Clock::time_point now);
     bool isCold(const Endpoint &endpoint, Clock::time_point now) const;
+    bool mayRiskRejection(const Endpoint &endpoint, Clock::time_point now);
+    static bool hasRoom(const Health &health, Clock::time_point now);
     bool isEvacuated(const Endpoint &endpoint) const
     {
         return m_evacuated.count(endpoint.zone) > 0;
@@ -241,6 +252,7 @@
     std::set<std::string> m_evacuated; ///< failure domains
     EndpointRefusals m_refusals;
     limits::ColdLimiter m_coldLimiter;
+    limits::RejectionLimiter m_rejections;
     std::map<std::string, Clock::time_point> m_unlistedAt; ///< by incarnation: when it was last listed
 };
 
--- a/src/router_reports.cpp
+++ b/src/router_reports.cpp
@@ -19,10 +19,11 @@
     }
 }
 
-void RoutingTable::recordLoadReport(const std::string &id, int64_t load, Clock::time_point now)
+void RoutingTable::recordLoadReport(const std::string &id, int64_t load, Clock::time_point now, int64_t slots)
 {
     std::lock_guard lock(m_mutex);
     auto &health = m_health[id];
+    health.slots = slots > 0 ? slots : health.slots;
     health.reportedLoad = load;
     health.receivedAt = now;
     applyReport(id, load, now);
