A peer that lists no such live endpoint is not taken for an older release

A router whose peer answered 404 passed it over for 30 s as one without tunnels; a peer that had merely failed to reach this endpoint lately, or not yet listed it, answered the same. It answers 421 now, and stays usable for other endpoints. A request that is cancelled, or at its deadline, while a tunnel is being opened no longer excludes the peer. Found by reading; Relay has the statuses.

--- a/src/entry/gateway.h
+++ b/src/entry/gateway.h
@@ -240,7 +240,7 @@
     Task<OpenResult> openDirect(http::Exchange &ex, RequestState &state, Endpoint endpoint, http::CallOptions options);
     Task<OpenResult> openRelayed(http::Exchange &ex, RequestState &state, Endpoint endpoint, http::CallOptions options);
     Task<OpenResult> openByAnyPath(http::Exchange &ex, RequestState &state, Endpoint endpoint, http::CallOptions options);
-    bool shouldRelayAtOnce(const Endpoint &endpoint, const http::CallError &error, Clock::time_point began) const;
+    bool shouldRelayAtOnce(const Endpoint &endpoint, Clock::time_point began) const;
     void excludeAfterRefusal(const http::Address &peer, unsigned status);
     bool mayAskPeers() const
     {
--- a/src/entry/gateway_paths.h
+++ b/src/entry/gateway_paths.h
@@ -64,6 +64,9 @@
             co_await recordCutPath(endpoint);
             co_return std::move(opened);
         }
+        if (state.cancellation.isCancelled() || Clock::now() >= options.deadline) {
+            break; // the request gave up, not the peer
+        }
         excludeAfterRefusal(*peer, error->tunnelStatus);
         unreachable += error->tunnelStatus == static_cast<unsigned>(http::TunnelStatus::Unreachable) ? 1 : 0;
     }
@@ -89,7 +92,7 @@
     if (!unreached || !mayAskPeers() || m_paths.isUnreachable(endpoint, Clock::now())) {
         co_return std::move(opened);
     }
-    if (shouldRelayAtOnce(endpoint, *error, began)) {
+    if (shouldRelayAtOnce(endpoint, began)) {
         auto relayed = co_await openRelayed(ex, state, endpoint, options);
         co_return std::move(relayed);
     }
@@ -100,7 +103,7 @@
 
 // An endpoint that does not answer at all is most often down, and a peer would wait for it as long as this router has: the
 // request is sent elsewhere at once, unless other endpoints did not answer either.
-template <Dialect D> bool Gateway<D>::shouldRelayAtOnce(const Endpoint &endpoint, const http::CallError &error, Clock::time_point began) const
+template <Dialect D> bool Gateway<D>::shouldRelayAtOnce(const Endpoint &endpoint, Clock::time_point began) const
 {
     const bool refused = Clock::now() - began < m_options.connectTimeout;
     return refused || m_paths.othersFail(endpoint, Clock::now());
@@ -108,10 +111,10 @@
 
 template <Dialect D> void Gateway<D>::excludeAfterRefusal(const http::Address &peer, unsigned status)
 {
-    if (status == static_cast<unsigned>(http::TunnelStatus::Unreachable)) {
+    if (status == static_cast<unsigned>(http::TunnelStatus::Unreachable) || status == static_cast<unsigned>(http::TunnelStatus::Unknown)) {
         return; // the peer may reach other endpoints
     }
-    const bool unsupported = status == static_cast<unsigned>(http::TunnelStatus::Unknown);
+    const bool unsupported = status == static_cast<unsigned>(http::TunnelStatus::Unsupported);
     m_relayPeers->exclude(peer, Clock::now() + (unsupported ? m_options.relayUnsupportedPause : m_options.relayPeerPause));
 }
 
--- a/src/relay_server.cpp
+++ b/src/relay_server.cpp
@@ -95,7 +95,10 @@
         boost::system::error_code ec;
         tunnel->peer.expires_never();
         const auto n = co_await tunnel->peer.async_read_some(asio::buffer(buffer), asio::redirect_error(asio::use_awaitable, ec));
-        const bool written = !ec && co_await writeAll(tunnel->endpoint, asio::buffer(buffer.data(), n), tunnel->writeTimeout);
+        bool written = false;
+        if (!ec) {
+            written = co_await writeAll(tunnel->endpoint, asio::buffer(buffer.data(), n), tunnel->writeTimeout);
+        }
         if (!written) {
             tunnel->abort();
             co_return;
@@ -111,19 +114,20 @@
         boost::system::error_code ec;
         tunnel->endpoint.expires_never();
         const auto n = co_await tunnel->endpoint.async_read_some(asio::buffer(buffer), asio::redirect_error(asio::use_awaitable, ec));
-        if (ec == asio::error::eof) {
-            const bool marked = co_await writeAll(tunnel->peer, asio::buffer(tunnel->endMarker), tunnel->writeTimeout);
-            if (marked) {
-                tunnel->peer.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ec);
-                co_return;
-            }
-            ec = asio::error::broken_pipe;
+        const bool ended = ec == asio::error::eof;
+        const auto bytes = ended ? asio::buffer(tunnel->endMarker) : asio::buffer(buffer.data(), n);
+        bool written = false;
+        if (ended || !ec) {
+            written = co_await writeAll(tunnel->peer, bytes, tunnel->writeTimeout);
         }
-        const bool written = !ec && co_await writeAll(tunnel->peer, asio::buffer(buffer.data(), n), tunnel->writeTimeout);
         if (!written) {
             tunnel->abort();
             co_return;
         }
+        if (ended) {
+            tunnel->peer.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ec);
+            co_return;
+        }
     }
 }
 
--- a/src/tunnel.h
+++ b/src/tunnel.h
@@ -26,7 +26,8 @@
 enum class TunnelStatus : unsigned {
     Open = 101,
     Forbidden = 403, ///< the sender is not a listed router
-    Unknown = 404, ///< the peer knows no such live endpoint; also the answer of a release without tunnels
+    Unsupported = 404, ///< the answer of a release without tunnels
+    Unknown = 421, ///< the peer lists no such endpoint as live, or has failed to reach it recently
     Unreachable = 502, ///< the peer could not connect to the endpoint
     Unavailable = 503, ///< the peer is stopping, is cut off from the endpoint itself, or has no tunnel left
 };
--- a/tests/test_relay.cpp
+++ b/tests/test_relay.cpp
@@ -256,14 +256,14 @@
     };
     const auto key = incarnationKey(peer.table.endpoints()[0]);
     LONGS_EQUAL(101, ask(key));
-    LONGS_EQUAL(404, ask("e2#0"));
+    LONGS_EQUAL(421, ask("e2#0"));
     peer.senders.setPeers({}, {"10.0.0.1"});
     LONGS_EQUAL(403, ask(key));
     peer.senders.setPeers({}, {"127.0.0.1"});
     peer.table.backOff(peer.table.endpoints()[0], Clock::now() + Millis(1000));
     LONGS_EQUAL(503, ask(key));
     peer.table.recordLeaving(peer.table.endpoints()[0], true, Clock::now());
-    LONGS_EQUAL(404, ask(key));
+    LONGS_EQUAL(421, ask(key));
 }
 
 TEST(Relay, NumberOfTunnelsIsLimitedAndAStoppingPeerOffersNone)
