A soak run that ends by an exception counts as broken

An exception, such as a port in use, ended a run with no requests and no broken promise. Seen when programs of an ended run still held the ports: 0 faults, 0 requests, 0 promises broken.

--- a/emulators/soak/fleet.cpp
+++ b/emulators/soak/fleet.cpp
@@ -86,8 +86,8 @@
 {
     std::filesystem::create_directories(m_options.directory);
     bool done = false;
-    asio::co_spawn(m_loop, runSoak(), [&](std::exception_ptr, bool) {
-        done = true;
+    asio::co_spawn(m_loop, runSoak(), [&](std::exception_ptr failure, bool) {
+        done = !failure;
         m_loop.stop();
     });
     m_loop.run();
