--- a/src/entry/gateway_crashes.h
+++ b/src/entry/gateway_crashes.h
@@ -83,7 +83,7 @@
         recordAlive(endpoint, *watch); // the path was cut, not the endpoint
         co_await recordCutPath(endpoint);
     }
-    // A refusal shows a crash only if it is not the path's: unless there are no peers, one of them must confirm it.
+    // A refusal shows a crash only if it is not the path's: unless there are no peers, two of them must confirm it.
     const bool refused = probe == http::Probe::Refused && (peerView == PeerView::Unreachable || !mayAskPeers());
     auto listingState = m_table.listingState(endpoint);
     bool crashed = listingState == router::ListingState::Restarted || (refused && listingState != router::ListingState::Leaving);
--- a/src/entry/gateway_paths.h
+++ b/src/entry/gateway_paths.h
@@ -38,7 +38,7 @@
 }
 
 // Asks peers for a tunnel to the endpoint, one after the other, and sends the request through the first one. One peer that
-// cannot reach the endpoint may have lost its own path; a second one settles that the endpoint is down.
+// cannot reach the endpoint may have lost its own path, so a second one is asked.
 template <Dialect D>
 Task<typename Gateway<D>::OpenResult> Gateway<D>::openRelayed(http::Exchange &ex, RequestState &state, Endpoint endpoint, http::CallOptions options)
 {
