Retry budgets can be seen: gauges for each service, and refusals in the request's line

The logs and metrics could not tell the hypotheses of the incident apart: what a router has spent in the window, what it may spend, and its share of the slack are gauges now, and RequestFinished says when an attempt was not made for want of budget. No change of logic: the same sums, moved into RetryBudget::usageAt().

--- a/src/admission.cpp
+++ b/src/admission.cpp
@@ -44,11 +44,16 @@
     m_tokens = std::min(m_tokens, burst);
 }
 
+int64_t RetryBudget::sliceIndexAt(Clock::time_point now) const
+{
+    const auto length = std::max<Clock::duration>(m_limits.window / slicesPerWindow, Millis(1));
+    return now.time_since_epoch() / length;
+}
+
 // The slice that contains now, reset if it still holds counts of an earlier window.
 RetryBudget::Slice &RetryBudget::sliceAt(Clock::time_point now)
 {
-    const auto length = std::max<Clock::duration>(m_limits.window / slicesPerWindow, Millis(1));
-    const int64_t index = now.time_since_epoch() / length;
+    const int64_t index = sliceIndexAt(now);
     auto &slice = m_slices[static_cast<std::size_t>(index) % m_slices.size()];
     if (slice.index != index) {
         slice = {index, 0, 0};
@@ -62,18 +67,31 @@
     ++sliceAt(now).requests;
 }
 
-bool RetryBudget::tryRetry(Clock::time_point now)
+// Returns the usage in the window that ends with a slice.
+RetryUsage RetryBudget::usageAt(int64_t index) const
 {
-    std::lock_guard lock(m_mutex);
-    auto &current = sliceAt(now);
     int64_t requests = 0;
     int64_t retries = 0;
     for (const auto &slice : m_slices) {
-        const int64_t age = current.index - slice.index;
+        const int64_t age = index - slice.index;
         requests += age < slicesPerWindow ? slice.requests : 0;
         retries += age <= slicesPerWindow ? slice.retries : 0;
     }
-    if (static_cast<double>(retries + 1) > m_limits.ratio * static_cast<double>(requests) + m_limits.minRetries) {
+    return {static_cast<double>(retries), m_limits.ratio * static_cast<double>(requests) + m_limits.minRetries, m_limits.minRetries};
+}
+
+RetryUsage RetryBudget::usage(Clock::time_point now) const
+{
+    std::lock_guard lock(m_mutex);
+    return usageAt(sliceIndexAt(now));
+}
+
+bool RetryBudget::tryRetry(Clock::time_point now)
+{
+    std::lock_guard lock(m_mutex);
+    auto &current = sliceAt(now);
+    const auto used = usageAt(current.index);
+    if (used.spent + 1 > used.allowed) {
         return false;
     }
     ++current.retries;
--- a/src/admission.h
+++ b/src/admission.h
@@ -51,6 +51,13 @@
     Millis window{10000}; ///< sliding window over which attempts and retries are counted
 };
 
+/// What a RetryBudget has spent and may spend in the window that ends now.
+struct RetryUsage {
+    double spent = 0; ///< retries
+    double allowed = 0; ///< retries, share included
+    double share = 0; ///< retries that this router may spend in addition to its ratio of requests
+};
+
 /// Limits retries to a share of the requests, so that retries do not flood a failing pool. Counts over a sliding
 /// window, so that retries unused while a router was healthy are available when an endpoint fails. A token bucket
 /// that holds only minRetries tokens would refuse many permitted retries after a large crash.
@@ -65,6 +72,7 @@
     void recordRequest(Clock::time_point now);
     /// Counts one retry and returns true, or returns false if the budget is exhausted.
     bool tryRetry(Clock::time_point now);
+    RetryUsage usage(Clock::time_point now) const;
     /// Replaces the limits. The counts stay unless the window changes.
     void setLimits(RetryLimits limits);
 
@@ -79,9 +87,11 @@
     /// One slice more than a window spans: a retry counts until it has certainly left the window.
     using Slices = std::array<Slice, slicesPerWindow + 1>;
 
+    int64_t sliceIndexAt(Clock::time_point now) const;
     Slice &sliceAt(Clock::time_point now);
+    RetryUsage usageAt(int64_t index) const;
 
-    std::mutex m_mutex;
+    mutable std::mutex m_mutex;
     RetryLimits m_limits;
     Slices m_slices;
 };
--- a/src/entry/entry_metrics.cpp
+++ b/src/entry/entry_metrics.cpp
@@ -32,7 +32,18 @@
 
 std::string labelled(std::string_view label, std::string_view value)
 {
-    return std::string(label) + "=\"" + std::string(value) + "\"";
+    std::string out = std::string(label) + "=\"";
+    for (const char c : value) {
+        if (c == '\n') {
+            out += "\\n";
+            continue;
+        }
+        if (c == '"' || c == '\\') {
+            out += '\\';
+        }
+        out += c;
+    }
+    return out + "\"";
 }
 
 // Writes one counter for each name of a table.
@@ -52,6 +63,15 @@
     writeSample(out, name, "", value);
 }
 
+// Writes one gauge of the retry budgets, with one sample for each service.
+void writeRetryGauge(std::string &out, std::string_view name, std::string_view help, const std::vector<RetryGauge> &budgets, double limits::RetryUsage::*member)
+{
+    writeHead(out, name, "gauge", help);
+    for (const auto &budget : budgets) {
+        writeSample(out, name, labelled("service", budget.service), budget.usage.*member);
+    }
+}
+
 } // namespace
 
 LatencyHistogram::LatencyHistogram()
@@ -132,6 +152,10 @@
     writeCounters(out, "yucca_attempts_total", "Attempts at endpoints", "end", attemptEndNames, m_attempts);
     writeSingle(out, "yucca_retries_total", "counter", "Further arrivals at endpoints", static_cast<double>(retries));
     writeSingle(out, "yucca_retries_denied_total", "counter", "Requests that ended for want of retry budget", static_cast<double>(retriesDenied));
+    writeRetryGauge(out, "yucca_retry_budget_spent", "Retries in the window that ends now", gauges.retryBudgets, &limits::RetryUsage::spent);
+    writeRetryGauge(out, "yucca_retry_budget_allowed", "Retries that this router may make in that window", gauges.retryBudgets, &limits::RetryUsage::allowed);
+    writeRetryGauge(out, "yucca_retry_budget_share", "Part of the allowed retries that is this router's share of the fleet's slack", gauges.retryBudgets,
+                    &limits::RetryUsage::share);
     writeSingle(out, "yucca_resumptions_total", "counter", "Streams that went on at another endpoint", static_cast<double>(resumptions));
     writeSingle(out, "yucca_replays_total", "counter", "Requests answered with a stored answer", static_cast<double>(replays));
     writeSingle(out, "yucca_ejections_total", "counter", "Endpoints passed by for failing more than the others", static_cast<double>(ejections));
--- a/src/entry/entry_metrics.h
+++ b/src/entry/entry_metrics.h
@@ -2,6 +2,7 @@
 // Prometheus client library for C++; the histograms use Boost.Histogram.
 #pragma once
 
+#include "admission.h"
 #include "entry/request_profile.h"
 #include "entry/retry_policy.h"
 #include "metrics.h"
@@ -45,6 +46,12 @@
     double m_sum = 0;
 };
 
+/// The retry budget of a service at this router.
+struct RetryGauge {
+    std::string service;
+    limits::RetryUsage usage;
+};
+
 /// Values sampled when the metrics are read.
 struct Gauges {
     int64_t configurationVersion = 0;
@@ -60,11 +67,14 @@
     int64_t tunnels = 0; ///< number of open tunnels of peers to endpoints
     uint64_t tunnelsAccepted = 0; ///< since the start
     uint64_t tunnelsRefused = 0; ///< since the start
+    std::vector<RetryGauge> retryBudgets; ///< at most maxGaugedServices
 };
 
-/// The counters of one traffic thread. They must be used on that thread only. Labels come from
-/// fixed tables only, never from text of callers or operators, so that the number of series is
-/// bounded.
+/// The number of services whose retry budgets are exported.
+inline constexpr std::size_t maxGaugedServices = 100;
+
+/// The counters of one traffic thread. They must be used on that thread only. The number of series
+/// is bounded: labels come from fixed tables, except the names of at most maxGaugedServices services.
 class Metrics
 {
 public:
--- a/src/entry/gateway.h
+++ b/src/entry/gateway.h
@@ -167,6 +167,7 @@
     {
         gauges.connectionsOpened = m_client.connectionsOpened();
         gauges.cutPaths = m_paths.cutCount();
+        gauges.retryBudgets = retryGauges();
         return m_metrics.text(gauges);
     }
     /// Rejects all new requests from now on, because this router is about to stop.
@@ -205,6 +206,7 @@
         Clock::time_point acquiredAt{}; ///< when the current attempt was counted at its endpoint
         unsigned lastStatus = 0; ///< status of the last endpoint's own response
         ResponseHead lastHead; ///< head of the last attempt's response; default values if none arrived
+        bool retryDenied = false; ///< for want of retry budget
         int64_t lastLoad = -1; ///< load that the last endpoint reported; -1: not reported
         std::optional<EngineFailure> failure;
         std::optional<router::NoEndpointReason> noEndpointReason; ///< the reason if no endpoint could take the request
@@ -262,7 +264,8 @@
     router::PromptEstimate estimatePrompt(const RequestState &state, const Endpoint &endpoint, Clock::time_point now) const;
     void recordAttempt(const RequestState &state, const Endpoint &endpoint, AttemptEnd end, Clock::time_point began, bool willRetry);
     static RequestEnd requestEndFor(const RequestState &state, AttemptEnd end);
-    bool spendRetry(const std::string &service);
+    bool spendRetry(RequestState &state);
+    std::vector<RetryGauge> retryGauges() const;
     http::ConnectionReuse reuseFor(const RequestState &state, Clock::time_point now) const;
     Task<void> closeStaleConnections(const Endpoint &endpoint);
     std::optional<Millis> quarantineRemaining(const RequestProfile &profile, Clock::time_point now) const;
@@ -364,7 +367,7 @@
             break;
         }
         const router::AcquiredEndpoint acquired(m_table, *endpoint);
-        if (state.count.arrivals > 0 && !spendRetry(state.service)) {
+        if (state.count.arrivals > 0 && !spendRetry(state)) {
             break;
         }
         state.lastEndpoint = endpoint->id;
@@ -386,7 +389,7 @@
         state.sendLost = state.sendLost || staleConnection;
         const bool mayRepeat = staleConnection && repeatable(route) && !state.cancellation.isCancelled() && !quarantineRemaining(state.profile, Clock::now());
         const auto resendAt = Clock::now();
-        if (mayRepeat && m_table.acquireForResend(*endpoint, resendAt) && spendRetry(state.service)) {
+        if (mayRepeat && m_table.acquireForResend(*endpoint, resendAt) && spendRetry(state)) {
             state.acquiredAt = resendAt;
             // The keep-alive connection was closed during the request; the endpoint itself may be
             // healthy.
--- a/src/entry/gateway_statistics.h
+++ b/src/entry/gateway_statistics.h
@@ -20,13 +20,26 @@
 
 // Spends one extra arrival from the retry budget of a service; returns false when the budget is
 // used up.
-template <Dialect D> bool Gateway<D>::spendRetry(const std::string &service)
+template <Dialect D> bool Gateway<D>::spendRetry(RequestState &state)
 {
-    const bool taken = retryBudgetFor(service).tryRetry(Clock::now());
+    const bool taken = retryBudgetFor(state.service).tryRetry(Clock::now());
     ++(taken ? m_metrics.retries : m_metrics.retriesDenied);
+    state.retryDenied = state.retryDenied || !taken;
     return taken;
 }
 
+template <Dialect D> std::vector<RetryGauge> Gateway<D>::retryGauges() const
+{
+    std::vector<RetryGauge> gauges;
+    const auto now = Clock::now();
+    for (const auto &[service, budget] : m_budgets) {
+        if (gauges.size() < maxGaugedServices) {
+            gauges.push_back({service, budget.usage(now)});
+        }
+    }
+    return gauges;
+}
+
 // Returns the end of a request whose last attempt was final.
 template <Dialect D> RequestEnd Gateway<D>::requestEndFor(const RequestState &state, AttemptEnd end)
 {
@@ -128,6 +141,7 @@
         .add("holder", state.promptEstimate.source ? state.promptEstimate.source->id : "")
         .add("sends", int64_t{state.count.attempts})
         .add("runs", int64_t{state.count.runs})
+        .add("retry_denied", state.retryDenied)
         .add("events", static_cast<int64_t>(state.events.lastId()))
         .add("first_ms", firstByte < 0 ? int64_t{-1} : static_cast<int64_t>(firstByte * 1000))
         .add("ms", elapsedMs(p.arrived));
