Failing tests: retries of the whole fleet against its budget

The soak counted no retries. Endpoints write down each arrival, the soak compares them with the callers' requests over any window, and a plan of its own (--retries) lets one service fail most requests while routers are killed one by one and together, paused, cut off from the store and from endpoints, and lose their list.

--- a/emulators/endpoint_main.cpp
+++ b/emulators/endpoint_main.cpp
@@ -37,6 +37,7 @@
     int advertisedPort = 0;
     int workMs = static_cast<int>(options.work.count());
     char *runLog = nullptr;
+    char *arrivalLog = nullptr;
     char *backoffViolationLog = nullptr;
     char *crashBody = nullptr;
     const poptOption programOptions[] = {
@@ -47,6 +48,7 @@
         {"work-ms", 0, POPT_ARG_INT, &workMs, 0, "duration of a request that is not streamed", "MS"},
         {"advertise", 0, POPT_ARG_INT, &advertisedPort, 0, "registered port, for an endpoint behind a proxy (0: the listen port)", "PORT"},
         {"run-log", 0, POPT_ARG_STRING, &runLog, 0, "file to which the id of each request is written before the request runs", "FILE"},
+        {"arrival-log", 0, POPT_ARG_STRING, &arrivalLog, 0, "file that lists the Unix time in ms and the id of each request when it arrives", "FILE"},
         {"rest-log", 0, POPT_ARG_STRING, &backoffViolationLog, 0, "file that lists the senders which did not respect Retry-After", "FILE"},
         {"ends-under", 0, POPT_ARG_STRING, &crashBody, 0, "a request with this body crashes the endpoint", "BODY"},
         {"zone", 0, POPT_ARG_STRING, &zone, 0, "failure domain of the endpoint", "NAME"},
@@ -73,6 +75,7 @@
     options.work = Millis(workMs);
     options.advertisedPort = static_cast<uint16_t>(advertisedPort);
     options.runLog = runLog ? runLog : "";
+    options.arrivalLog = arrivalLog ? arrivalLog : "";
     options.backoffViolationLog = backoffViolationLog ? backoffViolationLog : "";
     options.crashBody = crashBody ? crashBody : "";
     log::init("yucca-endpoint", "info");
--- a/emulators/endpoint_server.cpp
+++ b/emulators/endpoint_server.cpp
@@ -79,11 +79,26 @@
     if (!m_options.runLog.empty()) {
         m_runLog.open(m_options.runLog, std::ios::app);
     }
+    if (!m_options.arrivalLog.empty()) {
+        m_arrivalLog.open(m_options.arrivalLog, std::ios::app);
+    }
     if (!m_options.backoffViolationLog.empty()) {
         m_backoffViolationLog.open(m_options.backoffViolationLog, std::ios::app);
     }
 }
 
+void EndpointServer::recordArrival(const std::string &id)
+{
+    if (m_arrivalLog.is_open()) {
+        m_arrivalLog << unixMs() << " " << id << std::endl;
+    }
+}
+
+bool EndpointServer::drawFailure()
+{
+    return std::uniform_int_distribution<int>(0, 99)(m_random) < m_faults.failPercent;
+}
+
 // The line is written before the work begins, so that it is kept if the process crashes.
 void EndpointServer::recordRun(const std::string &id)
 {
@@ -194,6 +209,9 @@
         co_await admin(ex);
         co_return;
     }
+    if (ex.path() != "/health" && !ex.header(attemptIdHeader).empty()) {
+        recordArrival(ex.header(attemptIdHeader));
+    }
     const std::string expected = ex.header("Yuccasaddle-Expected-Instance");
     if (ex.path() == "/health") {
         auto headers = withStatements(notExecutedHeaders(m_options.id));
@@ -239,7 +257,7 @@
         co_return;
     }
     const auto headers = responseHeaders(ex);
-    co_await ex.reply(m_faults.fail ? 500 : 200, "answer of " + m_options.id + " to " + ex.header(attemptIdHeader), headers, "text/plain");
+    co_await ex.reply(drawFailure() ? 500 : 200, "answer of " + m_options.id + " to " + ex.header(attemptIdHeader), headers, "text/plain");
 }
 
 Task<void> EndpointServer::sendStream(http::Exchange &ex)
@@ -276,7 +294,7 @@
         m_faults.shed = body.value("shed", false);
         m_faults.restMs = body.value("restMs", 0);
         m_faults.loseAnswers = body.value("loseAnswers", false);
-        m_faults.fail = body.value("fail", false);
+        m_faults.failPercent = body.value("failPercent", 0);
         m_faults.cutAfter = body.value("cutAfter", -1);
     }
     co_await ex.reply(200, "{}");
--- a/emulators/endpoint_server.h
+++ b/emulators/endpoint_server.h
@@ -10,6 +10,7 @@
 #include <deque>
 #include <fstream>
 #include <functional>
+#include <random>
 #include <string>
 
 namespace yucca::emulators
@@ -37,6 +38,7 @@
     }; ///< ends the process; tests replace it
     std::string backoffViolationLog; ///< file that lists the senders which did not respect Retry-After; empty: none
     std::string runLog; ///< file that lists the id of each request before it runs; empty: none
+    std::string arrivalLog; ///< file that lists the Unix time in milliseconds and the id of each request when it arrives; empty: none
     Millis heartbeatInterval{500}; ///< between two updates of the entry in the store
     Millis stopDelay{1500}; ///< continues to serve for this time after a stop signal
 };
@@ -53,7 +55,7 @@
     bool shed = false; ///< rejects every request without running it
     int restMs = 0; ///< Retry-After of each rejection, in milliseconds; 0: none
     bool loseAnswers = false; ///< runs requests and closes the connection without a response
-    bool fail = false; ///< runs requests and responds with status 500
+    int failPercent = 0; ///< share of the requests that run and get a response with status 500
     int cutAfter = -1; ///< closes the connection after this event of a stream; -1: never
 };
 
@@ -82,7 +84,9 @@
     };
     void checkBackoff(const std::string &sender);
     Task<void> admin(http::Exchange &ex);
+    void recordArrival(const std::string &id);
     void recordRun(const std::string &id);
+    bool drawFailure();
     Millis coldRemaining() const;
     void checkColdLimit();
     void recordRejection();
@@ -106,6 +110,8 @@
     int64_t m_startTimeMs = std::chrono::duration_cast<Millis>(std::chrono::system_clock::now().time_since_epoch()).count();
     std::map<std::string, int> m_runs; ///< executions by request id
     std::ofstream m_runLog;
+    std::ofstream m_arrivalLog;
+    std::minstd_rand m_random{std::random_device{}()};
     std::map<std::string, BackoffPeriod> m_backoffs; ///< by sender
     std::ofstream m_backoffViolationLog;
 };
--- a/emulators/soak/callers.cpp
+++ b/emulators/soak/callers.cpp
@@ -9,6 +9,7 @@
 {
 
 constexpr Millis callerRequestDelay{15}; ///< between one caller's requests
+constexpr Millis retryPlanRequestDelay{100}; ///< the same in a retry plan: with fewer requests, most of the budget is its slack
 constexpr int probesPerRouter = 40;
 constexpr double minServedFraction = 0.95; ///< below 1, as an endpoint's latest heartbeat may not have arrived yet
 
@@ -34,17 +35,26 @@
     return {{"Host", "h.example"}, {"Yuccasaddle-Attempt-Id", id}, {"X-Api-Key", key}, {"Yuccasaddle-Deadline-Ms", std::to_string(callerTimeout.count())}};
 }
 
+// In a retry plan, most requests are such that a router may retry.
+Kind SoakFleet::kindOf(int request) const
+{
+    if (m_options.plan.retries && request % 4 != 0) {
+        return Kind::Reminder;
+    }
+    return kindNames[static_cast<std::size_t>(m_options.plan.retries ? request / 4 : request) % kindNames.size()].first;
+}
+
 // Runs one caller: it sends one request after the other and alternates between the routers.
 Task<void> SoakFleet::runCaller(int caller)
 {
     ++m_activeCallers;
     while (!m_stopping) {
         const int n = m_requestCount;
-        const auto kind = kindNames[static_cast<std::size_t>(n) % kindNames.size()].first;
+        const auto kind = kindOf(n);
         const auto router = static_cast<std::size_t>(n / 4 + caller) % m_routers.size();
         const std::string id = requestId("q" + std::to_string(m_options.plan.seed), router);
         co_await sendRequest(id, kind, router, apiKeyFor(m_acceptedVersion));
-        co_await sleepFor(callerRequestDelay);
+        co_await sleepFor(m_options.plan.retries ? retryPlanRequestDelay : callerRequestDelay);
     }
     --m_activeCallers;
 }
@@ -58,6 +68,7 @@
     const std::string sender = senderName(router);
     const auto sentAt = Clock::now();
     auto *service = currentService(router);
+    recordRequest(serviceOf(kind));
     const std::string method = kind == Kind::Reminder ? "GET" : "POST";
     auto headers = callerHeaders(id, key);
     auto opened = co_await m_client.open(to, http::makeRequest(method, pathOf(kind), kind == Kind::Reminder ? "" : "{}", headers), options);
@@ -90,6 +101,7 @@
     const http::Address to{"127.0.0.1", routerPort(router, 0)};
     const std::string id = requestId("calm", router);
     auto headers = callerHeaders(id, key);
+    recordRequest(serviceOf(Kind::Reminder));
     auto called = co_await m_client.call(to, http::makeRequest("GET", "/remind/1", "", headers), options);
     const auto *reply = std::get_if<http::Reply>(&called);
     co_return reply ? reply->status : 0;
--- a/emulators/soak/crashes.cpp
+++ b/emulators/soak/crashes.cpp
@@ -71,6 +71,7 @@
     const http::Address to{"127.0.0.1", routerPort(router, 4)};
     const std::string id = "ends-" + std::to_string(m_requestCount++);
     auto headers = callerHeaders(id, apiKeyFor(m_acceptedVersion));
+    recordRequest(streamService);
     co_await m_client.call(to, http::makeRequest("POST", crashingPath, crashingBody, headers), options);
 }
 
--- a/emulators/soak/faults.cpp
+++ b/emulators/soak/faults.cpp
@@ -115,7 +115,7 @@
         faults = R"({"loseAnswers": true})";
         break;
     case Fault::EndpointFails:
-        faults = R"({"fail": true})";
+        faults = R"({"failPercent": 100})";
         break;
     case Fault::EndpointCutsStreams:
         faults = R"({"cutAfter": 5})";
@@ -128,6 +128,54 @@
     }
 }
 
+// Lets all endpoints of the service without streams fail most requests.
+Task<void> SoakFleet::applyToService(Step step)
+{
+    if (step.fault != Fault::ServiceFails) {
+        co_return;
+    }
+    const auto until = Clock::now() + step.duration;
+    while (Clock::now() < until) { // endpoints that were restarted are told again
+        for (std::size_t n = 0; n < m_endpoints.size(); ++n) {
+            if (serviceOfEndpoint(n) == plainService) {
+                co_await adminCall(endpointPort(n, 0), "/admin/faults", R"({"failPercent": 80})");
+            }
+        }
+        co_await sleepFor(pollInterval * 5);
+    }
+    for (std::size_t n = 0; n < m_endpoints.size(); ++n) {
+        co_await adminCall(endpointPort(n, 0), "/admin/faults", "{}");
+    }
+}
+
+// Kills all routers at the same moment, and starts them again.
+Task<void> SoakFleet::restartAllRouters(Step step)
+{
+    if (step.fault != Fault::AllRoutersKilled) {
+        co_return;
+    }
+    const auto killed = killAllRouters();
+    co_await sleepFor(step.duration);
+    for (const auto n : killed) {
+        startRouter(n);
+    }
+}
+
+// Removes the entries of all routers from the store. Each router announces itself again with its next listing.
+Task<void> SoakFleet::removeRouterEntries(Step step)
+{
+    if (step.fault != Fault::RouterEntriesLost) {
+        co_return;
+    }
+    for (std::size_t n = 0; n < m_routers.size(); ++n) {
+        http::CallOptions options;
+        options.deadline = Clock::now() + callerTimeout;
+        const http::Address store{"127.0.0.1", port(storePortOffset)};
+        co_await m_client.call(store, http::makeRequest("DELETE", "/api/objects/router/router-" + std::to_string(n), ""), options);
+        // The result is ignored: the store may be down, and a router may not be listed yet.
+    }
+}
+
 Task<void> SoakFleet::applyToStore(Step step)
 {
     const char *faults = nullptr;
--- a/emulators/soak/fleet.cpp
+++ b/emulators/soak/fleet.cpp
@@ -19,6 +19,7 @@
 constexpr Millis settleTimeAfterFaults{4000}; ///< after the last fault, before service must be normal again
 constexpr Millis startTimeout{15000};
 constexpr Millis startTimeoutPerProgram{200}; ///< added to startTimeout
+const emulators::RetryAllowance retryAllowance{0.2, 90, Millis(10000)};
 constexpr double coldDurationS = 2.0; ///< of an endpoint that was restarted
 constexpr double coldRequestsPerS = 8;
 constexpr int maxColdRequests = 17; ///< in any second; the routers' settings allow 1.5 times coldRequestsPerS, plus 5
@@ -66,6 +67,7 @@
     case Fault::PowerLost:
     case Fault::RouterCutOff:
     case Fault::DomainCutOff:
+    case Fault::AllRoutersKilled:
         return true;
     default:
         return false;
@@ -92,7 +94,8 @@
     });
     m_loop.run();
     readRunLogs();
-    SoakOutcome outcome{m_invariants.sent(), m_invariants.served(), m_faultCount, m_crashes.size(), m_invariants.violations()};
+    SoakOutcome outcome{m_invariants.sent(), m_invariants.served(), m_faultCount, m_crashes.size(), std::nullopt, m_invariants.violations()};
+    checkRetries(outcome);
     outcome.violations.insert(outcome.violations.end(), m_violations.begin(), m_violations.end());
     if (!done) {
         outcome.violations.emplace_back("the soak test ended before its checks were complete");
@@ -139,6 +142,9 @@
                                   {"metrics", at(2)},
                                   {"peers", at(3)},
                                   {"store", at(5)},
+                                  {"retryRatio", retryAllowance.ratio},
+                                  {"retrySlack", retryAllowance.slack},
+                                  {"retryWindowS", static_cast<double>(retryAllowance.window.count()) / 1000},
                                   {"evacuationBoundMs", 3000},
                                   {"stopGraceS", 4}};
     return settings.dump();
@@ -173,12 +179,12 @@
 {
     auto &endpoint = m_endpoints[n];
     const std::string name = "i-" + std::to_string(n) + "-" + std::to_string(++endpoint.startCount);
-    const bool streams = n % 2 == 1;
+    const bool streams = serviceOfEndpoint(n) == streamService;
     std::vector<std::string> command{m_options.programs + "/yucca-endpoint",
                                      "--id",
                                      name,
                                      "--service",
-                                     streams ? "m" : "s",
+                                     serviceOfEndpoint(n),
                                      "--port",
                                      std::to_string(endpointPort(n, 0)),
                                      "--store-port",
@@ -198,7 +204,9 @@
                                      "--rest-log",
                                      m_options.directory + "/rests-" + std::to_string(n),
                                      "--run-log",
-                                     m_options.directory + "/runs-" + std::to_string(n)};
+                                     m_options.directory + "/runs-" + std::to_string(n),
+                                     "--arrival-log",
+                                     m_options.directory + "/arrivals-" + std::to_string(n)};
     if (streams) {
         command.emplace_back("--streams");
     }
@@ -318,6 +326,9 @@
     m_activeDisturbances += disturbing ? 1 : 0;
     co_await applyToRouter(step);
     co_await applyToEndpoint(step);
+    co_await applyToService(step);
+    co_await restartAllRouters(step);
+    co_await removeRouterEntries(step);
     co_await applyToStore(step);
     co_await applyToCallers(step);
     co_await applyPathCut(step);
@@ -342,6 +353,38 @@
     }
 }
 
+// Compares the arrivals at endpoints with the requests of callers.
+void SoakFleet::checkRetries(SoakOutcome &outcome)
+{
+    for (std::size_t n = 0; n < m_endpoints.size(); ++n) {
+        std::ifstream arrivals(m_options.directory + "/arrivals-" + std::to_string(n));
+        auto &count = m_retryCounts.try_emplace(serviceOfEndpoint(n), retryAllowance).first->second;
+        int64_t unixMs = 0;
+        for (std::string id; arrivals >> unixMs >> id;) {
+            count.recordArrival(id, Millis(unixMs));
+        }
+    }
+    for (const auto &[service, count] : m_retryCounts) {
+        const auto worst = count.worstWindow();
+        if (!worst) {
+            continue;
+        }
+        if (!outcome.worstRetryWindow || worst->excess() > outcome.worstRetryWindow->excess()) {
+            outcome.worstRetryWindow = worst;
+        }
+        if (worst->excess() > 0) {
+            m_violations.push_back("service " + service + " got " + std::to_string(worst->retries) + " retries for " + std::to_string(worst->requests)
+                                   + " requests in the window from Unix time " + std::to_string(worst->start.count()) + " ms, "
+                                   + std::to_string(static_cast<int>(worst->allowed)) + " are allowed");
+        }
+    }
+}
+
+void SoakFleet::recordRequest(const std::string &service)
+{
+    m_retryCounts.try_emplace(service, retryAllowance).first->second.recordRequest(unixTime());
+}
+
 void SoakFleet::readRunLogs()
 {
     for (std::size_t n = 0; n < m_endpoints.size(); ++n) {
--- a/emulators/soak/fleet.h
+++ b/emulators/soak/fleet.h
@@ -2,6 +2,7 @@
 // them, and callers record the responses they receive.
 #pragma once
 
+#include "retry_count.h"
 #include "soak/child.h"
 #include "soak/invariants.h"
 #include "soak/layout.h"
@@ -12,6 +13,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -33,6 +35,7 @@
     std::size_t served = 0;
     std::size_t faults = 0;
     std::size_t crashes = 0; ///< of endpoints under the crashing request
+    std::optional<emulators::RetryWindow> worstRetryWindow; ///< of the service that exceeds its allowance of retries most, or comes closest
     std::vector<std::string> violations; ///< one message each
 };
 
@@ -89,6 +92,9 @@
     Task<void> apply(Step step);
     Task<void> applyToRouter(Step step);
     Task<void> applyToEndpoint(Step step);
+    Task<void> applyToService(Step step);
+    Task<void> restartAllRouters(Step step);
+    Task<void> removeRouterEntries(Step step);
     Task<void> applyToStore(Step step);
     Task<void> applyToCallers(Step step);
     Task<void> applyPathCut(Step step);
@@ -113,6 +119,7 @@
     Task<void> checkCrashLimit();
     bool isRecovered(Clock::time_point now) const;
     Task<void> applyEmulatorFaults(uint16_t adminPort, const char *faults, Millis duration);
+    Kind kindOf(int request) const;
     Task<void> runCaller(int caller);
     Task<void> sendRequest(std::string id, Kind kind, std::size_t router, std::string key);
     Task<void> checkServiceAfterFaults();
@@ -120,6 +127,8 @@
     Task<unsigned> probe(std::size_t router, std::string key);
     void checkRouterExits();
     void readRunLogs();
+    void recordRequest(const std::string &service);
+    void checkRetries(SoakOutcome &outcome);
     uint16_t routerPort(std::size_t n, int offset) const
     {
         return port(portsPerRouter * static_cast<int>(n + 1) + offset);
@@ -141,6 +150,7 @@
     asio::io_context m_loop{1};
     http::Client m_client;
     InvariantChecker m_invariants;
+    std::map<std::string, emulators::RetryCount> m_retryCounts; ///< by service
     std::unique_ptr<Child> m_store;
     std::vector<Router> m_routers;
     std::vector<Endpoint> m_endpoints;
--- a/emulators/soak/layout.h
+++ b/emulators/soak/layout.h
@@ -9,6 +9,10 @@
 namespace yucca::soak
 {
 
+/// The services of the endpoints: one without streams, and one of model engines.
+inline constexpr const char *plainService = "s";
+inline constexpr const char *streamService = "m";
+
 /// The deadline of a caller's request.
 inline constexpr Millis callerTimeout{4000};
 inline constexpr Millis pollInterval{100};
@@ -41,6 +45,24 @@
     return domainName(domainIndexOf(endpoint));
 }
 
+/// Returns the service of an endpoint.
+inline std::string serviceOfEndpoint(std::size_t endpoint)
+{
+    return endpoint % 2 == 1 ? streamService : plainService;
+}
+
+/// Returns the service of a kind of request.
+inline std::string serviceOf(Kind kind)
+{
+    return kind == Kind::Booking || kind == Kind::Reminder ? plainService : streamService;
+}
+
+/// Returns the time for records of requests and arrivals: Unix time, which endpoints record too.
+inline Millis unixTime()
+{
+    return std::chrono::duration_cast<Millis>(std::chrono::system_clock::now().time_since_epoch());
+}
+
 /// Returns the API key of a version of the configuration. Each version revokes the key of the one before.
 inline std::string apiKeyFor(int version)
 {
--- a/emulators/soak/plan.cpp
+++ b/emulators/soak/plan.cpp
@@ -36,6 +36,16 @@
 constexpr std::array<CutScope, 4> cutScopes{CutScope::All, CutScope::All, CutScope::OneService, CutScope::Half};
 constexpr Millis longCutDuration{7000};
 constexpr Millis longCutInterval{8000}; ///< between the starts of two
+/// The faults of the series of a retry plan. Restarts are the most frequent.
+constexpr std::array<Fault, 12> retryPlanFaults{Fault::RouterKilled, Fault::RouterKilled, Fault::RouterKilled,      Fault::AllRoutersKilled,
+                                                Fault::RouterPaused, Fault::RouterPaused, Fault::RouterEntriesLost, Fault::RouterCutOff,
+                                                Fault::DomainCutOff, Fault::StoreDown,    Fault::StoreDisturbed,    Fault::StoreRestored};
+constexpr int maxRetrySeriesIntervalMs = 5000; ///< between the starts of two series of a retry plan
+constexpr int maxFaultsPerRetrySeries = 3;
+constexpr Millis retryPlanLead{3000}; ///< until the first series: the routers have listed each other
+constexpr int maxRetryFaultDurationMs = 1500; ///< of the other faults of a retry plan
+constexpr int maxPauseMs = 4000; ///< of a router in a retry plan
+constexpr uint64_t retryPlanSalt = 0x72657472; ///< XORed with the seed
 constexpr uint64_t powerLossSalt = 0x706f7772; ///< XORed with the seed
 constexpr Millis powerLossLead{1}; ///< before the end of the plan
 
@@ -112,23 +122,9 @@
     return plan;
 }
 
-void addPowerLoss(const PlanOptions &options, std::vector<Step> &plan)
-{
-    boost::random::mt19937_64 random(options.seed ^ powerLossSalt);
-    Step step;
-    step.at = options.duration - powerLossLead;
-    step.fault = Fault::PowerLost;
-    step.duration = Millis(boost::random::uniform_int_distribution<int>(minDurationMs, maxDurationMs)(random));
-    plan.push_back(step);
-}
-
-} // namespace
-
-std::vector<Step> makePlan(const PlanOptions &options)
+// Returns overlapping series of all kinds of faults.
+std::vector<Step> makeSeries(const PlanOptions &options)
 {
-    if (options.longCutsOnly) {
-        return makeLongCuts();
-    }
     boost::random::mt19937_64 random(options.seed);
     const auto draw = [&random](int min, int max) {
         return boost::random::uniform_int_distribution<int>(min, max)(random);
@@ -149,6 +145,57 @@
     for (const auto &independent : independentFaults) {
         addIndependentFault(independent, options, plan);
     }
+    return plan;
+}
+
+// Returns series of faults that change which routers run, reach each other's entries, and remember what they sent, while one
+// service fails most requests.
+std::vector<Step> makeRetryPlan(const PlanOptions &options)
+{
+    boost::random::mt19937_64 random(options.seed ^ retryPlanSalt);
+    const auto draw = [&random](int min, int max) {
+        return boost::random::uniform_int_distribution<int>(min, max)(random);
+    };
+    std::vector<Step> plan;
+    Step failure;
+    failure.fault = Fault::ServiceFails;
+    failure.duration = options.duration;
+    plan.push_back(failure);
+    for (Millis at{retryPlanLead}; at < options.duration; at += Millis(draw(0, maxRetrySeriesIntervalMs))) {
+        Step step;
+        step.at = at;
+        step.fault = retryPlanFaults[static_cast<std::size_t>(draw(0, static_cast<int>(retryPlanFaults.size()) - 1))];
+        const int faults = step.fault == Fault::AllRoutersKilled ? 1 : draw(1, maxFaultsPerRetrySeries);
+        for (int remaining = faults; remaining > 0 && step.at < options.duration; --remaining) {
+            step.target = static_cast<std::size_t>(draw(0, static_cast<int>(targetCountOf(step.fault, options)) - 1));
+            step.disturbance = disturbanceNames[static_cast<std::size_t>(draw(1, static_cast<int>(disturbanceNames.size()) - 1))].first;
+            step.duration = Millis(draw(minDurationMs, step.fault == Fault::RouterPaused ? maxPauseMs : maxRetryFaultDurationMs));
+            step.cut.established = cutDisturbances[static_cast<std::size_t>(draw(0, static_cast<int>(cutDisturbances.size()) - 1))];
+            plan.push_back(step);
+            step.at += Millis(draw(0, maxFaultIntervalMs));
+        }
+    }
+    return plan;
+}
+
+void addPowerLoss(const PlanOptions &options, std::vector<Step> &plan)
+{
+    boost::random::mt19937_64 random(options.seed ^ powerLossSalt);
+    Step step;
+    step.at = options.duration - powerLossLead;
+    step.fault = Fault::PowerLost;
+    step.duration = Millis(boost::random::uniform_int_distribution<int>(minDurationMs, maxDurationMs)(random));
+    plan.push_back(step);
+}
+
+} // namespace
+
+std::vector<Step> makePlan(const PlanOptions &options)
+{
+    if (options.longCutsOnly) {
+        return makeLongCuts();
+    }
+    std::vector<Step> plan = options.retries ? makeRetryPlan(options) : makeSeries(options);
     if (options.powerLoss) {
         addPowerLoss(options, plan);
     }
--- a/emulators/soak/plan.h
+++ b/emulators/soak/plan.h
@@ -38,9 +38,12 @@
     PowerLost, ///< all routers lose power when the store does, which is then restored from a recent backup
     RouterCutOff, ///< a router loses its paths to endpoints, and is reached by callers, the store and the other routers
     DomainCutOff, ///< as RouterCutOff, for all routers of a failure domain
+    ServiceFails, ///< all endpoints of one service fail most requests
+    AllRoutersKilled, ///< at the same moment; then all start
+    RouterEntriesLost, ///< the store loses the entries of all routers
 };
 
-inline constexpr NameTable<Fault, 27> faultNames{{{Fault::RouterKilled, "router_killed"},
+inline constexpr NameTable<Fault, 30> faultNames{{{Fault::RouterKilled, "router_killed"},
                                                   {Fault::RouterPaused, "router_paused"},
                                                   {Fault::RouterStopped, "router_stopped"},
                                                   {Fault::RouterReloads, "router_reloads"},
@@ -66,7 +69,10 @@
                                                   {Fault::StoreRestored, "store_restored"},
                                                   {Fault::PowerLost, "power_lost"},
                                                   {Fault::RouterCutOff, "router_cut_off"},
-                                                  {Fault::DomainCutOff, "domain_cut_off"}}};
+                                                  {Fault::DomainCutOff, "domain_cut_off"},
+                                                  {Fault::ServiceFails, "service_fails"},
+                                                  {Fault::AllRoutersKilled, "all_routers_killed"},
+                                                  {Fault::RouterEntriesLost, "router_entries_lost"}}};
 
 /// One fault of a plan.
 struct Step {
@@ -87,6 +93,7 @@
     std::size_t endpoints = 4;
     bool powerLoss = false; ///< ends the plan with PowerLost
     bool longCutsOnly = false; ///< the plan has only a few long cuts between routers and all endpoints
+    bool retries = false; ///< the plan has a service that fails most requests, and faults of routers, their paths and their list
 };
 
 /// The number of failure domains of endpoints. With four endpoints or more, each domain has endpoints of both services.
--- a/emulators/soak_main.cpp
+++ b/emulators/soak_main.cpp
@@ -27,6 +27,7 @@
     int endpoints = static_cast<int>(options.plan.endpoints);
     int powerLoss = 0;
     int longCutsOnly = 0;
+    int retries = 0;
     char *directory = nullptr;
     char *programs = nullptr;
     const poptOption soakOptions[] = {
@@ -36,6 +37,7 @@
         {"endpoints", 0, POPT_ARG_INT, &endpoints, 0, "number of endpoints, half of which serve streams", "N"},
         {"power-loss", 0, POPT_ARG_NONE, &powerLoss, 0, "end the plan with a loss of power of the store and all routers", nullptr},
         {"cut-routers", 0, POPT_ARG_NONE, &longCutsOnly, 0, "only cut routers off from all endpoints, a few times for seconds", nullptr},
+        {"retries", 0, POPT_ARG_NONE, &retries, 0, "one service fails most requests, while routers restart, pause, are cut off and lose their list", nullptr},
         {"port", 'p', POPT_ARG_INT, &port, 0, "first port; each router uses ten, each endpoint two", "PORT"},
         {"directory", 0, POPT_ARG_STRING, &directory, 0, "for settings, logs and run logs; must not exist yet", "DIR"},
         {"programs", 0, POPT_ARG_STRING, &programs, 0, "directory of the programs", "DIR"},
@@ -55,6 +57,7 @@
     options.plan.endpoints = static_cast<std::size_t>(endpoints);
     options.plan.powerLoss = powerLoss != 0;
     options.plan.longCutsOnly = longCutsOnly != 0;
+    options.plan.retries = retries != 0;
     options.callers = callersPerRouter * routers;
     options.directory = directory;
     options.programs = programs ? programs : options.programs;
@@ -63,6 +66,10 @@
     for (const auto &violation : outcome.violations) {
         std::printf("broken: %s\n", violation.c_str());
     }
+    if (outcome.worstRetryWindow) {
+        const auto &window = *outcome.worstRetryWindow;
+        std::printf("worst window of retries: %zu for %zu requests, %.1f allowed\n", window.retries, window.requests, window.allowed);
+    }
     std::printf("seed %d: %zu faults, %zu requests, %zu served, %zu endpoints crashed under a request, %zu promises broken\n", seed, outcome.faults,
                 outcome.sent, outcome.served, outcome.crashes, outcome.violations.size());
     return outcome.violations.empty() ? cli::ExitOk : cli::ExitFailure;
--- a/tests/test_soak.cpp
+++ b/tests/test_soak.cpp
@@ -30,6 +30,7 @@
         soak::PlanOptions options;
         options.seed = seed;
         options.powerLoss = seed % 2 == 1;
+        options.retries = seed % 4 >= 2;
         Millis previous{0};
         for (const auto &step : soak::makePlan(options)) {
             CHECK(step.at >= previous && step.at < options.duration);
