The slack of retry budgets is shared by routers that know of each other

Cause: each router took slack / N at once, N being the length of its last listing. A new process spent again what its predecessor had spent in the same window; before the second listing it took the part of a fleet of a hundred, whatever the size; at least two retries, whatever the slack; and after entries were lost it took the part of a smaller fleet.

Now a router has no share until its entry has been listed for 31 s (the window, the lifetime of a listing, the lag of a read, the time until a retry arrives), none while its last listing is older than 13 s, and counts routers that are no longer listed for 31 s more. So in any window, all routers that use a share count each other, whatever each of them knows: FleetMembership. Names that are no longer listed now also count for the limits of cold and brittle endpoints, which are dealt by the same list; a list that shrank made each router an owner of each endpoint. A router that is not listed yet lists again after 1.2 s, not 10 s.

--- a/emulators/model/fleet.cpp
+++ b/emulators/model/fleet.cpp
@@ -67,7 +67,7 @@
     , m_rng(static_cast<uint64_t>(scenario.seed))
 {
     m_retryLimits.ratio = scenario.retryRatio;
-    m_retryLimits.minRetries = static_cast<double>(scenario.retrySlack) / static_cast<double>(scenario.routers);
+    m_retryLimits.slack = static_cast<double>(scenario.retrySlack);
     for (int64_t i = 0; i < scenario.routers; ++i) {
         auto options = table;
         options.home.spillSeed = ring::hash("router-" + std::to_string(i));
--- a/emulators/model/fleet_requests.cpp
+++ b/emulators/model/fleet_requests.cpp
@@ -61,7 +61,7 @@
         return;
     }
     if (callerAttempt->count.arrivals > 0) {
-        if (!router.budgets.at(pool).tryRetry(at)) {
+        if (!router.budgets.at(pool).tryRetry(at, 1.0 / static_cast<double>(m_routers.size()))) {
             router.table.release(*endpoint, at);
             reject(callerAttempt, now);
             return;
--- a/emulators/model/retry_sum.cpp
+++ b/emulators/model/retry_sum.cpp
@@ -2,6 +2,7 @@
 
 #include "admission.h"
 #include "entry/entry_settings.h"
+#include "fleet_membership.h"
 
 #include <boost/random/mersenne_twister.hpp>
 #include <boost/random/poisson_distribution.hpp>
@@ -70,8 +71,7 @@
 public:
     RouterProcess(std::string name, const entry::Settings &settings, Millis startedAt, Millis jitter)
         : m_name(std::move(name))
-        , m_settings(settings)
-        , m_budget(entry::retryLimits(settings, 0))
+        , m_budget(entry::retryLimits(settings))
         , m_nextListing(startedAt + jitter)
     {
     }
@@ -85,10 +85,11 @@
     }
     void recordListing(const Names &names, Millis now)
     {
-        m_nextListing = now + (m_listings == 0 ? secondListingDelay : listingInterval);
-        if (++m_listings >= 2) {
-            m_budget.setLimits(entry::retryLimits(m_settings, names.size() + (names.count(m_name) ? 0 : 1)));
-        }
+        const bool listsSelf = names.count(m_name) > 0;
+        m_nextListing = now + (++m_listings >= 2 && listsSelf ? listingInterval : secondListingDelay);
+        std::vector<std::string> others(names.begin(), names.end());
+        std::erase(others, m_name);
+        m_membership.recordListing(others, listsSelf, bootTime(now), bootTime(now));
     }
     void recordRequest(Millis now, Millis suspended)
     {
@@ -96,18 +97,22 @@
     }
     bool tryRetry(Millis now, Millis suspended)
     {
-        return m_budget.tryRetry(steadyTime(now, suspended));
+        return m_budget.tryRetry(steadyTime(now, suspended), m_membership.share(bootTime(now)));
     }
 
 private:
+    static BootClock::time_point bootTime(Millis now)
+    {
+        return BootClock::time_point(std::chrono::hours(1)) + now;
+    }
     static Clock::time_point steadyTime(Millis now, Millis suspended)
     {
         return Clock::time_point(std::chrono::hours(1)) + now - suspended;
     }
 
     std::string m_name;
-    entry::Settings m_settings;
     limits::RetryBudget m_budget;
+    peers::FleetMembership m_membership;
     Millis m_nextListing;
     int m_listings = 0;
 };
--- a/src/admission.cpp
+++ b/src/admission.cpp
@@ -68,7 +68,7 @@
 }
 
 // Returns the usage in the window that ends with a slice.
-RetryUsage RetryBudget::usageAt(int64_t index) const
+RetryUsage RetryBudget::usageAt(int64_t index, double share) const
 {
     int64_t requests = 0;
     int64_t retries = 0;
@@ -77,20 +77,21 @@
         requests += age < slicesPerWindow ? slice.requests : 0;
         retries += age <= slicesPerWindow ? slice.retries : 0;
     }
-    return {static_cast<double>(retries), m_limits.ratio * static_cast<double>(requests) + m_limits.minRetries, m_limits.minRetries};
+    const double slack = m_limits.slack * share;
+    return {static_cast<double>(retries), m_limits.ratio * static_cast<double>(requests) + slack, slack};
 }
 
-RetryUsage RetryBudget::usage(Clock::time_point now) const
+RetryUsage RetryBudget::usage(Clock::time_point now, double share) const
 {
     std::lock_guard lock(m_mutex);
-    return usageAt(sliceIndexAt(now));
+    return usageAt(sliceIndexAt(now), share);
 }
 
-bool RetryBudget::tryRetry(Clock::time_point now)
+bool RetryBudget::tryRetry(Clock::time_point now, double share)
 {
     std::lock_guard lock(m_mutex);
     auto &current = sliceAt(now);
-    const auto used = usageAt(current.index);
+    const auto used = usageAt(current.index, share);
     if (used.spent + 1 > used.allowed) {
         return false;
     }
--- a/src/admission.h
+++ b/src/admission.h
@@ -47,7 +47,7 @@
 /// The limits of a RetryBudget.
 struct RetryLimits {
     double ratio = 0.2; ///< retries allowed per first attempt
-    double minRetries = 2; ///< retries allowed in addition, so that a service with few requests can retry at all
+    double slack = 2; ///< retries allowed in addition, by all routers that share the budget
     Millis window{10000}; ///< sliding window over which attempts and retries are counted
 };
 
@@ -60,7 +60,7 @@
 
 /// Limits retries to a share of the requests, so that retries do not flood a failing pool. Counts over a sliding
 /// window, so that retries unused while a router was healthy are available when an endpoint fails. A token bucket
-/// that holds only minRetries tokens would refuse many permitted retries after a large crash.
+/// that holds only the slack would refuse many permitted retries after a large crash.
 class RetryBudget
 {
 public:
@@ -70,9 +70,9 @@
     }
     /// Counts a first attempt.
     void recordRequest(Clock::time_point now);
-    /// Counts one retry and returns true, or returns false if the budget is exhausted.
-    bool tryRetry(Clock::time_point now);
-    RetryUsage usage(Clock::time_point now) const;
+    /// Counts one retry and returns true, or returns false if the budget is exhausted. share is this router's share of the slack.
+    bool tryRetry(Clock::time_point now, double share);
+    RetryUsage usage(Clock::time_point now, double share) const;
     /// Replaces the limits. The counts stay unless the window changes.
     void setLimits(RetryLimits limits);
 
@@ -89,7 +89,7 @@
 
     int64_t sliceIndexAt(Clock::time_point now) const;
     Slice &sliceAt(Clock::time_point now);
-    RetryUsage usageAt(int64_t index) const;
+    RetryUsage usageAt(int64_t index, double share) const;
 
     mutable std::mutex m_mutex;
     RetryLimits m_limits;
--- a/src/entry/entry_settings.cpp
+++ b/src/entry/entry_settings.cpp
@@ -13,12 +13,10 @@
 
 constexpr double maxGraceS = 600;
 constexpr int64_t maxTunnelLimit = 100000;
-constexpr double assumedRouters = 100; ///< assumed while the number of routers is unknown: deployments have up to 84
 constexpr double maxBoundMs = 600000;
 constexpr double maxColdOvershoot = 100;
 constexpr double maxColdSlack = 1000000; ///< requests a second
 constexpr double maxRetryWindowS = 3600;
-constexpr double minRetryReserve = 2; ///< retries; with less than one, a router could never retry
 
 // Reads an address in the form HOST:PORT.
 void readAddress(settings::Reader &reader, const char *key, http::Address &out, Findings &findings)
@@ -73,12 +71,11 @@
     return s;
 }
 
-limits::RetryLimits retryLimits(const Settings &settings, std::size_t routers)
+limits::RetryLimits retryLimits(const Settings &settings)
 {
     limits::RetryLimits limits;
     limits.ratio = settings.retryRatio;
-    const double routerCount = routers > 0 ? static_cast<double>(routers) : assumedRouters;
-    limits.minRetries = std::max(minRetryReserve, settings.retrySlack / routerCount);
+    limits.slack = settings.retrySlack;
     limits.window = Millis(static_cast<int64_t>(settings.retryWindowS * 1000));
     return limits;
 }
--- a/src/entry/entry_settings.h
+++ b/src/entry/entry_settings.h
@@ -42,8 +42,7 @@
 /// place in the document; absent keys keep their defaults.
 Settings parseSettings(const nlohmann::json &document, Findings &findings);
 
-/// Returns this router's share of the retries to a service. routers is the number of routers that
-/// the store lists, and that share the slack; 0 while it is unknown.
-limits::RetryLimits retryLimits(const Settings &settings, std::size_t routers);
+/// Returns the limits on the retries to a service. All routers share the slack.
+limits::RetryLimits retryLimits(const Settings &settings);
 
 } // namespace yucca::entry
--- a/src/entry/gateway.h
+++ b/src/entry/gateway.h
@@ -14,6 +14,7 @@
 #include "entry/request_profile.h"
 #include "entry/retry_after.h"
 #include "entry/retry_policy.h"
+#include "fleet_membership.h"
 #include "http_client.h"
 #include "http_server.h"
 #include "idempotency.h"
@@ -122,6 +123,7 @@
     quarantine::RequestQuarantine &quarantine;
     idempotency::Guard *claims = nullptr; ///< null if requests carry no idempotency keys
     relay::RelayPeers *relayPeers = nullptr; ///< null if this router has no peers
+    const peers::FleetMembership *fleet = nullptr; ///< null if this router shares no limits with others
 };
 
 /// Serves requests of callers by forwarding them to endpoints. Runs on one traffic thread.
@@ -135,6 +137,7 @@
         , m_quarantine(parts.quarantine)
         , m_claims(parts.claims)
         , m_relayPeers(parts.relayPeers)
+        , m_fleet(parts.fleet)
         , m_options(options)
         , m_dialect(std::move(dialect))
     {
@@ -264,6 +267,7 @@
     router::PromptEstimate estimatePrompt(const RequestState &state, const Endpoint &endpoint, Clock::time_point now) const;
     void recordAttempt(const RequestState &state, const Endpoint &endpoint, AttemptEnd end, Clock::time_point began, bool willRetry);
     static RequestEnd requestEndFor(const RequestState &state, AttemptEnd end);
+    double slackShare() const;
     bool spendRetry(RequestState &state);
     std::vector<RetryGauge> retryGauges() const;
     http::ConnectionReuse reuseFor(const RequestState &state, Clock::time_point now) const;
@@ -282,6 +286,7 @@
     quarantine::RequestQuarantine &m_quarantine;
     idempotency::Guard *m_claims;
     relay::RelayPeers *m_relayPeers;
+    const peers::FleetMembership *m_fleet;
     GatewayOptions m_options;
     D m_dialect;
     http::Client m_client;
--- a/src/entry/gateway_statistics.h
+++ b/src/entry/gateway_statistics.h
@@ -18,11 +18,17 @@
     return m_budgets.try_emplace(service, m_options.retries).first->second;
 }
 
+// Returns this router's share of the slack of retry budgets.
+template <Dialect D> double Gateway<D>::slackShare() const
+{
+    return m_fleet ? m_fleet->share(BootClock::now()) : 1;
+}
+
 // Spends one extra arrival from the retry budget of a service; returns false when the budget is
 // used up.
 template <Dialect D> bool Gateway<D>::spendRetry(RequestState &state)
 {
-    const bool taken = retryBudgetFor(state.service).tryRetry(Clock::now());
+    const bool taken = retryBudgetFor(state.service).tryRetry(Clock::now(), slackShare());
     ++(taken ? m_metrics.retries : m_metrics.retriesDenied);
     state.retryDenied = state.retryDenied || !taken;
     return taken;
@@ -32,9 +38,10 @@
 {
     std::vector<RetryGauge> gauges;
     const auto now = Clock::now();
+    const double share = slackShare();
     for (const auto &[service, budget] : m_budgets) {
         if (gauges.size() < maxGaugedServices) {
-            gauges.push_back({service, budget.usage(now)});
+            gauges.push_back({service, budget.usage(now, share)});
         }
     }
     return gauges;
--- a/src/entry/process.h
+++ b/src/entry/process.h
@@ -64,7 +64,7 @@
                   return m_exchange.isFirstByName(Clock::now());
               })
         , m_relayPeers(settings.regions)
-        , m_gateway(GatewayParts{m_published, m_table, m_admission, m_quarantine, nullptr, &m_relayPeers}, gatewayOptions(settings))
+        , m_gateway(GatewayParts{m_published, m_table, m_admission, m_quarantine, nullptr, &m_relayPeers, &m_exchange.membership()}, gatewayOptions(settings))
         , m_changes(sharedReplicas(settings))
         , m_relay(
               m_trafficLoop, m_table, m_relayPeers,
@@ -90,6 +90,7 @@
         })
     {
         m_exchange.shareReplicas(sharedReplicas(settings));
+        m_exchange.setLimitWindow(retryLimits(settings).window);
         m_exchange.shareQuarantine(m_quarantine);
         m_quarantine.onUrgentUpdate = [this] {
             asio::post(m_controlLoop, [this] {
@@ -168,7 +169,7 @@
     static GatewayOptions gatewayOptions(const Settings &s)
     {
         GatewayOptions options;
-        options.retries = retryLimits(s, 0);
+        options.retries = retryLimits(s);
         return options;
     }
     static relay::RelayOptions relayOptions(const Settings &s)
@@ -256,13 +257,11 @@
     }
 
     // Periodic work: applies new limits on callers, updates the peers that may relay, removes endpoints whose retention has ended,
-    // cancels attempts at restarted endpoints, updates retry limits and reloads a changed settings
-    // file.
+    // cancels attempts at restarted endpoints, and reloads a changed settings file.
     Task<void> runMaintenance()
     {
         ConfigurationPtr seen;
         uint64_t restarts = 0;
-        std::size_t routers = 0;
         Clock::time_point peersDue{};
         for (;;) {
             const auto configuration = m_published.configuration();
@@ -281,12 +280,6 @@
                     m_gateway.cancelAttemptsAtRestarted();
                 });
             }
-            if (m_exchange.listedRouterCount() != routers) {
-                routers = m_exchange.listedRouterCount();
-                asio::post(m_trafficLoop, [this, limits = retryLimits(m_settings, routers)] {
-                    m_gateway.setRetryLimits(limits);
-                });
-            }
             if (modificationTime(m_settingsPath) != m_settingsWritten) {
                 reload();
             }
@@ -325,11 +318,9 @@
         log::Line{log::Event::SettingsReloaded}.add("file", m_settingsPath);
         asio::post(m_trafficLoop, [this, fresh = std::move(fresh)] {
             m_stopGraceMs = fresh.stopGraceMs;
-            m_gateway.setRetryLimits(retryLimits(fresh, m_exchange.listedRouterCount()));
+            m_gateway.setRetryLimits(retryLimits(fresh));
         });
-        m_settings.retryRatio = fresh.retryRatio;
-        m_settings.retrySlack = fresh.retrySlack;
-        m_settings.retryWindowS = fresh.retryWindowS;
+        m_exchange.setLimitWindow(retryLimits(fresh).window);
     }
 
     Task<void> answerPeer(http::Exchange &ex)
@@ -404,7 +395,7 @@
     static constexpr Millis relayPeersInterval{1000}; ///< between updates of the peers that may relay
     static constexpr Millis maintenanceInterval{200}; ///< maximum delay until new limits on callers are in effect and expired endpoints are removed
 
-    Settings m_settings; ///< as at the start, except for the retry limits
+    const Settings m_settings; ///< as at the start
     std::string m_settingsPath;
     std::filesystem::file_time_type m_settingsWritten = modificationTime(m_settingsPath); ///< modification time of the file that was read last
     std::atomic<int64_t> m_stopGraceMs{m_settings.stopGraceMs};
--- a/src/lease.cpp
+++ b/src/lease.cpp
@@ -1,7 +1,8 @@
 #include "lease.h"
 
+#include "boot_clock.h"
+
 #include <algorithm>
-#include <ctime>
 
 namespace yucca::lease
 {
@@ -19,9 +20,7 @@
 
 BootTime bootTimeNow()
 {
-    timespec ts{};
-    clock_gettime(CLOCK_BOOTTIME, &ts);
-    return std::chrono::seconds(ts.tv_sec) + std::chrono::nanoseconds(ts.tv_nsec);
+    return yucca::BootClock::now().time_since_epoch();
 }
 
 Lease::Lease(platform::ObjectApi &api, std::string name, std::string holder, Millis duration, BootClock clock)
--- a/src/load_exchange.cpp
+++ b/src/load_exchange.cpp
@@ -64,23 +64,24 @@
 {
     // Spreads the listings of routers that start together.
     co_await sleepFor(Millis(m_random() % startJitter.count()));
-    Millis next = m_options.firstRefreshDelay;
     while (!m_stopping) {
         const bool reached = co_await refreshPeers(Clock::now());
+        const bool settled = m_listings >= 2 && m_directory.listsSelf();
+        const auto next = settled ? m_options.refreshInterval : m_options.firstRefreshDelay;
         co_await sleepFor(reached ? next : m_options.retryDelay);
-        next = reached ? m_options.refreshInterval : next;
     }
 }
 
 Task<bool> LoadExchange::refreshPeers(Clock::time_point now)
 {
+    const auto begunAt = BootClock::now();
     const bool reached = co_await m_directory.refresh();
     if (!reached) {
         co_return false;
     }
+    recordListing(begunAt);
     if (++m_listings >= 2) {
-        m_listedRouterCount = m_directory.domainPeers().size() + m_directory.otherDomainPeers().size() + 1;
-        publishRouters();
+        m_table.setRouters(m_self.id, m_membership.mayBeRunning()); // they share the limits of cold and brittle endpoints
         updatePeerGroups();
     }
     std::set<http::Address> listed;
@@ -98,8 +99,7 @@
     co_return true;
 }
 
-// Passes the names of all routers to the routing table, which shares the limits of cold endpoints among them.
-void LoadExchange::publishRouters()
+void LoadExchange::recordListing(BootClock::time_point begunAt)
 {
     std::vector<std::string> others;
     for (const auto *peers : {&m_directory.domainPeers(), &m_directory.otherDomainPeers()}) {
@@ -107,7 +107,7 @@
             others.push_back(peer.id);
         }
     }
-    m_table.setRouters(m_self.id, others);
+    m_membership.recordListing(others, m_directory.listsSelf(), begunAt, BootClock::now());
 }
 
 // Computes how often a datagram of a given peer is expected, on the assumption that the failure domains are of similar sizes.
--- a/src/load_exchange.h
+++ b/src/load_exchange.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "fleet_inflight.h"
+#include "fleet_membership.h"
 #include "notifier.h"
 #include "peer_directory.h"
 #include "peer_message.h"
@@ -35,7 +36,7 @@
     std::size_t maxForwardedReports = 4;
     Millis maxForwardedAge{200}; ///< of a forwarded report; below roundInterval, so that most reports are forwarded once
     Millis refreshInterval{10000}; ///< between reads of the list of routers
-    Millis firstRefreshDelay{1200}; ///< after the first read; routers that started together are all listed by then
+    Millis firstRefreshDelay{1200}; ///< after the first read, and while this router is not listed; routers that started together are all listed by then
     Millis retryDelay{5000}; ///< after the store could not be reached, or the socket could not be bound
     Millis peerSilentAfter{10000}; ///< a peer not heard for this long gets datagrams in one round of ten only
     Millis entryRemovedAfter{std::chrono::minutes(10)}; ///< the store entry of a peer not heard for this long is removed
@@ -75,11 +76,15 @@
     std::vector<Peer> activePeers(Clock::time_point now) const;
     /// Returns the host addresses of all listed peers.
     std::set<std::string> listedHosts() const;
-    /// Returns the number of routers listed in the store, including this one; callable from any thread. It is 0 until the second
-    /// listing, because routers that start together are not all in the first one.
-    std::size_t listedRouterCount() const
+    /// Returns the routers that may be running, for limits that all routers share.
+    const FleetMembership &membership() const
     {
-        return m_listedRouterCount;
+        return m_membership;
+    }
+    /// Sets the longest window of a limit that all routers share.
+    void setLimitWindow(Millis window)
+    {
+        m_membership.setLimitWindow(window);
     }
     /// Returns true if no recently heard router has a name before this one's. The router for which this is true does the tasks that
     /// only one router of the fleet must do.
@@ -115,7 +120,7 @@
     bool reachesAllPeers() const;
     std::vector<Peer> neighbours() const;
     void dispatchConfirmation(const replica::Confirmation &confirmation, const Peer &from, Clock::time_point now);
-    void publishRouters();
+    void recordListing(BootClock::time_point begunAt);
     void updatePeerGroups();
     Task<void> removeSilentEntries(Clock::time_point now);
     void countActivePeers(Clock::time_point now);
@@ -142,7 +147,7 @@
     Clock::time_point m_warnedAt{};
     std::minstd_rand m_random{std::random_device{}()};
     std::atomic<std::size_t> m_activePeerCount{0};
-    std::atomic<std::size_t> m_listedRouterCount{0};
+    FleetMembership m_membership;
     int m_listings = 0;
     bool m_stopping = false;
 };
--- a/src/peer_directory.cpp
+++ b/src/peer_directory.cpp
@@ -52,9 +52,9 @@
     }
     m_domainPeers = std::move(peers);
     m_otherDomainPeers = std::move(otherDomainPeers);
-    const bool current = own && own->address == m_self.address && own->failureDomain == m_self.failureDomain;
+    m_listsSelf = own && own->address == m_self.address && own->failureDomain == m_self.failureDomain;
     m_announceFailed = false;
-    if (!current) {
+    if (!m_listsSelf) {
         const bool announced = co_await announce(own ? own->version : 0);
         m_announceFailed = !announced;
     }
--- a/src/peer_directory.h
+++ b/src/peer_directory.h
@@ -38,6 +38,11 @@
 
     /// Lists the routers, and announces this one if its entry is missing or differs. Returns false if the store could not be reached.
     Task<bool> refresh();
+    /// True if the last listing showed this router's current entry.
+    bool listsSelf() const
+    {
+        return m_listsSelf;
+    }
     /// Returns the other routers of this router's failure domain.
     const std::vector<Peer> &domainPeers() const
     {
@@ -58,6 +63,7 @@
     Peer m_self;
     std::vector<Peer> m_domainPeers;
     std::vector<Peer> m_otherDomainPeers;
+    bool m_listsSelf = false;
     bool m_announceFailed = false;
 };
 
--- a/src/router_traffic.cpp
+++ b/src/router_traffic.cpp
@@ -18,7 +18,7 @@
 {
     entry::GatewayOptions options;
     options.retries.ratio = settings.retryRatio;
-    options.retries.minRetries = static_cast<double>(settings.retryReserve);
+    options.retries.slack = static_cast<double>(settings.retryReserve);
     options.maxConfigurationAge = Millis(0); // no age limit: a watch waits longer than callers do, and the catalogue is changed by hand
     options.connectTimeout = connectTimeout;
     options.eventGapTimeoutFactor = 1.0; // the setting is the full pause
--- a/tests/entry_fixture.h
+++ b/tests/entry_fixture.h
@@ -206,8 +206,9 @@
     explicit EntryFixture(Loop &loop, std::map<std::string, std::pair<std::string, uint16_t>> endpoints, int64_t retrySlack = 1000)
         : loop(loop)
         , settings{settingsWithSlack(retrySlack)}
-        , gateway(entry::GatewayParts{published, table, admission, quarantine, nullptr, &relayPeers}, options(settings))
+        , gateway(entry::GatewayParts{published, table, admission, quarantine, nullptr, &relayPeers, &fleet}, options(settings))
     {
+        listOtherRouters();
         configure(entryConfiguration());
         std::map<std::string, Endpoint> listed;
         for (const auto &[id, place] : endpoints) {
@@ -266,6 +267,7 @@
     limits::Admission admission;
     quarantine::RequestQuarantine quarantine;
     relay::RelayPeers relayPeers{{{"zone-near", "region-1"}, {"zone-far", "region-2"}}}; ///< empty until a test sets some
+    peers::FleetMembership fleet;
     entry::Gateway<platform::PlatformDialect> gateway;
     http::Server server{{&loop.io}, "127.0.0.1", 0, [this](http::Exchange &ex) {
                             return gateway.handle(ex);
@@ -274,6 +276,20 @@
     uint16_t port = 0;
 
 private:
+    // Makes this router one of a hundred, all of which have been listed for long.
+    void listOtherRouters()
+    {
+        std::vector<std::string> others;
+        for (int i = 1; i < 100; ++i) {
+            others.push_back("router-" + std::to_string(i));
+        }
+        const auto now = BootClock::now();
+        const auto longAgo = now - std::chrono::minutes(5);
+        for (auto at = longAgo; at <= now; at += std::chrono::seconds(10)) {
+            fleet.recordListing(others, true, at, at);
+        }
+        fleet.recordListing(others, true, now, now);
+    }
     // The default slack allows ten retries at once, for tests that don't concern the retry budget.
     static entry::Settings settingsWithSlack(int64_t retrySlack)
     {
@@ -284,7 +300,7 @@
     static entry::GatewayOptions options(const entry::Settings &settings)
     {
         entry::GatewayOptions o;
-        o.retries = entry::retryLimits(settings, 0);
+        o.retries = entry::retryLimits(settings);
         return o;
     }
     static router::TableOptions tableOptions()
--- a/tests/test_admission.cpp
+++ b/tests/test_admission.cpp
@@ -64,7 +64,7 @@
     int retries = 0;
     for (int i = 0; i < 100; ++i) {
         budget.recordRequest(now);
-        retries += budget.tryRetry(now) ? 1 : 0;
+        retries += budget.tryRetry(now, 1) ? 1 : 0;
     }
     CHECK(retries >= 20 && retries <= 22); // one fifth plus the reserve
 }
@@ -78,16 +78,16 @@
         now += Millis(100);
     }
     int atOnce = 0;
-    while (budget.tryRetry(now)) {
+    while (budget.tryRetry(now, 1)) {
         ++atOnce;
     }
     LONGS_EQUAL(20, atOnce); // 0.2 x 90 + 2
     now += Millis(9000);
-    CHECK(!budget.tryRetry(now)); // the earlier retries still count, and there were no requests since
+    CHECK(!budget.tryRetry(now, 1)); // the earlier retries still count, and there were no requests since
     now += Millis(2000);
-    CHECK(budget.tryRetry(now));
-    CHECK(budget.tryRetry(now));
-    CHECK(!budget.tryRetry(now));
+    CHECK(budget.tryRetry(now, 1));
+    CHECK(budget.tryRetry(now, 1));
+    CHECK(!budget.tryRetry(now, 1));
 }
 
 TEST(Limits, RetriesInAnyWindowStayWithinShareOfAnOverlappingWindow)
@@ -104,7 +104,7 @@
             budget.recordRequest(now);
             ++requestsAt[i];
             const bool failing = i / 40 % 2 == 0;
-            while (failing && random() % 2 == 0 && budget.tryRetry(now)) {
+            while (failing && random() % 2 == 0 && budget.tryRetry(now, 1)) {
                 ++retriesAt[i];
             }
         }
@@ -122,11 +122,11 @@
 {
     limits::RetryBudget budget({0.2, 2, Millis(10000)});
     const Clock::time_point now{std::chrono::hours(1)};
-    CHECK(budget.tryRetry(now));
-    CHECK(budget.tryRetry(now));
+    CHECK(budget.tryRetry(now, 1));
+    CHECK(budget.tryRetry(now, 1));
     budget.setLimits({0.2, 3, Millis(10000)});
-    CHECK(budget.tryRetry(now));
-    CHECK(!budget.tryRetry(now));
+    CHECK(budget.tryRetry(now, 1));
+    CHECK(!budget.tryRetry(now, 1));
 }
 
 TEST_GROUP(Supervision){};
