All routers compare retries with requests of the same window

What callers' services saw: the sum over the routers exceeds the budget also without any restart, where callers move from some routers to others.

Cause: each router compared its retries with its requests of the ten seconds that end with its own last retry. These windows differ from router to router, and from a process to its successor, so that the sum compared ten seconds of retries with up to twenty of requests.

Now the retries since any t are at most the slack and ratio times half of the requests since one window before t. Half of two adjacent windows is at most the larger one, and the limit is linear in the requests: what each router keeps, the fleet keeps.

--- a/src/admission.cpp
+++ b/src/admission.cpp
@@ -1,6 +1,7 @@
 #include "admission.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace yucca::limits
 {
@@ -67,18 +68,30 @@
     ++sliceAt(now).requests;
 }
 
-// Returns the usage in the window that ends with a slice.
+// Returns the counts of a slice, zero if it has left the two windows.
+RetryBudget::Slice RetryBudget::countsAt(int64_t index) const
+{
+    const auto &slice = m_slices[static_cast<std::size_t>(index) % m_slices.size()];
+    return slice.index == index ? slice : Slice{index, 0, 0};
+}
+
+// Returns the usage in the window that ends with a slice. The retries allowed are the fewest that any window allows which begins in one
+// of its slices. Slices that lie in a window only partly count for the retries and not for the requests.
 RetryUsage RetryBudget::usageAt(int64_t index, double share) const
 {
+    const double slack = m_limits.slack * share;
     int64_t requests = 0;
+    for (int64_t i = index; i > index - slicesPerWindow + 1; --i) {
+        requests += countsAt(i).requests;
+    }
     int64_t retries = 0;
-    for (const auto &slice : m_slices) {
-        const int64_t age = index - slice.index;
-        requests += age < slicesPerWindow ? slice.requests : 0;
-        retries += age <= slicesPerWindow ? slice.retries : 0;
+    double remaining = std::numeric_limits<double>::max();
+    for (int64_t begin = index; begin >= index - slicesPerWindow; --begin) {
+        retries += countsAt(begin).retries;
+        requests += countsAt(begin - slicesPerWindow + 1).requests;
+        remaining = std::min(remaining, m_limits.ratio * static_cast<double>(requests) / 2 + slack - static_cast<double>(retries));
     }
-    const double slack = m_limits.slack * share;
-    return {static_cast<double>(retries), m_limits.ratio * static_cast<double>(requests) + slack, slack};
+    return {static_cast<double>(retries), static_cast<double>(retries) + std::max(0.0, remaining), slack};
 }
 
 RetryUsage RetryBudget::usage(Clock::time_point now, double share) const
--- a/src/admission.h
+++ b/src/admission.h
@@ -58,9 +58,11 @@
     double share = 0; ///< retries that this router may spend in addition to its ratio of requests
 };
 
-/// Limits retries to a share of the requests, so that retries do not flood a failing pool. Counts over a sliding
-/// window, so that retries unused while a router was healthy are available when an endpoint fails. A token bucket
-/// that holds only the slack would refuse many permitted retries after a large crash.
+/// Limits retries to a share of the requests, so that retries do not flood a failing pool.
+///
+/// In any window that begins at t, the retries are at most slack x share, and ratio times half of the requests from one window before t
+/// to its end. Half of two windows is at most the larger of the two, and the sum over all routers is as linear as the requests are: it
+/// holds for the fleet wherever callers move, and for a process together with those before it.
 class RetryBudget
 {
 public:
@@ -84,11 +86,11 @@
         int64_t retries = 0;
     };
     static constexpr int64_t slicesPerWindow = 20;
-    /// One slice more than a window spans: a retry counts until it has certainly left the window.
-    using Slices = std::array<Slice, slicesPerWindow + 1>;
+    using Slices = std::array<Slice, 2 * slicesPerWindow>;
 
     int64_t sliceIndexAt(Clock::time_point now) const;
     Slice &sliceAt(Clock::time_point now);
+    Slice countsAt(int64_t index) const;
     RetryUsage usageAt(int64_t index, double share) const;
 
     mutable std::mutex m_mutex;
