Routers that stood still count requests and retries by the earliest and latest possible times

Cause: a router that wakes counts the requests that waited for it as sent now, though callers sent them up to the length of the pause before; a retry that it was permitted before a pause leaves after it and is counted before; and its steady clock does not count a suspension.

Now budgets count by CLOCK_BOOTTIME; a request counts by the earliest time at which it may have been sent (a second before it is read, or before a pause that ended lately: StallMonitor); and a retry counts in all windows until it has arrived, then by the time at which that is known. A retry whose connection fails is given back.

--- a/emulators/model/fleet.h
+++ b/emulators/model/fleet.h
@@ -97,6 +97,10 @@
     using CallerAttemptPtr = std::shared_ptr<CallerAttempt>;
 
     static Clock::time_point clockTime(Ms ms);
+    static BootClock::time_point bootTime(Ms ms)
+    {
+        return BootClock::time_point(clockTime(ms).time_since_epoch());
+    }
     void schedule(Ms at, std::function<void(Ms)> action);
     void makePools();
     void makeSources();
--- a/src/admission.cpp
+++ b/src/admission.cpp
@@ -45,27 +45,29 @@
     m_tokens = std::min(m_tokens, burst);
 }
 
-int64_t RetryBudget::sliceIndexAt(Clock::time_point now) const
+int64_t RetryBudget::sliceIndexAt(BootClock::time_point now) const
 {
-    const auto length = std::max<Clock::duration>(m_limits.window / slicesPerWindow, Millis(1));
+    const auto length = std::max<BootClock::duration>(m_limits.window / slicesPerWindow, Millis(1));
     return now.time_since_epoch() / length;
 }
 
-// The slice that contains now, reset if it still holds counts of an earlier window.
-RetryBudget::Slice &RetryBudget::sliceAt(Clock::time_point now)
+// The slice that contains a time, reset if it still holds counts of earlier windows; null if it already holds counts of later ones.
+RetryBudget::Slice *RetryBudget::sliceAt(BootClock::time_point at)
 {
-    const int64_t index = sliceIndexAt(now);
+    const int64_t index = sliceIndexAt(at);
     auto &slice = m_slices[static_cast<std::size_t>(index) % m_slices.size()];
-    if (slice.index != index) {
+    if (slice.index < index) {
         slice = {index, 0, 0};
     }
-    return slice;
+    return slice.index == index ? &slice : nullptr;
 }
 
-void RetryBudget::recordRequest(Clock::time_point now)
+void RetryBudget::recordRequest(BootClock::time_point sentAt)
 {
     std::lock_guard lock(m_mutex);
-    ++sliceAt(now).requests;
+    if (auto *slice = sliceAt(sentAt)) {
+        ++slice->requests;
+    }
 }
 
 // Returns the counts of a slice, zero if it has left the two windows.
@@ -84,7 +86,7 @@
     for (int64_t i = index; i > index - slicesPerWindow + 1; --i) {
         requests += countsAt(i).requests;
     }
-    int64_t retries = 0;
+    int64_t retries = m_pendingRetries;
     double remaining = std::numeric_limits<double>::max();
     for (int64_t begin = index; begin >= index - slicesPerWindow; --begin) {
         retries += countsAt(begin).retries;
@@ -94,24 +96,53 @@
     return {static_cast<double>(retries), static_cast<double>(retries) + std::max(0.0, remaining), slack};
 }
 
-RetryUsage RetryBudget::usage(Clock::time_point now, double share) const
+RetryUsage RetryBudget::usage(BootClock::time_point now, double share) const
 {
     std::lock_guard lock(m_mutex);
     return usageAt(sliceIndexAt(now), share);
 }
 
-bool RetryBudget::tryRetry(Clock::time_point now, double share)
+bool RetryBudget::tryRetry(BootClock::time_point now, double share)
 {
     std::lock_guard lock(m_mutex);
-    auto &current = sliceAt(now);
-    const auto used = usageAt(current.index, share);
+    const auto used = usageAt(sliceIndexAt(now), share);
     if (used.spent + 1 > used.allowed) {
         return false;
     }
-    ++current.retries;
+    ++m_pendingRetries;
     return true;
 }
 
+void RetryBudget::recordRetryArrival(BootClock::time_point now)
+{
+    std::lock_guard lock(m_mutex);
+    --m_pendingRetries;
+    if (auto *slice = sliceAt(now)) {
+        ++slice->retries;
+    }
+}
+
+void RetryBudget::cancelRetry()
+{
+    std::lock_guard lock(m_mutex);
+    --m_pendingRetries;
+}
+
+RetryPermit::~RetryPermit()
+{
+    if (!m_cancelled) {
+        m_budget.recordRetryArrival(BootClock::now());
+    }
+}
+
+void RetryPermit::cancel()
+{
+    if (!m_cancelled) {
+        m_cancelled = true;
+        m_budget.cancelRetry();
+    }
+}
+
 void RetryBudget::setLimits(RetryLimits limits)
 {
     std::lock_guard lock(m_mutex);
--- a/src/admission.h
+++ b/src/admission.h
@@ -1,6 +1,7 @@
 // Traffic limits: token buckets, admission per workspace and retry budgets. No I/O; the caller passes the time in.
 #pragma once
 
+#include "boot_clock.h"
 #include "task.h"
 #include "yucca/types.h"
 
@@ -70,11 +71,16 @@
         : m_limits(limits)
     {
     }
-    /// Counts a first attempt.
-    void recordRequest(Clock::time_point now);
-    /// Counts one retry and returns true, or returns false if the budget is exhausted. share is this router's share of the slack.
-    bool tryRetry(Clock::time_point now, double share);
-    RetryUsage usage(Clock::time_point now, double share) const;
+    /// Counts a request by the earliest time at which its caller may have sent it.
+    void recordRequest(BootClock::time_point sentAt);
+    /// Permits one retry and returns true, or returns false if the budget is exhausted. share is this router's share of the slack. The
+    /// retry counts in all windows until it has arrived or is cancelled.
+    bool tryRetry(BootClock::time_point now, double share);
+    /// Records that a permitted retry has arrived at an endpoint, at some time until now.
+    void recordRetryArrival(BootClock::time_point now);
+    /// Takes back a permitted retry that was not sent.
+    void cancelRetry();
+    RetryUsage usage(BootClock::time_point now, double share) const;
     /// Replaces the limits. The counts stay unless the window changes.
     void setLimits(RetryLimits limits);
 
@@ -88,14 +94,33 @@
     static constexpr int64_t slicesPerWindow = 20;
     using Slices = std::array<Slice, 2 * slicesPerWindow>;
 
-    int64_t sliceIndexAt(Clock::time_point now) const;
-    Slice &sliceAt(Clock::time_point now);
+    int64_t sliceIndexAt(BootClock::time_point now) const;
+    Slice *sliceAt(BootClock::time_point at);
     Slice countsAt(int64_t index) const;
     RetryUsage usageAt(int64_t index, double share) const;
 
     mutable std::mutex m_mutex;
     RetryLimits m_limits;
     Slices m_slices;
+    int64_t m_pendingRetries = 0; ///< permitted, and neither arrived nor cancelled
+};
+
+/// A permitted retry. One that is destroyed has arrived, unless it was cancelled.
+class RetryPermit
+{
+public:
+    explicit RetryPermit(RetryBudget &budget)
+        : m_budget(budget)
+    {
+    }
+    ~RetryPermit();
+    RetryPermit(const RetryPermit &) = delete;
+    RetryPermit &operator=(const RetryPermit &) = delete;
+    void cancel();
+
+private:
+    RetryBudget &m_budget;
+    bool m_cancelled = false;
 };
 
 /// The result of an admission check.
--- a/src/entry/gateway.h
+++ b/src/entry/gateway.h
@@ -14,6 +14,7 @@
 #include "entry/request_profile.h"
 #include "entry/retry_after.h"
 #include "entry/retry_policy.h"
+#include "entry/stall_monitor.h"
 #include "fleet_membership.h"
 #include "http_client.h"
 #include "http_server.h"
@@ -173,6 +174,14 @@
         gauges.retryBudgets = retryGauges();
         return m_metrics.text(gauges);
     }
+    /// Watches the event loop of its caller for pauses. Never returns.
+    Task<void> runStallMonitor()
+    {
+        for (;;) {
+            m_stalls.tick(BootClock::now());
+            co_await sleepFor(StallMonitor::tickInterval);
+        }
+    }
     /// Rejects all new requests from now on, because this router is about to stop.
     void rejectNewRequests()
     {
@@ -209,6 +218,7 @@
         Clock::time_point acquiredAt{}; ///< when the current attempt was counted at its endpoint
         unsigned lastStatus = 0; ///< status of the last endpoint's own response
         ResponseHead lastHead; ///< head of the last attempt's response; default values if none arrived
+        std::optional<limits::RetryPermit> retryPermit; ///< of the current attempt, until it has arrived
         bool retryDenied = false; ///< for want of retry budget
         int64_t lastLoad = -1; ///< load that the last endpoint reported; -1: not reported
         std::optional<EngineFailure> failure;
@@ -297,6 +307,7 @@
     std::map<RequestState *, Endpoint> m_attempts; ///< current attempts and their endpoints
     std::map<std::string, CrashWatchPtr> m_crashWatches; ///< by incarnation key
     PathMonitor m_paths;
+    StallMonitor m_stalls;
     std::set<std::string> m_verifying; ///< incarnation keys of endpoints about which peers are being asked
     bool m_probingPaths = false;
     Metrics m_metrics;
@@ -315,6 +326,7 @@
 template <Dialect D> Task<void> Gateway<D>::handle(http::Exchange &ex)
 {
     const auto now = Clock::now();
+    const auto earliestSend = m_stalls.earliestSend(BootClock::now());
     auto identified = identify(ex, now);
     if (const auto *why = std::get_if<Rejection>(&identified)) {
         co_await reject(ex, m_dialect.requestId(ex), *why);
@@ -340,7 +352,7 @@
     state.service = chooseService(state.profile);
     state.constraints = constraintsOf(state.profile);
     state.events.setLastId(state.profile.resumeAfter);
-    retryBudgetFor(state.service).recordRequest(now);
+    retryBudgetFor(state.service).recordRequest(earliestSend);
     ex.onCallerDisconnect([&state] {
         // A request with a claimed key runs to its end: its caller will ask for the response again
         // with the same key.
--- a/src/entry/gateway_attempt.h
+++ b/src/entry/gateway_attempt.h
@@ -86,11 +86,16 @@
     auto opened = co_await openByAnyPath(ex, state, endpoint, options);
     if (const auto *error = std::get_if<http::CallError>(&opened)) {
         if (error->stage == http::CallStage::Connect) {
+            if (state.retryPermit) {
+                state.retryPermit->cancel();
+            }
+            state.retryPermit.reset();
             if (!state.cancellation.isCancelled() && Clock::now() < options.deadline) {
                 m_table.suspect(endpoint.id, Clock::now());
             }
             co_return AttemptEnd::Unreached;
         }
+        state.retryPermit.reset();
         ++state.count.arrivals;
         staleConnection = error->reused && Clock::now() < options.deadline;
         if (staleConnection && !state.cancellation.isCancelled()) {
@@ -98,6 +103,7 @@
         }
         co_return Clock::now() >= options.deadline ? AttemptEnd::Silent : AttemptEnd::Broken;
     }
+    state.retryPermit.reset();
     ++state.count.arrivals;
     auto &response = *std::get<std::unique_ptr<http::Response>>(opened);
     co_return co_await handleResponse(ex, state, endpoint, response);
--- a/src/entry/gateway_statistics.h
+++ b/src/entry/gateway_statistics.h
@@ -28,7 +28,11 @@
 // used up.
 template <Dialect D> bool Gateway<D>::spendRetry(RequestState &state)
 {
-    const bool taken = retryBudgetFor(state.service).tryRetry(Clock::now(), slackShare());
+    auto &budget = retryBudgetFor(state.service);
+    const bool taken = budget.tryRetry(BootClock::now(), slackShare());
+    if (taken) {
+        state.retryPermit.emplace(budget);
+    }
     ++(taken ? m_metrics.retries : m_metrics.retriesDenied);
     state.retryDenied = state.retryDenied || !taken;
     return taken;
@@ -37,7 +41,7 @@
 template <Dialect D> std::vector<RetryGauge> Gateway<D>::retryGauges() const
 {
     std::vector<RetryGauge> gauges;
-    const auto now = Clock::now();
+    const auto now = BootClock::now();
     const double share = slackShare();
     for (const auto &[service, budget] : m_budgets) {
         if (gauges.size() < maxGaugedServices) {
--- a/src/entry/process.h
+++ b/src/entry/process.h
@@ -13,6 +13,7 @@
 #include "settings.h"
 #include "supervisor.h"
 
+#include <boost/asio/detached.hpp>
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -115,6 +116,7 @@
             }
         }
         startControl();
+        asio::co_spawn(m_trafficLoop, m_gateway.runStallMonitor(), asio::detached);
         std::thread control([this] {
             m_controlLoop.run();
         });
