--- a/tests/test_peers.cpp
+++ b/tests/test_peers.cpp
@@ -450,6 +450,21 @@
     STRCMP_EQUAL(first.c_str(), fixture.pick(now).c_str());
 }
 
+TEST(LoadExchange, RoutersWhoseEntriesTheStoreLostKeepTheirPartOfSharedLimits)
+{
+    ExchangeFixture fixture;
+    for (const auto &peer : {peerAt("b", "north", 2), peerAt("c", "south", 3)}) {
+        CHECK(loop().run(peers::PeerDirectory(fixture.api, peer).refresh()));
+    }
+    const auto now = Clock::now();
+    CHECK(loop().run(fixture.exchange->refreshPeers(now)));
+    for (const char *name : {"a", "b", "c"}) {
+        fixture.store.remove(peers::routerKind, name, std::nullopt);
+    }
+    CHECK(loop().run(fixture.exchange->refreshPeers(now)));
+    CHECK(std::vector<std::string>({"b", "c"}) == fixture.exchange->membership().mayBeRunning());
+}
+
 TEST(LoadExchange, TheEntryOfALongSilentRouterIsRemoved)
 {
     ExchangeFixture fixture;
