--- a/emulators/retry_count.cpp
+++ b/emulators/retry_count.cpp
@@ -42,7 +42,7 @@
                 window.requests = std::max(window.requests, countBetween(requests, start - earlier, start - earlier + length));
             }
             window.allowed = m_allowance.ratio * static_cast<double>(window.requests) + m_allowance.slack;
-            if (!worst || window.excess() > worst->excess()) {
+            if (!worst || window.used() > worst->used()) {
                 worst = window;
             }
         }
--- a/emulators/retry_count.h
+++ b/emulators/retry_count.h
@@ -25,9 +25,10 @@
     std::size_t retries = 0; ///< arrivals beyond the first of each request
     std::size_t requests = 0; ///< sent by callers in this window, the one before it or the one half a window before it, whichever has most
     double allowed = 0; ///< retries
-    double excess() const
+    /// The part of the allowance that is used; above 1, the limit is exceeded.
+    double used() const
     {
-        return static_cast<double>(retries) - allowed;
+        return static_cast<double>(retries) / allowed;
     }
 };
 
@@ -49,7 +50,7 @@
     {
         m_arrivals[id].push_back(at);
     }
-    /// Returns the window with the largest excess over the allowance, or nothing if no request arrived twice. Windows are closed
+    /// Returns the window that uses most of its allowance, or nothing if no request arrived twice. Windows are closed
     /// intervals that begin or end with a retry.
     std::optional<RetryWindow> worstWindow() const;
 
--- a/emulators/soak/fleet.cpp
+++ b/emulators/soak/fleet.cpp
@@ -369,10 +369,10 @@
         if (!worst) {
             continue;
         }
-        if (!outcome.worstRetryWindow || worst->excess() > outcome.worstRetryWindow->excess()) {
+        if (!outcome.worstRetryWindow || worst->used() > outcome.worstRetryWindow->used()) {
             outcome.worstRetryWindow = worst;
         }
-        if (worst->excess() > 0) {
+        if (worst->used() > 1) {
             m_violations.push_back("service " + service + " got " + std::to_string(worst->retries) + " retries for " + std::to_string(worst->requests)
                                    + " requests in the window from Unix time " + std::to_string(worst->start.count()) + " ms, "
                                    + std::to_string(static_cast<int>(worst->allowed)) + " are allowed");
--- a/emulators/soak/fleet.h
+++ b/emulators/soak/fleet.h
@@ -35,7 +35,7 @@
     std::size_t served = 0;
     std::size_t faults = 0;
     std::size_t crashes = 0; ///< of endpoints under the crashing request
-    std::optional<emulators::RetryWindow> worstRetryWindow; ///< of the service that exceeds its allowance of retries most, or comes closest
+    std::optional<emulators::RetryWindow> worstRetryWindow; ///< of the service that uses most of its allowance of retries
     std::vector<std::string> violations; ///< one message each
 };
 
--- a/tests/test_retry_count.cpp
+++ b/tests/test_retry_count.cpp
@@ -37,7 +37,7 @@
     CHECK(worst.has_value());
     LONGS_EQUAL(4, worst->retries); // 5000 to 5901; the requests are too long ago
     LONGS_EQUAL(0, worst->requests);
-    DOUBLES_EQUAL(3, worst->excess(), 1e-9);
+    DOUBLES_EQUAL(4, worst->used(), 1e-9);
 }
 
 TEST(RetryCounting, RequestsOfTheWindowBeforeAreCounted)
@@ -50,5 +50,5 @@
     CHECK(worst.has_value());
     LONGS_EQUAL(3, worst->retries);
     LONGS_EQUAL(6, worst->requests); // 0, 1 and 6 in the windows that begin at 1400, 900 and 400
-    DOUBLES_EQUAL(-1, worst->excess(), 1e-9);
+    DOUBLES_EQUAL(0.75, worst->used(), 1e-9);
 }
--- a/tests/test_retry_sum.cpp
+++ b/tests/test_retry_sum.cpp
@@ -36,7 +36,7 @@
             const auto text = std::to_string(deployment.routers) + " routers, seed " + std::to_string(seed) + ": " + std::to_string(sum.worst->retries)
                 + " retries, " + std::to_string(sum.worst->allowed) + " allowed; " + std::to_string(sum.permitted) + " of " + std::to_string(sum.demanded)
                 + " permitted";
-            CHECK_TEXT(sum.worst->excess() <= 0, text.c_str());
+            CHECK_TEXT(sum.worst->used() <= 1, text.c_str());
         }
     }
 }
