--- a/src/admission.h
+++ b/src/admission.h
@@ -61,9 +61,9 @@
 
 /// Limits retries to a share of the requests, so that retries do not flood a failing pool.
 ///
-/// In any window that begins at t, the retries are at most slack x share, and ratio times half of the requests from one window before t
-/// to its end. Half of two windows is at most the larger of the two, and the sum over all routers is as linear as the requests are: it
-/// holds for the fleet wherever callers move, and for a process together with those before it.
+/// In any window that begins at t, the retries are at most slack x share plus ratio x half of the requests from one window before t to
+/// the end of the window. Half of two windows is at most the larger one. The limit is linear in the requests, so the limits of routers
+/// add up to that of the fleet, wherever callers move, and those of a process and its predecessors to that of one router.
 class RetryBudget
 {
 public:
--- a/tests/test_entry.cpp
+++ b/tests/test_entry.cpp
@@ -459,6 +459,18 @@
     CHECK(static_cast<double>(failing.seen.size()) <= requests + allowed);
 }
 
+TEST(EntryAtMostOnce, RetryBudgetOfEachServiceIsExported)
+{
+    ScriptedEndpoint failing(loop(), respondingWith("it broke", "500 Internal Server Error"));
+    EntryFixture fixture(loop(), {{"e1", {"s", failing.port}}, {"e2", {"s", failing.port}}}, 200);
+    fixture.reply("GET", "/remind/1", "a1");
+    const std::string text = fixture.gateway.metricsText({});
+    for (const char *line :
+         {"yucca_retry_budget_spent{service=\"s\"} 1\n", "yucca_retry_budget_allowed{service=\"s\"} 2.1\n", "yucca_retry_budget_share{service=\"s\"} 2\n"}) {
+        CHECK_TEXT(text.find(line) != std::string::npos, text.c_str());
+    }
+}
+
 LOOP_GROUP(EntryStreams);
 
 TEST(EntryStreams, EventsArriveInOrderAndComplete)
