The comment on the shares of a fleet names the bounds that they rest on

Cause: it said that the shares add up whatever routers know, where the lag of a read and the time until an arrival are assumed.

--- a/src/fleet_membership.h
+++ b/src/fleet_membership.h
@@ -22,7 +22,7 @@
 };
 
 /// Shares a limit among the routers of a fleet so that in any window the shares in use add up to one at most, whatever the routers know
-/// of each other: a router has no share
+/// of each other, as long as the bounds of MembershipOptions hold. A router has no share
 ///
 /// - until settlingTime() after its entry was listed: then all others divide by a number that includes it, and what its predecessor
 ///   spent has left the window;
