Logs and metrics name the software versions of endpoints; timeline of the mixed streams

No log line named a version or that a request takes up another one, so the hypotheses in the postmortem could not be told apart. No request is routed otherwise.

--- a/include/yucca/types.h
+++ b/include/yucca/types.h
@@ -106,6 +106,7 @@
     /// Remaining cold period in milliseconds when the entry was read. An endpoint is cold, and can take only a few
     /// requests, after a start or after an evacuation of its failure domain.
     int64_t coldRemainingMs = 0;
+    std::string version = {}; ///< of its software; empty if unknown
     bool operator==(const Endpoint &) const = default;
 };
 
--- a/src/entry/control.cpp
+++ b/src/entry/control.cpp
@@ -10,7 +10,7 @@
 
 void logChange(log::Event event, const Endpoint &e)
 {
-    log::Line{event}.add("endpoint", e.id).add("service", e.pool).add("address", e.host + ":" + std::to_string(e.port));
+    log::Line{event}.add("endpoint", e.id).add("service", e.pool).add("version", e.version).add("address", e.host + ":" + std::to_string(e.port));
 }
 
 } // namespace
--- a/src/entry/entry_metrics.cpp
+++ b/src/entry/entry_metrics.cpp
@@ -1,5 +1,7 @@
 #include "entry/entry_metrics.h"
 
+#include <map>
+
 namespace yucca::entry
 {
 
@@ -74,6 +76,19 @@
 
 } // namespace
 
+std::vector<VersionGauge> versionGauges(const std::vector<Endpoint> &endpoints)
+{
+    std::map<std::pair<std::string, std::string>, std::size_t> counts;
+    for (const auto &endpoint : endpoints) {
+        ++counts[{endpoint.pool, endpoint.version}];
+    }
+    std::vector<VersionGauge> gauges;
+    for (const auto &[key, count] : counts) {
+        gauges.push_back({key.first, key.second, count});
+    }
+    return gauges;
+}
+
 LatencyHistogram::LatencyHistogram()
     : m_counts(std::make_tuple(Axis(bucketEdges)))
 {
@@ -165,6 +180,11 @@
     writeSingle(out, "yucca_configuration_version", "gauge", "The version in force", static_cast<double>(gauges.configurationVersion));
     writeSingle(out, "yucca_store_silence_seconds", "gauge", "Since the store last answered", gauges.storeSilenceSeconds);
     writeSingle(out, "yucca_endpoints", "gauge", "Endpoints that are listed and live", static_cast<double>(gauges.endpoints));
+    writeHead(out, "yucca_endpoint_versions", "gauge", "Live endpoints by service and version of their software");
+    for (const auto &gauge : gauges.versions) {
+        writeSample(out, "yucca_endpoint_versions", labelled("service", gauge.service) + "," + labelled("version", gauge.version),
+                    static_cast<double>(gauge.endpoints));
+    }
     writeSingle(out, "yucca_peers", "gauge", "Routers of the failure domain that were heard lately", static_cast<double>(gauges.peers));
     writeSingle(out, "yucca_quarantined_requests", "gauge", "Requests that are kept from endpoints", static_cast<double>(gauges.quarantined));
     writeSingle(out, "yucca_evacuated_domains", "gauge", "Failure domains that get nothing, by operators' order", static_cast<double>(gauges.evacuatedDomains));
--- a/src/entry/entry_metrics.h
+++ b/src/entry/entry_metrics.h
@@ -52,11 +52,22 @@
     limits::RetryUsage usage;
 };
 
+/// The live endpoints of one service that run one version of its software.
+struct VersionGauge {
+    std::string service;
+    std::string version;
+    std::size_t endpoints = 0;
+};
+
+/// Counts endpoints by service and version.
+std::vector<VersionGauge> versionGauges(const std::vector<Endpoint> &endpoints);
+
 /// Values sampled when the metrics are read.
 struct Gauges {
     int64_t configurationVersion = 0;
     double storeSilenceSeconds = 0; ///< time since the store last answered: upper bound on the age of missing configuration changes
     std::size_t endpoints = 0;
+    std::vector<VersionGauge> versions;
     std::size_t peers = 0; ///< number of routers in the failure domain that were heard from recently
     int64_t inflight = 0;
     std::size_t evacuatedDomains = 0; ///< number of failure domains that operators have evacuated
--- a/src/entry/gateway.h
+++ b/src/entry/gateway.h
@@ -210,6 +210,7 @@
         bool timedOut = false;
         bool endpointRestarted = false; ///< the endpoint of the current attempt has restarted
         std::string lastEndpoint;
+        std::string lastVersion; ///< of the software of the last endpoint
         Path path = Path::Direct; ///< of the last attempt
         router::PromptEstimate promptEstimate; ///< what the last endpoint likely holds of the prompt
         std::optional<Endpoint> home; ///< of the prompt, at the time of the last attempt
@@ -388,6 +389,7 @@
             break;
         }
         state.lastEndpoint = endpoint->id;
+        state.lastVersion = endpoint->version;
         state.home = sharesPrompt(state.profile.prompt) ? m_table.homeOf(state.service, state.profile.affinity.conversation) : std::nullopt;
         state.placement = m_table.placementView(*endpoint, state.profile.affinity.conversation, now, state.constraints);
         state.placedAt = now;
--- a/src/entry/process.h
+++ b/src/entry/process.h
@@ -347,6 +347,7 @@
         gauges.configurationVersion = configuration ? configuration->version : -1;
         gauges.storeSilenceSeconds = std::chrono::duration<double>(Clock::now() - m_published.lastContact()).count();
         gauges.endpoints = m_published.endpointCount();
+        gauges.versions = versionGauges(m_table.endpoints());
         gauges.inflight = m_callerServer.inflight();
         gauges.peers = m_exchange.activePeerCount();
         gauges.evacuatedDomains = m_table.evacuated().size();
--- a/src/entry/request_profile.h
+++ b/src/entry/request_profile.h
@@ -65,6 +65,7 @@
     /// has another id, and a key that is reused for other content.
     uint64_t contentHash = 0;
     uint64_t resumeAfter = 0; ///< id of the last event of the stream that the caller has received
+    std::string resumes; ///< id of the caller's attempt that brought the stream's first event; empty if not stated
 };
 
 /// Returns a key for equal requests of one workspace, the same at all routers. Equal requests of
--- a/src/object_api.cpp
+++ b/src/object_api.cpp
@@ -33,7 +33,8 @@
             {"zone", e.zone},
             {"kind", nameOf(endpointKindNames, e.kind)},
             {"state", nameOf(endpointStateNames, e.state)},
-            {"born", e.startedAtMs}};
+            {"born", e.startedAtMs},
+            {"version", e.version}};
 }
 
 Endpoint endpointFromJson(const nlohmann::json &j)
@@ -45,6 +46,7 @@
     e.pool = j.value("pool", "");
     e.zone = j.value("zone", "");
     e.startedAtMs = j.value("born", int64_t{0});
+    e.version = j.value("version", "");
     e.kind = parseName(endpointKindNames, j.value("kind", "engine")).value_or(EndpointKind::Engine);
     e.state = parseName(endpointStateNames, j.value("state", "live")).value_or(EndpointState::Live);
     return e;
