Streams go on only at the software version that began them

Callers saw streams with events of two software versions: after a crash the next attempt of a response went to any endpoint of the service, and a caller that took a stream up went anywhere, since Resumes was not read.

Over attempts, the router that receives a stream's first event sends its origin to three others, chosen by a hash of the stream, before it passes the event on, and does not wait. A router that does not know a stream asks eight others and refuses it at once if they do not know it: a lost copy costs a stream, never its unity. A stream without an endpoint of its version is refused at once. Per stream: three datagrams of up to 70 B, four records of about 200 B for a minute, no wait before the first event; per stream taken up: up to eight queries and replies, twice after 80 ms, 200 ms at most.

--- a/scripts/proofs.sh
+++ b/scripts/proofs.sh
@@ -32,6 +32,15 @@
 done
 echo "proofs: relay: at most one run, true answers ($states); three seeded faults are found"
 
+errors=$(model_check $OUT/streams streams)
+states=$(grep -oE '[0-9.e+]+ states, stored' $OUT/streams/pan.log)
+[ "$errors" = 0 ] || { echo "proofs: streams: $errors errors"; exit 1; }
+for fault in UNBOUND_RESPONSE GUESS_WHEN_UNKNOWN TRUST_ADDRESS BIND_BY_LISTING; do
+    seeded_errors=$(model_check "$OUT/streams-$fault" streams "-D$fault")
+    [ "$seeded_errors" -gt 0 ] || { echo "proofs: streams: the seeded fault $fault was not found"; exit 1; }
+done
+echo "proofs: streams: no stream over two versions ($states); four seeded faults are found"
+
 # Fuzzing: a fixed number of runs with a fixed seed. The programs are linked without PIE, because libFuzzer's choices
 # depend on code addresses.
 clang++ -std=c++20 -g -O1 -fsanitize=fuzzer,address,undefined -fno-pie -no-pie -Isrc -o $OUT/fuzz_events tests/fuzz/fuzz_events.cpp src/sse.cpp
--- a/src/entry/entry_metrics.cpp
+++ b/src/entry/entry_metrics.cpp
@@ -84,7 +84,9 @@
     }
     std::vector<VersionGauge> gauges;
     for (const auto &[key, count] : counts) {
-        gauges.push_back({key.first, key.second, count});
+        if (gauges.size() < maxGaugedVersions) {
+            gauges.push_back({key.first, key.second, count});
+        }
     }
     return gauges;
 }
@@ -195,6 +197,7 @@
     writeSingle(out, "yucca_tunnels", "gauge", "Open tunnels of peers to endpoints", static_cast<double>(gauges.tunnels));
     writeSingle(out, "yucca_tunnels_accepted_total", "counter", "Tunnels opened for peers", static_cast<double>(gauges.tunnelsAccepted));
     writeSingle(out, "yucca_tunnels_refused_total", "counter", "Tunnels refused to peers", static_cast<double>(gauges.tunnelsRefused));
+    writeSingle(out, "yucca_stream_origins", "gauge", "Streams whose software version this router knows", static_cast<double>(gauges.streamOrigins));
     writeSingle(out, "yucca_cold_endpoints", "gauge", "Endpoints that are taken for cold", static_cast<double>(gauges.coldEndpoints));
     writeSingle(out, "yucca_requests_in_flight", "gauge", "Requests in flight", static_cast<double>(gauges.inflight));
     return out;
--- a/src/entry/entry_metrics.h
+++ b/src/entry/entry_metrics.h
@@ -59,7 +59,10 @@
     std::size_t endpoints = 0;
 };
 
-/// Counts endpoints by service and version.
+/// The number of pairs of a service and a version that are exported.
+inline constexpr std::size_t maxGaugedVersions = 200;
+
+/// Counts endpoints by service and version, at most maxGaugedVersions of them.
 std::vector<VersionGauge> versionGauges(const std::vector<Endpoint> &endpoints);
 
 /// Values sampled when the metrics are read.
@@ -78,6 +81,7 @@
     int64_t tunnels = 0; ///< number of open tunnels of peers to endpoints
     uint64_t tunnelsAccepted = 0; ///< since the start
     uint64_t tunnelsRefused = 0; ///< since the start
+    std::size_t streamOrigins = 0; ///< number of streams whose software version this router knows
     std::vector<RetryGauge> retryBudgets; ///< at most maxGaugedServices
 };
 
--- a/src/entry/gateway.h
+++ b/src/entry/gateway.h
@@ -25,6 +25,7 @@
 #include "relay_peers.h"
 #include "router_core.h"
 #include "sse.h"
+#include "stream_origins.h"
 
 #include <atomic>
 #include <concepts>
@@ -125,6 +126,7 @@
     idempotency::Guard *claims = nullptr; ///< null if requests carry no idempotency keys
     relay::RelayPeers *relayPeers = nullptr; ///< null if this router has no peers
     const peers::FleetMembership *fleet = nullptr; ///< null if this router shares no limits with others
+    streams::StreamOrigins *origins = nullptr; ///< null if callers don't take up streams
 };
 
 /// Serves requests of callers by forwarding them to endpoints. Runs on one traffic thread.
@@ -139,6 +141,7 @@
         , m_claims(parts.claims)
         , m_relayPeers(parts.relayPeers)
         , m_fleet(parts.fleet)
+        , m_origins(parts.origins)
         , m_options(options)
         , m_dialect(std::move(dialect))
     {
@@ -205,6 +208,8 @@
         std::set<std::string> tried;
         http::Cancellation cancellation;
         sse::EventRelay events;
+        std::optional<streams::Origin> origin; ///< of the stream, once an event of it is known to have reached its caller
+        bool originAnnounced = false; ///< to other routers, by this request
         bool headSent = false; ///< the head of a streamed response has been sent to the caller
         bool sendLost = false; ///< a keep-alive connection broke after the request was sent on it: the request may have run, whatever a second send returned
         bool timedOut = false;
@@ -243,6 +248,10 @@
         Unknown, ///< no peer could tell
     };
 
+    Task<std::optional<streams::Origin>> originOf(const RequestProfile &profile);
+    Task<std::optional<Rejection>> bindResumption(RequestState &state);
+    void recordOrigin(RequestState &state, const Endpoint &endpoint);
+    void logStreamRefused(const RequestState &state, Rejection why);
     std::variant<RequestProfile, Rejection> identify(const http::Exchange &ex, Clock::time_point now);
     bool configurationMayBeStale(Clock::time_point now) const;
     std::optional<Millis> admitWithinLimits(const RequestProfile &profile, Clock::time_point now, std::optional<limits::AdmissionSlot> &slot);
@@ -298,6 +307,7 @@
     idempotency::Guard *m_claims;
     relay::RelayPeers *m_relayPeers;
     const peers::FleetMembership *m_fleet;
+    streams::StreamOrigins *m_origins;
     GatewayOptions m_options;
     D m_dialect;
     http::Client m_client;
@@ -353,6 +363,11 @@
     state.service = chooseService(state.profile);
     state.constraints = constraintsOf(state.profile);
     state.events.setLastId(state.profile.resumeAfter);
+    if (const auto why = co_await bindResumption(state)) {
+        logStreamRefused(state, *why);
+        co_await reject(ex, state.profile.id, *why);
+        co_return;
+    }
     retryBudgetFor(state.service).recordRequest(earliestSend);
     ex.onCallerDisconnect([&state] {
         // A request with a claimed key runs to its end: its caller will ask for the response again
@@ -382,6 +397,9 @@
         const auto endpoint = m_table.acquire(state.service, state.profile.affinity, state.tried, now, state.constraints);
         if (!endpoint) {
             state.noEndpointReason = m_table.noEndpointReason(state.service, state.tried, now, state.constraints);
+            if (state.noEndpointReason == router::NoEndpointReason::Version) {
+                logStreamRefused(state, Rejection::VersionUnavailable);
+            }
             break;
         }
         const router::AcquiredEndpoint acquired(m_table, *endpoint);
@@ -489,3 +507,4 @@
 #include "entry/gateway_paths.h"
 #include "entry/gateway_place.h"
 #include "entry/gateway_statistics.h"
+#include "entry/gateway_streams.h"
--- a/src/entry/gateway_attempt.h
+++ b/src/entry/gateway_attempt.h
@@ -250,6 +250,7 @@
             completeEvents += event;
         }
         if (!completeEvents.empty()) {
+            recordOrigin(state, endpoint);
             const bool delivered = co_await ex.sendChunk(std::move(completeEvents));
             if (!delivered) {
                 co_return AttemptEnd::CallerGone;
--- /dev/null
+++ b/src/entry/gateway_streams.h
@@ -0,0 +1,83 @@
+// Keeps each stream at the software version that began it.
+#pragma once
+
+#include "entry/gateway.h"
+
+namespace yucca::entry
+{
+
+/// Returns the key of a stream by the caller's attempt that brought its first event, the same at all routers.
+inline uint64_t streamKey(const RequestProfile &profile, const std::string &firstAttempt)
+{
+    return ring::hash(profile.workspace, ring::hash(firstAttempt));
+}
+
+// Returns the software that began the stream which a caller takes up; nothing if it is unknown. Where the caller doesn't name
+// the attempt that began it, only a service whose endpoints have all been of one version leaves no choice.
+template <Dialect D> Task<std::optional<streams::Origin>> Gateway<D>::originOf(const RequestProfile &profile)
+{
+    if (!profile.resumes.empty()) {
+        if (!m_origins) {
+            co_return std::nullopt;
+        }
+        co_return co_await m_origins->locate(streamKey(profile, profile.resumes));
+    }
+    const auto service = chooseService(profile);
+    const auto version = m_table.soleVersion(service, Clock::now());
+    co_return version ? std::optional(streams::Origin{service, *version}) : std::nullopt;
+}
+
+// Binds a stream that its caller takes up to the software that began it. Returns why it can't go on; nothing if it may.
+template <Dialect D> Task<std::optional<Rejection>> Gateway<D>::bindResumption(RequestState &state)
+{
+    const auto &profile = state.profile;
+    if (profile.resumeAfter == 0) {
+        co_return std::nullopt;
+    }
+    state.origin = co_await originOf(profile);
+    if (!state.origin) {
+        co_return Rejection::VersionUnknown;
+    }
+    const auto &destinations = profile.route->destinations;
+    const bool routed = std::any_of(destinations.begin(), destinations.end(), [&state](const Destination &destination) {
+        return destination.service == state.origin->service;
+    });
+    state.service = state.origin->service;
+    state.constraints.version = state.origin->version;
+    co_return routed ? std::nullopt : std::optional(Rejection::VersionUnavailable);
+}
+
+// Binds a stream to the endpoint that brought its first event to this router, and informs other routers: the caller may take
+// the stream up at one of them.
+template <Dialect D> void Gateway<D>::recordOrigin(RequestState &state, const Endpoint &endpoint)
+{
+    if (!state.origin) {
+        state.origin = streams::Origin{endpoint.pool, endpoint.version};
+        state.constraints.version = endpoint.version;
+    }
+    if (state.originAnnounced || !m_origins || !repeatable(*state.profile.route)) {
+        return;
+    }
+    state.originAnnounced = true;
+    const auto now = Clock::now();
+    m_origins->announce({streamKey(state.profile, state.profile.id), *state.origin}, now);
+    if (!state.profile.resumes.empty()) {
+        m_origins->announce({streamKey(state.profile, state.profile.resumes), *state.origin}, now);
+    }
+}
+
+// Logs that a stream was not continued.
+template <Dialect D> void Gateway<D>::logStreamRefused(const RequestState &state, Rejection why)
+{
+    if (m_logLimiter.tryTake(true, Clock::now())) {
+        log::Line{log::Event::StreamRefused}
+            .add("id", state.profile.id)
+            .add("resumes", state.profile.resumes)
+            .add("why", nameOf(rejectionNames, why))
+            .add("service", state.service)
+            .add("version", state.origin ? state.origin->version : "")
+            .add("events", static_cast<int64_t>(state.events.lastId()));
+    }
+}
+
+} // namespace yucca::entry
--- a/src/entry/placement_rules.h
+++ b/src/entry/placement_rules.h
@@ -28,6 +28,8 @@
         return Rejection::Cold;
     case router::NoEndpointReason::Brittle:
         return Rejection::Brittle;
+    case router::NoEndpointReason::Version:
+        return Rejection::VersionUnavailable;
     case router::NoEndpointReason::Region:
     case router::NoEndpointReason::Unusable:
         break;
--- a/src/entry/process.h
+++ b/src/entry/process.h
@@ -65,7 +65,8 @@
                   return m_exchange.isFirstByName(Clock::now());
               })
         , m_relayPeers(settings.regions)
-        , m_gateway(GatewayParts{m_published, m_table, m_admission, m_quarantine, nullptr, &m_relayPeers, &m_exchange.membership()}, gatewayOptions(settings))
+        , m_gateway(GatewayParts{m_published, m_table, m_admission, m_quarantine, nullptr, &m_relayPeers, &m_exchange.membership(), &m_origins},
+                    gatewayOptions(settings))
         , m_changes(sharedReplicas(settings))
         , m_relay(
               m_trafficLoop, m_table, m_relayPeers,
@@ -93,6 +94,15 @@
         m_exchange.shareReplicas(sharedReplicas(settings));
         m_exchange.setLimitWindow(retryLimits(settings).window);
         m_exchange.shareQuarantine(m_quarantine);
+        m_exchange.shareOrigins(m_origins);
+        if (settings.peers.port != 0) {
+            m_origins.sendCopies = [this](const streams::OriginRecord &record) {
+                asio::co_spawn(m_controlLoop, m_exchange.sendOriginCopies(record), asio::detached);
+            };
+            m_origins.sendQueries = [this](uint64_t stream) {
+                asio::co_spawn(m_controlLoop, m_exchange.sendOriginQueries(stream), asio::detached);
+            };
+        }
         m_quarantine.onUrgentUpdate = [this] {
             asio::post(m_controlLoop, [this] {
                 m_exchange.requestRound();
@@ -353,6 +363,7 @@
         gauges.evacuatedDomains = m_table.evacuated().size();
         gauges.coldEndpoints = m_table.coldCount(Clock::now());
         gauges.quarantined = m_quarantine.quarantinedCount(Clock::now());
+        gauges.streamOrigins = m_origins.size();
         gauges.tunnels = m_relay.counters().open;
         gauges.tunnelsAccepted = m_relay.counters().accepted;
         gauges.tunnelsRefused = m_relay.counters().refused;
@@ -418,6 +429,7 @@
     quarantine::QuarantineStore m_quarantineStore;
     limits::Admission m_admission; ///< sets no limits here, because the workspaces of the platform define none
     relay::RelayPeers m_relayPeers;
+    streams::StreamOrigins m_origins;
     Gateway<D> m_gateway;
     replica::ChangeServer m_changes;
     relay::RelayServer m_relay;
--- a/src/entry/request_profile.h
+++ b/src/entry/request_profile.h
@@ -96,9 +96,11 @@
     Cold, ///< all remaining endpoints are cold and can take no more requests now
     BackingOff, ///< all endpoints have asked this router to back off
     Brittle, ///< all remaining endpoints may be full, and would crash if they had to reject more requests
+    VersionUnknown, ///< a stream is to go on, and no router that was asked knows which software version began it
+    VersionUnavailable, ///< no endpoint that may continue the stream has the version that began it
 };
 
-inline constexpr NameTable<Rejection, 19> rejectionNames{{{Rejection::NotLoaded, "not_loaded"},
+inline constexpr NameTable<Rejection, 21> rejectionNames{{{Rejection::NotLoaded, "not_loaded"},
                                                           {Rejection::OutOfDate, "out_of_date"},
                                                           {Rejection::NoRoute, "no_route"},
                                                           {Rejection::UnknownKey, "unknown_key"},
@@ -116,7 +118,9 @@
                                                           {Rejection::Evacuated, "evacuated"},
                                                           {Rejection::Cold, "cold"},
                                                           {Rejection::BackingOff, "backing_off"},
-                                                          {Rejection::Brittle, "brittle"}}};
+                                                          {Rejection::Brittle, "brittle"},
+                                                          {Rejection::VersionUnknown, "version_unknown"},
+                                                          {Rejection::VersionUnavailable, "version_unavailable"}}};
 
 /// Returns the outcome that a rejection implies: the request did not run and never will, or it may
 /// have run.
--- a/src/entry/retry_after.h
+++ b/src/entry/retry_after.h
@@ -26,9 +26,9 @@
 template <typename Random> Millis retryAfterFor(Rejection why, Clock::duration sinceStart, const RetryAfterOptions &options, Random &random)
 {
     Millis wait = options.capacity;
-    if (why == Rejection::Stopping || why == Rejection::OutOfDate) {
+    if (why == Rejection::Stopping || why == Rejection::OutOfDate || why == Rejection::VersionUnknown) {
         wait = options.otherRouter;
-    } else if (why == Rejection::NoEndpoint) {
+    } else if (why == Rejection::NoEndpoint || why == Rejection::VersionUnavailable) {
         wait = options.noUsableEndpoint;
     } else if (why == Rejection::Evacuated) {
         wait = options.evacuated;
--- a/src/load_exchange.cpp
+++ b/src/load_exchange.cpp
@@ -321,6 +321,7 @@
             m_quarantine->merge(response);
         }
     }
+    handleOrigins(message, from, now);
     const auto neighbour = std::find_if(m_neighbours.begin(), m_neighbours.end(), [&from](const Peer &peer) {
         return peer.address == from;
     });
--- a/src/load_exchange.h
+++ b/src/load_exchange.h
@@ -9,6 +9,7 @@
 #include "peer_directory.h"
 #include "peer_message.h"
 #include "router_core.h"
+#include "stream_origins.h"
 
 #include <boost/asio/ip/udp.hpp>
 
@@ -105,6 +106,15 @@
     {
         m_quarantine = &quarantine;
     }
+    /// Answers queries of other routers from these origins, which must outlive the exchange.
+    void shareOrigins(streams::StreamOrigins &origins)
+    {
+        m_origins = &origins;
+    }
+    /// Sends an origin to the routers that keep copies of it; on the exchange's event loop.
+    Task<void> sendOriginCopies(streams::OriginRecord record);
+    /// Asks the routers that may keep an origin, and records which ones; on the exchange's event loop.
+    Task<void> sendOriginQueries(uint64_t stream);
     /// Reads the list of peers once, and removes the entries of peers that have not been heard for entryRemovedAfter. Returns false
     /// if the store could not be reached.
     Task<bool> refreshPeers(Clock::time_point now);
@@ -116,6 +126,9 @@
     Task<void> send(const std::vector<Peer> &receivers, const PeerMessage &message, Clock::time_point now);
     Task<void> sendCrashRecords(bool includeSilent, Clock::time_point now);
     std::vector<Peer> countersFor(uint64_t content, const std::vector<Peer> &others) const;
+    std::vector<Peer> originKeepers(uint64_t stream, std::size_t count, Clock::time_point now) const;
+    void handleOrigins(const PeerMessage &message, const http::Address &from, Clock::time_point now);
+    Task<void> sendReply(Peer to, PeerMessage reply);
     /// True if one round of datagrams can reach all routers of the fleet.
     bool reachesAllPeers() const;
     std::vector<Peer> neighbours() const;
@@ -139,6 +152,7 @@
     std::vector<Peer> m_neighbours; ///< sorted by name
     std::vector<replica::SharedReplica *> m_replicas;
     quarantine::RequestQuarantine *m_quarantine = nullptr;
+    streams::StreamOrigins *m_origins = nullptr;
     Clock::time_point m_neighbourHeardAt{};
     Notifier m_updateNotifier;
     bool m_updatePending = false;
--- a/src/log.cpp
+++ b/src/log.cpp
@@ -21,7 +21,7 @@
 namespace
 {
 
-constexpr std::array<EventInfo, 51> catalogue{{
+constexpr std::array<EventInfo, 52> catalogue{{
     {Event::ProgramStarted, "ProgramStarted", Level::Info},
     {Event::StopRequested, "StopRequested", Level::Info},
     {Event::ProgramStopped, "ProgramStopped", Level::Info},
@@ -66,6 +66,7 @@
     {Event::PathCut, "PathCut", Level::Warn},
     {Event::PathRestored, "PathRestored", Level::Info},
     {Event::RelayRefused, "RelayRefused", Level::Warn},
+    {Event::StreamRefused, "StreamRefused", Level::Info},
     {Event::OrderAccepted, "OrderAccepted", Level::Info},
     {Event::OrderRefused, "OrderRefused", Level::Warn},
     {Event::Draining, "Draining", Level::Info},
--- a/src/log.h
+++ b/src/log.h
@@ -55,6 +55,7 @@
     PathCut = 2052,
     PathRestored = 2053,
     RelayRefused = 2054,
+    StreamRefused = 2055,
     OrderAccepted = 3001,
     OrderRefused = 3002,
     Draining = 3003,
--- a/src/peer_message.cpp
+++ b/src/peer_message.cpp
@@ -19,6 +19,10 @@
 /// Precedes the service's name in a count of requests in flight, which has the form of a load report. An endpoint's id contains no
 /// space, so an earlier release takes the count for the report of an endpoint that is not listed, and ignores it.
 constexpr std::string_view inflightPrefix = " ";
+constexpr std::size_t maxVersionBytes = 64;
+/// What an item of a stream without an origin means.
+constexpr std::string_view originQueryMark = "?";
+constexpr std::string_view unknownOriginMark = "-";
 
 // Reads a load report: [endpoint, load, age in ms].
 bool readReport(const json &item, Clock::time_point now, LoadReport &out)
@@ -105,6 +109,28 @@
     return true;
 }
 
+// Reads the origin of a stream: [stream, service, version].
+bool readOrigin(const json &item, streams::OriginRecord &out)
+{
+    const bool wellFormed = item.is_array() && item.size() == 3 && item[0].is_number_unsigned() && item[1].is_string() && item[2].is_string();
+    if (!wellFormed || item[1].get_ref<const std::string &>().size() > maxIdBytes || item[2].get_ref<const std::string &>().size() > maxVersionBytes) {
+        return false;
+    }
+    out = {item[0].get<uint64_t>(), {item[1].get<std::string>(), item[2].get<std::string>()}};
+    return true;
+}
+
+// Reads a stream without an origin: [stream, mark].
+bool readStream(const json &item, std::string_view mark, std::vector<uint64_t> &out)
+{
+    const bool wellFormed = item.is_array() && item.size() == 2 && item[0].is_number_unsigned() && item[1].is_string();
+    if (!wellFormed || item[1].get_ref<const std::string &>() != mark || out.size() == maxOrigins) {
+        return false;
+    }
+    out.push_back(item[0].get<uint64_t>());
+    return true;
+}
+
 uint64_t ageOf(Clock::time_point at, Clock::time_point now, int64_t maxMs = maxAgeMs)
 {
     const auto age = std::chrono::duration_cast<Millis>(now - at).count();
@@ -168,6 +194,15 @@
     for (const auto &a : message.completeResponses) {
         out.push_back({a.content, ageOf(a.at, now, maxCrashAgeMs)});
     }
+    for (const auto &record : message.origins) {
+        out.push_back({record.stream, record.origin.service, record.origin.version});
+    }
+    for (const auto stream : message.originQueries) {
+        out.push_back({stream, originQueryMark});
+    }
+    for (const auto stream : message.unknownOrigins) {
+        out.push_back({stream, unknownOriginMark});
+    }
     return json::to_cbor(out);
 }
 
@@ -189,6 +224,7 @@
         quarantine::CrashRecord crash;
         quarantine::Suspicion suspicion;
         quarantine::CompleteResponse completeResponse;
+        streams::OriginRecord origin;
         if (out.crashes.size() < maxCrashRecords && readCrashRecord(item, now, crash)) {
             out.crashes.push_back(std::move(crash));
         } else if (out.suspicions.size() < maxCrashRecords && readSuspicion(item, now, suspicion)) {
@@ -199,7 +235,10 @@
             out.confirmations.push_back(std::move(confirmation));
         } else if (out.loads.size() < maxLoadReports && readReport(item, now, report)) {
             out.loads.push_back(std::move(report));
-        } else if (!readPrompts(item, out.prompts)) {
+        } else if (out.origins.size() < maxOrigins && readOrigin(item, origin)) {
+            out.origins.push_back(std::move(origin));
+        } else if (!readStream(item, originQueryMark, out.originQueries) && !readStream(item, unknownOriginMark, out.unknownOrigins)
+                   && !readPrompts(item, out.prompts)) {
             return Error{400, "item " + std::to_string(out.loads.size() + out.prompts.size()) + " is malformed or exceeds the limit of its type"};
         }
     }
--- a/src/peer_message.h
+++ b/src/peer_message.h
@@ -5,6 +5,7 @@
 #include "fleet_inflight.h"
 #include "quarantine.h"
 #include "shared_replica.h"
+#include "stream_origins.h"
 #include "task.h"
 #include "yucca/types.h"
 
@@ -42,6 +43,9 @@
     std::vector<quarantine::Suspicion> suspicions = {};
     std::vector<quarantine::CompleteResponse> completeResponses = {}; ///< complete responses to requests under which endpoints had crashed
     std::vector<InflightCount> inflight = {}; ///< the sender's own requests in flight
+    std::vector<streams::OriginRecord> origins = {}; ///< of streams that the sender knows
+    std::vector<uint64_t> originQueries = {}; ///< streams whose origins the sender asks for
+    std::vector<uint64_t> unknownOrigins = {}; ///< streams for which the sender was asked and that it does not know
     bool operator==(const PeerMessage &) const = default;
 };
 
@@ -50,6 +54,7 @@
 inline constexpr std::size_t maxPrompts = 24;
 /// Crash records, of about 12 B and 9 B per endpoint, and answers are sent in datagrams of their own.
 inline constexpr std::size_t maxCrashRecords = 16;
+inline constexpr std::size_t maxOrigins = 16; ///< records of up to 70 B, queries and replies, in datagrams of their own
 inline constexpr std::size_t maxConfirmations = 4; ///< one per kind of objects, of about 35 B
 inline constexpr std::size_t maxInflightCounts = 8; ///< one per service, of about 20 B each; they count toward maxLoadReports
 
--- a/src/router_constraints.cpp
+++ b/src/router_constraints.cpp
@@ -19,6 +19,9 @@
 constexpr double reservedPerPriority = 0.15;
 constexpr int maxReservedPriorities = 4;
 
+/// How long a version that is no longer listed may have streams that callers take up.
+constexpr Millis versionMemory{60000};
+
 constexpr Millis roomReportLifetime{1000}; ///< how long a report shows that a brittle endpoint has room
 
 } // namespace
@@ -133,6 +136,34 @@
     return allowed.size();
 }
 
+void RoutingTable::recordVersions(Clock::time_point now)
+{
+    std::map<std::string, std::set<std::string>> listed;
+    for (const auto *list : {&m_endpoints, &m_leaving}) {
+        for (const auto &endpoint : *list) {
+            listed[endpoint.pool].insert(endpoint.version);
+        }
+    }
+    for (auto &[pool, versions] : listed) {
+        const auto known = m_versions.find(pool);
+        const bool replaced = known != m_versions.end() && known->second.versions != versions;
+        auto &held = m_versions[pool];
+        held.mixedAt = replaced || versions.size() > 1 ? now : held.mixedAt;
+        held.versions = std::move(versions);
+    }
+}
+
+std::optional<std::string> RoutingTable::soleVersion(const std::string &pool, Clock::time_point now) const
+{
+    std::lock_guard lock(m_mutex);
+    const auto it = m_versions.find(pool);
+    if (it == m_versions.end() || it->second.versions.size() != 1) {
+        return std::nullopt;
+    }
+    const bool mixedRecently = it->second.mixedAt != Clock::time_point::min() && now - it->second.mixedAt < versionMemory;
+    return mixedRecently ? std::nullopt : std::optional(*it->second.versions.begin());
+}
+
 void RoutingTable::recordRejectionLimit(const Endpoint &endpoint, std::optional<int64_t> maxPerSecond, Clock::time_point now)
 {
     std::lock_guard lock(m_mutex);
@@ -188,7 +219,7 @@
         const auto &m = pool.members[i];
         const auto &health = m_health[m.id];
         const bool candidate = !exclude.count(m.id) && !m_refusals.backOffEnd(m.id, now) && health.suspectUntil <= now && health.ejectedUntil <= now
-            && constraints.regions.allows(m.region) && mayRiskRejection(m, now);
+            && constraints.allows(m) && mayRiskRejection(m, now);
         if (candidate && limited && health.coldUntil > now) {
             cold.push_back(i);
         } else if (candidate) {
@@ -263,7 +294,7 @@
     std::lock_guard lock(m_mutex);
     std::optional<Clock::time_point> first;
     for (const auto &e : m_endpoints) {
-        if (e.pool != pool || isEvacuated(e) || isFailedOrLeaving(e, now) || !constraints.regions.allows(e.region)) {
+        if (e.pool != pool || isEvacuated(e) || isFailedOrLeaving(e, now) || !constraints.allows(e)) {
             continue;
         }
         const auto until = m_refusals.backOffEnd(e.id, now);
@@ -283,12 +314,15 @@
     bool brittle = false;
     bool cold = false;
     bool otherRegion = false;
+    bool otherVersion = false;
     for (const auto &e : m_endpoints) {
         if (e.pool != pool || exclude.count(e.id) || isFailedOrLeaving(e, now)) {
             continue;
         }
-        const bool allowed = constraints.regions.allows(e.region);
-        otherRegion = otherRegion || !allowed;
+        const bool inRegion = constraints.regions.allows(e.region);
+        const bool allowed = constraints.allows(e);
+        otherRegion = otherRegion || !inRegion;
+        otherVersion = otherVersion || (inRegion && !allowed);
         evacuated = evacuated || (allowed && isEvacuated(e));
         brittle = brittle || (allowed && !isEvacuated(e) && !mayRiskRejection(e, now));
         cold = cold || (allowed && !isEvacuated(e) && isCold(e, now));
@@ -302,6 +336,9 @@
     if (evacuated) {
         return NoEndpointReason::Evacuated;
     }
+    if (constraints.version && otherVersion) {
+        return NoEndpointReason::Version;
+    }
     return otherRegion ? NoEndpointReason::Region : NoEndpointReason::Unusable;
 }
 
--- a/src/router_core.cpp
+++ b/src/router_core.cpp
@@ -56,6 +56,7 @@
     m_leaving = std::move(leaving);
     m_refusals.dropExpired(live, now);
     if (live == m_endpoints) {
+        recordVersions(now);
         return false;
     }
     // An endpoint that left the VM list and returned starts without failures. An endpoint that is gone is dropped once
@@ -91,6 +92,7 @@
         }
     }
     m_endpoints = std::move(live);
+    recordVersions(now);
     rebuildPools(restarted);
     return true;
 }
--- a/src/router_core.h
+++ b/src/router_core.h
@@ -30,6 +30,12 @@
 struct PlacementConstraints {
     int priority = 0; ///< 0 is the most urgent
     RegionConstraint regions;
+    std::optional<std::string> version = {}; ///< of the software that began a stream; absent: any
+    /// True if neither the region nor the version rules the endpoint out.
+    bool allows(const Endpoint &endpoint) const
+    {
+        return regions.allows(endpoint.region) && (!version || *version == endpoint.version);
+    }
 };
 
 /// Why no endpoint of a pool can receive a request.
@@ -38,6 +44,7 @@
     Evacuated, ///< all remaining endpoints are in evacuated failure domains
     Cold, ///< all remaining endpoints are cold, and this router has used up its share of their allowance
     Region, ///< no endpoint is in an allowed region
+    Version, ///< no endpoint has the version that began the stream
     Brittle, ///< all remaining endpoints may be full, and this router has used up its share of the rejections that they bear
 };
 
@@ -168,6 +175,9 @@
     std::optional<Endpoint> find(const std::string &id, Clock::time_point now) const;
     /// The endpoint with this incarnation key if it may receive requests: live, not evacuated and not suspected of having failed.
     std::optional<Endpoint> findLive(const std::string &key) const;
+    /// The version of all endpoints of a pool, listed as live or leaving; nothing if there is none, if there are several, or if this
+    /// router has seen another one within a minute.
+    std::optional<std::string> soleVersion(const std::string &pool, Clock::time_point now) const;
     /// When an endpoint joined. Returns a default-constructed time point for endpoints of the first listing and for
     /// unknown ones.
     Clock::time_point joinedAt(const std::string &id) const;
@@ -210,6 +220,12 @@
         Clock::time_point peerReceivedAt{}; ///< when the peer received it
         Clock::time_point peerMergedAt{}; ///< when this router got it from a peer
     };
+    /// The software versions of a pool's endpoints.
+    struct PoolVersions {
+        std::set<std::string> versions;
+        Clock::time_point mixedAt = Clock::time_point::min(); ///< when there were last several, or another one
+    };
+    void recordVersions(Clock::time_point now);
     Picker makePicker(EndpointKind kind) const;
     std::optional<std::size_t> pickMember(const std::string &name, Pool &pool, const placement::Affinity &requestAffinity, const std::set<std::string> &exclude,
                                           Clock::time_point now, const PlacementConstraints &constraints);
@@ -253,6 +269,7 @@
     EndpointRefusals m_refusals;
     limits::ColdLimiter m_coldLimiter;
     limits::RejectionLimiter m_rejections;
+    std::map<std::string, PoolVersions> m_versions; ///< by pool
     std::map<std::string, Clock::time_point> m_unlistedAt; ///< by incarnation: when it was last listed
 };
 
--- a/src/router_dialect.cpp
+++ b/src/router_dialect.cpp
@@ -13,7 +13,7 @@
 {
 
 /// Message for callers about each rejection.
-constexpr NameTable<entry::Rejection, 19> rejectionMessages{{
+constexpr NameTable<entry::Rejection, 21> rejectionMessages{{
     {entry::Rejection::NotLoaded, "the catalogue is not loaded yet"},
     {entry::Rejection::OutOfDate, "the router does not know the workspace, and has not heard of the store for a while"},
     {entry::Rejection::NoRoute, "the workspace has no class of work of this kind"},
@@ -33,6 +33,8 @@
     {entry::Rejection::Cold, "the endpoints that are left have just started and bear no more requests now"},
     {entry::Rejection::BackingOff, "the endpoints have asked for no more requests for a while"},
     {entry::Rejection::Brittle, "the endpoints may be full, and bear few rejections"},
+    {entry::Rejection::VersionUnknown, "the software version that began the stream is not known here"},
+    {entry::Rejection::VersionUnavailable, "no endpoint has the software version that began the stream"},
 }};
 
 // HTTP status of a rejection on this interface. Two differ from entry::statusOf():
--- a/src/router_prompts.cpp
+++ b/src/router_prompts.cpp
@@ -86,7 +86,7 @@
     RendezvousFirst first(prompt, excluded);
     for (const auto *list : {&m_endpoints, &m_leaving}) {
         for (const auto &endpoint : *list) {
-            if (endpoint.pool == pool && !isEvacuated(endpoint) && !m_refusals.refuses(endpoint, now) && constraints.regions.allows(endpoint.region)) {
+            if (endpoint.pool == pool && !isEvacuated(endpoint) && !m_refusals.refuses(endpoint, now) && constraints.allows(endpoint)) {
                 first.consider(endpoint);
             }
         }
@@ -149,7 +149,7 @@
 {
     auto found = m_holders.find(prompt, now);
     std::erase_if(found, [&](const Endpoint &e) {
-        return !isListed(e) || m_refusals.refuses(e, now) || isSuspected(e.id, now) || isEvacuated(e) || !constraints.regions.allows(e.region);
+        return !isListed(e) || m_refusals.refuses(e, now) || isSuspected(e.id, now) || isEvacuated(e) || !constraints.allows(e);
     });
     return found;
 }
--- a/tests/entry_fixture.h
+++ b/tests/entry_fixture.h
@@ -206,7 +206,7 @@
     explicit EntryFixture(Loop &loop, std::map<std::string, std::pair<std::string, uint16_t>> endpoints, int64_t retrySlack = 1000)
         : loop(loop)
         , settings{settingsWithSlack(retrySlack)}
-        , gateway(entry::GatewayParts{published, table, admission, quarantine, nullptr, &relayPeers, &fleet}, options(settings))
+        , gateway(entry::GatewayParts{published, table, admission, quarantine, nullptr, &relayPeers, &fleet, &origins}, options(settings))
     {
         listOtherRouters();
         configure(entryConfiguration());
@@ -268,6 +268,7 @@
     quarantine::RequestQuarantine quarantine;
     relay::RelayPeers relayPeers{{{"zone-near", "region-1"}, {"zone-far", "region-2"}}}; ///< empty until a test sets some
     peers::FleetMembership fleet;
+    streams::StreamOrigins origins;
     entry::Gateway<platform::PlatformDialect> gateway;
     http::Server server{{&loop.io}, "127.0.0.1", 0, [this](http::Exchange &ex) {
                             return gateway.handle(ex);
--- a/tests/test_stream_versions.cpp
+++ b/tests/test_stream_versions.cpp
@@ -138,8 +138,8 @@
 {
     VersionedEngine old(loop(), "e1", "v1");
     VersionedEngine fresh(loop(), "e2", "v2");
-    EntryFixture router(loop(), {});
     for (int n = 0; n < 12; ++n) {
+        EntryFixture router(loop(), {}); // a new one each time: engines that fail too often are ejected
         const std::string first = "a" + std::to_string(n);
         old.breakAfter = fresh.breakAfter = 2;
         list(router, {&old, &fresh});
