Attempts log the shared parts of their prompts; timeline of the crashing requests

Callers saw engines end one after the other under requests of one kind (BUDGET). The line of a broken attempt named its whole content only, which is different for each request. AttemptEnded now has `parts`. No request is routed otherwise.

--- a/src/entry/gateway_statistics.h
+++ b/src/entry/gateway_statistics.h
@@ -60,6 +60,16 @@
     return state.lastStatus >= 500 ? RequestEnd::EngineFailed : RequestEnd::Delivered;
 }
 
+// Returns the ids of the prompt parts that other requests may share, in order.
+inline std::string sharedPartsText(const Prompt &prompt)
+{
+    std::string ids;
+    for (std::size_t i = 0; i + 1 < prompt.parts.size(); ++i) {
+        ids += (ids.empty() ? "" : ",") + text::toHex(prompt.parts[i].id);
+    }
+    return ids;
+}
+
 // Updates statistics, quarantine and outlier detection after an attempt, and logs attempts that did
 // not deliver.
 template <Dialect D>
@@ -98,6 +108,7 @@
             .add("ms", elapsedMs(began))
             .add("path", nameOf(pathNames, state.path))
             .add("events", static_cast<int64_t>(state.events.lastId()))
+            .add("parts", sharedPartsText(state.profile.prompt))
             .add("again", willRetry);
     }
 }
