Crashes count for each shared part of a prompt, and the part is quarantined

Callers saw engines end one after the other, 49 in all, under requests that are no two alike and share a part of their prompts: the quarantine counted by whole content, so nothing added up.

Crashes now count for each part but the last as well. Complete answers clear their parts, crashes that a worse part accounts for do not count against others, and of parts with the same crashes only the requests that have all of them are kept away. Refusals are `part_quarantined`, RequestWithheld names the part.

Their pool was changed: an engine that ends now refuses connections, and another one takes its place; before, it answered at its address at once, and a crash showed in the listing only, up to 100 ms later.

--- a/src/entry/gateway.h
+++ b/src/entry/gateway.h
@@ -234,7 +234,7 @@
 
     /// An endpoint that may have crashed while it ran requests, because responses of it broke.
     struct CrashWatch {
-        std::map<uint64_t, Clock::time_point> brokeAt; ///< time of the last broken response, by content key
+        std::map<uint64_t, Clock::time_point> brokeAt; ///< time of the last broken response, by crash key
         Clock::time_point probeAt{};
         std::optional<Clock::time_point> probedAt;
         bool replaced = false; ///< another instance answers at the endpoint's address
@@ -292,8 +292,19 @@
     std::vector<RetryGauge> retryGauges() const;
     http::ConnectionReuse reuseFor(const RequestState &state, Clock::time_point now) const;
     Task<void> closeStaleConnections(const Endpoint &endpoint);
-    std::optional<Millis> quarantineRemaining(const RequestProfile &profile, Clock::time_point now) const;
-    Task<void> recordBrokenResponse(uint64_t content, Endpoint endpoint);
+    /// A request that the quarantine keeps from endpoints.
+    struct Withheld {
+        Millis remaining{};
+        uint64_t key = 0; ///< the quarantined one of its crashKeys()
+        std::optional<uint64_t> part; ///< id of the quarantined part of its prompt; absent: its content is quarantined
+        Rejection why() const
+        {
+            return part ? Rejection::PartQuarantined : Rejection::Quarantined;
+        }
+    };
+    std::optional<Withheld> withheld(const RequestProfile &profile, Clock::time_point now) const;
+    void logWithheld(const RequestProfile &profile, const Withheld &withheld);
+    Task<void> recordBrokenResponse(const RequestProfile &profile, Endpoint endpoint);
     CrashWatch nextWatch(const CrashWatch &watch, Clock::time_point now) const;
     Task<void> watchForCrash(Endpoint endpoint, CrashWatchPtr watch);
     void recordCrash(const Endpoint &endpoint, const CrashWatch &watch);
@@ -345,9 +356,9 @@
     }
     RequestState state;
     state.profile = std::move(std::get<RequestProfile>(identified));
-    const auto quarantineLeft = quarantineRemaining(state.profile, now);
-    if (quarantineLeft) {
-        co_await reject(ex, state.profile.id, Rejection::Quarantined, quarantineLeft);
+    if (const auto quarantine = withheld(state.profile, now)) {
+        logWithheld(state.profile, *quarantine);
+        co_await reject(ex, state.profile.id, quarantine->why(), quarantine->remaining);
         co_return;
     }
     std::optional<limits::AdmissionSlot> slot;
@@ -391,7 +402,7 @@
             state.timedOut = true;
             break;
         }
-        if (quarantineRemaining(state.profile, now)) {
+        if (withheld(state.profile, now)) {
             break; // meanwhile, an endpoint crashed while it ran this content
         }
         const auto endpoint = m_table.acquire(state.service, state.profile.affinity, state.tried, now, state.constraints);
@@ -421,10 +432,10 @@
         m_attempts.insert_or_assign(&state, *endpoint);
         AttemptEnd end = co_await attemptAt(ex, state, *endpoint, reuseFor(state, now), staleConnection);
         if (staleConnection && !state.cancellation.isCancelled() && !ex.callerDisconnected()) {
-            co_await recordBrokenResponse(contentKey(state.profile), *endpoint); // must precede a second send, which hides how the first one ended
+            co_await recordBrokenResponse(state.profile, *endpoint); // must precede a second send, which hides how the first one ended
         }
         state.sendLost = state.sendLost || staleConnection;
-        const bool mayRepeat = staleConnection && repeatable(route) && !state.cancellation.isCancelled() && !quarantineRemaining(state.profile, Clock::now());
+        const bool mayRepeat = staleConnection && repeatable(route) && !state.cancellation.isCancelled() && !withheld(state.profile, Clock::now());
         const auto resendAt = Clock::now();
         if (mayRepeat && m_table.acquireForResend(*endpoint, resendAt) && spendRetry(state)) {
             state.acquiredAt = resendAt;
@@ -439,7 +450,7 @@
         }
         state.count.runs += mayHaveRun(end) ? 1 : 0;
         if ((end == AttemptEnd::Broken || end == AttemptEnd::Silent) && !state.cancellation.isCancelled() && !ex.callerDisconnected()) {
-            co_await recordBrokenResponse(contentKey(state.profile), *endpoint);
+            co_await recordBrokenResponse(state.profile, *endpoint);
         }
         if (state.cancellation.isCancelled() || ex.callerDisconnected()) {
             if (end != AttemptEnd::Delivered) {
@@ -476,15 +487,16 @@
         co_return;
     }
     const auto now = Clock::now();
-    const auto quarantineLeft = quarantineRemaining(state.profile, now);
+    const auto quarantine = withheld(state.profile, now);
     const auto earliestBackOffEnd = m_table.earliestBackOffEnd(state.service, now, state.constraints);
     Rejection why = Rejection::NoEndpoint;
     std::optional<Millis> retryAfter;
     if (state.count.runs > 0 || state.sendLost) {
         why = state.timedOut ? Rejection::TimedOut : Rejection::AnswerLost;
-    } else if (quarantineLeft) {
-        why = Rejection::Quarantined;
-        retryAfter = quarantineLeft;
+    } else if (quarantine) {
+        logWithheld(state.profile, *quarantine);
+        why = quarantine->why();
+        retryAfter = quarantine->remaining;
     } else if (earliestBackOffEnd) {
         why = Rejection::BackingOff;
         // If the back-off ends after the deadline, only another router can help: that router's
--- a/src/entry/gateway_crashes.h
+++ b/src/entry/gateway_crashes.h
@@ -4,22 +4,46 @@
 
 #include "connect_probe.h"
 #include "entry/gateway.h"
+#include "text.h"
 
 #include <boost/asio/detached.hpp>
 
 namespace yucca::entry
 {
 
-// Returns how long a request must still be kept from endpoints; nothing if it may be sent.
-template <Dialect D> std::optional<Millis> Gateway<D>::quarantineRemaining(const RequestProfile &profile, Clock::time_point now) const
+// Returns how long and why a request must still be kept from endpoints; nothing if it may be sent.
+template <Dialect D> std::optional<typename Gateway<D>::Withheld> Gateway<D>::withheld(const RequestProfile &profile, Clock::time_point now) const
 {
-    const auto until = m_quarantine.quarantinedUntil(contentKey(profile), now);
-    return until ? std::optional(std::chrono::ceil<Millis>(*until - now)) : std::nullopt;
+    const auto verdict = m_quarantine.quarantineOf(crashKeys(profile), now);
+    if (!verdict) {
+        return std::nullopt;
+    }
+    Withheld result{std::chrono::ceil<Millis>(verdict->until - now), verdict->content, std::nullopt};
+    if (verdict->content != contentKey(profile)) {
+        const auto &parts = profile.prompt.parts;
+        const auto part = std::find_if(parts.begin(), parts.end(), [&verdict](const PromptPart &candidate) {
+            return partKey(candidate) == verdict->content;
+        });
+        result.part = part->id;
+    }
+    return result;
+}
+
+// Logs that a request was kept from endpoints, and the part of its prompt or the content that is quarantined.
+template <Dialect D> void Gateway<D>::logWithheld(const RequestProfile &profile, const Withheld &withheld)
+{
+    if (m_logLimiter.tryTake(true, Clock::now())) {
+        log::Line{log::Event::RequestWithheld}
+            .add("id", profile.id)
+            .add("content", text::toHex(withheld.key))
+            .add("part", withheld.part ? text::toHex(*withheld.part) : "")
+            .add("for_ms", withheld.remaining.count());
+    }
 }
 
 // Records that the response to a request broke: the endpoint may have crashed. An endpoint that was
 // leaving or is no longer listed was stopped as planned.
-template <Dialect D> Task<void> Gateway<D>::recordBrokenResponse(uint64_t content, Endpoint endpoint)
+template <Dialect D> Task<void> Gateway<D>::recordBrokenResponse(const RequestProfile &profile, Endpoint endpoint)
 {
     const auto listingState = m_table.listingState(endpoint);
     if (listingState == router::ListingState::Leaving || listingState == router::ListingState::Unlisted) {
@@ -33,8 +57,10 @@
         held = std::make_shared<CrashWatch>(first ? CrashWatch{} : nextWatch(*held, now));
     }
     const auto watch = held;
-    watch->brokeAt[content] = now;
-    m_quarantine.recordBrokenResponse(content, ring::hash(incarnationKey(endpoint)), now);
+    for (const auto key : crashKeys(profile)) {
+        watch->brokeAt[key] = now;
+        m_quarantine.recordBrokenResponse(key, ring::hash(incarnationKey(endpoint)), now);
+    }
     if (probe) {
         const auto ex = co_await asio::this_coro::executor;
         asio::co_spawn(ex, watchForCrash(endpoint, watch), asio::detached);
--- a/src/entry/gateway_statistics.h
+++ b/src/entry/gateway_statistics.h
@@ -78,7 +78,9 @@
     const auto now = Clock::now();
     m_metrics.attemptEnded(end);
     if (end == AttemptEnd::Delivered && state.lastStatus / 100 == 2) {
-        m_quarantine.recordCompleteResponse(contentKey(state.profile), now);
+        for (const auto key : crashKeys(state.profile)) {
+            m_quarantine.recordCompleteResponse(key, now);
+        }
     }
     // A failure over a cut path, or at a peer, says nothing about the endpoint.
     const bool pathAtFault = end != AttemptEnd::Delivered && m_paths.pathTo(endpoint) == Path::Relayed;
--- a/src/entry/request_profile.h
+++ b/src/entry/request_profile.h
@@ -75,6 +75,23 @@
     return ring::hash(profile.workspace, profile.contentHash);
 }
 
+/// Returns the key of a part of a prompt, the same for all callers and at all routers.
+inline uint64_t partKey(const PromptPart &part)
+{
+    return ring::hash("prompt part", part.id);
+}
+
+/// Returns the keys under which crashes count against a request: its content first, then the parts of its prompt that other
+/// requests may share, in order.
+inline std::vector<uint64_t> crashKeys(const RequestProfile &profile)
+{
+    std::vector<uint64_t> keys{contentKey(profile)};
+    for (std::size_t i = 0; i + 1 < profile.prompt.parts.size(); ++i) {
+        keys.push_back(partKey(profile.prompt.parts[i]));
+    }
+    return keys;
+}
+
 /// Why a request was answered by the router itself.
 enum class Rejection {
     NotLoaded, ///< no configuration is known yet
@@ -98,9 +115,10 @@
     Brittle, ///< all remaining endpoints may be full, and would crash if they had to reject more requests
     VersionUnknown, ///< a stream is to go on, and no router that was asked knows which software version began it
     VersionUnavailable, ///< no endpoint that may continue the stream has the version that began it
+    PartQuarantined, ///< endpoints crashed while they ran requests whose prompts share a part with this one
 };
 
-inline constexpr NameTable<Rejection, 21> rejectionNames{{{Rejection::NotLoaded, "not_loaded"},
+inline constexpr NameTable<Rejection, 22> rejectionNames{{{Rejection::NotLoaded, "not_loaded"},
                                                           {Rejection::OutOfDate, "out_of_date"},
                                                           {Rejection::NoRoute, "no_route"},
                                                           {Rejection::UnknownKey, "unknown_key"},
@@ -120,7 +138,8 @@
                                                           {Rejection::BackingOff, "backing_off"},
                                                           {Rejection::Brittle, "brittle"},
                                                           {Rejection::VersionUnknown, "version_unknown"},
-                                                          {Rejection::VersionUnavailable, "version_unavailable"}}};
+                                                          {Rejection::VersionUnavailable, "version_unavailable"},
+                                                          {Rejection::PartQuarantined, "part_quarantined"}}};
 
 /// Returns the outcome that a rejection implies: the request did not run and never will, or it may
 /// have run.
--- a/src/log.cpp
+++ b/src/log.cpp
@@ -21,7 +21,7 @@
 namespace
 {
 
-constexpr std::array<EventInfo, 52> catalogue{{
+constexpr std::array<EventInfo, 53> catalogue{{
     {Event::ProgramStarted, "ProgramStarted", Level::Info},
     {Event::StopRequested, "StopRequested", Level::Info},
     {Event::ProgramStopped, "ProgramStopped", Level::Info},
@@ -67,6 +67,7 @@
     {Event::PathRestored, "PathRestored", Level::Info},
     {Event::RelayRefused, "RelayRefused", Level::Warn},
     {Event::StreamRefused, "StreamRefused", Level::Info},
+    {Event::RequestWithheld, "RequestWithheld", Level::Info},
     {Event::OrderAccepted, "OrderAccepted", Level::Info},
     {Event::OrderRefused, "OrderRefused", Level::Warn},
     {Event::Draining, "Draining", Level::Info},
--- a/src/log.h
+++ b/src/log.h
@@ -56,6 +56,7 @@
     PathRestored = 2053,
     RelayRefused = 2054,
     StreamRefused = 2055,
+    RequestWithheld = 2056,
     OrderAccepted = 3001,
     OrderRefused = 3002,
     Draining = 3003,
--- a/src/quarantine.h
+++ b/src/quarantine.h
@@ -1,8 +1,10 @@
 // Quarantine for requests that crash the endpoints that run them. A crash (an
 // "ending" in logs and metrics) is any unplanned end of an endpoint's process,
 // also together with its VM. Crashes are counted per request content, because
-// each retry bears another request id and may reach another router. Once enough
-// endpoints have crashed under the same content, it is sent to no endpoint.
+// each retry bears another request id and may reach another router, and per
+// part of a prompt that requests share. Once enough endpoints have crashed under
+// the same content or part, requests with it are sent to no endpoint. Below,
+// "content" stands for either.
 #pragma once
 
 #include "task.h"
@@ -50,6 +52,12 @@
     std::set<uint64_t> urgent = {}; ///< contents whose records and suspicions go to all routers, not only to those that count single crashes
 };
 
+/// The quarantine of a request.
+struct Verdict {
+    uint64_t content = 0; ///< the key that is quarantined
+    Clock::time_point until{};
+};
+
 /// Limits and time spans of a quarantine.
 struct QuarantineOptions {
     /// Crashed endpoints from which on a content is quarantined. Two crashes
@@ -68,8 +76,8 @@
     /// Longest wait stated to a caller whose content is quarantined on suspicion only. A new
     /// connection to the endpoint settles most suspicions within 100 ms.
     Millis suspicionRetryAfter{500};
-    std::size_t maxSuspectedRequests = 1024; ///< contents under suspicion
-    std::size_t maxQueuedSuspicions = 256; ///< suspicions that wait to be sent; the oldest are dropped first
+    std::size_t maxSuspectedRequests = 8192; ///< contents under suspicion: several crashes of endpoints that each run 64 requests
+    std::size_t maxQueuedSuspicions = 1024; ///< suspicions that wait to be sent; the oldest are dropped first
     std::size_t maxRecords = 4096; ///< about 150 B each; those with the fewest crashes are dropped first, of these the oldest
     std::size_t maxAnswers = 16384; ///< about 70 B each; one minute's answers of a router at 270 requests/s
     std::size_t maxEndpointsPerRecord = 16;
@@ -92,6 +100,10 @@
 
     /// Returns the time until which the content must not be sent to an endpoint, or nothing when it may be sent.
     std::optional<Clock::time_point> quarantinedUntil(uint64_t content, Clock::time_point now) const;
+    /// Returns the quarantine of a request with several keys, or nothing when it may be sent. Of keys with the same crashes none is
+    /// known to cause them: the request is quarantined if it has all of them, and else shows by its end which one it is. Crashes
+    /// that a quarantined key with more of them accounts for do not count against others.
+    std::optional<Verdict> quarantineOf(const std::vector<uint64_t> &keys, Clock::time_point now) const;
     /// Reports that the answer to a request of this router broke off: the endpoint may have crashed.
     void recordBrokenResponse(uint64_t content, uint64_t endpoint, Clock::time_point now);
     /// Reports that the endpoint is alive, and withdraws the suspicion against the content.
@@ -133,6 +145,7 @@
 
 private:
     bool isQuarantined(const CrashRecord &record, Clock::time_point now) const;
+    bool isBlamed(const CrashRecord &record, const std::vector<uint64_t> &keys, Clock::time_point now) const;
     std::optional<Clock::time_point> suspectedUntil(uint64_t content, Clock::time_point now) const;
     void broadcastSuspicions(uint64_t content);
     bool isUrgent(uint64_t content, Clock::time_point now) const;
--- a/src/router_dialect.cpp
+++ b/src/router_dialect.cpp
@@ -13,7 +13,7 @@
 {
 
 /// Message for callers about each rejection.
-constexpr NameTable<entry::Rejection, 21> rejectionMessages{{
+constexpr NameTable<entry::Rejection, 22> rejectionMessages{{
     {entry::Rejection::NotLoaded, "the catalogue is not loaded yet"},
     {entry::Rejection::OutOfDate, "the router does not know the workspace, and has not heard of the store for a while"},
     {entry::Rejection::NoRoute, "the workspace has no class of work of this kind"},
@@ -35,6 +35,7 @@
     {entry::Rejection::Brittle, "the endpoints may be full, and bear few rejections"},
     {entry::Rejection::VersionUnknown, "the software version that began the stream is not known here"},
     {entry::Rejection::VersionUnavailable, "no endpoint has the software version that began the stream"},
+    {entry::Rejection::PartQuarantined, "several endpoints ended under prompts that share a part with this one: it is not sent to others for now"},
 }};
 
 // HTTP status of a rejection on this interface. Two differ from entry::statusOf():
--- a/tests/test_poisoned_parts.cpp
+++ b/tests/test_poisoned_parts.cpp
@@ -16,17 +16,15 @@
 
 constexpr const char *poisonedPart = "bad";
 
-/// Engines that crash when they begin to write on a part of a prompt, and are back at once as another incarnation.
+/// Engines that end when they begin to write on a part of a prompt. Another one replaces each, under another id and address.
 class PoisonedPool
 {
 public:
     PoisonedPool(Loop &loop, std::size_t size)
+        : m_loop(loop)
     {
         for (std::size_t n = 0; n < size; ++n) {
-            m_engines.push_back(std::make_unique<ScriptedEndpoint>(loop, [this, n](tcp::socket &socket, const ReceivedRequest &request) {
-                return answer(n, socket, request);
-            }));
-            m_starts.push_back(1);
+            start();
         }
     }
 
@@ -34,8 +32,10 @@
     {
         std::map<std::string, Endpoint> listed;
         for (std::size_t n = 0; n < m_engines.size(); ++n) {
-            auto entry = endpointAt("e" + std::to_string(n) + "-" + std::to_string(m_starts[n]), m_engines[n]->port, "m", EndpointKind::Service);
-            listed.emplace(entry.id, entry);
+            auto entry = endpointAt("e" + std::to_string(n), m_engines[n]->port, "m", EndpointKind::Service);
+            if (!m_ended.count(n)) {
+                listed.emplace(entry.id, entry);
+            }
         }
         return listed;
     }
@@ -43,13 +43,23 @@
     std::size_t crashes = 0;
 
 private:
+    void start()
+    {
+        const auto n = m_engines.size();
+        m_engines.push_back(std::make_unique<ScriptedEndpoint>(m_loop, [this, n](tcp::socket &socket, const ReceivedRequest &request) {
+            return answer(n, socket, request);
+        }));
+    }
+
     Task<void> answer(std::size_t n, tcp::socket &socket, const ReceivedRequest &request)
     {
         const std::string id = request.header("Yuccasaddle-Attempt-Id");
         co_await sendBytes(socket, streamHead(id));
         if (request.header("Yuccasaddle-Prompt-Prefix").find(std::string(poisonedPart) + ":") != std::string::npos) {
             ++crashes;
-            ++m_starts[n];
+            m_ended.insert(n);
+            m_engines[n]->stopListening();
+            start();
             co_await sendBytes(socket, chunk(eventNumber(1)) + chunk("id: 2\nda"));
             resetConnection(socket);
             co_return;
@@ -57,8 +67,9 @@
         co_await sendBytes(socket, chunk(eventNumber(1)) + "0\r\n\r\n");
     }
 
+    Loop &m_loop;
     std::vector<std::unique_ptr<ScriptedEndpoint>> m_engines;
-    std::vector<int> m_starts;
+    std::set<std::size_t> m_ended;
 };
 
 http::Headers prompt(const std::string &first, const std::string &middle, int own)
@@ -85,7 +96,7 @@
     for (int n = 0; n < 30; ++n) {
         router.published.replaceEndpoints(pool.listing());
         router.call("POST", "/once/1", "a" + std::to_string(n), prompt("f1", poisonedPart, n), "{\"n\": " + std::to_string(n) + "}");
-        loop().run(afterDelay(Millis(20)));
+        loop().run(afterDelay(Millis(50)));
     }
     CHECK_TEXT(pool.crashes <= maxCrashes + maxLateArrivals, StringFromFormat("%d endpoints crashed", int(pool.crashes)).asCharString());
 }
@@ -98,7 +109,7 @@
     for (int n = 0; n < 30; ++n) {
         router.published.replaceEndpoints(pool.listing());
         router.call("POST", "/once/1", "a" + std::to_string(n), prompt("f1", poisonedPart, n), "{\"n\": " + std::to_string(n) + "}");
-        loop().run(afterDelay(Millis(20)));
+        loop().run(afterDelay(Millis(50)));
         router.published.replaceEndpoints(pool.listing());
         const auto reply = router.reply("POST", "/once/1", "b" + std::to_string(n), prompt("f1", "50", n), "{\"m\": " + std::to_string(n) + "}");
         served += reply.status == 200 ? 1 : 0;
