Soak and stand-ins: engines of three versions, callers that resume, parts that crash engines

The stand-in for an endpoint has a software version, which its events name, and can crash when it begins to write on a part of a prompt. In the soak each release replaces a version by the next, callers take broken streams up at the next router, a stream must be of one version over both responses, and requests that share one part only crash endpoints, with the bound of the users' rule. Crashes under the part and under the repeated request are counted apart.

--- a/emulators/endpoint_main.cpp
+++ b/emulators/endpoint_main.cpp
@@ -40,6 +40,8 @@
     char *arrivalLog = nullptr;
     char *backoffViolationLog = nullptr;
     char *crashBody = nullptr;
+    char *crashPart = nullptr;
+    char *version = nullptr;
     const poptOption programOptions[] = {
         {"id", 0, POPT_ARG_STRING, &id, 0, "endpoint id", "ID"},
         {"service", 0, POPT_ARG_STRING, &service, 0, "service that the endpoint belongs to", "NAME"},
@@ -51,6 +53,8 @@
         {"arrival-log", 0, POPT_ARG_STRING, &arrivalLog, 0, "file that lists the Unix time in ms and the id of each request when it arrives", "FILE"},
         {"rest-log", 0, POPT_ARG_STRING, &backoffViolationLog, 0, "file that lists the senders which did not respect Retry-After", "FILE"},
         {"ends-under", 0, POPT_ARG_STRING, &crashBody, 0, "a request with this body crashes the endpoint", "BODY"},
+        {"ends-on-part", 0, POPT_ARG_STRING, &crashPart, 0, "a request whose prompt has this part, not as the last, crashes the endpoint", "HEX"},
+        {"software-version", 0, POPT_ARG_STRING, &version, 0, "software version, which the events of streams name", "VERSION"},
         {"zone", 0, POPT_ARG_STRING, &zone, 0, "failure domain of the endpoint", "NAME"},
         {"cold-ms", 0, POPT_ARG_INT, &coldMs, 0, "how long the endpoint is cold after its start", "MS"},
         {"cold-most", 0, POPT_ARG_INT, &options.maxColdRequestsPerS, 0,
@@ -78,6 +82,8 @@
     options.arrivalLog = arrivalLog ? arrivalLog : "";
     options.backoffViolationLog = backoffViolationLog ? backoffViolationLog : "";
     options.crashBody = crashBody ? crashBody : "";
+    options.crashPart = crashPart ? crashPart : "";
+    options.version = version ? version : "";
     log::init("yucca-endpoint", "info");
     asio::io_context loop(1);
     emulators::EndpointServer endpoint(options);
--- a/emulators/endpoint_server.cpp
+++ b/emulators/endpoint_server.cpp
@@ -37,9 +37,10 @@
     return std::chrono::duration_cast<Millis>(std::chrono::system_clock::now().time_since_epoch()).count();
 }
 
-std::string eventText(int number)
+std::string eventText(int number, const std::string &version)
 {
-    return "id: " + std::to_string(number) + "\ndata: token" + std::to_string(number) + "\n\n";
+    const std::string suffix = version.empty() ? "" : " " + version;
+    return "id: " + std::to_string(number) + "\ndata: token" + std::to_string(number) + suffix + "\n\n";
 }
 
 // Adds the header that announces a leaving endpoint, which all responses carry.
@@ -62,7 +63,7 @@
     return {{"service", o.service},
             {"address", o.listen.host + ":" + std::to_string(port)},
             {"zone", o.zone},
-            {"version", "v1"},
+            {"version", o.version.empty() ? "v1" : o.version},
             {"slots", o.slots},
             {"state", leaving ? "draining" : "ready"},
             {"cold_remaining_ms", coldRemaining.count()},
@@ -240,6 +241,10 @@
             co_await sleepFor(m_options.work);
             m_options.crash(exitCodeCrashRequest);
         }
+        if (hasCrashPart(ex)) {
+            co_await sleepFor(m_options.work);
+            m_options.crash(exitCodeCrashPart);
+        }
         if (m_options.streams) {
             co_await sendStream(ex);
         } else {
@@ -249,6 +254,14 @@
     }
 }
 
+bool EndpointServer::hasCrashPart(const http::Exchange &ex) const
+{
+    const auto parts = text::splitList(ex.header("Yuccasaddle-Prompt-Prefix"));
+    return !m_options.crashPart.empty() && parts.size() >= 2 && std::any_of(parts.begin(), parts.end() - 1, [this](const std::string &part) {
+        return part.substr(0, part.find(':')) == m_options.crashPart;
+    });
+}
+
 Task<void> EndpointServer::sendResponse(http::Exchange &ex)
 {
     co_await sleepFor(m_options.work);
@@ -272,7 +285,7 @@
             ex.abort();
             co_return;
         }
-        const bool delivered = co_await ex.sendChunk(eventText(i));
+        const bool delivered = co_await ex.sendChunk(eventText(i, m_options.version));
         if (!delivered) {
             co_return;
         }
--- a/emulators/endpoint_server.h
+++ b/emulators/endpoint_server.h
@@ -29,6 +29,8 @@
     Millis work{10}; ///< duration of a request that is not streamed
     int slots = 6; ///< requests that run at the same time; more are rejected
     uint16_t advertisedPort = 0; ///< registered port, for an endpoint behind a proxy; 0: the listen port
+    std::string version; ///< of its software, which its events name; empty: "v1", and they do not
+    std::string crashPart; ///< hexadecimal id of a prompt part, not the last: its requests crash the endpoint when it begins to write; empty: none
     std::string crashBody; ///< a request with this body crashes the endpoint while it runs; empty: none
     Millis coldFor{0}; ///< how long the endpoint is cold after its start
     int maxColdRequestsPerS = 0; ///< limit while cold: this many per second begun, counted since the start; more crash the endpoint
@@ -45,6 +47,8 @@
 
 /// Exit code of an endpoint that a request crashed.
 inline constexpr int exitCodeCrashRequest = 70;
+/// Exit code of an endpoint that a part of a prompt crashed.
+inline constexpr int exitCodeCrashPart = 73;
 /// Exit code of an endpoint that crashed because it received too many requests while it was cold.
 inline constexpr int exitCodeColdOverload = 71;
 /// Exit code of a brittle endpoint that crashed because it had to reject too many requests.
@@ -93,6 +97,7 @@
     http::Headers withStatements(http::Headers headers) const;
     Task<void> reject(http::Exchange &ex, unsigned status);
     Task<void> rejectForCapacity(http::Exchange &ex);
+    bool hasCrashPart(const http::Exchange &ex) const;
     Task<void> sendResponse(http::Exchange &ex);
     Task<void> sendStream(http::Exchange &ex);
     http::Headers responseHeaders(const http::Exchange &ex) const;
--- a/emulators/soak/callers.cpp
+++ b/emulators/soak/callers.cpp
@@ -10,6 +10,7 @@
 
 constexpr Millis callerRequestDelay{15}; ///< between one caller's requests
 constexpr Millis retryPlanRequestDelay{100}; ///< the same in a retry plan: with fewer requests, most of the budget is its slack
+constexpr int promptKinds = 5; ///< second parts of the prompts of sound requests
 constexpr int probesPerRouter = 40;
 constexpr double minServedFraction = 0.95; ///< below 1, as an endpoint's latest heartbeat may not have arrived yet
 
@@ -71,25 +72,71 @@
     recordRequest(serviceOf(kind));
     const std::string method = kind == Kind::Reminder ? "GET" : "POST";
     auto headers = callerHeaders(id, key);
+    if (kind == Kind::Chat) {
+        headers.emplace_back("Yuccasaddle-Prompt-Prefix", promptParts(std::to_string(m_requestCount % promptKinds), m_requestCount));
+    }
     auto opened = co_await m_client.open(to, http::makeRequest(method, pathOf(kind), kind == Kind::Reminder ? "" : "{}", headers), options);
     RequestRecord record;
     record.kind = kind;
     if (auto *response = std::get_if<std::unique_ptr<http::Response>>(&opened)) {
-        record.status = (*response)->status();
         checkLeavingAnnouncement(sender, **response, sentAt);
-        record.hasSignature = !(*response)->header("Yuccasaddle-Response-Signature").empty();
-        for (bool more = true; more;) {
-            auto read = co_await(*response)->read();
-            const auto *bytes = std::get_if<std::string>(&read);
-            more = bytes && !bytes->empty();
-            record.complete = bytes && bytes->empty();
-            record.body += bytes ? *bytes : "";
-        }
+        record = co_await readRecord(kind, **response);
     }
     if (service) {
         ++service->sent;
         service->served += record.status == 200 && record.complete ? 1 : 0;
     }
+    const bool broken = kind == Kind::Chat && record.status == 200 && !record.complete;
+    const std::string events = record.body;
+    m_invariants.recordResponse(id, std::move(record));
+    if (broken) {
+        co_await resumeStream(std::move(id), events, (router + 1) % m_routers.size(), std::move(key));
+    }
+}
+
+Task<RequestRecord> SoakFleet::readRecord(Kind kind, http::Response &response)
+{
+    RequestRecord record;
+    record.kind = kind;
+    record.status = response.status();
+    record.hasSignature = !response.header("Yuccasaddle-Response-Signature").empty();
+    for (bool more = true; more;) {
+        auto read = co_await response.read();
+        const auto *bytes = std::get_if<std::string>(&read);
+        more = bytes && !bytes->empty();
+        record.complete = bytes && bytes->empty();
+        record.body += bytes ? *bytes : "";
+    }
+    co_return record;
+}
+
+// Takes a broken stream up at another router, and records what the caller then has of it as one stream.
+Task<void> SoakFleet::resumeStream(std::string first, std::string events, std::size_t router, std::string key)
+{
+    int received = 0;
+    for (auto end = events.find("\n\n"); end != std::string::npos; end = events.find("\n\n", end + 1)) {
+        ++received;
+    }
+    if (received == 0 || received >= eventsPerStream) {
+        co_return;
+    }
+    http::CallOptions options;
+    options.deadline = Clock::now() + callerTimeout;
+    const http::Address to{"127.0.0.1", routerPort(router, 4)};
+    const std::string id = requestId("r" + std::to_string(m_options.plan.seed), router);
+    auto headers = callerHeaders(id, key);
+    headers.emplace_back("Resumes", first);
+    headers.emplace_back("Last-Event-Id", std::to_string(received));
+    ++m_resumptions;
+    recordRequest(serviceOf(Kind::Chat));
+    auto opened = co_await m_client.open(to, http::makeRequest("POST", pathOf(Kind::Chat), "{}", headers), options);
+    auto *response = std::get_if<std::unique_ptr<http::Response>>(&opened);
+    if (!response) {
+        co_return;
+    }
+    auto record = co_await readRecord(Kind::Chat, **response);
+    record.body = record.status == 200 ? events + record.body : record.body;
+    m_resumed += record.status == 200 && record.complete ? 1 : 0;
     m_invariants.recordResponse(id, std::move(record));
 }
 
--- a/emulators/soak/faults.cpp
+++ b/emulators/soak/faults.cpp
@@ -89,6 +89,7 @@
             endpoint.stopped = true;
             endpoint.process->signal(SIGTERM);
             co_await sleepFor(endpointStopTime);
+            ++endpoint.releases;
             startEndpoint(step.target);
         }
         break;
--- a/emulators/soak/fleet.cpp
+++ b/emulators/soak/fleet.cpp
@@ -15,7 +15,6 @@
 namespace
 {
 
-constexpr int eventsPerStream = 12; ///< 20 ms each
 constexpr Millis settleTimeAfterFaults{4000}; ///< after the last fault, before service must be normal again
 constexpr Millis startTimeout{15000};
 constexpr Millis startTimeoutPerProgram{200}; ///< added to startTimeout
@@ -94,7 +93,9 @@
     });
     m_loop.run();
     readRunLogs();
-    SoakOutcome outcome{m_invariants.sent(), m_invariants.served(), m_faultCount, m_crashes.size(), std::nullopt, m_invariants.violations()};
+    SoakOutcome outcome{
+        m_invariants.sent(), m_invariants.served(),    m_faultCount, m_requestCrashes.crashes.size() + m_partCrashes.crashes.size(), m_resumptions, m_resumed,
+        std::nullopt,        m_invariants.violations()};
     checkRetries(outcome);
     outcome.violations.insert(outcome.violations.end(), m_violations.begin(), m_violations.end());
     if (!done) {
@@ -199,6 +200,10 @@
                                      std::to_string(endpointPort(n, 1)),
                                      "--ends-under",
                                      crashingBody,
+                                     "--ends-on-part",
+                                     crashingPart,
+                                     "--software-version",
+                                     "v" + std::to_string((static_cast<int>(n / 4) + endpoint.releases) % softwareVersions),
                                      "--events",
                                      std::to_string(eventsPerStream),
                                      "--rest-log",
--- a/emulators/soak/fleet.h
+++ b/emulators/soak/fleet.h
@@ -34,7 +34,9 @@
     std::size_t sent = 0;
     std::size_t served = 0;
     std::size_t faults = 0;
-    std::size_t crashes = 0; ///< of endpoints under the crashing request
+    std::size_t crashes = 0; ///< of endpoints under the crashing request or part
+    std::size_t resumptions = 0; ///< broken streams that callers took up
+    std::size_t resumed = 0; ///< of these, the ones that went on to their end
     std::optional<emulators::RetryWindow> worstRetryWindow; ///< of the service that uses most of its allowance of retries
     std::vector<std::string> violations; ///< one message each
 };
@@ -71,11 +73,17 @@
         std::size_t sent = 0;
         std::size_t served = 0;
     };
+    /// Crashes of endpoints from one cause.
+    struct CrashCount {
+        std::vector<Clock::time_point> crashes;
+        std::size_t late = 0; ///< of these, the ones that no disturbance excuses
+    };
     /// An endpoint. Each start is a new instance with a new id.
     struct Endpoint {
         std::unique_ptr<Child> process;
         std::unique_ptr<Proxy> proxy;
         int startCount = 0;
+        int releases = 0; ///< each replaces its software version by the next
         bool stopped = false; ///< by the test, or waiting for its restart
     };
 
@@ -115,13 +123,17 @@
     Task<void> sendCrashingRequest(std::size_t router);
     Task<void> runEndpointRestarts();
     Task<void> restartEndpoint(std::size_t n);
-    void recordCrash();
+    Task<void> sendRequestWithCrashingPart(std::size_t router);
+    void recordCrash(CrashCount &count, std::size_t allowed);
+    void reportCrashes(const CrashCount &count, std::size_t before, std::size_t allowed, const std::string &cause);
     Task<void> checkCrashLimit();
     bool isRecovered(Clock::time_point now) const;
     Task<void> applyEmulatorFaults(uint16_t adminPort, const char *faults, Millis duration);
     Kind kindOf(int request) const;
     Task<void> runCaller(int caller);
     Task<void> sendRequest(std::string id, Kind kind, std::size_t router, std::string key);
+    Task<RequestRecord> readRecord(Kind kind, http::Response &response);
+    Task<void> resumeStream(std::string first, std::string events, std::size_t router, std::string key);
     Task<void> checkServiceAfterFaults();
     Task<void> adminCall(uint16_t adminPort, std::string path, std::string body);
     Task<unsigned> probe(std::size_t router, std::string key);
@@ -170,8 +182,10 @@
     bool m_stopping = false;
     std::size_t m_faultCount = 0;
     int m_requestCount = 0;
-    std::vector<Clock::time_point> m_crashes; ///< of endpoints under the crashing request
-    std::size_t m_lateCrashes = 0; ///< of m_crashes, those that no disturbance excuses
+    CrashCount m_requestCrashes;
+    CrashCount m_partCrashes;
+    std::size_t m_resumptions = 0;
+    std::size_t m_resumed = 0;
     int m_activeDisturbances = 0; ///< of routers and the store
     Clock::time_point m_lastDisturbanceEnd{}; ///< of routers and the store
 };
--- a/emulators/soak/invariants.cpp
+++ b/emulators/soak/invariants.cpp
@@ -24,6 +24,14 @@
     return status == 503 || status == 429 || status == 408 || status == 421;
 }
 
+// Returns what follows the number in the first event of a stream: the version of the engine that wrote it, or nothing.
+std::string versionSuffix(const std::string &body)
+{
+    constexpr std::string_view firstEvent = "id: 1\ndata: token1";
+    const bool begun = body.compare(0, firstEvent.size(), firstEvent) == 0;
+    return begun ? body.substr(firstEvent.size(), body.find('\n', firstEvent.size()) - firstEvent.size()) : std::string();
+}
+
 } // namespace
 
 void InvariantChecker::recordResponse(const std::string &id, RequestRecord record)
@@ -38,17 +46,18 @@
     }));
 }
 
-// Checks that a stream consists of its first events, whole and in order, and of all events if it ended as complete.
+// Checks that a stream consists of its first events, whole, in order and of one version, and of all events if it ended as complete.
 std::string InvariantChecker::streamViolation(const RequestRecord &record) const
 {
     std::string expected;
+    const std::string suffix = versionSuffix(record.body);
     std::size_t completeEventBytes = 0;
     for (int i = 1; i <= m_eventsPerStream; ++i) {
-        expected += "id: " + std::to_string(i) + "\ndata: token" + std::to_string(i) + "\n\n";
+        expected += "id: " + std::to_string(i) + "\ndata: token" + std::to_string(i) + suffix + "\n\n";
         completeEventBytes = expected.size() <= record.body.size() ? expected.size() : completeEventBytes;
     }
     if (expected.compare(0, record.body.size(), record.body) != 0 || record.body.size() != completeEventBytes) {
-        return "events are missing, repeated or truncated";
+        return "events are missing, repeated, truncated or of another version";
     }
     return record.complete && record.body != expected ? "an incomplete stream ended as complete" : "";
 }
--- a/emulators/soak/layout.h
+++ b/emulators/soak/layout.h
@@ -13,6 +13,8 @@
 inline constexpr const char *plainService = "s";
 inline constexpr const char *streamService = "m";
 
+inline constexpr int eventsPerStream = 12; ///< 20 ms each
+
 /// The deadline of a caller's request.
 inline constexpr Millis callerTimeout{4000};
 inline constexpr Millis pollInterval{100};
@@ -28,6 +30,11 @@
 inline constexpr const char *crashingPath = "/chat/ends";
 inline constexpr const char *crashingBody = "{\"ends\":true}";
 inline constexpr Millis crashingRequestDelay{150};
+/// The part of a prompt that crashes every endpoint that begins to write on it, and the parts before it that sound requests share.
+inline constexpr const char *crashingPart = "bad";
+inline constexpr const char *firstPart = "f1";
+/// The software versions that endpoints run; a release replaces one by the next.
+inline constexpr int softwareVersions = 3;
 
 /// Returns the index of an endpoint's failure domain.
 inline std::size_t domainIndexOf(std::size_t endpoint)
@@ -69,6 +76,12 @@
     return "key-" + std::to_string(version);
 }
 
+/// Returns the parts of a prompt whose last one is the request's own.
+inline std::string promptParts(const std::string &middle, int request)
+{
+    return std::string(firstPart) + ":100," + middle + ":100," + std::to_string(request) + ":50";
+}
+
 /// Returns the headers of a caller's request with this attempt id and API key.
 http::Headers callerHeaders(const std::string &id, const std::string &key);
 
--- a/emulators/soak/plan.cpp
+++ b/emulators/soak/plan.cpp
@@ -25,11 +25,12 @@
     uint64_t salt; ///< XORed with the seed
     int maxIntervalMs; ///< between two starts
 };
-constexpr std::array<IndependentFault, 5> independentFaults{{{Fault::DomainEvacuated, 0x65766163, 5000},
+constexpr std::array<IndependentFault, 6> independentFaults{{{Fault::DomainEvacuated, 0x65766163, 5000},
                                                              {Fault::EndpointAsksForRest, 0x72657374, 5000},
                                                              {Fault::StoreRestored, 0x72657475, 6000},
                                                              {Fault::RouterCutOff, 0x72637574, 2500},
-                                                             {Fault::DomainCutOff, 0x64637574, 6000}}};
+                                                             {Fault::DomainCutOff, 0x64637574, 6000},
+                                                             {Fault::PartEndsEndpoints, 0x70617274, 6000}}};
 /// What happens to open connections over a path that is cut.
 constexpr std::array<Disturbance, 5> cutDisturbances{Disturbance::None, Disturbance::Reset, Disturbance::MuteForth, Disturbance::MuteBack,
                                                      Disturbance::Silence};
@@ -61,6 +62,7 @@
     case Fault::CallersDisturbed:
     case Fault::StoreDisturbed:
     case Fault::RequestEndsEndpoints:
+    case Fault::PartEndsEndpoints:
         return options.routers;
     case Fault::EndpointKilled:
     case Fault::EndpointPaused:
--- a/emulators/soak/plan.h
+++ b/emulators/soak/plan.h
@@ -41,9 +41,10 @@
     ServiceFails, ///< all endpoints of one service fail most requests
     AllRoutersKilled, ///< at the same moment; then all start
     RouterEntriesLost, ///< the store loses the entries of all routers
+    PartEndsEndpoints, ///< requests that share only a part of their prompts crash each endpoint that runs them
 };
 
-inline constexpr NameTable<Fault, 30> faultNames{{{Fault::RouterKilled, "router_killed"},
+inline constexpr NameTable<Fault, 31> faultNames{{{Fault::RouterKilled, "router_killed"},
                                                   {Fault::RouterPaused, "router_paused"},
                                                   {Fault::RouterStopped, "router_stopped"},
                                                   {Fault::RouterReloads, "router_reloads"},
@@ -72,7 +73,8 @@
                                                   {Fault::DomainCutOff, "domain_cut_off"},
                                                   {Fault::ServiceFails, "service_fails"},
                                                   {Fault::AllRoutersKilled, "all_routers_killed"},
-                                                  {Fault::RouterEntriesLost, "router_entries_lost"}}};
+                                                  {Fault::RouterEntriesLost, "router_entries_lost"},
+                                                  {Fault::PartEndsEndpoints, "part_ends_endpoints"}}};
 
 /// One fault of a plan.
 struct Step {
--- a/emulators/soak_main.cpp
+++ b/emulators/soak_main.cpp
@@ -70,7 +70,7 @@
         const auto &window = *outcome.worstRetryWindow;
         std::printf("worst window of retries: %zu for %zu requests, %.1f allowed\n", window.retries, window.requests, window.allowed);
     }
-    std::printf("seed %d: %zu faults, %zu requests, %zu served, %zu endpoints crashed under a request, %zu promises broken\n", seed, outcome.faults,
-                outcome.sent, outcome.served, outcome.crashes, outcome.violations.size());
+    std::printf("seed %d: %zu faults, %zu requests, %zu served, %zu of %zu streams taken up, %zu endpoints crashed under a request, %zu promises broken\n",
+                seed, outcome.faults, outcome.sent, outcome.served, outcome.resumed, outcome.resumptions, outcome.crashes, outcome.violations.size());
     return outcome.violations.empty() ? cli::ExitOk : cli::ExitFailure;
 }
