--- a/src/quarantine.cpp
+++ b/src/quarantine.cpp
@@ -31,11 +31,10 @@
     std::optional<Verdict> verdict;
     for (const auto key : keys) {
         const auto it = m_records.find(key);
-        const bool counts = it != m_records.end() && isQuarantined(it->second, now);
-        if (counts && isBlamed(it->second, keys, now)) {
+        if (it != m_records.end() && isQuarantined(it->second, now)) {
             return Verdict{key, it->second.lastAt + m_options.quarantineDuration};
         }
-        const auto until = counts ? std::nullopt : suspectedUntil(key, now);
+        const auto until = suspectedUntil(key, now);
         if (until && (!verdict || *until > verdict->until)) {
             verdict = Verdict{key, std::min<Clock::time_point>(*until, now + m_options.suspicionRetryAfter)};
         }
@@ -43,26 +42,6 @@
     return verdict;
 }
 
-// True if a quarantined record is the best account of its crashes for a request with these keys.
-bool RequestQuarantine::isBlamed(const CrashRecord &record, const std::vector<uint64_t> &keys, Clock::time_point now) const
-{
-    std::vector<uint64_t> unexplained = record.endpoints;
-    for (const auto &[content, other] : m_records) {
-        if (content == record.content || !isQuarantined(other, now)) {
-            continue;
-        }
-        if (other.endpoints == record.endpoints && std::find(keys.begin(), keys.end(), content) == keys.end()) {
-            return false;
-        }
-        if (other.endpoints.size() > record.endpoints.size()) {
-            std::erase_if(unexplained, [&other](uint64_t endpoint) {
-                return std::binary_search(other.endpoints.begin(), other.endpoints.end(), endpoint);
-            });
-        }
-    }
-    return unexplained.size() >= m_options.crashThreshold;
-}
-
 // Returns the time until which crashes and suspicions together quarantine a content, or nothing when too few of them count.
 std::optional<Clock::time_point> RequestQuarantine::suspectedUntil(uint64_t content, Clock::time_point now) const
 {
--- a/src/quarantine.h
+++ b/src/quarantine.h
@@ -100,9 +100,7 @@
 
     /// Returns the time until which the content must not be sent to an endpoint, or nothing when it may be sent.
     std::optional<Clock::time_point> quarantinedUntil(uint64_t content, Clock::time_point now) const;
-    /// Returns the quarantine of a request with several keys, or nothing when it may be sent. Of keys with the same crashes none is
-    /// known to cause them: the request is quarantined if it has all of them, and else shows by its end which one it is. Crashes
-    /// that a quarantined key with more of them accounts for do not count against others.
+    /// Returns the quarantine of a request with several keys, or nothing when it may be sent.
     std::optional<Verdict> quarantineOf(const std::vector<uint64_t> &keys, Clock::time_point now) const;
     /// Reports that the answer to a request of this router broke off: the endpoint may have crashed.
     void recordBrokenResponse(uint64_t content, uint64_t endpoint, Clock::time_point now);
@@ -145,7 +143,6 @@
 
 private:
     bool isQuarantined(const CrashRecord &record, Clock::time_point now) const;
-    bool isBlamed(const CrashRecord &record, const std::vector<uint64_t> &keys, Clock::time_point now) const;
     std::optional<Clock::time_point> suspectedUntil(uint64_t content, Clock::time_point now) const;
     void broadcastSuspicions(uint64_t content);
     bool isUrgent(uint64_t content, Clock::time_point now) const;
--- a/tests/test_quarantine.cpp
+++ b/tests/test_quarantine.cpp
@@ -54,6 +54,17 @@
     LONGS_EQUAL(1, q.quarantinedCount(now));
 }
 
+TEST(RequestQuarantine, TwoCausesUnderWhichTheSameEndpointsCrashedAreBothQuarantined)
+{
+    crashEndpoints(q, harmful, 1, 3);
+    crashEndpoints(q, harmful + 1, 1, 3);
+    crashEndpoints(q, harmful + 1, 4, 1);
+    CHECK(q.quarantineOf({harmful}, now).has_value());
+    CHECK(q.quarantineOf({harmful + 1}, now).has_value());
+    CHECK(!q.quarantineOf({harmful + 2}, now).has_value());
+    LONGS_EQUAL(harmful + 1, q.quarantineOf({harmful + 2, harmful + 1}, now)->content);
+}
+
 TEST(RequestQuarantine, CompleteAnswerClearsEarlierCrashes)
 {
     crashEndpoints(q, harmless, 1, 2);
