Log why a response was cut or given up, and exceptions that end a request

Cause: nothing told apart a response that the router gave up for silence, one that the endpoint broke off, and one without retry budget, endpoint or version; an exception that ended a request left no trace at all. Change: RequestFinished has the reason, the end of the last attempt, the silence before it and the age of the configuration; AttemptEnded has the silence, and a stream that ended by a time-out is silent, not broken. RequestFailed names the request of an exception. Counters: yucca_requests_read_total, yucca_responses_cut_total by reason.

--- a/src/entry/control.cpp
+++ b/src/entry/control.cpp
@@ -35,6 +35,7 @@
     configuration.index();
     applyColdAllowances(configuration);
     m_configuration = std::make_shared<const Configuration>(std::move(configuration));
+    m_configurationAppliedAt = Clock::now();
     publishEndpoints(); // the set of services without engines may have changed
 }
 
--- a/src/entry/control.h
+++ b/src/entry/control.h
@@ -67,6 +67,11 @@
     {
         return m_configuration.load();
     }
+    /// Returns when the configuration in effect was applied.
+    Clock::time_point configurationAppliedAt() const
+    {
+        return m_configurationAppliedAt.load();
+    }
     /// Returns true once requests can be served.
     bool ready() const
     {
@@ -157,6 +162,7 @@
     router::RoutingTable &m_table;
     PublishedOptions m_options;
     std::atomic<ConfigurationPtr> m_configuration;
+    std::atomic<Clock::time_point> m_configurationAppliedAt{};
     std::atomic<bool> m_evacuationsKnown{false};
     EvacuationOrders m_evacuations;
     std::set<std::string> m_evacuated; ///< names of evacuated failure domains, as last applied
--- a/src/entry/entry_metrics.cpp
+++ b/src/entry/entry_metrics.cpp
@@ -167,6 +167,8 @@
     }
     writeCounters(out, "yucca_rejections_total", "Answers of the router's own", "why", rejectionNames, m_rejections);
     writeCounters(out, "yucca_attempts_total", "Attempts at endpoints", "end", attemptEndNames, m_attempts);
+    writeSingle(out, "yucca_requests_read_total", "counter", "Requests that were read whole", static_cast<double>(requestsRead));
+    writeCounters(out, "yucca_responses_cut_total", "Responses that ended before they were whole", "why", giveUpReasonNames, m_cut);
     writeSingle(out, "yucca_retries_total", "counter", "Further arrivals at endpoints", static_cast<double>(retries));
     writeSingle(out, "yucca_retries_denied_total", "counter", "Requests that ended for want of retry budget", static_cast<double>(retriesDenied));
     writeRetryGauge(out, "yucca_retry_budget_spent", "Retries in the window that ends now", gauges.retryBudgets, &limits::RetryUsage::spent);
--- a/src/entry/entry_metrics.h
+++ b/src/entry/entry_metrics.h
@@ -99,11 +99,17 @@
     {
         ++m_rejections[static_cast<std::size_t>(why)];
     }
+    /// Counts a request that ended with a response that is not whole.
+    void responseCut(GiveUpReason why)
+    {
+        ++m_cut[static_cast<std::size_t>(why)];
+    }
     void attemptEnded(AttemptEnd end)
     {
         ++m_attempts[static_cast<std::size_t>(end)];
     }
 
+    uint64_t requestsRead = 0; ///< requests that callers sent whole
     uint64_t retries = 0; ///< extra arrivals at endpoints
     uint64_t retriesDenied = 0; ///< retries that the retry budget did not allow
     uint64_t resumptions = 0; ///< streams that continued at another endpoint
@@ -133,6 +139,7 @@
     metrics::LatencyStats m_latency; ///< of delivered requests, in milliseconds
     std::array<uint64_t, rejectionNames.size()> m_rejections{};
     std::array<uint64_t, attemptEndNames.size()> m_attempts{};
+    std::array<uint64_t, giveUpReasonNames.size()> m_cut{};
 };
 
 } // namespace yucca::entry
--- a/src/entry/gateway.h
+++ b/src/entry/gateway.h
@@ -226,6 +226,9 @@
         ResponseHead lastHead; ///< head of the last attempt's response; default values if none arrived
         std::optional<limits::RetryPermit> retryPermit; ///< of the current attempt, until it has arrived
         bool retryDenied = false; ///< for want of retry budget
+        std::optional<GiveUpReason> giveUpReason;
+        std::optional<AttemptEnd> lastEnd; ///< of the last attempt
+        Clock::time_point lastReceived{}; ///< when the endpoint of the current attempt last sent something; the begin of the attempt until then
         int64_t lastLoad = -1; ///< load that the last endpoint reported; -1: not reported
         std::optional<EngineFailure> failure;
         std::optional<router::NoEndpointReason> noEndpointReason; ///< the reason if no endpoint could take the request
@@ -347,6 +350,7 @@
 
 template <Dialect D> Task<void> Gateway<D>::handle(http::Exchange &ex)
 {
+    ++m_metrics.requestsRead;
     const auto now = Clock::now();
     const auto earliestSend = m_stalls.earliestSend(BootClock::now());
     auto identified = identify(ex, now);
@@ -387,7 +391,12 @@
             state.cancellation.cancel();
         }
     });
-    co_await attempt(ex, state);
+    try {
+        co_await attempt(ex, state);
+    } catch (const std::exception &error) {
+        log::Line{log::Event::RequestFailed}.add("id", state.profile.id).add("endpoint", state.lastEndpoint).add("error", error.what());
+        throw;
+    }
     ex.onCallerDisconnect({});
 }
 
@@ -400,14 +409,17 @@
         const auto now = Clock::now();
         if (now >= state.profile.responseDeadline) {
             state.timedOut = true;
+            state.giveUpReason = GiveUpReason::TimedOut;
             break;
         }
         if (withheld(state.profile, now)) {
+            state.giveUpReason = GiveUpReason::Withheld;
             break; // meanwhile, an endpoint crashed while it ran this content
         }
         const auto endpoint = m_table.acquire(state.service, state.profile.affinity, state.tried, now, state.constraints);
         if (!endpoint) {
             state.noEndpointReason = m_table.noEndpointReason(state.service, state.tried, now, state.constraints);
+            state.giveUpReason = state.noEndpointReason == router::NoEndpointReason::Version ? GiveUpReason::NoVersion : GiveUpReason::NoEndpoint;
             if (state.noEndpointReason == router::NoEndpointReason::Version) {
                 logStreamRefused(state, Rejection::VersionUnavailable);
             }
@@ -415,6 +427,7 @@
         }
         const router::AcquiredEndpoint acquired(m_table, *endpoint);
         if (state.count.arrivals > 0 && !spendRetry(state)) {
+            state.giveUpReason = GiveUpReason::RetryDenied;
             break;
         }
         state.lastEndpoint = endpoint->id;
@@ -423,6 +436,7 @@
         state.placement = m_table.placementView(*endpoint, state.profile.affinity.conversation, now, state.constraints);
         state.placedAt = now;
         state.acquiredAt = now;
+        state.lastReceived = now;
         state.tried.insert(endpoint->id);
         ++state.count.attempts;
         m_metrics.resumptions += state.headSent ? 1 : 0;
@@ -444,6 +458,7 @@
             end = co_await attemptAt(ex, state, *endpoint, http::ConnectionReuse::Never, staleConnection);
         }
         m_attempts.erase(&state);
+        state.lastEnd = end;
         if (state.endpointRestarted && !ex.callerDisconnected()) {
             state.cancellation = http::Cancellation(); // only the attempt was cancelled, not the request
             state.endpointRestarted = false;
@@ -466,6 +481,7 @@
         }
         if (!willRetry) {
             state.timedOut = Clock::now() >= state.profile.responseDeadline;
+            state.giveUpReason = state.timedOut ? GiveUpReason::TimedOut : GiveUpReason::AttemptsUsed;
             break;
         }
     }
@@ -477,6 +493,7 @@
 {
     co_await releaseClaim(state);
     if (state.headSent) {
+        m_metrics.responseCut(state.giveUpReason.value_or(GiveUpReason::AttemptsUsed));
         recordRequest(state, RequestEnd::Cut, 0);
         ex.abort(); // the stream must not look complete to the caller
         co_return;
--- a/src/entry/gateway_attempt.h
+++ b/src/entry/gateway_attempt.h
@@ -127,6 +127,7 @@
 template <Dialect D> Task<AttemptEnd> Gateway<D>::handleResponse(http::Exchange &ex, RequestState &state, const Endpoint &endpoint, http::Response &response)
 {
     constexpr int maxForeignResponses = D::mayReceiveLateResponses ? 3 : 0;
+    state.lastReceived = Clock::now();
     ResponseHead head = m_dialect.readHead(response, state.profile);
     applySelfReport(endpoint, head);
     for (int foreignResponses = 0; !head.matchesRequest && !head.notExecuted && !head.wrongInstance; ++foreignResponses) {
@@ -232,16 +233,18 @@
     const auto eventGapTimeout = Millis(static_cast<int64_t>(static_cast<double>(route.eventGapTarget.count()) * m_options.eventGapTimeoutFactor));
     const bool mayResume = repeatable(route) && state.count.runs + 1 < route.maxAttempts;
     for (;;) {
-        response.setDeadline(mayResume ? std::min(state.profile.responseDeadline, Clock::now() + eventGapTimeout) : state.profile.responseDeadline);
+        const auto waitsUntil = mayResume ? std::min(state.profile.responseDeadline, Clock::now() + eventGapTimeout) : state.profile.responseDeadline;
+        response.setDeadline(waitsUntil);
         auto read = co_await response.read();
         if (ex.callerDisconnected()) {
             co_return AttemptEnd::CallerGone;
         }
         if (std::holds_alternative<http::CallError>(read)) {
             state.events.discardPartialEvent();
-            co_return AttemptEnd::Broken;
+            co_return Clock::now() >= waitsUntil ? AttemptEnd::Silent : AttemptEnd::Broken;
         }
         const auto &bytes = std::get<std::string>(read);
+        state.lastReceived = Clock::now();
         if (bytes.empty()) {
             break;
         }
--- a/src/entry/gateway_statistics.h
+++ b/src/entry/gateway_statistics.h
@@ -110,6 +110,7 @@
             .add("ms", elapsedMs(began))
             .add("path", nameOf(pathNames, state.path))
             .add("events", static_cast<int64_t>(state.events.lastId()))
+            .add("silent_ms", elapsedMs(state.lastReceived))
             .add("parts", sharedPartsText(state.profile.prompt))
             .add("again", willRetry);
     }
@@ -169,6 +170,10 @@
         .add("sends", int64_t{state.count.attempts})
         .add("runs", int64_t{state.count.runs})
         .add("retry_denied", state.retryDenied)
+        .add("why", state.giveUpReason ? nameOf(giveUpReasonNames, *state.giveUpReason) : "")
+        .add("last_end", state.lastEnd ? nameOf(attemptEndNames, *state.lastEnd) : "")
+        .add("silent_ms", state.lastEnd ? elapsedMs(state.lastReceived) : int64_t{-1})
+        .add("config_ms", elapsedMs(m_published.configurationAppliedAt()))
         .add("events", static_cast<int64_t>(state.events.lastId()))
         .add("first_ms", firstByte < 0 ? int64_t{-1} : static_cast<int64_t>(firstByte * 1000))
         .add("ms", elapsedMs(p.arrived));
--- a/src/entry/retry_policy.h
+++ b/src/entry/retry_policy.h
@@ -25,6 +25,25 @@
                                                            {AttemptEnd::Broken, "broken"},
                                                            {AttemptEnd::Silent, "silent"}}};
 
+/// Why a request got no further attempt.
+enum class GiveUpReason {
+    AttemptsUsed, ///< its attempts are used up, or it may not run again
+    TimedOut,
+    NoEndpoint, ///< no endpoint can take it
+    NoVersion, ///< no endpoint of the stream's software version can take it
+    RetryDenied, ///< for want of retry budget
+    Withheld, ///< endpoints crashed, or are suspected to have crashed, while they ran its content or a part of its prompt
+    Failed, ///< an exception ended it
+};
+
+inline constexpr NameTable<GiveUpReason, 7> giveUpReasonNames{{{GiveUpReason::AttemptsUsed, "attempts_used"},
+                                                               {GiveUpReason::TimedOut, "timed_out"},
+                                                               {GiveUpReason::NoEndpoint, "no_endpoint"},
+                                                               {GiveUpReason::NoVersion, "no_version"},
+                                                               {GiveUpReason::RetryDenied, "retry_denied"},
+                                                               {GiveUpReason::Withheld, "withheld"},
+                                                               {GiveUpReason::Failed, "failed"}}};
+
 /// Returns true if the request may have run in an attempt that ended this way.
 constexpr bool mayHaveRun(AttemptEnd end)
 {
--- a/src/log.h
+++ b/src/log.h
@@ -57,6 +57,7 @@
     RelayRefused = 2054,
     StreamRefused = 2055,
     RequestWithheld = 2056,
+    RequestFailed = 2059,
     OrderAccepted = 3001,
     OrderRefused = 3002,
     Draining = 3003,
