Tests that fail: endpoints that fall silent for a while and go on

What callers see on the code as found: a stream whose endpoint is silent for longer than twice the route's gap target is cut, if no other endpoint of its version, no retry budget or a suspicion against its content stands in the way; a repeatable request gets 502 after its target latency. The paused endpoint is ejected, and its requests come under suspicion.

--- /dev/null
+++ b/tests/test_silence.cpp
@@ -0,0 +1,309 @@
+// Guards against requests that end without a whole response because a sound endpoint fell silent for a while, and
+// against verdicts on such an endpoint.
+#include "entry_fixture.h"
+
+#include "loop_group.h"
+
+using namespace yucca;
+using namespace yucca::fixture;
+
+namespace
+{
+
+constexpr Millis pauseTime{700}; ///< longer than the silence after which a router looks for another endpoint, shorter than one that counts as a failure
+constexpr int lastEvent = 4;
+constexpr int pausedAfter = 2; ///< event of a stream after which its endpoint falls silent
+
+/// An endpoint that falls silent before its response or in the middle of a stream, and goes on.
+class PausingEndpoint
+{
+public:
+    explicit PausingEndpoint(Loop &loop, std::string version = "v1")
+        : endpoint(loop,
+                   [this](tcp::socket &socket, const ReceivedRequest &request) {
+                       return respond(socket, request);
+                   })
+        , m_version(std::move(version))
+    {
+    }
+
+    Endpoint entry(const std::string &id, const std::string &service) const
+    {
+        auto entry = endpointAt(id, endpoint.port, service, EndpointKind::Service);
+        entry.version = m_version;
+        return entry;
+    }
+
+    ScriptedEndpoint endpoint;
+    Millis pause{0};
+    bool sheds = false; ///< rejects all requests
+    Signal paused; ///< the first pause has begun
+
+private:
+    Task<void> respond(tcp::socket &socket, const ReceivedRequest &request)
+    {
+        const std::string id = request.header("Yuccasaddle-Attempt-Id");
+        if (sheds) {
+            co_await sendBytes(socket, "HTTP/1.1 503 Full\r\nYuccasaddle-Attempt-Id: " + id + "\r\nYuccasaddle-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+            co_return;
+        }
+        if (request.head.find(" /chat/") == std::string::npos) {
+            co_await fallSilent();
+            co_await sendBytes(socket, signedAnswer(id, "whole"));
+            co_return;
+        }
+        const std::string resume = request.header("Last-Event-Id");
+        co_await sendBytes(socket, streamHead(id));
+        for (int event = resume == "(none)" ? 1 : std::stoi(resume) + 1; event <= lastEvent; ++event) {
+            if (event == pausedAfter + 1) {
+                co_await fallSilent();
+            }
+            co_await sendBytes(socket, chunk(eventNumber(event)));
+        }
+        co_await sendBytes(socket, "0\r\n\r\n");
+    }
+
+    Task<void> fallSilent()
+    {
+        if (pause > Millis(0)) {
+            paused.fire();
+            co_await sleepFor(pause);
+        }
+    }
+
+    std::string m_version;
+};
+
+std::string wholeStream()
+{
+    std::string events;
+    for (int event = 1; event <= lastEvent; ++event) {
+        events += eventNumber(event);
+    }
+    return events;
+}
+
+// A router before the given endpoints "i-0", "i-1", ..., which looks for another endpoint of a stream after 200 ms of silence.
+struct SilenceFixture : EntryFixture {
+    SilenceFixture(Loop &loop, std::vector<PausingEndpoint *> endpoints, const std::string &service, int64_t retrySlack = 1000)
+        : EntryFixture(loop, {}, retrySlack)
+    {
+        auto written = entryConfiguration(2);
+        for (auto &route : written["routes"]) {
+            route["gap_aim_ms"] = 100;
+        }
+        configure(written);
+        std::map<std::string, Endpoint> listed;
+        for (std::size_t i = 0; i < endpoints.size(); ++i) {
+            const std::string id = "i-" + std::to_string(i);
+            listed.emplace(id, endpoints[i]->entry(id, service));
+        }
+        published.replaceEndpoints(listed);
+    }
+};
+
+const http::Headers sharedPrompt{{"Yuccasaddle-Prompt-Prefix", "a1:100,b2:20"}};
+constexpr uint64_t sharedPart = 0xa1;
+
+} // namespace
+
+LOOP_GROUP(StreamSilence);
+
+TEST(StreamSilence, PauseOfTheOnlyEndpointDoesNotCutItsStream)
+{
+    PausingEndpoint first(loop());
+    first.pause = pauseTime;
+    SilenceFixture router(loop(), {&first}, "m");
+
+    const auto reply = router.reply("POST", "/chat/1", "a1");
+
+    STRCMP_EQUAL(wholeStream().c_str(), reply.body.c_str());
+    LONGS_EQUAL(1, first.endpoint.seen.size());
+}
+
+TEST(StreamSilence, PauseOfTheOnlyEndpointOfAVersionDoesNotCutItsStream)
+{
+    PausingEndpoint first(loop());
+    PausingEndpoint other(loop(), "v2");
+    first.pause = other.pause = pauseTime;
+    SilenceFixture router(loop(), {&first, &other}, "m");
+
+    const auto reply = router.reply("POST", "/chat/1", "a1");
+
+    STRCMP_EQUAL(wholeStream().c_str(), reply.body.c_str());
+}
+
+TEST(StreamSilence, PauseDoesNotCutAStreamThatMayNotBeRetried)
+{
+    PausingEndpoint first(loop());
+    PausingEndpoint other(loop());
+    first.pause = other.pause = pauseTime;
+    SilenceFixture router(loop(), {&first, &other}, "m", 0);
+
+    const auto reply = router.reply("POST", "/chat/1", "a1");
+
+    STRCMP_EQUAL(wholeStream().c_str(), reply.body.c_str());
+}
+
+TEST(StreamSilence, PauseDoesNotCutAStreamWhoseContentIsWithheld)
+{
+    PausingEndpoint first(loop());
+    PausingEndpoint other(loop());
+    first.pause = other.pause = pauseTime;
+    SilenceFixture router(loop(), {&first, &other}, "m");
+    std::optional<http::CallResult<http::Reply>> result;
+    loop().start(router.send("POST", "/chat/1", EntryFixture::caller("a1", sharedPrompt), ""), result);
+    loop().runUntil([&] {
+        return first.paused.fired() || other.paused.fired();
+    });
+    for (uint64_t crashed = 1; crashed <= 3; ++crashed) {
+        router.quarantine.recordCrash(entry::partKey({sharedPart, 100}), crashed, Clock::now());
+    }
+    loop().runUntil([&] {
+        return result.has_value();
+    });
+
+    CHECK(std::holds_alternative<http::Reply>(*result));
+    STRCMP_EQUAL(wholeStream().c_str(), std::get<http::Reply>(*result).body.c_str());
+}
+
+TEST(StreamSilence, PauseDoesNotCutAStreamWhoseOtherEndpointRefusesConnections)
+{
+    PausingEndpoint first(loop());
+    PausingEndpoint other(loop());
+    first.pause = pauseTime;
+    SilenceFixture router(loop(), {&first}, "m");
+    std::optional<http::CallResult<http::Reply>> result;
+    loop().start(router.send("POST", "/chat/1", EntryFixture::caller("a1"), ""), result);
+    loop().runUntil([&] {
+        return first.paused.fired();
+    });
+    other.endpoint.stopListening();
+    router.published.replaceEndpoints({{"i-0", first.entry("i-0", "m")}, {"i-1", other.entry("i-1", "m")}});
+    loop().runUntil([&] {
+        return result.has_value();
+    });
+
+    CHECK(std::holds_alternative<http::Reply>(*result));
+    STRCMP_EQUAL(wholeStream().c_str(), std::get<http::Reply>(*result).body.c_str());
+}
+
+TEST(StreamSilence, EndpointThatStaysSilentIsReplaced)
+{
+    PausingEndpoint first(loop());
+    PausingEndpoint other(loop());
+    first.pause = std::chrono::seconds(60);
+    SilenceFixture router(loop(), {&first}, "m");
+    std::optional<http::CallResult<http::Reply>> result;
+    loop().start(router.send("POST", "/chat/1", EntryFixture::caller("a1"), ""), result);
+    loop().runUntil([&] {
+        return first.paused.fired();
+    });
+    router.published.replaceEndpoints({{"i-0", first.entry("i-0", "m")}, {"i-1", other.entry("i-1", "m")}});
+    loop().runUntil([&] {
+        return result.has_value();
+    });
+
+    CHECK(std::holds_alternative<http::Reply>(*result));
+    STRCMP_EQUAL(wholeStream().c_str(), std::get<http::Reply>(*result).body.c_str());
+    LONGS_EQUAL(1, other.endpoint.seen.size());
+    STRCMP_EQUAL("2", other.endpoint.seen[0].header("Last-Event-Id").c_str());
+}
+
+LOOP_GROUP(HeadSilence);
+
+TEST(HeadSilence, PauseOfTheOnlyEndpointDoesNotFailARepeatableRequest)
+{
+    PausingEndpoint first(loop());
+    first.pause = pauseTime;
+    SilenceFixture router(loop(), {&first}, "s");
+
+    const auto reply = router.reply("GET", "/remind/1", "a1");
+
+    LONGS_EQUAL(200, reply.status);
+    LONGS_EQUAL(1, first.endpoint.seen.size());
+}
+
+TEST(HeadSilence, PauseDoesNotFailARepeatableRequestThatMayNotBeRetried)
+{
+    PausingEndpoint first(loop());
+    PausingEndpoint other(loop());
+    first.pause = other.pause = pauseTime;
+    SilenceFixture router(loop(), {&first, &other}, "s", 0);
+
+    const auto reply = router.reply("GET", "/remind/1", "a1");
+
+    LONGS_EQUAL(200, reply.status);
+}
+
+TEST(HeadSilence, RepeatableRequestReturnsToASilentEndpointWhenTheOtherRejectsIt)
+{
+    PausingEndpoint first(loop());
+    PausingEndpoint other(loop());
+    first.pause = pauseTime;
+    SilenceFixture router(loop(), {&first}, "s");
+    std::optional<http::CallResult<http::Reply>> result;
+    loop().start(router.send("GET", "/remind/1", EntryFixture::caller("a1"), ""), result);
+    loop().runUntil([&] {
+        return first.paused.fired();
+    });
+    other.sheds = true;
+    router.published.replaceEndpoints({{"i-0", first.entry("i-0", "s")}, {"i-1", other.entry("i-1", "s")}});
+    loop().runUntil([&] {
+        return result.has_value();
+    });
+
+    CHECK(std::holds_alternative<http::Reply>(*result));
+    LONGS_EQUAL(200, std::get<http::Reply>(*result).status);
+}
+
+LOOP_GROUP(SilenceVerdict);
+
+TEST(SilenceVerdict, PausedEndpointIsNotEjected)
+{
+    PausingEndpoint first(loop());
+    PausingEndpoint second(loop());
+    PausingEndpoint third(loop());
+    constexpr int requests = 24;
+    first.pause = pauseTime;
+    second.pause = third.pause = Millis(50);
+    SilenceFixture router(loop(), {&first, &second, &third}, "s");
+    std::array<std::optional<http::CallResult<http::Reply>>, requests> results;
+    for (int i = 0; i < requests; ++i) {
+        loop().start(router.send("GET", "/remind/1", EntryFixture::caller("a" + std::to_string(i)), ""), results[static_cast<std::size_t>(i)]);
+    }
+    loop().runUntil([&] {
+        return std::all_of(results.begin(), results.end(), [](const auto &result) {
+            return result.has_value();
+        });
+    });
+
+    CHECK(first.endpoint.seen.size() >= 4);
+    LONGS_EQUAL(0, router.gateway.metrics().ejections);
+}
+
+TEST(SilenceVerdict, RequestsOfPausedEndpointsAreNotWithheld)
+{
+    PausingEndpoint first(loop());
+    PausingEndpoint second(loop());
+    PausingEndpoint third(loop());
+    first.pause = second.pause = third.pause = pauseTime;
+    SilenceFixture router(loop(), {&first, &second, &third}, "m");
+    std::array<std::optional<http::CallResult<http::Reply>>, 6> results;
+    for (std::size_t i = 0; i < results.size(); ++i) {
+        loop().start(router.send("POST", "/chat/1", EntryFixture::caller("a" + std::to_string(i), sharedPrompt), ""), results[i]);
+    }
+    std::size_t suspicions = 0;
+    loop().runUntil([&] {
+        suspicions += router.quarantine.takeUpdates(100).suspicions.size();
+        return std::all_of(results.begin(), results.end(), [](const auto &result) {
+            return result.has_value();
+        });
+    });
+
+    LONGS_EQUAL(0, suspicions);
+    for (const auto &result : results) {
+        CHECK(std::holds_alternative<http::Reply>(*result));
+        STRCMP_EQUAL(wholeStream().c_str(), std::get<http::Reply>(*result).body.c_str());
+    }
+}
