An attempt at a silent endpoint ends only when another one has taken the request over

What callers saw: streams cut, and repeatable requests answered 502, after a silence in which their endpoint was sound and about to go on. Cause: the attempt had a deadline shorter than the request's. It was cancelled first; the other endpoint, the retry permit, the stream's software version and the quarantine were looked up afterwards, and without them nothing was left to give the caller. Change: an attempt waits as long as its request. A watch seeks another endpoint meanwhile; the attempt is cancelled when that one is selected, its permit is taken, and a connection to it is open. An endpoint that sends again in between keeps its request. If the other one then rejects the request, the silent one may get it again.

--- a/src/entry/gateway.h
+++ b/src/entry/gateway.h
@@ -14,6 +14,7 @@
 #include "entry/request_profile.h"
 #include "entry/retry_after.h"
 #include "entry/retry_policy.h"
+#include "entry/silence_watch.h"
 #include "entry/stall_monitor.h"
 #include "http_client.h"
 #include "http_server.h"
@@ -198,6 +199,27 @@
         http::Headers headers;
         std::string body;
     };
+    /// The endpoint of the next attempt, with what the attempt needs. A permit that is not taken out is given back.
+    struct Selection {
+        Selection(const Endpoint &selected, std::unique_ptr<router::AcquiredEndpoint> held, std::unique_ptr<limits::RetryPermit> retryPermit)
+            : endpoint(selected)
+            , acquired(std::move(held))
+            , permit(std::move(retryPermit))
+        {
+        }
+        ~Selection()
+        {
+            if (permit) {
+                permit->cancel();
+            }
+        }
+        Selection(Selection &&) = default;
+        Selection &operator=(Selection &&) = default;
+
+        Endpoint endpoint;
+        std::unique_ptr<router::AcquiredEndpoint> acquired;
+        std::unique_ptr<limits::RetryPermit> permit; ///< null for a first attempt
+    };
     /// The state of one request over all its attempts.
     struct RequestState {
         RequestProfile profile;
@@ -206,6 +228,9 @@
         AttemptCount count;
         std::optional<idempotency::Claim> claim; ///< of the request's idempotency key
         std::set<std::string> tried;
+        std::set<std::string> silent; ///< endpoints whose attempts ended because they were silent
+        std::optional<Selection> successor; ///< takes over from the silent endpoint of the current attempt
+        std::shared_ptr<SilenceWatch> watch; ///< of the current attempt; null if it must not be replaced
         http::Cancellation cancellation;
         sse::EventRelay events;
         std::optional<streams::Origin> origin; ///< of the stream, once an event of it is known to have reached its caller
@@ -224,7 +249,7 @@
         Clock::time_point acquiredAt{}; ///< when the current attempt was counted at its endpoint
         unsigned lastStatus = 0; ///< status of the last endpoint's own response
         ResponseHead lastHead; ///< head of the last attempt's response; default values if none arrived
-        std::optional<limits::RetryPermit> retryPermit; ///< of the current attempt, until it has arrived
+        std::unique_ptr<limits::RetryPermit> retryPermit; ///< of the current attempt, until it has arrived
         bool retryDenied = false; ///< for want of retry budget
         std::optional<GiveUpReason> giveUpReason;
         std::optional<AttemptEnd> lastEnd; ///< of the last attempt
@@ -291,7 +316,14 @@
     void recordAttempt(const RequestState &state, const Endpoint &endpoint, AttemptEnd end, Clock::time_point began, bool willRetry);
     static RequestEnd requestEndFor(const RequestState &state, AttemptEnd end);
     double slackShare() const;
-    bool spendRetry(RequestState &state);
+    std::unique_ptr<limits::RetryPermit> takeRetryPermit(const std::string &service);
+    std::variant<Selection, GiveUpReason> selectEndpoint(RequestState &state, bool hasArrived, Clock::time_point now);
+    void recordGiveUp(RequestState &state, GiveUpReason why);
+    std::shared_ptr<SilenceWatch> watchSilence(RequestState &state, const asio::any_io_executor &executor);
+    Task<void> replaceSilentEndpoint(RequestState &state, std::shared_ptr<SilenceWatch> watch);
+    Task<bool> connectAhead(Endpoint endpoint);
+    std::size_t maxIdleConnectionsTo(const Endpoint &endpoint) const;
+    Task<AttemptEnd> attemptWatched(http::Exchange &ex, RequestState &state, Endpoint endpoint);
     std::vector<RetryGauge> retryGauges() const;
     http::ConnectionReuse reuseFor(const RequestState &state, Clock::time_point now) const;
     Task<void> closeStaleConnections(const Endpoint &endpoint);
@@ -400,6 +432,18 @@
     ex.onCallerDisconnect({});
 }
 
+// Records why a request gets no further attempt.
+template <Dialect D> void Gateway<D>::recordGiveUp(RequestState &state, GiveUpReason why)
+{
+    state.giveUpReason = why;
+    state.timedOut = why == GiveUpReason::TimedOut;
+    state.retryDenied = why == GiveUpReason::RetryDenied;
+    m_metrics.retriesDenied += state.retryDenied ? 1 : 0;
+    if (why == GiveUpReason::NoVersion) {
+        logStreamRefused(state, Rejection::VersionUnavailable);
+    }
+}
+
 // Tries endpoints one after the other, within the limits on attempts, the deadline and the retry
 // budget of the service.
 template <Dialect D> Task<void> Gateway<D>::attempt(http::Exchange &ex, RequestState &state)
@@ -408,64 +452,36 @@
     for (;;) {
         const auto now = Clock::now();
         if (now >= state.profile.responseDeadline) {
-            state.timedOut = true;
-            state.giveUpReason = GiveUpReason::TimedOut;
+            recordGiveUp(state, GiveUpReason::TimedOut);
             break;
         }
-        if (withheld(state.profile, now)) {
-            state.giveUpReason = GiveUpReason::Withheld;
-            break; // meanwhile, an endpoint crashed while it ran this content
-        }
-        const auto endpoint = m_table.acquire(state.service, state.profile.affinity, state.tried, now, state.constraints);
-        if (!endpoint) {
-            state.noEndpointReason = m_table.noEndpointReason(state.service, state.tried, now, state.constraints);
-            state.giveUpReason = state.noEndpointReason == router::NoEndpointReason::Version ? GiveUpReason::NoVersion : GiveUpReason::NoEndpoint;
-            if (state.noEndpointReason == router::NoEndpointReason::Version) {
-                logStreamRefused(state, Rejection::VersionUnavailable);
+        auto selection = std::exchange(state.successor, std::nullopt);
+        if (!selection) {
+            auto selected = selectEndpoint(state, state.count.arrivals > 0, now);
+            if (const auto *why = std::get_if<GiveUpReason>(&selected)) {
+                recordGiveUp(state, *why);
+                break;
             }
-            break;
-        }
-        const router::AcquiredEndpoint acquired(m_table, *endpoint);
-        if (state.count.arrivals > 0 && !spendRetry(state)) {
-            state.giveUpReason = GiveUpReason::RetryDenied;
-            break;
+            selection = std::move(std::get<Selection>(selected));
         }
-        state.lastEndpoint = endpoint->id;
-        state.lastVersion = endpoint->version;
+        const Endpoint &endpoint = selection->endpoint;
+        state.retryPermit = std::move(selection->permit);
+        m_metrics.retries += state.retryPermit ? 1 : 0;
+        state.lastEndpoint = endpoint.id;
+        state.lastVersion = endpoint.version;
         state.home = sharesPrompt(state.profile.prompt) ? m_table.homeOf(state.service, state.profile.affinity.conversation) : std::nullopt;
-        state.placement = m_table.placementView(*endpoint, state.profile.affinity.conversation, now, state.constraints);
+        state.placement = m_table.placementView(endpoint, state.profile.affinity.conversation, now, state.constraints);
         state.placedAt = now;
         state.acquiredAt = now;
         state.lastReceived = now;
-        state.tried.insert(endpoint->id);
+        state.tried.insert(endpoint.id);
         ++state.count.attempts;
         m_metrics.resumptions += state.headSent ? 1 : 0;
-        bool staleConnection = false;
-        state.lastHead = {};
-        co_await closeStaleConnections(*endpoint);
-        m_attempts.insert_or_assign(&state, *endpoint);
-        AttemptEnd end = co_await attemptAt(ex, state, *endpoint, reuseFor(state, now), staleConnection);
-        if (staleConnection && !state.cancellation.isCancelled() && !ex.callerDisconnected()) {
-            co_await recordBrokenResponse(state.profile, *endpoint); // must precede a second send, which hides how the first one ended
-        }
-        state.sendLost = state.sendLost || staleConnection;
-        const bool mayRepeat = staleConnection && repeatable(route) && !state.cancellation.isCancelled() && !withheld(state.profile, Clock::now());
-        const auto resendAt = Clock::now();
-        if (mayRepeat && m_table.acquireForResend(*endpoint, resendAt) && spendRetry(state)) {
-            state.acquiredAt = resendAt;
-            // The keep-alive connection was closed during the request; the endpoint itself may be
-            // healthy.
-            end = co_await attemptAt(ex, state, *endpoint, http::ConnectionReuse::Never, staleConnection);
-        }
-        m_attempts.erase(&state);
+        AttemptEnd end = co_await attemptWatched(ex, state, endpoint);
         state.lastEnd = end;
-        if (state.endpointRestarted && !ex.callerDisconnected()) {
-            state.cancellation = http::Cancellation(); // only the attempt was cancelled, not the request
-            state.endpointRestarted = false;
-        }
         state.count.runs += mayHaveRun(end) ? 1 : 0;
         if ((end == AttemptEnd::Broken || end == AttemptEnd::Silent) && !state.cancellation.isCancelled() && !ex.callerDisconnected()) {
-            co_await recordBrokenResponse(state.profile, *endpoint);
+            co_await recordBrokenResponse(state.profile, endpoint);
         }
         if (state.cancellation.isCancelled() || ex.callerDisconnected()) {
             if (end != AttemptEnd::Delivered) {
@@ -474,20 +490,65 @@
             end = AttemptEnd::CallerGone;
         }
         const bool willRetry = mayRetry(route, end, state.count);
-        recordAttempt(state, *endpoint, end, now, willRetry);
+        recordAttempt(state, endpoint, end, now, willRetry);
         if (end == AttemptEnd::Delivered || end == AttemptEnd::CallerGone) {
             recordRequest(state, requestEndFor(state, end), state.lastStatus);
             co_return;
         }
         if (!willRetry) {
-            state.timedOut = Clock::now() >= state.profile.responseDeadline;
-            state.giveUpReason = state.timedOut ? GiveUpReason::TimedOut : GiveUpReason::AttemptsUsed;
+            const bool timedOut = Clock::now() >= state.profile.responseDeadline;
+            recordGiveUp(state, timedOut ? GiveUpReason::TimedOut : GiveUpReason::AttemptsUsed);
             break;
         }
     }
     co_await answerFailure(ex, state);
 }
 
+// Makes one attempt, with a second send if a keep-alive connection broke, while its endpoint is watched for silence.
+template <Dialect D> Task<AttemptEnd> Gateway<D>::attemptWatched(http::Exchange &ex, RequestState &state, Endpoint endpoint)
+{
+    const auto executor = co_await asio::this_coro::executor;
+    bool staleConnection = false;
+    state.lastHead = {};
+    co_await closeStaleConnections(endpoint);
+    m_attempts.insert_or_assign(&state, endpoint);
+    state.watch = watchSilence(state, executor);
+    AttemptEnd end = co_await attemptAt(ex, state, endpoint, reuseFor(state, Clock::now()), staleConnection);
+    if (staleConnection && !state.cancellation.isCancelled() && !ex.callerDisconnected()) {
+        co_await recordBrokenResponse(state.profile, endpoint); // must precede a second send, which hides how the first one ended
+    }
+    state.sendLost = state.sendLost || staleConnection;
+    const bool mayRepeat = staleConnection && repeatable(*state.profile.route) && !state.cancellation.isCancelled() && !withheld(state.profile, Clock::now());
+    const auto resendAt = Clock::now();
+    if (mayRepeat && m_table.acquireForResend(endpoint, resendAt)) {
+        state.retryPermit = takeRetryPermit(state.service);
+    }
+    if (mayRepeat && state.retryPermit) {
+        ++m_metrics.retries;
+        state.acquiredAt = resendAt;
+        // The keep-alive connection was closed during the request; the endpoint itself may be
+        // healthy.
+        end = co_await attemptAt(ex, state, endpoint, http::ConnectionReuse::Never, staleConnection);
+    }
+    if (state.watch) {
+        state.watch->end();
+        state.watch.reset();
+    }
+    m_attempts.erase(&state);
+    const bool replaced = state.successor.has_value();
+    if ((replaced || state.endpointRestarted) && !ex.callerDisconnected()) {
+        state.cancellation = http::Cancellation(); // only the attempt was cancelled, not the request
+        state.endpointRestarted = false;
+    }
+    if (replaced && end == AttemptEnd::Broken) {
+        end = AttemptEnd::Silent;
+    }
+    if (replaced) {
+        state.silent.insert(endpoint.id);
+    }
+    co_return end;
+}
+
 // Sends the final response to a request that no attempt could serve.
 template <Dialect D> Task<void> Gateway<D>::answerFailure(http::Exchange &ex, RequestState &state)
 {
@@ -535,5 +596,6 @@
 #include "entry/gateway_crashes.h"
 #include "entry/gateway_paths.h"
 #include "entry/gateway_place.h"
+#include "entry/gateway_silence.h"
 #include "entry/gateway_statistics.h"
 #include "entry/gateway_streams.h"
--- a/src/entry/gateway_attempt.h
+++ b/src/entry/gateway_attempt.h
@@ -10,15 +10,11 @@
 /// two years.
 inline constexpr std::size_t maxTrackedIncarnations = 4096;
 
-// Returns the time until which an endpoint must begin its response. A repeatable request with an
-// attempt left doesn't wait for a silent endpoint until its own deadline.
+// Returns the time after which another endpoint is sought for a request whose endpoint has not begun its response.
 template <Dialect D> Clock::time_point Gateway<D>::headDeadline(const RequestState &state, Clock::time_point now) const
 {
     const Route &route = *state.profile.route;
     const auto end = state.profile.responseDeadline;
-    if (!repeatable(route) || state.count.runs + 1 >= route.maxAttempts) {
-        return end;
-    }
     const auto responseTimeout = Millis(static_cast<int64_t>(static_cast<double>(route.targetLatency.count()) * m_options.responseTimeoutFactor));
     return std::min(now + responseTimeout, now + (end - now) / 2);
 }
@@ -50,6 +46,15 @@
     }
 }
 
+// Returns the number of idle connections that this router may keep to an endpoint.
+template <Dialect D> std::size_t Gateway<D>::maxIdleConnectionsTo(const Endpoint &endpoint) const
+{
+    const auto configuration = m_published.configuration();
+    const auto *service = configuration ? configuration->service(endpoint.pool) : nullptr;
+    const std::size_t share = service ? static_cast<std::size_t>(service->maxConnections) / m_options.routersPerConnectionCap : 1;
+    return std::clamp<std::size_t>(share, 2, m_options.maxIdleConnections);
+}
+
 template <Dialect D> void Gateway<D>::cancelAttemptsAtRestarted()
 {
     std::vector<RequestState *> affected;
@@ -72,15 +77,13 @@
 Task<AttemptEnd> Gateway<D>::attemptAt(http::Exchange &ex, RequestState &state, const Endpoint &endpoint, http::ConnectionReuse reuse, bool &staleConnection)
 {
     const auto now = Clock::now();
-    const auto *service = state.profile.configuration->service(state.service);
     http::CallOptions options;
-    options.deadline = headDeadline(state, now);
+    options.deadline = state.profile.responseDeadline;
     options.reuse = reuse;
     options.cancellation = &state.cancellation;
     options.connectTimeout = m_options.connectTimeout;
     options.confirmAfterIdle = m_options.confirmAfterIdle;
-    const std::size_t share = service ? static_cast<std::size_t>(service->maxConnections) / m_options.routersPerConnectionCap : 1;
-    options.maxIdleConnections = std::clamp<std::size_t>(share, 2, m_options.maxIdleConnections);
+    options.maxIdleConnections = maxIdleConnectionsTo(endpoint);
     state.promptEstimate = estimatePrompt(state, endpoint, now);
     staleConnection = false;
     auto opened = co_await openByAnyPath(ex, state, endpoint, options);
@@ -97,7 +100,7 @@
         }
         state.retryPermit.reset();
         ++state.count.arrivals;
-        staleConnection = error->reused && Clock::now() < options.deadline;
+        staleConnection = error->reused && Clock::now() < options.deadline && !state.successor;
         if (staleConnection && !state.cancellation.isCancelled()) {
             m_keepAliveBrokeAt[state.service] = Clock::now();
         }
@@ -192,7 +195,9 @@
                                            http::Response &response)
 {
     auto headers = m_dialect.responseHeaders(response, state.profile, endpoint);
-    response.setDeadline(state.profile.responseDeadline);
+    if (state.watch) {
+        state.watch->suspend();
+    }
     std::string body;
     for (bool more = true; more;) {
         auto read = co_await response.read();
@@ -231,17 +236,20 @@
         co_await ex.beginStream(response.status(), "", std::move(headers));
     }
     const auto eventGapTimeout = Millis(static_cast<int64_t>(static_cast<double>(route.eventGapTarget.count()) * m_options.eventGapTimeoutFactor));
-    const bool mayResume = repeatable(route) && state.count.runs + 1 < route.maxAttempts;
     for (;;) {
-        const auto waitsUntil = mayResume ? std::min(state.profile.responseDeadline, Clock::now() + eventGapTimeout) : state.profile.responseDeadline;
-        response.setDeadline(waitsUntil);
+        if (state.watch) {
+            state.watch->expectBy(Clock::now() + eventGapTimeout);
+        }
         auto read = co_await response.read();
+        if (state.watch) {
+            state.watch->suspend(); // the endpoint is not silent while the caller is slow to read
+        }
         if (ex.callerDisconnected()) {
             co_return AttemptEnd::CallerGone;
         }
         if (std::holds_alternative<http::CallError>(read)) {
             state.events.discardPartialEvent();
-            co_return Clock::now() >= waitsUntil ? AttemptEnd::Silent : AttemptEnd::Broken;
+            co_return Clock::now() >= state.profile.responseDeadline ? AttemptEnd::Silent : AttemptEnd::Broken;
         }
         const auto &bytes = std::get<std::string>(read);
         state.lastReceived = Clock::now();
--- a/src/entry/gateway_statistics.h
+++ b/src/entry/gateway_statistics.h
@@ -24,18 +24,11 @@
     return m_fleet ? m_fleet->share(BootClock::now()) : 1;
 }
 
-// Spends one extra arrival from the retry budget of a service; returns false when the budget is
-// used up.
-template <Dialect D> bool Gateway<D>::spendRetry(RequestState &state)
+// Takes a permit for one extra arrival from the retry budget of a service; returns null when the budget is used up.
+template <Dialect D> std::unique_ptr<limits::RetryPermit> Gateway<D>::takeRetryPermit(const std::string &service)
 {
-    auto &budget = retryBudgetFor(state.service);
-    const bool taken = budget.tryRetry(BootClock::now(), slackShare());
-    if (taken) {
-        state.retryPermit.emplace(budget);
-    }
-    ++(taken ? m_metrics.retries : m_metrics.retriesDenied);
-    state.retryDenied = state.retryDenied || !taken;
-    return taken;
+    auto &budget = retryBudgetFor(service);
+    return budget.tryRetry(BootClock::now(), slackShare()) ? std::make_unique<limits::RetryPermit>(budget) : nullptr;
 }
 
 template <Dialect D> std::vector<RetryGauge> Gateway<D>::retryGauges() const
--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -156,13 +156,6 @@
     return endToEndFields(m_parser->get());
 }
 
-void Response::setDeadline(Clock::time_point deadline)
-{
-    if (m_connection) {
-        m_connection->stream.expires_at(deadline);
-    }
-}
-
 // Returns the connection of a complete response to the pool, or closes it. A
 // connection whose request is not fully written is closed: the peer would read
 // the next request as the remainder of this one.
@@ -380,6 +373,28 @@
     co_return std::nullopt;
 }
 
+Task<bool> Client::connectAhead(Address to, CallOptions options)
+{
+    const auto ex = co_await asio::this_coro::executor;
+    auto connection = takeIdle(ex, to);
+    const auto now = Clock::now();
+    const bool fresh = connection && (!options.confirmAfterIdle || now - connection->idleSince < *options.confirmAfterIdle);
+    if (connection && !fresh) {
+        addIdle(to, std::move(connection), options.maxIdleConnections);
+    }
+    if (!fresh) {
+        connection = std::make_shared<ClientConnection>(ex);
+        const auto failed = co_await connect(*connection, to, options);
+        if (failed) {
+            co_return false;
+        }
+        connection->idleSince = Clock::now();
+        connection->closeDeadline = connection->idleSince + defaultIdleLifetime;
+    }
+    addIdle(to, std::move(connection), options.maxIdleConnections);
+    co_return true;
+}
+
 Task<std::optional<unsigned>> Client::tryTunnel(TunnelRequest request, Millis timeout)
 {
     ClientConnection connection(co_await asio::this_coro::executor);
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -130,9 +130,6 @@
     /// connection is not kept. Returns an error if the connection breaks.
     Task<std::optional<CallError>> skipToNextResponse();
 
-    /// Sets the deadline of all further reads.
-    void setDeadline(Clock::time_point deadline);
-
 private:
     friend class Client;
     Task<std::optional<CallError>> readHead();
@@ -173,6 +170,10 @@
     /// Sends a request and reads its complete response. Fails with the stage at which the call broke.
     Task<CallResult<Reply>> call(Address to, Request request, CallOptions options);
 
+    /// Makes sure that a connection to a peer is open for a call that follows at once. Returns false if it could not be opened
+    /// within the connect timeout. Bytes are only sent by the call.
+    Task<bool> connectAhead(Address to, CallOptions options);
+
     /// Asks for a tunnel and closes it unused. Returns nothing if it was opened, otherwise the peer's status, 0 if it did not answer.
     Task<std::optional<unsigned>> tryTunnel(TunnelRequest request, Millis timeout);
 
