A silence that a sound endpoint may have is no verdict on it or on a prompt

What callers saw: after a pause of an endpoint it was ejected, and the content and shared parts of the prompts that it was running came under suspicion, at three endpoints so far that sound requests with a part were withheld and their streams ended. Cause: an attempt that ended by a time-out counted as a broken response, a few hundred milliseconds after the endpoint was last heard. Change: EndpointActivity tells a pause from a fault: a silence counts if the endpoint answered other requests meanwhile, or has sent nothing for 2 s; not if it has just gone on.

--- a/src/entry/gateway.h
+++ b/src/entry/gateway.h
@@ -5,6 +5,7 @@
 
 #include "admission.h"
 #include "entry/control.h"
+#include "entry/endpoint_activity.h"
 #include "entry/entry_metrics.h"
 #include "entry/entry_settings.h"
 #include "entry/log_rate_limiter.h"
@@ -88,6 +89,7 @@
     Millis connectTimeout{300}; ///< an endpoint answers a SYN in about 2 ms; one whose backlog is full drops SYNs for seconds
     double responseTimeoutFactor = 1.0; ///< multiple of a route's target latency after which a repeatable request is sent to another endpoint
     double eventGapTimeoutFactor = 2.0; ///< multiple of a route's event gap target after which a resumable stream moves to another endpoint
+    Millis maxEndpointPause{2000}; ///< a sound endpoint may fall silent for less than this
     RetryAfterOptions retryAfter;
     std::size_t routersPerConnectionCap = 16; ///< number of routers that share the connection limit of an endpoint
     /// A path that carried a response more recently than this is taken for intact. After a longer pause, hosts acknowledge at once.
@@ -144,6 +146,7 @@
         , m_fleet(parts.fleet)
         , m_origins(parts.origins)
         , m_options(options)
+        , m_activity(options.maxEndpointPause)
         , m_dialect(std::move(dialect))
     {
     }
@@ -305,6 +308,7 @@
     void recordConnected(const Endpoint &endpoint);
     Task<void> probeCutPaths();
     Task<AttemptEnd> handleResponse(http::Exchange &ex, RequestState &state, const Endpoint &endpoint, http::Response &response);
+    void recordReceived(RequestState &state, const Endpoint &endpoint);
     void applySelfReport(const Endpoint &endpoint, const ResponseHead &head);
     Task<AttemptEnd> relayBuffered(http::Exchange &ex, RequestState &state, const Endpoint &endpoint, const ResponseHead &head, http::Response &response);
     Task<AttemptEnd> relayStream(http::Exchange &ex, RequestState &state, const Endpoint &endpoint, http::Response &response);
@@ -313,6 +317,7 @@
     limits::RetryBudget &retryBudgetFor(const std::string &service);
     std::string chooseService(const RequestProfile &profile) const;
     router::PromptEstimate estimatePrompt(const RequestState &state, const Endpoint &endpoint, Clock::time_point now) const;
+    bool showsFault(const RequestState &state, const Endpoint &endpoint, AttemptEnd end) const;
     void recordAttempt(const RequestState &state, const Endpoint &endpoint, AttemptEnd end, Clock::time_point began, bool willRetry);
     static RequestEnd requestEndFor(const RequestState &state, AttemptEnd end);
     double slackShare() const;
@@ -355,6 +360,7 @@
     const peers::FleetMembership *m_fleet;
     streams::StreamOrigins *m_origins;
     GatewayOptions m_options;
+    EndpointActivity m_activity;
     D m_dialect;
     http::Client m_client;
     std::map<std::string, limits::RetryBudget> m_budgets; ///< by service name
@@ -480,7 +486,8 @@
         AttemptEnd end = co_await attemptWatched(ex, state, endpoint);
         state.lastEnd = end;
         state.count.runs += mayHaveRun(end) ? 1 : 0;
-        if ((end == AttemptEnd::Broken || end == AttemptEnd::Silent) && !state.cancellation.isCancelled() && !ex.callerDisconnected()) {
+        const bool suspect = (end == AttemptEnd::Broken || end == AttemptEnd::Silent) && showsFault(state, endpoint, end);
+        if (suspect && !state.cancellation.isCancelled() && !ex.callerDisconnected()) {
             co_await recordBrokenResponse(state.profile, endpoint);
         }
         if (state.cancellation.isCancelled() || ex.callerDisconnected()) {
--- a/src/entry/gateway_attempt.h
+++ b/src/entry/gateway_attempt.h
@@ -86,6 +86,7 @@
     options.maxIdleConnections = maxIdleConnectionsTo(endpoint);
     state.promptEstimate = estimatePrompt(state, endpoint, now);
     staleConnection = false;
+    m_activity.recordSent(incarnationKey(endpoint), now);
     auto opened = co_await openByAnyPath(ex, state, endpoint, options);
     if (const auto *error = std::get_if<http::CallError>(&opened)) {
         if (error->stage == http::CallStage::Connect) {
@@ -112,6 +113,12 @@
     co_return co_await handleResponse(ex, state, endpoint, response);
 }
 
+template <Dialect D> void Gateway<D>::recordReceived(RequestState &state, const Endpoint &endpoint)
+{
+    state.lastReceived = Clock::now();
+    m_activity.recordReceived(incarnationKey(endpoint), state.lastReceived);
+}
+
 // Applies what an endpoint reports about itself, even if it comes with the response to another
 // request.
 template <Dialect D> void Gateway<D>::applySelfReport(const Endpoint &endpoint, const ResponseHead &head)
@@ -130,7 +137,7 @@
 template <Dialect D> Task<AttemptEnd> Gateway<D>::handleResponse(http::Exchange &ex, RequestState &state, const Endpoint &endpoint, http::Response &response)
 {
     constexpr int maxForeignResponses = D::mayReceiveLateResponses ? 3 : 0;
-    state.lastReceived = Clock::now();
+    recordReceived(state, endpoint);
     ResponseHead head = m_dialect.readHead(response, state.profile);
     applySelfReport(endpoint, head);
     for (int foreignResponses = 0; !head.matchesRequest && !head.notExecuted && !head.wrongInstance; ++foreignResponses) {
@@ -205,6 +212,7 @@
             co_return Clock::now() >= state.profile.responseDeadline ? AttemptEnd::Silent : AttemptEnd::Broken;
         }
         const auto &bytes = std::get<std::string>(read);
+        recordReceived(state, endpoint);
         more = !bytes.empty();
         body += bytes;
         if (body.size() > m_options.maxResponseBytes) {
@@ -252,7 +260,7 @@
             co_return Clock::now() >= state.profile.responseDeadline ? AttemptEnd::Silent : AttemptEnd::Broken;
         }
         const auto &bytes = std::get<std::string>(read);
-        state.lastReceived = Clock::now();
+        recordReceived(state, endpoint);
         if (bytes.empty()) {
             break;
         }
--- a/src/entry/gateway_statistics.h
+++ b/src/entry/gateway_statistics.h
@@ -63,6 +63,15 @@
     return ids;
 }
 
+// Returns true if the end of an attempt speaks against its endpoint. A silence that a sound endpoint may have does not.
+template <Dialect D> bool Gateway<D>::showsFault(const RequestState &state, const Endpoint &endpoint, AttemptEnd end) const
+{
+    if (end == AttemptEnd::Silent) {
+        return m_activity.isFault(incarnationKey(endpoint), state.lastReceived, Clock::now());
+    }
+    return end != AttemptEnd::Delivered || state.lastStatus >= 500;
+}
+
 // Updates statistics, quarantine and outlier detection after an attempt, and logs attempts that did
 // not deliver.
 template <Dialect D>
@@ -77,8 +86,9 @@
     }
     // A failure over a cut path, or at a peer, says nothing about the endpoint.
     const bool pathAtFault = end != AttemptEnd::Delivered && m_paths.pathTo(endpoint) == Path::Relayed;
-    if (end != AttemptEnd::CallerGone && !pathAtFault) {
-        const bool failed = end != AttemptEnd::Delivered || state.lastStatus >= 500;
+    const bool failed = showsFault(state, endpoint, end);
+    const bool excused = end == AttemptEnd::Silent && !failed;
+    if (end != AttemptEnd::CallerGone && !pathAtFault && !excused) {
         const auto ejection = m_outliers[state.service].record(incarnationKey(endpoint), failed, m_table.poolSize(state.service), now);
         if (ejection && m_table.isCurrentIncarnation(endpoint)) {
             ++m_metrics.ejections;
