The paused endpoint of the silence tests sends nothing in its pause

One run of RequestsOfPausedEndpointsAreNotWithheld failed beside builds (2 suspicions): the stand-in still sent the heads of streams in its pause, which shows that it answers others.

--- a/tests/test_silence.cpp
+++ b/tests/test_silence.cpp
@@ -44,6 +44,9 @@
     Task<void> respond(tcp::socket &socket, const ReceivedRequest &request)
     {
         const std::string id = request.header("Yuccasaddle-Attempt-Id");
+        if (paused.fired()) {
+            co_await fallSilent();
+        }
         if (sheds) {
             co_await sendBytes(socket, "HTTP/1.1 503 Full\r\nYuccasaddle-Attempt-Id: " + id + "\r\nYuccasaddle-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
             co_return;
