A request whose handling throws ends with a response or an aborted connection

What callers saw: the server's 500 without a trace of the request or, once the head of a stream had been sent, a connection that stayed open without an end of the response. Cause: an exception left the pipeline past the entry of its attempt, which then pointed to a request that was gone (cancelAttemptsAtRestarted follows it), past its silence watch, and past the caller's disconnect handler. Change: an attempt is registered and watched for a scope; what throws is logged with its id, counted, and ends as a request that may have run (502), or as an aborted stream.

--- a/src/entry/gateway.h
+++ b/src/entry/gateway.h
@@ -223,6 +223,33 @@
         std::unique_ptr<router::AcquiredEndpoint> acquired;
         std::unique_ptr<limits::RetryPermit> permit; ///< null for a first attempt
     };
+    struct RequestState;
+    /// Registers an attempt for the time that it is in progress, however it ends.
+    class AttemptInProgress
+    {
+    public:
+        AttemptInProgress(Gateway &gateway, RequestState &state, const Endpoint &endpoint, std::shared_ptr<SilenceWatch> watch)
+            : m_gateway(gateway)
+            , m_state(state)
+        {
+            gateway.m_attempts.insert_or_assign(&state, endpoint);
+            state.watch = std::move(watch);
+        }
+        ~AttemptInProgress()
+        {
+            if (m_state.watch) {
+                m_state.watch->end();
+                m_state.watch.reset();
+            }
+            m_gateway.m_attempts.erase(&m_state);
+        }
+        AttemptInProgress(const AttemptInProgress &) = delete;
+        AttemptInProgress &operator=(const AttemptInProgress &) = delete;
+
+    private:
+        Gateway &m_gateway;
+        RequestState &m_state;
+    };
     /// The state of one request over all its attempts.
     struct RequestState {
         RequestProfile profile;
@@ -290,6 +317,8 @@
     Task<void> settle(idempotency::Claim claim, nlohmann::json record);
     Task<void> releaseClaim(RequestState &state);
     Task<void> reject(http::Exchange &ex, const std::string &id, Rejection why, std::optional<Millis> retryAfter = std::nullopt);
+    Task<void> serve(http::Exchange &ex, RequestState &state);
+    Task<void> endFailed(http::Exchange &ex, RequestState &state, std::exception_ptr failure);
     Task<void> attempt(http::Exchange &ex, RequestState &state);
     Task<AttemptEnd> attemptAt(http::Exchange &ex, RequestState &state, const Endpoint &endpoint, http::ConnectionReuse reuse, bool &staleConnection);
     http::Request makeRequestFor(const http::Exchange &ex, const RequestState &state, const Endpoint &endpoint) const;
@@ -329,6 +358,7 @@
     Task<bool> connectAhead(Endpoint endpoint);
     std::size_t maxIdleConnectionsTo(const Endpoint &endpoint) const;
     Task<AttemptEnd> attemptWatched(http::Exchange &ex, RequestState &state, Endpoint endpoint);
+    Task<AttemptEnd> attemptTwice(http::Exchange &ex, RequestState &state, const Endpoint &endpoint);
     std::vector<RetryGauge> retryGauges() const;
     http::ConnectionReuse reuseFor(const RequestState &state, Clock::time_point now) const;
     Task<void> closeStaleConnections(const Endpoint &endpoint);
@@ -386,9 +416,54 @@
     return std::chrono::duration_cast<Millis>(Clock::now() - then).count();
 }
 
+/// Returns the message of an exception, for log lines.
+inline std::string describe(const std::exception_ptr &failure)
+{
+    try {
+        std::rethrow_exception(failure);
+    } catch (const std::exception &error) {
+        return error.what();
+    } catch (...) {
+        return "unknown exception";
+    }
+}
+
 template <Dialect D> Task<void> Gateway<D>::handle(http::Exchange &ex)
 {
     ++m_metrics.requestsRead;
+    RequestState state;
+    std::exception_ptr failure;
+    try {
+        co_await serve(ex, state);
+    } catch (...) {
+        failure = std::current_exception();
+    }
+    ex.onCallerDisconnect({});
+    if (failure) {
+        co_await endFailed(ex, state, failure);
+    }
+}
+
+// Ends a request whose handling threw. It may have run if an attempt had begun.
+template <Dialect D> Task<void> Gateway<D>::endFailed(http::Exchange &ex, RequestState &state, std::exception_ptr failure)
+{
+    if (!state.profile.route) {
+        std::rethrow_exception(failure); // not identified: the server answers and logs it
+    }
+    const std::string error = describe(failure);
+    log::Line{log::Event::RequestFailed}.add("id", state.profile.id).add("endpoint", state.lastEndpoint).add("error", error);
+    state.giveUpReason = GiveUpReason::Failed;
+    state.count.runs += state.count.attempts > 0 ? 1 : 0;
+    if (ex.answered() && !state.headSent) {
+        ex.abort();
+        co_return;
+    }
+    co_await answerFailure(ex, state);
+}
+
+// Identifies and admits a request, and makes its attempts.
+template <Dialect D> Task<void> Gateway<D>::serve(http::Exchange &ex, RequestState &state)
+{
     const auto now = Clock::now();
     const auto earliestSend = m_stalls.earliestSend(BootClock::now());
     auto identified = identify(ex, now);
@@ -396,7 +471,6 @@
         co_await reject(ex, m_dialect.requestId(ex), *why);
         co_return;
     }
-    RequestState state;
     state.profile = std::move(std::get<RequestProfile>(identified));
     if (const auto quarantine = withheld(state.profile, now)) {
         logWithheld(state.profile, *quarantine);
@@ -429,13 +503,7 @@
             state.cancellation.cancel();
         }
     });
-    try {
-        co_await attempt(ex, state);
-    } catch (const std::exception &error) {
-        log::Line{log::Event::RequestFailed}.add("id", state.profile.id).add("endpoint", state.lastEndpoint).add("error", error.what());
-        throw;
-    }
-    ex.onCallerDisconnect({});
+    co_await attempt(ex, state);
 }
 
 // Records why a request gets no further attempt.
@@ -511,37 +579,17 @@
     co_await answerFailure(ex, state);
 }
 
-// Makes one attempt, with a second send if a keep-alive connection broke, while its endpoint is watched for silence.
+// Makes one attempt while its endpoint is watched for silence.
 template <Dialect D> Task<AttemptEnd> Gateway<D>::attemptWatched(http::Exchange &ex, RequestState &state, Endpoint endpoint)
 {
     const auto executor = co_await asio::this_coro::executor;
-    bool staleConnection = false;
     state.lastHead = {};
     co_await closeStaleConnections(endpoint);
-    m_attempts.insert_or_assign(&state, endpoint);
-    state.watch = watchSilence(state, executor);
-    AttemptEnd end = co_await attemptAt(ex, state, endpoint, reuseFor(state, Clock::now()), staleConnection);
-    if (staleConnection && !state.cancellation.isCancelled() && !ex.callerDisconnected()) {
-        co_await recordBrokenResponse(state.profile, endpoint); // must precede a second send, which hides how the first one ended
-    }
-    state.sendLost = state.sendLost || staleConnection;
-    const bool mayRepeat = staleConnection && repeatable(*state.profile.route) && !state.cancellation.isCancelled() && !withheld(state.profile, Clock::now());
-    const auto resendAt = Clock::now();
-    if (mayRepeat && m_table.acquireForResend(endpoint, resendAt)) {
-        state.retryPermit = takeRetryPermit(state.service);
-    }
-    if (mayRepeat && state.retryPermit) {
-        ++m_metrics.retries;
-        state.acquiredAt = resendAt;
-        // The keep-alive connection was closed during the request; the endpoint itself may be
-        // healthy.
-        end = co_await attemptAt(ex, state, endpoint, http::ConnectionReuse::Never, staleConnection);
-    }
-    if (state.watch) {
-        state.watch->end();
-        state.watch.reset();
+    AttemptEnd end = AttemptEnd::Broken;
+    {
+        const AttemptInProgress inProgress(*this, state, endpoint, watchSilence(state, executor));
+        end = co_await attemptTwice(ex, state, endpoint);
     }
-    m_attempts.erase(&state);
     const bool replaced = state.successor.has_value();
     if ((replaced || state.endpointRestarted) && !ex.callerDisconnected()) {
         state.cancellation = http::Cancellation(); // only the attempt was cancelled, not the request
@@ -556,6 +604,32 @@
     co_return end;
 }
 
+// Makes one attempt, with a second send if a keep-alive connection broke.
+template <Dialect D> Task<AttemptEnd> Gateway<D>::attemptTwice(http::Exchange &ex, RequestState &state, const Endpoint &endpoint)
+{
+    bool staleConnection = false;
+    const AttemptEnd end = co_await attemptAt(ex, state, endpoint, reuseFor(state, Clock::now()), staleConnection);
+    if (staleConnection && !state.cancellation.isCancelled() && !ex.callerDisconnected()) {
+        co_await recordBrokenResponse(state.profile, endpoint); // must precede a second send, which hides how the first one ended
+    }
+    state.sendLost = state.sendLost || staleConnection;
+    const auto now = Clock::now();
+    const bool mayRepeat = staleConnection && repeatable(*state.profile.route) && !state.cancellation.isCancelled() && !withheld(state.profile, now);
+    if (!mayRepeat || !m_table.acquireForResend(endpoint, now)) {
+        co_return end;
+    }
+    state.retryPermit = takeRetryPermit(state.service);
+    if (!state.retryPermit) {
+        ++m_metrics.retriesDenied;
+        co_return end;
+    }
+    ++m_metrics.retries;
+    state.acquiredAt = now;
+    // The keep-alive connection was closed during the request; the endpoint itself may be
+    // healthy.
+    co_return co_await attemptAt(ex, state, endpoint, http::ConnectionReuse::Never, staleConnection);
+}
+
 // Sends the final response to a request that no attempt could serve.
 template <Dialect D> Task<void> Gateway<D>::answerFailure(http::Exchange &ex, RequestState &state)
 {
--- a/src/entry/gateway_silence.h
+++ b/src/entry/gateway_silence.h
@@ -52,7 +52,7 @@
     const auto watch = std::make_shared<SilenceWatch>(executor, headDeadline(state, Clock::now()));
     asio::co_spawn(executor, replaceSilentEndpoint(state, watch), [id = state.profile.id](std::exception_ptr failure) {
         if (failure) {
-            log::Line{log::Event::RequestFailed}.add("id", id).add("error", "the search for another endpoint failed");
+            log::Line{log::Event::RequestFailed}.add("id", id).add("endpoint", "").add("error", "search for another endpoint: " + describe(failure));
         }
     });
     return watch;
