Requests in flight when the grace period of a stop ends are answered before the exit

What callers saw: a request that still waited for its endpoint when the grace period of a stop ended lost its connection without an answer. Cause: the process left with its coroutines suspended. Change: 400 ms before the end of the grace period the attempts in flight are cancelled: a request that may have run gets 502, one that has not 503, a stream is aborted; each is logged and counted as stopping, with no verdict on its endpoint.

--- a/src/entry/gateway.h
+++ b/src/entry/gateway.h
@@ -195,6 +195,10 @@
         m_rejectingNewRequests = true;
     }
 
+    /// Ends all requests in flight, because this router exits: those without a response get one, streams are aborted. Must be
+    /// called on the traffic thread.
+    void endRequests();
+
 private:
     /// A failure response of an engine, returned to the caller if no later attempt succeeds.
     struct EngineFailure {
@@ -268,6 +272,7 @@
         bool headSent = false; ///< the head of a streamed response has been sent to the caller
         bool sendLost = false; ///< a keep-alive connection broke after the request was sent on it: the request may have run, whatever a second send returned
         bool timedOut = false;
+        bool stopping = false; ///< this router is about to exit
         bool endpointRestarted = false; ///< the endpoint of the current attempt has restarted
         std::string lastEndpoint;
         std::string lastVersion; ///< of the software of the last endpoint
@@ -554,7 +559,7 @@
         AttemptEnd end = co_await attemptWatched(ex, state, endpoint);
         state.lastEnd = end;
         state.count.runs += mayHaveRun(end) ? 1 : 0;
-        const bool suspect = (end == AttemptEnd::Broken || end == AttemptEnd::Silent) && showsFault(state, endpoint, end);
+        const bool suspect = !state.stopping && (end == AttemptEnd::Broken || end == AttemptEnd::Silent) && showsFault(state, endpoint, end);
         if (suspect && !state.cancellation.isCancelled() && !ex.callerDisconnected()) {
             co_await recordBrokenResponse(state.profile, endpoint);
         }
@@ -570,6 +575,10 @@
             recordRequest(state, requestEndFor(state, end), state.lastStatus);
             co_return;
         }
+        if (state.stopping) {
+            recordGiveUp(state, GiveUpReason::Stopping);
+            break;
+        }
         if (!willRetry) {
             const bool timedOut = Clock::now() >= state.profile.responseDeadline;
             recordGiveUp(state, timedOut ? GiveUpReason::TimedOut : GiveUpReason::AttemptsUsed);
@@ -591,7 +600,7 @@
         end = co_await attemptTwice(ex, state, endpoint);
     }
     const bool replaced = state.successor.has_value();
-    if ((replaced || state.endpointRestarted) && !ex.callerDisconnected()) {
+    if ((replaced || state.endpointRestarted || state.stopping) && !ex.callerDisconnected()) {
         state.cancellation = http::Cancellation(); // only the attempt was cancelled, not the request
         state.endpointRestarted = false;
     }
@@ -652,6 +661,8 @@
     std::optional<Millis> retryAfter;
     if (state.count.runs > 0 || state.sendLost) {
         why = state.timedOut ? Rejection::TimedOut : Rejection::AnswerLost;
+    } else if (state.stopping) {
+        why = Rejection::Stopping;
     } else if (quarantine) {
         logWithheld(state.profile, *quarantine);
         why = quarantine->why();
--- a/src/entry/gateway_attempt.h
+++ b/src/entry/gateway_attempt.h
@@ -71,6 +71,20 @@
     }
 }
 
+template <Dialect D> void Gateway<D>::endRequests()
+{
+    std::vector<RequestState *> inFlight;
+    for (const auto &[state, endpoint] : m_attempts) {
+        inFlight.push_back(state);
+    }
+    for (auto *state : inFlight) {
+        if (m_attempts.count(state)) { // cancelling one attempt may have ended another
+            state->stopping = true;
+            state->cancellation.cancel();
+        }
+    }
+}
+
 // Sends the request to one endpoint and relays its response. Sets staleConnection if a keep-alive
 // connection broke before any byte of the response arrived.
 template <Dialect D>
--- a/src/entry/gateway_statistics.h
+++ b/src/entry/gateway_statistics.h
@@ -88,7 +88,7 @@
     const bool pathAtFault = end != AttemptEnd::Delivered && m_paths.pathTo(endpoint) == Path::Relayed;
     const bool failed = showsFault(state, endpoint, end);
     const bool excused = end == AttemptEnd::Silent && !failed;
-    if (end != AttemptEnd::CallerGone && !pathAtFault && !excused) {
+    if (end != AttemptEnd::CallerGone && !pathAtFault && !excused && !state.stopping) {
         const auto ejection = m_outliers[state.service].record(incarnationKey(endpoint), failed, m_table.poolSize(state.service), now);
         if (ejection && m_table.isCurrentIncarnation(endpoint)) {
             ++m_metrics.ejections;
--- a/src/entry/process.h
+++ b/src/entry/process.h
@@ -29,7 +29,8 @@
 /// Timing of a stop, within the grace period of the settings.
 struct StopOptions {
     Millis acceptRequestsFor{3000}; ///< how long new requests are still accepted: the load balancer needs two probes, a second apart, to stop sending them
-    Millis reserve{400}; ///< kept free at the end of the grace period for the exit of the process
+    Millis reserve{400}; ///< kept free at the end of the grace period for the last responses and the exit of the process
+    Millis lastResponses{200}; ///< of the reserve: to answer the requests that are still in flight
     Millis pollInterval{20};
 };
 
@@ -388,6 +389,12 @@
         while ((m_callerServer.inflight() > 0 || m_relay.counters().open > 0) && Clock::now() < end) {
             co_await sleepFor(m_stop.pollInterval);
         }
+        asio::post(m_trafficLoop, [this] {
+            m_gateway.endRequests();
+        });
+        while (m_callerServer.inflight() > 0 && Clock::now() < end + m_stop.lastResponses) {
+            co_await sleepFor(m_stop.pollInterval);
+        }
     }
 
     // Waits for SIGTERM or SIGINT; each SIGHUP in the meantime triggers a reload.
--- a/src/entry/retry_policy.h
+++ b/src/entry/retry_policy.h
@@ -33,15 +33,17 @@
     NoVersion, ///< no endpoint of the stream's software version can take it
     RetryDenied, ///< for want of retry budget
     Withheld, ///< endpoints crashed, or are suspected to have crashed, while they ran its content or a part of its prompt
+    Stopping, ///< this router is about to exit
     Failed, ///< an exception ended it
 };
 
-inline constexpr NameTable<GiveUpReason, 7> giveUpReasonNames{{{GiveUpReason::AttemptsUsed, "attempts_used"},
+inline constexpr NameTable<GiveUpReason, 8> giveUpReasonNames{{{GiveUpReason::AttemptsUsed, "attempts_used"},
                                                                {GiveUpReason::TimedOut, "timed_out"},
                                                                {GiveUpReason::NoEndpoint, "no_endpoint"},
                                                                {GiveUpReason::NoVersion, "no_version"},
                                                                {GiveUpReason::RetryDenied, "retry_denied"},
                                                                {GiveUpReason::Withheld, "withheld"},
+                                                               {GiveUpReason::Stopping, "stopping"},
                                                                {GiveUpReason::Failed, "failed"}}};
 
 /// Returns true if the request may have run in an attempt that ended this way.
