A retry permit is taken before an endpoint is sought, and a response that has begun is not silent

Cause: the search for another endpoint repeats, and each time that it found one without a permit it had used up a part of what a cold endpoint may get; and between the head of a response and its first read the watch still counted from the request. Change: permit first; the watch is suspended when the head has been read.

--- a/src/entry/gateway_attempt.h
+++ b/src/entry/gateway_attempt.h
@@ -166,6 +166,9 @@
         head = m_dialect.readHead(response, state.profile);
         applySelfReport(endpoint, head);
     }
+    if (state.watch) {
+        state.watch->suspend();
+    }
     state.lastHead = head;
     const bool current = m_table.isCurrentIncarnation(endpoint);
     if (current) {
@@ -216,9 +219,6 @@
                                            http::Response &response)
 {
     auto headers = m_dialect.responseHeaders(response, state.profile, endpoint);
-    if (state.watch) {
-        state.watch->suspend();
-    }
     std::string body;
     for (bool more = true; more;) {
         auto read = co_await response.read();
--- a/src/entry/gateway_silence.h
+++ b/src/entry/gateway_silence.h
@@ -20,6 +20,10 @@
     if (withheld(state.profile, now)) {
         return GiveUpReason::Withheld;
     }
+    auto permit = hasArrived ? takeRetryPermit(state.service) : nullptr; // first, as acquire() uses up the share of a cold endpoint
+    if (hasArrived && !permit) {
+        return GiveUpReason::RetryDenied;
+    }
     auto endpoint = m_table.acquire(state.service, state.profile.affinity, state.tried, now, state.constraints);
     if (!endpoint && !state.silent.empty()) {
         for (const auto &id : std::exchange(state.silent, {})) {
@@ -28,17 +32,13 @@
         endpoint = m_table.acquire(state.service, state.profile.affinity, state.tried, now, state.constraints);
     }
     if (!endpoint) {
+        if (permit) {
+            permit->cancel();
+        }
         state.noEndpointReason = m_table.noEndpointReason(state.service, state.tried, now, state.constraints);
         return state.noEndpointReason == router::NoEndpointReason::Version ? GiveUpReason::NoVersion : GiveUpReason::NoEndpoint;
     }
-    Selection selection{*endpoint, std::make_unique<router::AcquiredEndpoint>(m_table, *endpoint), nullptr};
-    if (hasArrived) {
-        selection.permit = takeRetryPermit(state.service);
-        if (!selection.permit) {
-            return GiveUpReason::RetryDenied;
-        }
-    }
-    return selection;
+    return Selection(*endpoint, std::make_unique<router::AcquiredEndpoint>(m_table, *endpoint), std::move(permit));
 }
 
 // Starts the watch of an attempt that another endpoint may take over; null if the request must stay where it is.
