--- a/tests/test_relay.cpp
+++ b/tests/test_relay.cpp
@@ -1,7 +1,5 @@
-// Tests of requests that a router sends through a peer because its own path to an endpoint is cut. The router lists the
-// endpoint at a port where nothing listens; the peer lists it where it is.
-#include "entry_fixture.h"
-#include "relay_server.h"
+// Tests of requests that a router sends through a peer because its own path to an endpoint is cut.
+#include "relay_fixture.h"
 
 // CppUTest goes last: its memory-leak macros redefine operator new.
 #include "loop_group.h"
@@ -17,58 +15,8 @@
     return request.header("Yuccasaddle-Attempt-Id");
 }
 
-uint16_t closedPort(Loop &loop)
-{
-    tcp::acceptor acceptor(loop.io, {asio::ip::make_address("127.0.0.1"), 0});
-    return acceptor.local_endpoint().port();
-}
-
 const char *const tunnelOpen = "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: yucca-relay\r\n\r\n";
 
-/// A peer router that relays connections.
-struct PeerRouter {
-    PeerRouter(Loop &loop, std::map<std::string, std::pair<std::string, uint16_t>> endpoints, relay::RelayOptions options = {})
-        : relay(
-            loop.io, table, senders,
-            [this](const Endpoint &) {
-                return reachesDirectly;
-            },
-            options)
-        , server({&loop.io}, "127.0.0.1", 0,
-                 [this](http::Exchange &ex) -> Task<void> {
-                     if (relay::RelayServer::isTunnelRequest(ex)) {
-                         relay.handle(ex);
-                         co_return;
-                     }
-                     co_await ex.reply(404, "no such kind\n");
-                 })
-        , address{"127.0.0.1", std::get<uint16_t>(server.start())}
-    {
-        std::vector<Endpoint> listed;
-        for (const auto &[id, place] : endpoints) {
-            listed.push_back(endpointAt(id, place.second, place.first, EndpointKind::Service));
-        }
-        table.setEndpoints(listed);
-        senders.setPeers({}, {"127.0.0.1"});
-    }
-
-    router::RoutingTable table;
-    relay::RelayPeers senders;
-    bool reachesDirectly = true;
-    relay::RelayServer relay;
-    http::Server server;
-    http::Address address;
-};
-
-void usePeers(EntryFixture &fixture, const std::vector<http::Address> &peers)
-{
-    std::vector<relay::RelayPeer> active;
-    for (const auto &peer : peers) {
-        active.push_back({peer, "zone-near"});
-    }
-    fixture.relayPeers.setPeers(std::move(active), {"127.0.0.1"});
-}
-
 ScriptedEndpoint::Script answering()
 {
     return [](tcp::socket &socket, const ReceivedRequest &request) -> Task<void> {
