Failing test: a header field of over 64 KiB ends the process where the configuration allows it

Seen: with max_header_bytes above 64 KiB, one request with a field of 70,000 bytes ends the process: std::length_error ("field value too large"), and all requests under way end without an answer. Cause: Beast's parser inserts fields with a function that throws if a name or a value exceeds 65,533 bytes. The exception leaves a handler of the event loop, not a coroutine, so that nothing catches it. Nothing bounds the limit of the configuration.

--- a/tests/test_caller_endings.cpp
+++ b/tests/test_caller_endings.cpp
@@ -105,3 +105,29 @@
     letPass(loop(), Millis(20));
     LONGS_EQUAL(caller.responses(), engine.endpoint.seen.size());
 }
+
+TEST(CallerEndings, FieldThatIsTooLongForTheHttpLibraryIsRefusedAndEndsNoOtherRequest)
+{
+    CHECK(holdsInOwnProcess([](Loop &loop) {
+        GatedEngine engine(loop);
+        EntryFixture fixture(loop, {{"e1", {"s", engine.endpoint.port}}});
+        http::ServerLimits limits;
+        limits.headerBytes = 256 * 1024; // Beast holds at most 64 KiB in a field
+        fixture.server.setLimits(limits);
+        RawCaller other(loop, fixture.port);
+        other.send(requestBytes("POST", "/book/1", "a1"));
+        const bool sent = becomesTrue(loop, [&] {
+            return engine.endpoint.seen.size() == 1;
+        });
+        RawCaller caller(loop, fixture.port);
+        caller.send("POST /book/1 HTTP/1.1\r\nHost: h.example\r\nX-Long: " + std::string(70000, 'x') + "\r\nContent-Length: 0\r\n\r\n");
+        const bool refused = becomesTrue(loop, [&] {
+            return caller.received().starts_with("HTTP/1.1 431 ");
+        });
+        engine.goOn();
+        const bool answered = becomesTrue(loop, [&] {
+            return other.received().find("sig-a1") != std::string::npos;
+        });
+        return sent && refused && answered;
+    }));
+}
