Soak: pauses of endpoints beside planned work, and requests that get no response are counted

A sound endpoint may fall silent for a second or so and go on. No stand-in did that while requests were under way and nothing else was wrong, and the soak took a stream that was cut for granted.

--pauses plans series of pauses of endpoints (the process, or its running requests only) of 600 to 1,500 ms beside changes of the configuration with another API key, reloads, wrong settings, graceful stops and releases, and no other fault. Streams take 1.44 s, the two endpoints of the stream service begin with different versions, a release waits for the last responses. Callers connect straight to the routers, on kept connections.

A request is lost if it was sent whole and ended without a whole response of any status. Not counted: one that reached no endpoint and whose connection closed within 200 ms (it crossed the close); one that used its route's time limit, 8 s, of which a stream with two pauses takes at most 4.4 s; one sent up to 3 s after its router's stop signal that ended in the last sixth of the grace period.

--- a/emulators/endpoint_main.cpp
+++ b/emulators/endpoint_main.cpp
@@ -12,13 +12,13 @@
 
 // Waits for the stop signal. The endpoint then continues to serve for stopDelay, so that its callers can learn
 // that it is leaving.
-Task<void> stopGracefully(emulators::EndpointServer &endpoint, http::Server &server, Millis stopDelay)
+Task<void> stopGracefully(emulators::EndpointServer &endpoint, http::Server &server, Millis stopDelay, Millis lastResponsesTime)
 {
     co_await cli::waitForStopSignal();
     endpoint.leave();
     co_await sleepFor(stopDelay);
     server.stopAccepting();
-    co_await server.waitIdle(stopDelay);
+    co_await server.waitIdle(lastResponsesTime);
 }
 
 } // namespace
@@ -36,6 +36,8 @@
     char *zone = nullptr;
     int advertisedPort = 0;
     int workMs = static_cast<int>(options.work.count());
+    int eventGapMs = static_cast<int>(options.eventGap.count());
+    int lastResponsesMs = static_cast<int>(options.lastResponsesTime.count());
     char *runLog = nullptr;
     char *arrivalLog = nullptr;
     char *backoffViolationLog = nullptr;
@@ -63,6 +65,9 @@
          "N"},
         {"streams", 0, POPT_ARG_NONE, &streams, 0, "respond with event streams", nullptr},
         {"events", 0, POPT_ARG_INT, &options.events, 0, "number of events in a stream", "N"},
+        {"event-gap-ms", 0, POPT_ARG_INT, &eventGapMs, 0, "time before each event of a stream", "MS"},
+        {"last-responses-ms", 0, POPT_ARG_INT, &lastResponsesMs, 0,
+         "after a stop signal and some time of service, how long to wait for the responses in progress", "MS"},
         POPT_TABLEEND,
     };
     std::vector<std::string> arguments;
@@ -77,6 +82,8 @@
     options.coldFor = Millis(coldMs);
     options.streams = streams != 0;
     options.work = Millis(workMs);
+    options.eventGap = Millis(eventGapMs);
+    options.lastResponsesTime = Millis(lastResponsesMs);
     options.advertisedPort = static_cast<uint16_t>(advertisedPort);
     options.runLog = runLog ? runLog : "";
     options.arrivalLog = arrivalLog ? arrivalLog : "";
@@ -97,7 +104,7 @@
     }
     log::event(log::Event::ProgramStarted, "id=" + options.id);
     asio::co_spawn(loop, endpoint.heartbeat(), asio::detached);
-    asio::co_spawn(loop, stopGracefully(endpoint, server, options.stopDelay), [&](std::exception_ptr) {
+    asio::co_spawn(loop, stopGracefully(endpoint, server, options.stopDelay, options.lastResponsesTime), [&](std::exception_ptr) {
         loop.stop();
     });
     loop.run();
--- a/emulators/endpoint_server.cpp
+++ b/emulators/endpoint_server.cpp
@@ -264,7 +264,9 @@
 
 Task<void> EndpointServer::sendResponse(http::Exchange &ex)
 {
+    const auto start = Clock::now();
     co_await sleepFor(m_options.work);
+    co_await awaitSilenceEnd(start);
     if (m_faults.loseAnswers) {
         ex.abort();
         co_return;
@@ -273,13 +275,22 @@
     co_await ex.reply(drawFailure() ? 500 : 200, "answer of " + m_options.id + " to " + ex.header(attemptIdHeader), headers, "text/plain");
 }
 
+Task<void> EndpointServer::awaitSilenceEnd(Clock::time_point requestStart)
+{
+    while (requestStart < m_silentSince && Clock::now() < m_silentUntil) {
+        co_await sleepFor(std::chrono::ceil<Millis>(m_silentUntil - Clock::now()));
+    }
+}
+
 Task<void> EndpointServer::sendStream(http::Exchange &ex)
 {
+    const auto start = Clock::now();
     const int after = text::parseNumber<int>(ex.header("Last-Event-Id")).value_or(0);
     const auto headers = responseHeaders(ex);
     co_await ex.beginStream(200, "text/event-stream", headers);
     for (int i = after + 1; i <= m_options.events; ++i) {
         co_await sleepFor(m_options.eventGap);
+        co_await awaitSilenceEnd(start);
         if (m_faults.cutAfter >= 0 && i > m_faults.cutAfter) {
             co_await ex.sendChunk("id: " + std::to_string(i)); // an incomplete event
             ex.abort();
@@ -309,6 +320,11 @@
         m_faults.loseAnswers = body.value("loseAnswers", false);
         m_faults.failPercent = body.value("failPercent", 0);
         m_faults.cutAfter = body.value("cutAfter", -1);
+        m_faults.silentMs = body.value("silentMs", 0);
+    }
+    if (m_faults.silentMs > 0) {
+        m_silentSince = Clock::now();
+        m_silentUntil = m_silentSince + Millis(m_faults.silentMs);
     }
     co_await ex.reply(200, "{}");
 }
--- a/emulators/endpoint_server.h
+++ b/emulators/endpoint_server.h
@@ -43,6 +43,7 @@
     std::string arrivalLog; ///< file that lists the Unix time in milliseconds and the id of each request when it arrives; empty: none
     Millis heartbeatInterval{500}; ///< between two updates of the entry in the store
     Millis stopDelay{1500}; ///< continues to serve for this time after a stop signal
+    Millis lastResponsesTime{1500}; ///< after stopDelay, waits this long for the responses in progress
 };
 
 /// Exit code of an endpoint that a request crashed.
@@ -61,6 +62,7 @@
     bool loseAnswers = false; ///< runs requests and closes the connection without a response
     int failPercent = 0; ///< share of the requests that run and get a response with status 500
     int cutAfter = -1; ///< closes the connection after this event of a stream; -1: never
+    int silentMs = 0; ///< the requests that are running write nothing for this time, in milliseconds, and then continue
 };
 
 /// The request handlers of one endpoint. Used from one event loop.
@@ -100,11 +102,14 @@
     bool hasCrashPart(const http::Exchange &ex) const;
     Task<void> sendResponse(http::Exchange &ex);
     Task<void> sendStream(http::Exchange &ex);
+    Task<void> awaitSilenceEnd(Clock::time_point requestStart);
     http::Headers responseHeaders(const http::Exchange &ex) const;
 
     EndpointOptions m_options;
     platform::StoreClient m_store;
     EndpointFaults m_faults;
+    Clock::time_point m_silentSince{}; ///< of the requests that were running then
+    Clock::time_point m_silentUntil{};
     bool m_leaving = false;
     int m_running = 0;
     int64_t m_sequence = 0;
--- a/emulators/soak/callers.cpp
+++ b/emulators/soak/callers.cpp
@@ -29,11 +29,35 @@
     return "/";
 }
 
+// Returns true if the request was written as a whole.
+bool wasSent(const http::CallResult<std::unique_ptr<http::Response>> &opened)
+{
+    const auto *failed = std::get_if<http::CallError>(&opened);
+    return !failed || failed->stage == http::CallStage::Receive;
+}
+
+bool wasOnKeptConnection(const http::CallResult<std::unique_ptr<http::Response>> &opened)
+{
+    const auto *failed = std::get_if<http::CallError>(&opened);
+    return failed ? failed->reused : std::get<std::unique_ptr<http::Response>>(opened)->reused();
+}
+
 } // namespace
 
-http::Headers callerHeaders(const std::string &id, const std::string &key)
+http::Headers callerHeaders(const std::string &id, const std::string &key, Millis timeout)
 {
-    return {{"Host", "h.example"}, {"Yuccasaddle-Attempt-Id", id}, {"X-Api-Key", key}, {"Yuccasaddle-Deadline-Ms", std::to_string(callerTimeout.count())}};
+    return {{"Host", "h.example"}, {"Yuccasaddle-Attempt-Id", id}, {"X-Api-Key", key}, {"Yuccasaddle-Deadline-Ms", std::to_string(timeout.count())}};
+}
+
+Millis SoakFleet::requestTimeout() const
+{
+    return m_options.plan.pauses ? pausePlanCallerTimeout : callerTimeout;
+}
+
+// Returns where callers send requests: in a pause plan straight to the router, so that a connection opens only if the router takes it.
+http::Address SoakFleet::callerAddress(std::size_t router) const
+{
+    return {"127.0.0.1", routerPort(router, m_options.plan.pauses ? 0 : 4)};
 }
 
 // In a retry plan, most requests are such that a router may retry.
@@ -63,15 +87,15 @@
 Task<void> SoakFleet::sendRequest(std::string id, Kind kind, std::size_t router, std::string key)
 {
     http::CallOptions options;
-    options.deadline = Clock::now() + callerTimeout;
+    options.deadline = Clock::now() + requestTimeout();
     options.reuse = http::ConnectionReuse::KeepAlive;
-    const http::Address to{"127.0.0.1", routerPort(router, 4)};
+    const http::Address to = callerAddress(router);
     const std::string sender = senderName(router);
     const auto sentAt = Clock::now();
     auto *service = currentService(router);
     recordRequest(serviceOf(kind));
     const std::string method = kind == Kind::Reminder ? "GET" : "POST";
-    auto headers = callerHeaders(id, key);
+    auto headers = callerHeaders(id, key, requestTimeout());
     if (kind == Kind::Chat) {
         headers.emplace_back("Yuccasaddle-Prompt-Prefix", promptParts(std::to_string(m_requestCount % promptKinds), m_requestCount));
     }
@@ -86,6 +110,8 @@
         ++service->sent;
         service->served += record.status == 200 && record.complete ? 1 : 0;
     }
+    recordEnding(id, router, record, wasSent(opened), sentAt);
+    m_onKeptConnections += wasOnKeptConnection(opened) ? 1 : 0;
     const bool broken = kind == Kind::Chat && record.status == 200 && !record.complete;
     const std::string events = record.body;
     m_invariants.recordResponse(id, std::move(record));
@@ -94,6 +120,24 @@
     }
 }
 
+// Records how a request ended. `sentAt` may be earlier than the sending, by the time that opening a connection took.
+void SoakFleet::recordEnding(const std::string &id, std::size_t router, const RequestRecord &record, bool sent, Clock::time_point sentAt)
+{
+    RequestEnding ending;
+    ending.sent = sent;
+    ending.answered = record.status != 0 && record.complete;
+    ending.sentAt = sentAt;
+    ending.endedAt = Clock::now();
+    ending.routerStopSignal = m_routers[router].stopSignal;
+    ending.details = std::string(nameOf(kindNames, record.kind)) + ", status " + std::to_string(record.status) + ", " + std::to_string(record.body.size())
+        + " bytes, ended at Unix time " + std::to_string(unixTime().count()) + " ms";
+    if (ending.routerStopSignal) {
+        const auto sinceStop = std::chrono::duration_cast<Millis>(ending.endedAt - *ending.routerStopSignal);
+        ending.details += ", " + std::to_string(sinceStop.count()) + " ms after its router's stop signal";
+    }
+    m_endings.record(id, std::move(ending));
+}
+
 Task<RequestRecord> SoakFleet::readRecord(Kind kind, http::Response &response)
 {
     RequestRecord record;
@@ -121,10 +165,11 @@
         co_return;
     }
     http::CallOptions options;
-    options.deadline = Clock::now() + callerTimeout;
-    const http::Address to{"127.0.0.1", routerPort(router, 4)};
+    options.deadline = Clock::now() + requestTimeout();
+    const http::Address to = callerAddress(router);
+    const auto sentAt = Clock::now();
     const std::string id = requestId("r" + std::to_string(m_options.plan.seed), router);
-    auto headers = callerHeaders(id, key);
+    auto headers = callerHeaders(id, key, requestTimeout());
     headers.emplace_back("Resumes", first);
     headers.emplace_back("Last-Event-Id", std::to_string(received));
     ++m_resumptions;
@@ -132,9 +177,11 @@
     auto opened = co_await m_client.open(to, http::makeRequest("POST", pathOf(Kind::Chat), "{}", headers), options);
     auto *response = std::get_if<std::unique_ptr<http::Response>>(&opened);
     if (!response) {
+        recordEnding(id, router, {Kind::Chat, 0, false, false, ""}, wasSent(opened), sentAt);
         co_return;
     }
     auto record = co_await readRecord(Kind::Chat, **response);
+    recordEnding(id, router, record, true, sentAt);
     record.body = record.status == 200 ? events + record.body : record.body;
     m_resumed += record.status == 200 && record.complete ? 1 : 0;
     m_invariants.recordResponse(id, std::move(record));
--- a/emulators/soak/faults.cpp
+++ b/emulators/soak/faults.cpp
@@ -13,6 +13,8 @@
 constexpr Millis routerStopTimeout{4500}; ///< the settings allow 4 s; then the router is killed
 constexpr Millis endpointStopTime{3200}; ///< an endpoint accepts requests for 1.5 s more, and waits as long for its last responses
 
+constexpr Millis releaseTimeout{12000}; ///< of an endpoint in a pause plan: its time of service, its last responses, and a pause
+
 } // namespace
 
 Task<void> SoakFleet::applyToRouter(Step step)
@@ -35,6 +37,7 @@
             router.stopped = true;
             router.process->signal(SIGCONT);
             router.process->signal(SIGTERM);
+            router.stopSignal = Clock::now();
             co_await sleepFor(routerStopTimeout);
             router.process->kill();
             startRouter(step.target);
@@ -88,7 +91,11 @@
         if (!endpoint.stopped) {
             endpoint.stopped = true;
             endpoint.process->signal(SIGTERM);
-            co_await sleepFor(endpointStopTime);
+            if (m_options.plan.pauses) {
+                co_await awaitEndpointExit(step.target);
+            } else {
+                co_await sleepFor(endpointStopTime);
+            }
             ++endpoint.releases;
             startEndpoint(step.target);
         }
@@ -98,6 +105,9 @@
         co_await sleepFor(step.duration);
         endpoint.process->signal(SIGCONT);
         break;
+    case Fault::EndpointRequestsPaused:
+        co_await adminCall(admin, "/admin/faults", "{\"silentMs\": " + std::to_string(step.duration.count()) + "}");
+        break;
     case Fault::EndpointDisturbed: {
         const auto start = std::chrono::system_clock::now();
         endpoint.proxy->disturb(step.disturbance);
@@ -129,6 +139,19 @@
     }
 }
 
+// Waits until an endpoint has finished its last responses and exited.
+Task<void> SoakFleet::awaitEndpointExit(std::size_t n)
+{
+    const auto until = Clock::now() + releaseTimeout;
+    while (!m_endpoints[n].process->pollExit()) {
+        if (Clock::now() >= until) {
+            m_violations.push_back("endpoint " + std::to_string(n) + " did not finish its last responses");
+            co_return;
+        }
+        co_await sleepFor(pollInterval);
+    }
+}
+
 // Lets all endpoints of the service without streams fail most requests.
 Task<void> SoakFleet::applyToService(Step step)
 {
--- a/emulators/soak/fleet.cpp
+++ b/emulators/soak/fleet.cpp
@@ -23,13 +23,13 @@
 constexpr double coldRequestsPerS = 8;
 constexpr int maxColdRequests = 17; ///< in any second; the routers' settings allow 1.5 times coldRequestsPerS, plus 5
 
-nlohmann::json route(const char *name, const char *kind, const char *service, int attempts, bool resumable)
+nlohmann::json route(const char *name, const char *kind, const char *service, int attempts, bool resumable, Millis timeout)
 {
     return {{"name", name},
             {"host", "h.example"},
             {"path_prefix", std::string("/") + name + "/"},
             {"kind", kind},
-            {"timeout_ms", 3000},
+            {"timeout_ms", timeout.count()},
             {"target_latency_ms", 300},
             {"gap_aim_ms", 400},
             {"priority", 1},
@@ -38,10 +38,10 @@
             {"resumable", resumable}};
 }
 
-nlohmann::json configuration(int version)
+nlohmann::json configuration(int version, Millis timeout)
 {
-    const nlohmann::json routes{route("book", "non_idempotent", "s", 1, false), route("remind", "idempotent", "s", 2, false),
-                                route("chat", "streaming", "m", 2, true), route("once", "streaming", "m", 1, false)};
+    const nlohmann::json routes{route("book", "non_idempotent", "s", 1, false, timeout), route("remind", "idempotent", "s", 2, false, timeout),
+                                route("chat", "streaming", "m", 2, true, timeout), route("once", "streaming", "m", 1, false, timeout)};
     const nlohmann::json services{
         {{"name", "s"}, {"max_conns", 100}, {"cold_start_s", coldDurationS}, {"cold_per_s", coldRequestsPerS}},
         {{"name", "m"}, {"max_conns", 360}, {"cold_start_s", coldDurationS}, {"cold_per_s", coldRequestsPerS}, {"engine", {{"slots", 64}}}}};
@@ -78,6 +78,7 @@
 SoakFleet::SoakFleet(SoakOptions options)
     : m_options(std::move(options))
     , m_invariants(eventsPerStream)
+    , m_endings({m_options.plan.pauses ? pausePlanRouteTimeout : routeTimeout, routerStopGrace})
     , m_routers(m_options.plan.routers)
     , m_endpoints(m_options.plan.endpoints)
 {
@@ -93,10 +94,23 @@
     });
     m_loop.run();
     readRunLogs();
-    SoakOutcome outcome{
-        m_invariants.sent(), m_invariants.served(),    m_faultCount, m_requestCrashes.crashes.size() + m_partCrashes.crashes.size(), m_resumptions, m_resumed,
-        std::nullopt,        m_invariants.violations()};
+    SoakOutcome outcome;
+    outcome.sent = m_invariants.sent();
+    outcome.served = m_invariants.served();
+    outcome.faults = m_faultCount;
+    outcome.crashes = m_requestCrashes.crashes.size() + m_partCrashes.crashes.size();
+    outcome.resumptions = m_resumptions;
+    outcome.resumed = m_resumed;
+    outcome.violations = m_invariants.violations();
+    readArrivalLogs();
     checkRetries(outcome);
+    const auto lost = m_endings.lost();
+    outcome.lost = lost.size();
+    outcome.timedOut = m_endings.timedOut();
+    outcome.onKeptConnections = m_onKeptConnections;
+    if (m_options.plan.pauses) {
+        outcome.violations.insert(outcome.violations.end(), lost.begin(), lost.end());
+    }
     outcome.violations.insert(outcome.violations.end(), m_violations.begin(), m_violations.end());
     if (!done) {
         outcome.violations.emplace_back("the soak test ended before its checks were complete");
@@ -125,6 +139,9 @@
     checkBackOff();
     checkCutOffService();
     co_await checkServiceAfterFaults();
+    if (m_options.plan.pauses) {
+        co_return true;
+    }
     co_await checkCrashLimit();
     co_await checkEvacuation();
     co_return true;
@@ -147,7 +164,7 @@
                                   {"retrySlack", retryAllowance.slack},
                                   {"retryWindowS", static_cast<double>(retryAllowance.window.count()) / 1000},
                                   {"evacuationBoundMs", 3000},
-                                  {"stopGraceS", 4}};
+                                  {"stopGraceS", routerStopGrace.count() / 1000}};
     return settings.dump();
 }
 
@@ -181,6 +198,8 @@
     auto &endpoint = m_endpoints[n];
     const std::string name = "i-" + std::to_string(n) + "-" + std::to_string(++endpoint.startCount);
     const bool streams = serviceOfEndpoint(n) == streamService;
+    // In a pause plan, neighbours of a service run different versions, so that a silent endpoint is often the only one of its version.
+    const int firstVersion = static_cast<int>(m_options.plan.pauses ? n / 2 : n / 4);
     std::vector<std::string> command{m_options.programs + "/yucca-endpoint",
                                      "--id",
                                      name,
@@ -203,7 +222,7 @@
                                      "--ends-on-part",
                                      crashingPart,
                                      "--software-version",
-                                     "v" + std::to_string((static_cast<int>(n / 4) + endpoint.releases) % softwareVersions),
+                                     "v" + std::to_string((firstVersion + endpoint.releases) % softwareVersions),
                                      "--events",
                                      std::to_string(eventsPerStream),
                                      "--rest-log",
@@ -215,6 +234,10 @@
     if (streams) {
         command.emplace_back("--streams");
     }
+    if (m_options.plan.pauses) {
+        command.insert(command.end(),
+                       {"--event-gap-ms", std::to_string(pausePlanEventGap.count()), "--last-responses-ms", std::to_string(pausePlanRouteTimeout.count())});
+    }
     endpoint.process = std::make_unique<Child>(std::move(command), m_options.directory + "/endpoint-" + std::to_string(n) + ".log");
     const auto started = endpoint.process->start();
     if (!ok(started)) {
@@ -275,7 +298,8 @@
 
 Task<bool> SoakFleet::putConfiguration(int version)
 {
-    const nlohmann::json object{{"metadata", {{"name", "main"}}}, {"spec", configuration(version)}};
+    const nlohmann::json object{{"metadata", {{"name", "main"}}},
+                                {"spec", configuration(version, m_options.plan.pauses ? pausePlanRouteTimeout : routeTimeout)}};
     http::CallOptions options;
     options.deadline = Clock::now() + callerTimeout;
     const std::string method = m_acceptedVersion == 0 ? "POST" : "PUT";
@@ -400,4 +424,16 @@
     }
 }
 
+// Records the requests that reached endpoints.
+void SoakFleet::readArrivalLogs()
+{
+    for (std::size_t n = 0; n < m_endpoints.size(); ++n) {
+        std::ifstream arrivals(m_options.directory + "/arrivals-" + std::to_string(n));
+        int64_t unixMs = 0;
+        for (std::string id; arrivals >> unixMs >> id;) {
+            m_endings.recordArrival(id);
+        }
+    }
+}
+
 } // namespace yucca::soak
--- a/emulators/soak/fleet.h
+++ b/emulators/soak/fleet.h
@@ -4,6 +4,7 @@
 
 #include "retry_count.h"
 #include "soak/child.h"
+#include "soak/endings.h"
 #include "soak/invariants.h"
 #include "soak/layout.h"
 #include "soak/path_cuts.h"
@@ -37,6 +38,9 @@
     std::size_t crashes = 0; ///< of endpoints under the crashing request or part
     std::size_t resumptions = 0; ///< broken streams that callers took up
     std::size_t resumed = 0; ///< of these, the ones that went on to their end
+    std::size_t lost = 0; ///< requests that were sent whole and got neither a whole response nor a refusal
+    std::size_t timedOut = 0; ///< the same at their time limit, which are not counted as lost
+    std::size_t onKeptConnections = 0; ///< requests that callers sent on a connection that had carried others
     std::optional<emulators::RetryWindow> worstRetryWindow; ///< of the service that uses most of its allowance of retries
     std::vector<std::string> violations; ///< one message each
 };
@@ -57,6 +61,7 @@
         std::unique_ptr<Proxy> storeProxy; ///< between the router and the store
         std::string settingsFile;
         bool stopped = false; ///< by the test, so that its exit is no violation
+        std::optional<Clock::time_point> stopSignal; ///< the last one for a graceful stop
         int generation = 0; ///< changes with each start and pause: the router may not know what an earlier generation received
         int pathCuts = 0; ///< in progress
         std::optional<Clock::time_point> cutOffSince; ///< from all endpoints
@@ -100,6 +105,7 @@
     Task<void> apply(Step step);
     Task<void> applyToRouter(Step step);
     Task<void> applyToEndpoint(Step step);
+    Task<void> awaitEndpointExit(std::size_t n);
     Task<void> applyToService(Step step);
     Task<void> restartAllRouters(Step step);
     Task<void> removeRouterEntries(Step step);
@@ -139,6 +145,10 @@
     Task<unsigned> probe(std::size_t router, std::string key);
     void checkRouterExits();
     void readRunLogs();
+    void readArrivalLogs();
+    void recordEnding(const std::string &id, std::size_t router, const RequestRecord &record, bool sent, Clock::time_point sentAt);
+    http::Address callerAddress(std::size_t router) const;
+    Millis requestTimeout() const;
     void recordRequest(const std::string &service);
     void checkRetries(SoakOutcome &outcome);
     uint16_t routerPort(std::size_t n, int offset) const
@@ -162,6 +172,7 @@
     asio::io_context m_loop{1};
     http::Client m_client;
     InvariantChecker m_invariants;
+    EndingChecker m_endings;
     std::map<std::string, emulators::RetryCount> m_retryCounts; ///< by service
     std::unique_ptr<Child> m_store;
     std::vector<Router> m_routers;
@@ -184,6 +195,7 @@
     int m_requestCount = 0;
     CrashCount m_requestCrashes;
     CrashCount m_partCrashes;
+    std::size_t m_onKeptConnections = 0;
     std::size_t m_resumptions = 0;
     std::size_t m_resumed = 0;
     int m_activeDisturbances = 0; ///< of routers and the store
--- a/emulators/soak/layout.h
+++ b/emulators/soak/layout.h
@@ -17,6 +17,12 @@
 
 /// The deadline of a caller's request.
 inline constexpr Millis callerTimeout{4000};
+inline constexpr Millis routeTimeout{3000};
+/// The same in a pause plan: a stream that meets two pauses fits into seven tenths of the time limit.
+inline constexpr Millis pausePlanCallerTimeout{9000};
+inline constexpr Millis pausePlanRouteTimeout{8000};
+inline constexpr Millis pausePlanEventGap{120}; ///< of streams in a pause plan
+inline constexpr Millis routerStopGrace{4000};
 inline constexpr Millis pollInterval{100};
 
 // Offsets from the base port.
@@ -82,7 +88,7 @@
     return std::string(firstPart) + ":100," + middle + ":100," + std::to_string(request) + ":50";
 }
 
-/// Returns the headers of a caller's request with this attempt id and API key.
-http::Headers callerHeaders(const std::string &id, const std::string &key);
+/// Returns the headers of a caller's request with this attempt id, API key and time limit.
+http::Headers callerHeaders(const std::string &id, const std::string &key, Millis timeout = callerTimeout);
 
 } // namespace yucca::soak
--- a/emulators/soak/plan.cpp
+++ b/emulators/soak/plan.cpp
@@ -47,6 +47,12 @@
 constexpr int maxRetryFaultDurationMs = 1500; ///< of the other faults of a retry plan
 constexpr int maxPauseMs = 4000; ///< of a router in a retry plan
 constexpr uint64_t retryPlanSalt = 0x72657472; ///< XORed with the seed
+/// The faults of the series of a pause plan: none that may end a request.
+constexpr std::array<Fault, 12> pausePlanFaults{Fault::EndpointPaused,         Fault::EndpointPaused,         Fault::EndpointPaused,
+                                                Fault::EndpointRequestsPaused, Fault::EndpointRequestsPaused, Fault::EndpointRequestsPaused,
+                                                Fault::ConfigurationChanges,   Fault::ConfigurationChanges,   Fault::RouterReloads,
+                                                Fault::RouterSettingsWrong,    Fault::RouterStopped,          Fault::EndpointLeaves};
+constexpr uint64_t pausePlanSalt = 0x70617573; ///< XORed with the seed
 constexpr uint64_t powerLossSalt = 0x706f7772; ///< XORed with the seed
 constexpr Millis powerLossLead{1}; ///< before the end of the plan
 
@@ -73,6 +79,7 @@
     case Fault::EndpointFails:
     case Fault::EndpointCutsStreams:
     case Fault::EndpointAsksForRest:
+    case Fault::EndpointRequestsPaused:
         return options.endpoints;
     case Fault::DomainEvacuated:
         return endpointDomains;
@@ -180,6 +187,44 @@
     return plan;
 }
 
+bool pausesEndpoint(Fault fault)
+{
+    return fault == Fault::EndpointPaused || fault == Fault::EndpointRequestsPaused;
+}
+
+// Returns series of short pauses of endpoints, which overlap with series of planned work. Each pause of an endpoint comes some time
+// after the one before it, so that no request meets many.
+std::vector<Step> makePausePlan(const PlanOptions &options)
+{
+    boost::random::mt19937_64 random(options.seed ^ pausePlanSalt);
+    const auto draw = [&random](int min, int max) {
+        return boost::random::uniform_int_distribution<int>(min, max)(random);
+    };
+    std::vector<Step> plan;
+    for (Millis at{draw(0, maxSeriesIntervalMs)}; at < options.duration; at += Millis(draw(0, maxSeriesIntervalMs))) {
+        Step step;
+        step.at = at;
+        step.fault = pausePlanFaults[static_cast<std::size_t>(draw(0, static_cast<int>(pausePlanFaults.size()) - 1))];
+        const bool stops = step.fault == Fault::RouterStopped || step.fault == Fault::EndpointLeaves;
+        for (int remaining = stops ? 1 : draw(1, maxFaultsPerSeries); remaining > 0 && step.at < options.duration; --remaining) {
+            step.target = static_cast<std::size_t>(draw(0, static_cast<int>(targetCountOf(step.fault, options)) - 1));
+            const bool pause = pausesEndpoint(step.fault);
+            step.duration = pause ? Millis(draw(static_cast<int>(minEndpointPause.count()), static_cast<int>(maxEndpointPause.count())))
+                                  : Millis(draw(minDurationMs, maxDurationMs));
+            const bool tooClose = pause && std::any_of(plan.begin(), plan.end(), [&step](const Step &other) {
+                                      return pausesEndpoint(other.fault) && other.target == step.target
+                                          && step.at < other.at + other.duration + minTimeBetweenPauses
+                                          && other.at < step.at + step.duration + minTimeBetweenPauses;
+                                  });
+            if (!tooClose) {
+                plan.push_back(step);
+            }
+            step.at += Millis(draw(0, maxFaultIntervalMs));
+        }
+    }
+    return plan;
+}
+
 void addPowerLoss(const PlanOptions &options, std::vector<Step> &plan)
 {
     boost::random::mt19937_64 random(options.seed ^ powerLossSalt);
@@ -197,7 +242,7 @@
     if (options.longCutsOnly) {
         return makeLongCuts();
     }
-    std::vector<Step> plan = options.retries ? makeRetryPlan(options) : makeSeries(options);
+    std::vector<Step> plan = options.pauses ? makePausePlan(options) : options.retries ? makeRetryPlan(options) : makeSeries(options);
     if (options.powerLoss) {
         addPowerLoss(options, plan);
     }
--- a/emulators/soak/plan.h
+++ b/emulators/soak/plan.h
@@ -42,9 +42,10 @@
     AllRoutersKilled, ///< at the same moment; then all start
     RouterEntriesLost, ///< the store loses the entries of all routers
     PartEndsEndpoints, ///< requests that share only a part of their prompts crash each endpoint that runs them
+    EndpointRequestsPaused, ///< those that are running, and no others
 };
 
-inline constexpr NameTable<Fault, 31> faultNames{{{Fault::RouterKilled, "router_killed"},
+inline constexpr NameTable<Fault, 32> faultNames{{{Fault::RouterKilled, "router_killed"},
                                                   {Fault::RouterPaused, "router_paused"},
                                                   {Fault::RouterStopped, "router_stopped"},
                                                   {Fault::RouterReloads, "router_reloads"},
@@ -74,7 +75,8 @@
                                                   {Fault::ServiceFails, "service_fails"},
                                                   {Fault::AllRoutersKilled, "all_routers_killed"},
                                                   {Fault::RouterEntriesLost, "router_entries_lost"},
-                                                  {Fault::PartEndsEndpoints, "part_ends_endpoints"}}};
+                                                  {Fault::PartEndsEndpoints, "part_ends_endpoints"},
+                                                  {Fault::EndpointRequestsPaused, "endpoint_requests_paused"}}};
 
 /// One fault of a plan.
 struct Step {
@@ -96,6 +98,7 @@
     bool powerLoss = false; ///< ends the plan with PowerLost
     bool longCutsOnly = false; ///< the plan has only a few long cuts between routers and all endpoints
     bool retries = false; ///< the plan has a service that fails most requests, and faults of routers, their paths and their list
+    bool pauses = false; ///< the plan has only short pauses of endpoints, releases, changes of the configuration, and reloads and graceful stops of routers
 };
 
 /// The number of failure domains of endpoints. With four endpoints or more, each domain has endpoints of both services.
@@ -105,6 +108,11 @@
 /// The routers from this number on are never cut off: each path of a router that can be takes a port.
 inline constexpr std::size_t maxCuttableRouters = 8;
 
+/// The pauses of endpoints in a plan with `pauses`.
+inline constexpr Millis minEndpointPause{600};
+inline constexpr Millis maxEndpointPause{1500};
+inline constexpr Millis minTimeBetweenPauses{1000}; ///< from the end of a pause to the next one of the same endpoint
+
 /// Returns the steps of a plan, ordered by time. Most faults come in series of one kind, and series overlap. The same
 /// options always give the same plan.
 std::vector<Step> makePlan(const PlanOptions &options);
--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -2,7 +2,7 @@
 # Runs soak tests with a range of seeds, LANES at a time; each takes about 20 s:
 #   scripts/soak.sh FIRST LAST [DIRECTORY [ROUTERS ENDPOINTS [LANES]]]
 # SOAK_OPTIONS in the environment adds options, for example "--retries --seconds 60".
-# Odd seeds end with a loss of power. The logs of each seed stay in DIRECTORY/SEED. Uses loopback only. Each lane runs
+# Odd seeds end with a loss of power, unless SOAK_OPTIONS has --pauses. The logs of each seed stay in DIRECTORY/SEED. Uses loopback only. Each lane runs
 # ROUTERS + ENDPOINTS + 2 programs:
 # keep the total to a few hundred.
 set -euo pipefail
@@ -15,7 +15,7 @@
     local port=$((20000 + ports_per_lane * $1))
     for seed in $(seq $((first + $1)) "$lanes" "$last"); do
         local power_loss=()
-        [ $((seed % 2)) = 0 ] || power_loss=(--power-loss)
+        [ $((seed % 2)) = 0 ] || [[ ${SOAK_OPTIONS:-} == *--pauses* ]] || power_loss=(--power-loss)
         build/yucca-soak --seed "$seed" --seconds 8 ${power_loss[@]+"${power_loss[@]}"} ${SOAK_OPTIONS:-} --port $port --routers "$routers" --endpoints "$endpoints" --directory "$out/$seed" || true
     done
 }
