A listing of an earlier incarnation ends no answer of the later one

What callers saw: 502 or a cut stream from a sound endpoint, when an entry with an earlier start time under its id was read, as after a restore of the store from a backup. Cause: any difference of the start time counted as a restart; the attempts at the listed endpoint were cancelled, and its crash was recorded against what it ran. Change: the table keeps the later of the two start times. A restart at a host whose clock went back is no longer told by its entry; its connections break, or its silence ends the attempts.

--- a/src/router_core.cpp
+++ b/src/router_core.cpp
@@ -53,6 +53,7 @@
     auto live = endpointsInState(endpoints, EndpointState::Live);
     auto leaving = endpointsInState(endpoints, EndpointState::Leaving);
     std::lock_guard lock(m_mutex);
+    keepLaterStarts(live);
     m_leaving = std::move(leaving);
     m_refusals.dropExpired(live, now);
     if (live == m_endpoints) {
@@ -108,6 +109,18 @@
     return nullptr;
 }
 
+// Restores the start times of incarnations that are known to be later than the listed ones: a store that was restored from a
+// backup lists an incarnation that has ended.
+void RoutingTable::keepLaterStarts(std::vector<Endpoint> &live) const
+{
+    for (auto &e : live) {
+        const auto known = findById(m_endpoints, e.id);
+        if (known) {
+            e.startedAtMs = std::max(e.startedAtMs, m_endpoints[*known].startedAtMs);
+        }
+    }
+}
+
 uint64_t RoutingTable::restartCount() const
 {
     std::lock_guard lock(m_mutex);
--- a/src/router_core.h
+++ b/src/router_core.h
@@ -247,6 +247,7 @@
     const Endpoint *findListed(const std::string &id) const;
     bool isListed(const Endpoint &endpoint) const;
     bool isSuperseded(const Endpoint &endpoint) const;
+    void keepLaterStarts(std::vector<Endpoint> &live) const;
     const Endpoint *firstInOrder(const std::string &pool, uint64_t prompt, const std::string &excluded, Clock::time_point now,
                                  const PlacementConstraints &constraints) const;
     std::vector<Endpoint> likelyHolders(uint64_t prompt, Clock::time_point now, const PlacementConstraints &constraints) const;
