A field that is too long for the HTTP library is refused whatever the configuration allows

What callers saw: with max_header_bytes above 64 KiB, one request with a field of 70,000 bytes ended the process, and all requests under way lost their connections. Cause: Beast's parser throws std::length_error from a handler of the event loop. Change: the head limit of the server is 64 KiB at most; such a request gets 431. Evidence: CallerEndings.FieldThatIsTooLongForTheHttpLibraryIsRefusedAndEndsNoOtherRequest failed before.

--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -145,7 +145,7 @@
     boost::system::error_code ec;
     c.stream.expires_after(limits.headerTimeout);
     bhttp::request_parser<bhttp::string_body> parser;
-    parser.header_limit(static_cast<uint32_t>(limits.headerBytes));
+    parser.header_limit(static_cast<uint32_t>(std::min(limits.headerBytes, maxHeadBytes)));
     parser.body_limit(limits.bodyBytes);
     co_await bhttp::async_read_header(c.stream, c.buffer, parser, asio::redirect_error(asio::use_awaitable, ec));
     if (!ec) {
--- a/src/http_server.h
+++ b/src/http_server.h
@@ -19,9 +19,12 @@
 /// Handles one request; must respond through the Exchange. An exception before that becomes a 500 response.
 using Handler = std::function<Task<void>(Exchange &)>;
 
+/// The largest request head. A field of over 65,533 bytes makes Beast's parser throw in the event loop.
+inline constexpr std::size_t maxHeadBytes = 64 * 1024;
+
 /// Limits on the size and duration of callers' requests.
 struct ServerLimits {
-    std::size_t headerBytes = 64 * 1024;
+    std::size_t headerBytes = maxHeadBytes; ///< at most maxHeadBytes are read, whatever is set
     std::size_t bodyBytes = 16 * 1024 * 1024;
     Millis headerTimeout{10000}; ///< from the first byte of a request to its last
     Millis idleTimeout{30000}; ///< between two requests on a connection
