A request of any method is forwarded with its body

What callers saw: a TRACE request with a body got 500, and the next restart of its endpoint ended the process with a segmentation fault. Change: the length of a body is set directly. Evidence: PipelineFault.TraceRequestWithABodyIsAnsweredAndLeavesNoAttemptBehind failed before.

--- a/src/entry/gateway_attempt.h
+++ b/src/entry/gateway_attempt.h
@@ -253,8 +253,8 @@
 {
     const Route &route = *state.profile.route;
     if (!state.headSent) {
-        state.headSent = true;
         auto headers = m_dialect.responseHeaders(response, state.profile, endpoint);
+        state.headSent = true;
         co_await ex.beginStream(response.status(), "", std::move(headers));
     }
     const auto eventGapTimeout = Millis(static_cast<int64_t>(static_cast<double>(route.eventGapTarget.count()) * m_options.eventGapTimeoutFactor));
--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -463,7 +463,11 @@
     if (request.count(bhttp::field::host) == 0) {
         request.set(bhttp::field::host, to.host + ":" + std::to_string(to.port));
     }
-    request.prepare_payload();
+    if (request.body().empty()) {
+        request.prepare_payload();
+    } else {
+        request.content_length(request.body().size()); // prepare_payload() throws for methods that should have no body
+    }
     if (options.cancellation && options.cancellation->isCancelled()) {
         co_return CallError{CallStage::Connect, "cancelled"};
     }
