--- a/tests/test_soak.cpp
+++ b/tests/test_soak.cpp
@@ -1,11 +1,13 @@
 // Tests of the soak test's parts: plans are reproducible, violations of guarantees are reported, and the proxy applies
 // its disturbances.
+#include "soak/endings.h"
 #include "soak/invariants.h"
 #include "soak/plan.h"
 
 // CppUTest goes last: its memory-leak macros redefine operator new.
 #include "loop_group.h"
 
+#include <map>
 #include <set>
 
 using namespace yucca;
@@ -31,6 +33,7 @@
         options.seed = seed;
         options.powerLoss = seed % 2 == 1;
         options.retries = seed % 4 >= 2;
+        options.pauses = seed % 8 == 4;
         Millis previous{0};
         for (const auto &step : soak::makePlan(options)) {
             CHECK(step.at >= previous && step.at < options.duration);
@@ -44,6 +47,105 @@
     LONGS_EQUAL(soak::faultNames.size(), seen.size());
 }
 
+TEST(SoakPlan, PausePlanHasOnlyPlannedWorkAndShortPausesWithTimeBetweenThoseOfOneEndpoint)
+{
+    const std::set<soak::Fault> allowed{soak::Fault::EndpointPaused,       soak::Fault::EndpointRequestsPaused, soak::Fault::EndpointLeaves,
+                                        soak::Fault::ConfigurationChanges, soak::Fault::RouterReloads,          soak::Fault::RouterSettingsWrong,
+                                        soak::Fault::RouterStopped};
+    std::set<soak::Fault> seen;
+    for (uint64_t seed = 1; seed <= 50; ++seed) {
+        soak::PlanOptions options;
+        options.seed = seed;
+        options.pauses = true;
+        std::map<std::size_t, Millis> nextPause;
+        CHECK(soak::makePlan(options) == soak::makePlan(options));
+        for (const auto &step : soak::makePlan(options)) {
+            CHECK(allowed.contains(step.fault));
+            CHECK(step.target < (step.fault == soak::Fault::RouterStopped ? options.routers : options.endpoints));
+            seen.insert(step.fault);
+            if (step.fault == soak::Fault::EndpointPaused || step.fault == soak::Fault::EndpointRequestsPaused) {
+                CHECK(step.duration >= soak::minEndpointPause && step.duration <= soak::maxEndpointPause);
+                CHECK(step.at >= nextPause[step.target]);
+                nextPause[step.target] = step.at + step.duration + soak::minTimeBetweenPauses;
+            }
+        }
+    }
+    LONGS_EQUAL(allowed.size(), seen.size());
+}
+
+TEST_GROUP(SoakEndings)
+{
+    const soak::EndingLimits limits{Millis(8000), Millis(4000)};
+    const Clock::time_point start = Clock::time_point(std::chrono::hours(1));
+
+    soak::RequestEnding ending(Millis duration, bool answered = false)
+    {
+        soak::RequestEnding e;
+        e.sent = true;
+        e.answered = answered;
+        e.sentAt = start;
+        e.endedAt = start + duration;
+        return e;
+    }
+
+    bool isLost(const soak::RequestEnding &e, bool arrived = true)
+    {
+        soak::EndingChecker checker(limits);
+        checker.record("q1", e);
+        if (arrived) {
+            checker.recordArrival("q1");
+        }
+        return checker.lost().size() == 1;
+    }
+
+    // An ending after a stop signal, with times relative to that signal.
+    soak::RequestEnding endingInStop(Millis sent, Millis ended)
+    {
+        auto e = ending(ended - sent);
+        e.routerStopSignal = e.sentAt - sent;
+        return e;
+    }
+};
+
+TEST(SoakEndings, RequestSentWholeWithoutWholeResponseIsLost)
+{
+    CHECK(isLost(ending(Millis(1500))));
+    CHECK(isLost(ending(Millis(50))));
+    CHECK(isLost(ending(Millis(7999))));
+    CHECK(!isLost(ending(Millis(1500), true)));
+    auto notSent = ending(Millis(1500));
+    notSent.sent = false;
+    CHECK(!isLost(notSent));
+    CHECK(!isLost(ending(Millis(8000)))); // the router may give the request up
+}
+
+TEST(SoakEndings, RequestThatReachedNoEndpointIsLostUnlessItsConnectionClosedAtOnce)
+{
+    CHECK(!isLost(ending(Millis(200)), false));
+    CHECK(isLost(ending(Millis(201)), false));
+}
+
+TEST(SoakEndings, StoppingRouterMayGiveUpOnlyLateInItsGracePeriod)
+{
+    CHECK(isLost(endingInStop(Millis(-1000), Millis(3300))));
+    CHECK(!isLost(endingInStop(Millis(-1000), Millis(3400))));
+    CHECK(!isLost(endingInStop(Millis(3000), Millis(3400))));
+    CHECK(isLost(endingInStop(Millis(3001), Millis(3400))));
+}
+
+TEST(SoakEndings, MessageNamesTheRequestAndTimedOutRequestsAreCounted)
+{
+    soak::EndingChecker checker(limits);
+    checker.record("q1", ending(Millis(1500)));
+    checker.record("q2", ending(Millis(8500)));
+    checker.record("q3", ending(Millis(8500), true));
+    checker.recordArrival("q1");
+    checker.recordArrival("q2");
+    LONGS_EQUAL(1, checker.lost().size());
+    CHECK(checker.lost().front().starts_with("q1 "));
+    LONGS_EQUAL(1, checker.timedOut());
+}
+
 TEST_GROUP(SoakInvariants)
 {
     soak::InvariantChecker checker{2};
