Soak: a router that is ended by a signal while it stops breaks a promise in a plan of pauses

The exit of a router that the test had asked to stop was not looked at: one that a reload had ended in the middle of its graceful stop passed.

--- a/emulators/soak/faults.cpp
+++ b/emulators/soak/faults.cpp
@@ -39,6 +39,7 @@
             router.process->signal(SIGTERM);
             router.stopSignal = Clock::now();
             co_await sleepFor(routerStopTimeout);
+            checkGracefulExit(step.target);
             router.process->kill();
             startRouter(step.target);
         }
@@ -139,6 +140,20 @@
     }
 }
 
+// Checks in a pause plan that a router which was asked to stop has ended by itself.
+void SoakFleet::checkGracefulExit(std::size_t n)
+{
+    if (!m_options.plan.pauses) {
+        return;
+    }
+    const auto code = m_routers[n].process->pollExit();
+    if (!code) {
+        m_violations.push_back("router " + std::to_string(n) + " still runs after its grace period");
+    } else if (*code < 0) {
+        m_violations.push_back("router " + std::to_string(n) + " was ended by signal " + std::to_string(-*code) + " while it stopped");
+    }
+}
+
 // Waits until an endpoint has finished its last responses and exited.
 Task<void> SoakFleet::awaitEndpointExit(std::size_t n)
 {
--- a/emulators/soak/fleet.h
+++ b/emulators/soak/fleet.h
@@ -106,6 +106,7 @@
     Task<void> applyToRouter(Step step);
     Task<void> applyToEndpoint(Step step);
     Task<void> awaitEndpointExit(std::size_t n);
+    void checkGracefulExit(std::size_t n);
     Task<void> applyToService(Step step);
     Task<void> restartAllRouters(Step step);
     Task<void> removeRouterEntries(Step step);
