Tests in processes of their own fill freed memory

Whether an attempt that stays behind ends the process depended on what had reused the request's memory: the test that throws from each step of a dialect failed or passed with the order of the tests.

--- a/tests/endings_fixture.h
+++ b/tests/endings_fixture.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <string>
 
+#include <malloc.h>
 #include <sys/resource.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -45,6 +46,7 @@
 }
 
 /// Runs a check in a process of its own, with an event loop of its own. Returns false if the check fails or ends the process.
+/// Freed memory is filled there, so that a pointer into it is not followed unnoticed.
 inline bool holdsInOwnProcess(const std::function<bool(Loop &)> &check)
 {
     const pid_t child = ::fork();
@@ -52,6 +54,7 @@
     if (child == 0) {
         const rlimit noCore{0, 0};
         ::setrlimit(RLIMIT_CORE, &noCore);
+        ::mallopt(M_PERTURB, 0x5a);
         Loop loop;
         const bool held = check(loop);
         ::_exit(held ? 0 : 1);
