--- a/tests/test_caller_endings.cpp
+++ b/tests/test_caller_endings.cpp
@@ -131,3 +131,20 @@
         return sent && refused && answered;
     }));
 }
+
+TEST(CallerEndings, RequestPipelinedBehindTheLastOneOfAConnectionIsNotSentOn)
+{
+    GatedEngine engine(loop());
+    engine.goOn();
+    EntryFixture fixture(loop(), {{"e1", {"s", engine.endpoint.port}}});
+    RawCaller caller(loop(), fixture.port);
+    auto last = requestBytes("POST", "/book/1", "a1");
+    last.insert(last.find("\r\n") + 2, "Connection: close\r\n");
+    caller.send(last + requestBytes("POST", "/book/1", "a2"));
+    CHECK(becomesTrue(loop(), [&] {
+        return caller.ended();
+    }));
+    letPass(loop(), Millis(20));
+    LONGS_EQUAL(1, caller.responses());
+    LONGS_EQUAL(1, engine.endpoint.seen.size());
+}
