A signal during a graceful stop does not end the process

What callers saw: beside planned work only, whole requests got neither an answer nor a refusal: all that a stopping router still served were cut in the middle of their answers. Cause: the handlers of SIGTERM, SIGINT and SIGHUP were removed when the first stop signal had been taken, which restores the default action. A SIGHUP (the settings file has changed) or a second SIGTERM then ended the process at once. Change: the signals stay handled until the exit; the own interface and the stand-ins ignore further stop signals.

--- a/src/cli.cpp
+++ b/src/cli.cpp
@@ -47,9 +47,14 @@
 
 Task<void> waitForStopSignal()
 {
-    asio::signal_set signals(co_await asio::this_coro::executor, SIGTERM, SIGINT);
-    boost::system::error_code ec;
-    co_await signals.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+    {
+        asio::signal_set signals(co_await asio::this_coro::executor, SIGTERM, SIGINT);
+        boost::system::error_code ec;
+        co_await signals.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+    }
+    // The set restores the default action, which would end the process in the middle of its stop.
+    std::signal(SIGTERM, SIG_IGN);
+    std::signal(SIGINT, SIG_IGN);
 }
 
 } // namespace yucca::cli
--- a/src/entry/process.h
+++ b/src/entry/process.h
@@ -376,7 +376,9 @@
     // sends some; then the requests in flight are finished.
     Task<void> drainAfterStopSignal()
     {
-        co_await awaitStopSignal();
+        // Kept until the exit: without it, the default action of a signal would end the process in the middle of its stop.
+        asio::signal_set signals(co_await asio::this_coro::executor, SIGTERM, SIGINT, SIGHUP);
+        co_await awaitStopSignal(signals);
         const auto began = Clock::now();
         m_stopping = true;
         m_callerServer.closeConnectionsAfterResponses();
@@ -398,9 +400,8 @@
     }
 
     // Waits for SIGTERM or SIGINT; each SIGHUP in the meantime triggers a reload.
-    Task<void> awaitStopSignal()
+    Task<void> awaitStopSignal(asio::signal_set &signals)
     {
-        asio::signal_set signals(co_await asio::this_coro::executor, SIGTERM, SIGINT, SIGHUP);
         for (;;) {
             boost::system::error_code ec;
             const int signal = co_await signals.async_wait(asio::redirect_error(asio::use_awaitable, ec));
