The answer to a HEAD request has no body, in either direction

What callers saw: 504 at the time limit, with a body that begins the next answer of the connection. Cause: the client waited for the announced body; reply() wrote one. Change: the client skips the body, the server writes the head alone. Evidence: AnswerEndings.AnswerToAHeadRequestHasNoBodyAndTheConnectionServesTheNextRequest failed before and passes.

--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -130,6 +130,7 @@
     m_parser.emplace();
     m_parser->header_limit(responseHeaderLimit);
     m_parser->body_limit(std::numeric_limits<uint64_t>::max()); // Beast 1.74 treats "none" as zero
+    m_parser->skip(m_options.headOnly);
 }
 
 unsigned Response::status() const
@@ -468,6 +469,7 @@
     } else {
         request.content_length(request.body().size()); // prepare_payload() throws for methods that should have no body
     }
+    options.headOnly = request.method() == bhttp::verb::head;
     if (options.cancellation && options.cancellation->isCancelled()) {
         co_return CallError{CallStage::Connect, "cancelled"};
     }
--- a/src/http_exchange.cpp
+++ b/src/http_exchange.cpp
@@ -101,7 +101,12 @@
     m_answered = true;
     boost::system::error_code ec;
     m_stream.expires_after(m_writeTimeout);
-    co_await bhttp::async_write(m_stream, res, asio::redirect_error(asio::use_awaitable, ec));
+    if (m_request.method() == bhttp::verb::head) {
+        bhttp::response_serializer<bhttp::string_body> serializer{res};
+        co_await bhttp::async_write_header(m_stream, serializer, asio::redirect_error(asio::use_awaitable, ec));
+    } else {
+        co_await bhttp::async_write(m_stream, res, asio::redirect_error(asio::use_awaitable, ec));
+    }
     finishWrite(ec);
 }
 
