The own interface ends its requests at the end of a stop like the platform's

Cause: requests in flight at the end of the grace period got nothing; and tasks that were suspended in the traffic loops were destroyed after the table that they refer to. Change: endRequests() on each traffic loop, and no destructors after the stop.

--- a/src/router_main.cpp
+++ b/src/router_main.cpp
@@ -15,6 +15,7 @@
 #include <boost/asio/post.hpp>
 
 #include <csignal>
+#include <cstdlib>
 #include <thread>
 
 using namespace yucca;
@@ -138,7 +139,8 @@
             thread.join();
         }
         log::event(log::Event::ProgramStopped, std::string("clean=") + (clean ? "true" : "false"));
-        return clean ? cli::ExitOk : cli::ExitFailure;
+        // Destructors are skipped: tasks suspended in the event loops refer to objects that would be destroyed before them.
+        std::_Exit(clean ? cli::ExitOk : cli::ExitFailure);
     }
 
 private:
@@ -184,7 +186,11 @@
         m_router.beginStop();
         log::event(log::Event::StopRequested, "inflight=" + std::to_string(server.inflight()));
         server.stopAccepting();
-        const bool idle = runBlocking(server.waitIdle(Millis(m_settings.stopGraceMs)));
+        bool idle = runBlocking(server.waitIdle(Millis(m_settings.stopGraceMs)));
+        if (!idle) {
+            m_router.endRequests();
+            idle = runBlocking(server.waitIdle(lastResponsesTime));
+        }
         asio::post(m_controlLoop, [this] {
             m_supervisor.stop();
         });
@@ -209,6 +215,7 @@
     }
 
     static constexpr Millis controlStopGrace{1000};
+    static constexpr Millis lastResponsesTime{200}; ///< to answer the requests that are in flight when the grace period ends
 
     settings::RouterSettings m_settings;
     asio::io_context m_controlLoop{1};
--- a/src/router_traffic.cpp
+++ b/src/router_traffic.cpp
@@ -1,5 +1,6 @@
 #include "router_traffic.h"
 
+#include <boost/asio/post.hpp>
 #include <boost/asio/execution/context.hpp>
 
 namespace yucca::router
@@ -62,6 +63,16 @@
     return *gateway;
 }
 
+void Router::endRequests()
+{
+    std::lock_guard lock(m_mutex);
+    for (const auto &[loop, gateway] : m_gateways) {
+        asio::post(*static_cast<asio::io_context *>(loop), [&gateway = *gateway] {
+            gateway.endRequests();
+        });
+    }
+}
+
 Task<void> Router::maintainRecords(const platform::ObjectApi &control)
 {
     while (!m_stopping) {
--- a/src/router_traffic.h
+++ b/src/router_traffic.h
@@ -35,6 +35,8 @@
     /// Rewrites the records of callers' requests that the store lost when it was restored from a backup, as detected
     /// by the control side. Runs until beginStop().
     Task<void> maintainRecords(const platform::ObjectApi &control);
+    /// Ends the requests in flight of all traffic threads, because the router exits.
+    void endRequests();
     /// Starts a planned stop: /readyz reports not ready from now on.
     void beginStop()
     {
