The handover from a silent endpoint leaves no living answer without one

What callers saw, or could have: a response that began while another endpoint was being connected was cancelled; a stream was moved to an endpoint that rejected it, without a permit to go back; a request moved in its last moments; a stream moved to another software version learnt of meanwhile. Found by a review of the change. A pause of long ago is not counted as part of the present one, and an endpoint that stays silent after a request has left is judged when a pause would have ended. Tasks beside requests log what they throw.

--- a/src/admission.h
+++ b/src/admission.h
@@ -7,6 +7,7 @@
 
 #include <array>
 #include <map>
+#include <memory>
 #include <mutex>
 #include <string>
 #include <string_view>
@@ -123,6 +124,46 @@
     bool m_cancelled = false;
 };
 
+/// A permit that is given back unless it is taken out.
+class HeldPermit
+{
+public:
+    HeldPermit() = default;
+    explicit HeldPermit(std::unique_ptr<RetryPermit> permit)
+        : m_permit(std::move(permit))
+    {
+    }
+    ~HeldPermit()
+    {
+        giveBack();
+    }
+    HeldPermit(HeldPermit &&) = default;
+    HeldPermit &operator=(HeldPermit &&other) noexcept
+    {
+        giveBack();
+        m_permit = std::move(other.m_permit);
+        return *this;
+    }
+    explicit operator bool() const
+    {
+        return m_permit != nullptr;
+    }
+    std::unique_ptr<RetryPermit> take()
+    {
+        return std::move(m_permit);
+    }
+    void giveBack()
+    {
+        if (m_permit) {
+            m_permit->cancel();
+            m_permit.reset();
+        }
+    }
+
+private:
+    std::unique_ptr<RetryPermit> m_permit;
+};
+
 /// The result of an admission check.
 enum class AdmissionResult {
     Admitted,
--- a/src/entry/endpoint_activity.cpp
+++ b/src/entry/endpoint_activity.cpp
@@ -8,7 +8,7 @@
 namespace
 {
 
-constexpr std::size_t maxTrackedEndpoints = 4096; ///< twice the number of endpoints of a service projected in two years
+constexpr std::size_t maxTrackedEndpoints = 4096; ///< twice the number of endpoints projected in two years
 constexpr Millis minPause{200}; ///< a shorter silence of an endpoint that has requests is usual
 
 } // namespace
@@ -17,13 +17,30 @@
 {
     if (m_activities.size() > maxTrackedEndpoints) {
         std::erase_if(m_activities, [&](const auto &entry) {
-            return now - entry.second.receivedAt > m_maxPause;
+            return entry.second.waiting == 0 && now - entry.second.endedAt > m_maxPause;
         });
     }
     auto &activity = m_activities[endpoint];
-    if (!activity.sentAt) {
+    const bool wasUnused = activity.waiting == 0 && now - activity.endedAt > m_maxPause;
+    if (!activity.sentAt || wasUnused) {
         activity.sentAt = now;
     }
+    ++activity.waiting;
+}
+
+void EndpointActivity::recordEnded(const std::string &endpoint, Clock::time_point now)
+{
+    const auto it = m_activities.find(endpoint);
+    if (it != m_activities.end()) {
+        it->second.waiting = std::max(0, it->second.waiting - 1);
+        it->second.endedAt = now;
+    }
+}
+
+bool EndpointActivity::silentSince(const std::string &endpoint, Clock::time_point since) const
+{
+    const auto it = m_activities.find(endpoint);
+    return it == m_activities.end() || it->second.receivedAt <= since;
 }
 
 void EndpointActivity::recordReceived(const std::string &endpoint, Clock::time_point now)
@@ -50,7 +67,8 @@
     }
     // An endpoint that has just gone on has not had the time to answer all requests that wait at it.
     const bool pausedMeanwhile = activity.resumedAt > since;
-    return !pausedMeanwhile && activity.receivedAt > since + (now - since) / 2;
+    const auto recentlyAfter = since + (now - since) / 2;
+    return !pausedMeanwhile && activity.receivedAt > recentlyAfter;
 }
 
 } // namespace yucca::entry
--- a/src/entry/gateway.h
+++ b/src/entry/gateway.h
@@ -206,26 +206,13 @@
         http::Headers headers;
         std::string body;
     };
-    /// The endpoint of the next attempt, with what the attempt needs. A permit that is not taken out is given back.
+    /// The endpoint of the next attempt, with what the attempt needs.
     struct Selection {
-        Selection(const Endpoint &selected, std::unique_ptr<router::AcquiredEndpoint> held, std::unique_ptr<limits::RetryPermit> retryPermit)
-            : endpoint(selected)
-            , acquired(std::move(held))
-            , permit(std::move(retryPermit))
-        {
-        }
-        ~Selection()
-        {
-            if (permit) {
-                permit->cancel();
-            }
-        }
-        Selection(Selection &&) = default;
-        Selection &operator=(Selection &&) = default;
-
         Endpoint endpoint;
         std::unique_ptr<router::AcquiredEndpoint> acquired;
-        std::unique_ptr<limits::RetryPermit> permit; ///< null for a first attempt
+        Clock::time_point acquiredAt{};
+        limits::HeldPermit permit; ///< none for a first attempt
+        limits::HeldPermit reserve = {}; ///< for one more attempt, if this endpoint rejects a stream that its caller has begun to receive
     };
     struct RequestState;
     /// Registers an attempt for the time that it is in progress, however it ends.
@@ -235,8 +222,10 @@
         AttemptInProgress(Gateway &gateway, RequestState &state, const Endpoint &endpoint, std::shared_ptr<SilenceWatch> watch)
             : m_gateway(gateway)
             , m_state(state)
+            , m_endpointKey(incarnationKey(endpoint))
         {
             gateway.m_attempts.insert_or_assign(&state, endpoint);
+            gateway.m_activity.recordSent(incarnationKey(endpoint), Clock::now());
             state.watch = std::move(watch);
         }
         ~AttemptInProgress()
@@ -246,6 +235,7 @@
                 m_state.watch.reset();
             }
             m_gateway.m_attempts.erase(&m_state);
+            m_gateway.m_activity.recordEnded(m_endpointKey, Clock::now());
         }
         AttemptInProgress(const AttemptInProgress &) = delete;
         AttemptInProgress &operator=(const AttemptInProgress &) = delete;
@@ -253,6 +243,7 @@
     private:
         Gateway &m_gateway;
         RequestState &m_state;
+        std::string m_endpointKey;
     };
     /// The state of one request over all its attempts.
     struct RequestState {
@@ -263,6 +254,7 @@
         std::optional<idempotency::Claim> claim; ///< of the request's idempotency key
         std::set<std::string> tried;
         std::set<std::string> silent; ///< endpoints whose attempts ended because they were silent
+        limits::HeldPermit reserve; ///< until an endpoint has accepted the request
         std::optional<Selection> successor; ///< takes over from the silent endpoint of the current attempt
         std::shared_ptr<SilenceWatch> watch; ///< of the current attempt; null if it must not be replaced
         http::Cancellation cancellation;
@@ -357,9 +349,14 @@
     double slackShare() const;
     std::unique_ptr<limits::RetryPermit> takeRetryPermit(const std::string &service);
     std::variant<Selection, GiveUpReason> selectEndpoint(RequestState &state, bool hasArrived, Clock::time_point now);
+    GiveUpReason noEndpointReason(RequestState &state, Clock::time_point now);
     void recordGiveUp(RequestState &state, GiveUpReason why);
-    std::shared_ptr<SilenceWatch> watchSilence(RequestState &state, const asio::any_io_executor &executor);
-    Task<void> replaceSilentEndpoint(RequestState &state, std::shared_ptr<SilenceWatch> watch);
+    std::shared_ptr<SilenceWatch> watchSilence(RequestState &state, const Endpoint &endpoint, const asio::any_io_executor &executor);
+    Task<void> replaceSilentEndpoint(RequestState &state, Endpoint endpoint, std::shared_ptr<SilenceWatch> watch);
+    bool mayBeReplaced(const RequestState &state, const Endpoint &endpoint, Clock::time_point now) const;
+    std::optional<Selection> selectSuccessor(RequestState &state);
+    bool mayTakeOver(const RequestState &state, const Endpoint &endpoint, Clock::time_point now) const;
+    Task<void> judgeSilence(RequestProfile profile, Endpoint endpoint, Clock::time_point since);
     Task<bool> connectAhead(Endpoint endpoint);
     std::size_t maxIdleConnectionsTo(const Endpoint &endpoint) const;
     Task<AttemptEnd> attemptWatched(http::Exchange &ex, RequestState &state, Endpoint endpoint);
@@ -413,6 +410,7 @@
     std::minstd_rand m_random{std::random_device{}()};
     Clock::time_point m_startedAt = Clock::now();
     std::atomic<bool> m_rejectingNewRequests{false};
+    bool m_ending = false; ///< this router exits: no further attempt is made
 };
 
 /// Returns the milliseconds since a point in time, for log lines.
@@ -433,6 +431,16 @@
     }
 }
 
+/// Returns a completion handler that logs an exception of a task which runs beside requests. id is of what it is about.
+inline auto logTaskFailure(const char *task, std::string id)
+{
+    return [task, id = std::move(id)](std::exception_ptr failure) {
+        if (failure) {
+            log::Line{log::Event::TaskFailed}.add("task", task).add("id", id).add("error", describe(failure));
+        }
+    };
+}
+
 template <Dialect D> Task<void> Gateway<D>::handle(http::Exchange &ex)
 {
     ++m_metrics.requestsRead;
@@ -460,6 +468,8 @@
     state.giveUpReason = GiveUpReason::Failed;
     state.count.runs += state.count.attempts > 0 ? 1 : 0;
     if (ex.answered() && !state.headSent) {
+        m_metrics.responseCut(GiveUpReason::Failed);
+        recordRequest(state, RequestEnd::Cut, 0);
         ex.abort();
         co_return;
     }
@@ -497,6 +507,7 @@
     state.events.setLastId(state.profile.resumeAfter);
     if (const auto why = co_await bindResumption(state)) {
         logStreamRefused(state, *why);
+        co_await releaseClaim(state);
         co_await reject(ex, state.profile.id, *why);
         co_return;
     }
@@ -530,6 +541,11 @@
     const Route &route = *state.profile.route;
     for (;;) {
         const auto now = Clock::now();
+        if (m_ending) {
+            state.stopping = true;
+            recordGiveUp(state, GiveUpReason::Stopping);
+            break;
+        }
         if (now >= state.profile.responseDeadline) {
             recordGiveUp(state, GiveUpReason::TimedOut);
             break;
@@ -538,20 +554,23 @@
         if (!selection) {
             auto selected = selectEndpoint(state, state.count.arrivals > 0, now);
             if (const auto *why = std::get_if<GiveUpReason>(&selected)) {
-                recordGiveUp(state, *why);
+                recordGiveUp(state, *why == GiveUpReason::NoEndpoint ? noEndpointReason(state, now) : *why);
                 break;
             }
-            selection = std::move(std::get<Selection>(selected));
+            selection.emplace(std::move(std::get<Selection>(selected)));
         }
         const Endpoint &endpoint = selection->endpoint;
-        state.retryPermit = std::move(selection->permit);
+        state.retryPermit = selection->permit.take();
+        if (selection->reserve) {
+            state.reserve = std::move(selection->reserve);
+        }
         m_metrics.retries += state.retryPermit ? 1 : 0;
         state.lastEndpoint = endpoint.id;
         state.lastVersion = endpoint.version;
         state.home = sharesPrompt(state.profile.prompt) ? m_table.homeOf(state.service, state.profile.affinity.conversation) : std::nullopt;
         state.placement = m_table.placementView(endpoint, state.profile.affinity.conversation, now, state.constraints);
         state.placedAt = now;
-        state.acquiredAt = now;
+        state.acquiredAt = selection->acquiredAt;
         state.lastReceived = now;
         state.tried.insert(endpoint.id);
         ++state.count.attempts;
@@ -562,6 +581,9 @@
         const bool suspect = !state.stopping && (end == AttemptEnd::Broken || end == AttemptEnd::Silent) && showsFault(state, endpoint, end);
         if (suspect && !state.cancellation.isCancelled() && !ex.callerDisconnected()) {
             co_await recordBrokenResponse(state.profile, endpoint);
+        } else if (end == AttemptEnd::Silent && !state.stopping) {
+            const auto executor = co_await asio::this_coro::executor;
+            asio::co_spawn(executor, judgeSilence(state.profile, endpoint, state.lastReceived), logTaskFailure("judge a silence", state.profile.id));
         }
         if (state.cancellation.isCancelled() || ex.callerDisconnected()) {
             if (end != AttemptEnd::Delivered) {
@@ -596,7 +618,7 @@
     co_await closeStaleConnections(endpoint);
     AttemptEnd end = AttemptEnd::Broken;
     {
-        const AttemptInProgress inProgress(*this, state, endpoint, watchSilence(state, executor));
+        const AttemptInProgress inProgress(*this, state, endpoint, watchSilence(state, endpoint, executor));
         end = co_await attemptTwice(ex, state, endpoint);
     }
     const bool replaced = state.successor.has_value();
--- a/src/entry/gateway_attempt.h
+++ b/src/entry/gateway_attempt.h
@@ -73,6 +73,7 @@
 
 template <Dialect D> void Gateway<D>::endRequests()
 {
+    m_ending = true;
     std::vector<RequestState *> inFlight;
     for (const auto &[state, endpoint] : m_attempts) {
         inFlight.push_back(state);
@@ -100,7 +101,6 @@
     options.maxIdleConnections = maxIdleConnectionsTo(endpoint);
     state.promptEstimate = estimatePrompt(state, endpoint, now);
     staleConnection = false;
-    m_activity.recordSent(incarnationKey(endpoint), now);
     auto opened = co_await openByAnyPath(ex, state, endpoint, options);
     if (const auto *error = std::get_if<http::CallError>(&opened)) {
         if (error->stage == http::CallStage::Connect) {
@@ -198,6 +198,7 @@
     if (!head.authentic) {
         co_return AttemptEnd::Broken;
     }
+    state.reserve.giveBack();
     const auto now = Clock::now();
     state.firstByte = state.firstByte == Clock::time_point{} ? now : state.firstByte;
     state.lastStatus = head.status;
--- a/src/entry/gateway_crashes.h
+++ b/src/entry/gateway_crashes.h
@@ -6,8 +6,6 @@
 #include "entry/gateway.h"
 #include "text.h"
 
-#include <boost/asio/detached.hpp>
-
 namespace yucca::entry
 {
 
@@ -63,7 +61,7 @@
     }
     if (probe) {
         const auto ex = co_await asio::this_coro::executor;
-        asio::co_spawn(ex, watchForCrash(endpoint, watch), asio::detached);
+        asio::co_spawn(ex, watchForCrash(endpoint, watch), logTaskFailure("watch for a crash", endpoint.id));
     }
 }
 
--- a/src/entry/gateway_paths.h
+++ b/src/entry/gateway_paths.h
@@ -5,8 +5,6 @@
 #include "connect_probe.h"
 #include "entry/gateway.h"
 
-#include <boost/asio/detached.hpp>
-
 namespace yucca::entry
 {
 
@@ -97,7 +95,7 @@
         co_return std::move(relayed);
     }
     const auto executor = co_await asio::this_coro::executor;
-    asio::co_spawn(executor, verifyByPeer(endpoint), asio::detached);
+    asio::co_spawn(executor, verifyByPeer(endpoint), logTaskFailure("verify by a peer", endpoint.id));
     co_return std::move(opened);
 }
 
@@ -171,7 +169,7 @@
     m_client.closeIdleConnections(asio::query(executor, asio::execution::context), {endpoint.host, endpoint.port});
     if (!m_probingPaths) {
         m_probingPaths = true;
-        asio::co_spawn(executor, probeCutPaths(), asio::detached);
+        asio::co_spawn(executor, probeCutPaths(), logTaskFailure("probe cut paths", endpoint.id));
     }
 }
 
--- a/src/log.h
+++ b/src/log.h
@@ -58,6 +58,7 @@
     StreamRefused = 2055,
     RequestWithheld = 2056,
     RequestFailed = 2059,
+    TaskFailed = 2060,
     OrderAccepted = 3001,
     OrderRefused = 3002,
     Draining = 3003,
--- a/tests/entry_fixture.h
+++ b/tests/entry_fixture.h
@@ -203,10 +203,11 @@
 class EntryFixture
 {
 public:
-    explicit EntryFixture(Loop &loop, std::map<std::string, std::pair<std::string, uint16_t>> endpoints, int64_t retrySlack = 1000)
+    explicit EntryFixture(Loop &loop, std::map<std::string, std::pair<std::string, uint16_t>> endpoints, int64_t retrySlack = 1000,
+                          const entry::GatewayOptions &tuned = {})
         : loop(loop)
         , settings{settingsWithSlack(retrySlack)}
-        , gateway(entry::GatewayParts{published, table, admission, quarantine, nullptr, &relayPeers, &fleet, &origins}, options(settings))
+        , gateway(entry::GatewayParts{published, table, admission, quarantine, nullptr, &relayPeers, &fleet, &origins}, options(settings, tuned))
     {
         listOtherRouters();
         configure(entryConfiguration());
@@ -298,9 +299,8 @@
         s.retrySlack = retrySlack;
         return s;
     }
-    static entry::GatewayOptions options(const entry::Settings &settings)
+    static entry::GatewayOptions options(const entry::Settings &settings, entry::GatewayOptions o)
     {
-        entry::GatewayOptions o;
         o.retries = entry::retryLimits(settings);
         return o;
     }
--- a/tests/test_silence.cpp
+++ b/tests/test_silence.cpp
@@ -3,6 +3,8 @@
 #include "entry/endpoint_activity.h"
 #include "entry_fixture.h"
 
+#include <deque>
+
 #include "loop_group.h"
 
 using namespace yucca;
@@ -12,6 +14,7 @@
 {
 
 constexpr Millis pauseTime{700}; ///< longer than the silence after which a router looks for another endpoint, shorter than one that counts as a failure
+constexpr Millis noticedPause{200}; ///< silence from which on a test's endpoint is at fault
 constexpr int lastEvent = 4;
 constexpr int pausedAfter = 2; ///< event of a stream after which its endpoint falls silent
 
@@ -93,10 +96,42 @@
     return events;
 }
 
+entry::GatewayOptions withMaxPause(Millis maxPause)
+{
+    entry::GatewayOptions options;
+    options.maxEndpointPause = maxPause;
+    return options;
+}
+
+/// Listens, and answers no connection.
+class FullBacklog
+{
+public:
+    explicit FullBacklog(Loop &loop)
+        : m_acceptor(loop.io)
+    {
+        m_acceptor.open(tcp::v4());
+        m_acceptor.bind(tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+        m_acceptor.listen(0);
+        for (int i = 0; i < 4; ++i) {
+            m_waiting.emplace_back(loop.io);
+            m_waiting.back().async_connect(m_acceptor.local_endpoint(), [](const boost::system::error_code &) {});
+        }
+    }
+    uint16_t port() const
+    {
+        return m_acceptor.local_endpoint().port();
+    }
+
+private:
+    tcp::acceptor m_acceptor;
+    std::deque<tcp::socket> m_waiting;
+};
+
 // A router before the given endpoints "i-0", "i-1", ..., which looks for another endpoint of a stream after 200 ms of silence.
 struct SilenceFixture : EntryFixture {
-    SilenceFixture(Loop &loop, std::vector<PausingEndpoint *> endpoints, const std::string &service, int64_t retrySlack = 1000)
-        : EntryFixture(loop, {}, retrySlack)
+    SilenceFixture(Loop &loop, std::vector<PausingEndpoint *> endpoints, const std::string &service, int64_t retrySlack = 1000, Millis maxPause = noticedPause)
+        : EntryFixture(loop, {}, retrySlack, withMaxPause(maxPause))
     {
         auto written = entryConfiguration(2);
         for (auto &route : written["routes"]) {
@@ -220,8 +255,107 @@
     STRCMP_EQUAL("2", other.endpoint.seen[0].header("Last-Event-Id").c_str());
 }
 
+TEST(StreamSilence, StreamStaysAtASilentEndpointWhoseSuccessorMayRejectIt)
+{
+    PausingEndpoint first(loop());
+    PausingEndpoint other(loop());
+    first.pause = pauseTime;
+    SilenceFixture router(loop(), {&first}, "m", 100); // one retry
+    std::optional<http::CallResult<http::Reply>> result;
+    loop().start(router.send("POST", "/chat/1", EntryFixture::caller("a1"), ""), result);
+    loop().runUntil([&] {
+        return first.paused.fired();
+    });
+    other.sheds = true;
+    router.published.replaceEndpoints({{"i-0", first.entry("i-0", "m")}, {"i-1", other.entry("i-1", "m")}});
+    loop().runUntil([&] {
+        return result.has_value();
+    });
+
+    CHECK(std::holds_alternative<http::Reply>(*result));
+    STRCMP_EQUAL(wholeStream().c_str(), std::get<http::Reply>(*result).body.c_str());
+    LONGS_EQUAL(0, other.endpoint.seen.size());
+}
+
+TEST(StreamSilence, StreamThatIsRejectedElsewhereReturnsToItsEndpoint)
+{
+    PausingEndpoint first(loop());
+    PausingEndpoint other(loop());
+    first.pause = pauseTime;
+    SilenceFixture router(loop(), {&first}, "m", 200); // two retries
+    std::optional<http::CallResult<http::Reply>> result;
+    loop().start(router.send("POST", "/chat/1", EntryFixture::caller("a1"), ""), result);
+    loop().runUntil([&] {
+        return first.paused.fired();
+    });
+    other.sheds = true;
+    router.published.replaceEndpoints({{"i-0", first.entry("i-0", "m")}, {"i-1", other.entry("i-1", "m")}});
+    loop().runUntil([&] {
+        return result.has_value();
+    });
+
+    CHECK(std::holds_alternative<http::Reply>(*result));
+    STRCMP_EQUAL(wholeStream().c_str(), std::get<http::Reply>(*result).body.c_str());
+    LONGS_EQUAL(1, other.endpoint.seen.size());
+}
+
+TEST(StreamSilence, PauseOfASoundEndpointMovesNoStream)
+{
+    PausingEndpoint first(loop());
+    PausingEndpoint other(loop());
+    first.pause = pauseTime;
+    SilenceFixture router(loop(), {&first}, "m", 1000, entry::GatewayOptions().maxEndpointPause);
+    std::optional<http::CallResult<http::Reply>> result;
+    loop().start(router.send("POST", "/chat/1", EntryFixture::caller("a1"), ""), result);
+    loop().runUntil([&] {
+        return first.paused.fired();
+    });
+    router.published.replaceEndpoints({{"i-0", first.entry("i-0", "m")}, {"i-1", other.entry("i-1", "m")}});
+    loop().runUntil([&] {
+        return result.has_value();
+    });
+
+    STRCMP_EQUAL(wholeStream().c_str(), std::get<http::Reply>(*result).body.c_str());
+    LONGS_EQUAL(0, other.endpoint.seen.size());
+}
+
 LOOP_GROUP(HeadSilence);
 
+TEST(HeadSilence, ResponseThatBeginsWhileAnotherEndpointDoesNotAnswerIsNotCancelled)
+{
+    ScriptedEndpoint slow(loop(), [](tcp::socket &socket, const ReceivedRequest &request) -> Task<void> {
+        const std::string answer = signedAnswer(request.header("Yuccasaddle-Attempt-Id"), "whole");
+        const std::string head = answer.substr(0, answer.size() - 2);
+        co_await sleepFor(Millis(400)); // the search for another endpoint begins after 300 ms
+        co_await sendBytes(socket, head);
+        co_await sleepFor(Millis(800));
+        co_await sendBytes(socket, answer.substr(head.size()));
+    });
+    FullBacklog full(loop());
+    PausingEndpoint third(loop());
+    SilenceFixture router(loop(), {}, "s");
+    const auto slowEntry = endpointAt("i-0", slow.port, "s", EndpointKind::Service);
+    router.published.replaceEndpoints({{"i-0", slowEntry}});
+    std::optional<http::CallResult<http::Reply>> result;
+    loop().start(router.send("GET", "/remind/1", EntryFixture::caller("a1"), ""), result);
+    loop().runUntil([&] {
+        return !slow.seen.empty();
+    });
+    const auto fullEntry = endpointAt("i-1", full.port(), "s", EndpointKind::Service);
+    router.published.replaceEndpoints({{"i-0", slowEntry}, {"i-1", fullEntry}});
+    asio::steady_timer later(loop().io, Millis(450));
+    later.async_wait([&](const boost::system::error_code &) {
+        router.published.replaceEndpoints({{"i-0", slowEntry}, {"i-1", fullEntry}, {"i-2", third.entry("i-2", "s")}});
+    });
+    loop().runUntil([&] {
+        return result.has_value();
+    });
+
+    CHECK(std::holds_alternative<http::Reply>(*result));
+    STRCMP_EQUAL("whole", std::get<http::Reply>(*result).body.c_str());
+    LONGS_EQUAL(0, third.endpoint.seen.size());
+}
+
 TEST(HeadSilence, PauseOfTheOnlyEndpointDoesNotFailARepeatableRequest)
 {
     PausingEndpoint first(loop());
@@ -277,7 +411,7 @@
     constexpr int requests = 24;
     first.pause = pauseTime;
     second.pause = third.pause = Millis(50);
-    SilenceFixture router(loop(), {&first, &second, &third}, "s");
+    SilenceFixture router(loop(), {&first, &second, &third}, "s", 1000, entry::GatewayOptions().maxEndpointPause);
     std::array<std::optional<http::CallResult<http::Reply>>, requests> results;
     for (int i = 0; i < requests; ++i) {
         loop().start(router.send("GET", "/remind/1", EntryFixture::caller("a" + std::to_string(i)), ""), results[static_cast<std::size_t>(i)]);
@@ -298,7 +432,7 @@
     PausingEndpoint second(loop());
     PausingEndpoint third(loop());
     first.pause = second.pause = third.pause = pauseTime;
-    SilenceFixture router(loop(), {&first, &second, &third}, "m");
+    SilenceFixture router(loop(), {&first, &second, &third}, "m", 1000, entry::GatewayOptions().maxEndpointPause);
     std::array<std::optional<http::CallResult<http::Reply>>, 6> results;
     for (std::size_t i = 0; i < results.size(); ++i) {
         loop().start(router.send("POST", "/chat/1", EntryFixture::caller("a" + std::to_string(i), sharedPrompt), ""), results[i]);
@@ -366,3 +500,23 @@
     CHECK(activity.isFault("i-1", at(0), at(2000)));
     CHECK(activity.isFault("i-1", at(1900), at(2200)));
 }
+
+TEST(EndpointActivity, PausesThatAreFarApartAreNoFault)
+{
+    entry::EndpointActivity activity(Millis(2000));
+    activity.recordSent("i-1", at(0));
+    activity.recordEnded("i-1", at(400)); // sent elsewhere
+    activity.recordSent("i-1", at(30000));
+    CHECK_FALSE(activity.isFault("i-1", at(30000), at(30500)));
+}
+
+TEST(EndpointActivity, RequestsThatLeaveOneAfterTheOtherShowALongSilence)
+{
+    entry::EndpointActivity activity(Millis(2000));
+    for (int ms = 0; ms <= 2000; ms += 400) {
+        activity.recordSent("i-1", at(ms));
+        activity.recordEnded("i-1", at(ms + 300));
+    }
+    CHECK(activity.isFault("i-1", at(2000), at(2300)));
+    CHECK(activity.silentSince("i-1", at(0)));
+}
--- a/tests/test_stop.cpp
+++ b/tests/test_stop.cpp
@@ -22,7 +22,7 @@
         reached = true;
         co_await sleepFor(std::chrono::seconds(60));
     });
-    EntryFixture router(loop, {{"i-0", {service, endpoint.port}}});
+    EntryFixture router(loop, {{"i-0", {service, endpoint.port}}, {"i-1", {service, endpoint.port}}});
     std::optional<http::CallResult<http::Reply>> result;
     loop.start(router.send("POST", target, EntryFixture::caller("a1"), ""), result);
     loop.runUntil([&] {
@@ -34,6 +34,7 @@
     });
     LONGS_EQUAL(1, router.gateway.metrics().ended(end));
     LONGS_EQUAL(0, router.gateway.metrics().ejections);
+    LONGS_EQUAL(1, endpoint.seen.size());
     return result;
 }
 
