Requests that arrive at a read timeout of the HTTP server are read before the timeout counts

What callers saw: a whole request on a kept connection got no answer and no refusal when the event loop had stalled past the idle timeout while it arrived; a request that took too long to arrive got no 408.

Cause: Beast's stream timer closes the socket. A read whose completion was queued behind the timer was then reported as timed out, with its bytes dropped (with a wait for the end of the previous request's caller pending, that is the usual order); bytes still in the socket were reset. The 408 was written to the closed socket. Class: a reader that takes bytes from a socket before it is known who handles them.

Change: Connection waits until the socket is readable and reads without blocking, in the coroutine that handles the bytes. A deadline only ends a wait; what has arrived is read first, then the deadline is checked. The watch for the caller's disconnect starts again after an event of bytes that were read before; without that, CallerDisconnectCancelsEngineRequest did not end. A raised idle timeout also holds for connections that are idle. The count of requests in flight is an object of the connection, so that no exception can leave it raised; it shares the counter, because suspended coroutines may outlive their server.

Evidence: these tests of RequestsAtTimeouts failed on the code before: RequestThatArrivedWhileTheLoopStalledPastTheIdleTimeoutIsAnswered, RequestThatArrivesAfterTheIdleTimerExpiredAndBeforeItsHandlerRunsIsAnswered, RestOfARequestThatArrivedWhileTheLoopStalledPastTheHeaderTimeoutIsRead, SlowRequestIsRefusedWith408, RaisedIdleTimeoutHoldsForConnectionsThatAreIdle. All pass now. IdleConnectionIsClosedAtTheIdleTimeout and CallerThatHasClosedItsSendingSideGetsTheResponse passed before and after.

--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -2,9 +2,6 @@
 
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
-#include <boost/beast/http/chunk_encode.hpp>
-
-#include <array>
 
 namespace yucca::http
 {
@@ -13,9 +10,8 @@
 {
 
 constexpr Millis idlePollInterval{10}; ///< at which waitIdle() checks for requests in flight
-constexpr std::size_t readBufferBytes = 4096; ///< most request heads fit into one read of this size
-constexpr Millis rejectDrainTimeout{500}; ///< time for a rejected caller to read its response
-constexpr std::size_t maxRejectDrainBytes = 256 * 1024; ///< maximum number of bytes read and ignored after a rejection
+constexpr Millis acceptRetryDelay{20}; ///< after a failed accept, likely for want of file descriptors
+constexpr Millis rejectWriteTimeout{500}; ///< for the response to an invalid message
 constexpr std::string_view continueHead = "HTTP/1.1 100 Continue\r\n\r\n";
 
 // Returns why a parsed request head must be rejected, or null. Beast's parser
@@ -44,6 +40,36 @@
     return request.version() < 11 ? "a transfer coding in HTTP/1.0" : nullptr;
 }
 
+using Parser = bhttp::request_parser<bhttp::string_body>;
+enum class Part { Head, Message };
+
+// Parses what has arrived; sets ec to would_block if more is needed.
+void parseAvailable(Connection &c, Parser &parser, Part part, boost::system::error_code &ec)
+{
+    if (part == Part::Head) {
+        bhttp::read_header(c.stream.socket(), c.buffer, parser, ec);
+    } else {
+        bhttp::read(c.stream.socket(), c.buffer, parser, ec);
+    }
+}
+
+// Reads a part of a message. Fails with a timeout if it has not arrived by the deadline; what has arrived by
+// then is read, also when the event loop is late.
+Task<boost::system::error_code> readPart(Connection &c, Parser &parser, Part part, Clock::time_point deadline)
+{
+    for (;;) {
+        boost::system::error_code ec;
+        parseAvailable(c, parser, part, ec);
+        if (ec != asio::error::would_block) {
+            co_return ec;
+        }
+        if (Clock::now() >= deadline) {
+            co_return boost::beast::error::timeout;
+        }
+        co_await c.waitReadable(deadline);
+    }
+}
+
 } // namespace
 
 Server::Server(std::vector<asio::io_context *> loops, std::string host, uint16_t port, Handler handler, ServerLimits limits)
@@ -82,32 +108,45 @@
     return port;
 }
 
-// Accepts connections until stopped and assigns each to the next event loop.
+// Accepts connections until stopped.
 Task<void> Server::acceptLoop()
 {
-    for (std::size_t next = 0; !m_stopping; ++next) {
-        auto &loop = *m_loops[next % m_loops.size()];
+    while (!m_stopping) {
         boost::system::error_code ec;
-        tcp::socket socket(loop);
-        co_await m_acceptor.async_accept(socket, asio::redirect_error(asio::use_awaitable, ec));
+        tcp::endpoint peer;
+        tcp::socket socket(nextLoop());
+        co_await m_acceptor.async_accept(socket, peer, asio::redirect_error(asio::use_awaitable, ec));
         if (ec && m_stopping) {
             co_return;
         }
         if (ec) {
-            co_await sleepFor(Millis(20)); // likely out of file descriptors: wait until some are closed
+            co_await sleepFor(acceptRetryDelay);
             continue;
         }
-        socket.set_option(tcp::no_delay(true), ec);
-        auto connection = std::make_shared<Connection>(std::move(socket));
-        {
-            std::lock_guard lock(m_mutex);
-            m_connections.insert(connection);
-        }
-        asio::co_spawn(loop, serve(connection), [this, connection](std::exception_ptr) {
-            std::lock_guard lock(m_mutex);
-            m_connections.erase(connection);
-        });
+        open(std::move(socket), peer);
+    }
+}
+
+// Distributes the connections over the event loops.
+asio::io_context &Server::nextLoop()
+{
+    return *m_loops[m_acceptedConnections++ % m_loops.size()];
+}
+
+void Server::open(tcp::socket socket, const tcp::endpoint &peer)
+{
+    boost::system::error_code ec;
+    socket.set_option(tcp::no_delay(true), ec);
+    const auto executor = socket.get_executor();
+    auto connection = std::make_shared<Connection>(std::move(socket), peer);
+    {
+        std::lock_guard lock(m_mutex);
+        m_connections.insert(connection);
     }
+    asio::co_spawn(executor, serve(connection), [this, connection](std::exception_ptr) {
+        std::lock_guard lock(m_mutex);
+        m_connections.erase(connection);
+    });
 }
 
 void Server::setLimits(const ServerLimits &limits)
@@ -115,50 +154,56 @@
     m_limits = std::make_shared<const ServerLimits>(limits);
 }
 
-// Waits for a request and reads it. Returns false if the connection must be closed.
-Task<bool> Server::readRequest(Connection &c, Request &out)
+// Waits for the first bytes of a request. Returns false if the connection must be closed. Bytes that have
+// arrived come before the idle timeout and before a stop.
+Task<bool> Server::awaitRequest(Connection &c)
 {
-    const auto limits = m_limits.load();
-    if (c.buffer.size() == 0) {
-        c.stream.expires_after(limits->idleTimeout);
+    const auto idleSince = Clock::now();
+    for (;;) {
         boost::system::error_code ec;
-        auto into = c.buffer.prepare(readBufferBytes);
-        const auto n = co_await c.stream.async_read_some(into, asio::redirect_error(asio::use_awaitable, ec));
-        if (ec) {
+        if (c.buffer.size() == 0) {
+            c.readAvailable(ec);
+        }
+        if (c.buffer.size() > 0) {
+            if (!c.inflight) {
+                c.inflight.emplace(m_inflight);
+            }
+            co_return true;
+        }
+        c.inflight.reset();
+        const auto deadline = idleSince + m_limits.load()->idleTimeout;
+        if (ec != asio::error::would_block || m_stopping || Clock::now() >= deadline) {
             co_return false;
         }
-        c.buffer.commit(n);
+        c.idle = true;
+        co_await c.waitReadable(deadline);
+        c.idle = false;
     }
-    c.idle = false;
-    ++m_inflight;
-    const bool read = co_await readMessage(c, *limits, out);
-    if (!read) {
-        --m_inflight;
-    }
-    co_return read;
 }
 
 // Reads the head and body of one request. Rejects an invalid message and returns
 // false, which closes the connection.
-Task<bool> Server::readMessage(Connection &c, const ServerLimits &limits, Request &out)
+Task<bool> Server::readRequest(Connection &c, Request &out)
 {
-    boost::system::error_code ec;
-    c.stream.expires_after(limits.headerTimeout);
-    bhttp::request_parser<bhttp::string_body> parser;
-    parser.header_limit(static_cast<uint32_t>(limits.headerBytes));
-    parser.body_limit(limits.bodyBytes);
-    co_await bhttp::async_read_header(c.stream, c.buffer, parser, asio::redirect_error(asio::use_awaitable, ec));
+    const auto limits = m_limits.load();
+    const auto deadline = Clock::now() + limits->headerTimeout;
+    Parser parser;
+    parser.header_limit(static_cast<uint32_t>(limits->headerBytes));
+    parser.body_limit(limits->bodyBytes);
+    auto ec = co_await readPart(c, parser, Part::Head, deadline);
     if (!ec) {
         if (const char *why = headViolation(parser)) {
             co_await rejectMessage(c, bhttp::status::bad_request, why);
             co_return false;
         }
         if (boost::beast::iequals(parser.get()[bhttp::field::expect], "100-continue")) {
+            c.stream.expires_at(deadline);
             co_await asio::async_write(c.stream, asio::buffer(continueHead), asio::redirect_error(asio::use_awaitable, ec));
+            c.stream.expires_never();
         }
     }
     if (!ec) {
-        co_await bhttp::async_read(c.stream, c.buffer, parser, asio::redirect_error(asio::use_awaitable, ec));
+        ec = co_await readPart(c, parser, Part::Message, deadline);
     }
     if (!ec) {
         out = parser.release();
@@ -178,8 +223,7 @@
 }
 
 // Responds to an invalid message. The connection must then be closed, as the end of
-// the message is unknown. Reads and ignores further bytes for a limited time: closing
-// a socket with unread bytes sends a reset, which may destroy the response.
+// the message is unknown.
 Task<void> Server::rejectMessage(Connection &c, bhttp::status status, const char *why)
 {
     bhttp::response<bhttp::string_body> res{status, 11};
@@ -188,12 +232,11 @@
     res.body() = why;
     res.prepare_payload();
     boost::system::error_code ec;
-    c.stream.expires_after(rejectDrainTimeout);
+    c.stream.expires_after(rejectWriteTimeout);
     co_await bhttp::async_write(c.stream, res, asio::redirect_error(asio::use_awaitable, ec));
-    c.stream.socket().shutdown(tcp::socket::shutdown_send, ec);
-    std::array<char, readBufferBytes> ignored;
-    for (std::size_t n = 0; !ec && n < maxRejectDrainBytes;) {
-        n += co_await c.stream.async_read_some(asio::buffer(ignored), asio::redirect_error(asio::use_awaitable, ec));
+    c.stream.expires_never();
+    if (!ec) {
+        co_await c.closeGracefully();
     }
 }
 
@@ -202,16 +245,15 @@
 {
     Request request;
     for (;;) {
-        c->idle = true;
-        if (m_stopping) {
+        const bool arrived = co_await awaitRequest(*c);
+        if (!arrived) {
             break;
         }
-        const bool more = co_await readRequest(*c, request);
-        if (!more) {
+        const bool read = co_await readRequest(*c, request);
+        if (!read) {
             break;
         }
         const bool keepOpen = co_await handleRequest(c, request);
-        --m_inflight;
         if (!keepOpen) {
             break;
         }
@@ -219,13 +261,13 @@
     boost::system::error_code ec;
     c->stream.socket().shutdown(tcp::socket::shutdown_send, ec);
     c->stream.close();
+    c->inflight.reset();
 }
 
 // Runs the handler for one request and watches for a disconnect of the caller.
 // Returns true if the connection may carry another request.
 Task<bool> Server::handleRequest(ConnectionPtr c, const Request &request)
 {
-    c->stream.expires_never();
     const bool keepAlive = request.keep_alive() && !m_stopping && !m_closeAfterResponse;
     Exchange exchange(c->stream, request, keepAlive, m_limits.load()->writeTimeout);
     auto exchangeRef = std::make_shared<Exchange *>(&exchange);
@@ -254,8 +296,11 @@
     socket.async_wait(tcp::socket::wait_read, [c, exchange](const boost::system::error_code &ec) {
         if (*exchange && ec) {
             (*exchange)->markCallerDisconnected();
-        } else if (*exchange) {
-            (*exchange)->pollCallerDisconnected();
+            return;
+        }
+        boost::system::error_code available;
+        if (*exchange && !(*exchange)->pollCallerDisconnected() && c->stream.socket().available(available) == 0) {
+            watchForDisconnect(c, exchange); // an event of bytes that were read before
         }
     });
 }
@@ -280,10 +325,10 @@
 Task<bool> Server::waitIdle(Millis grace)
 {
     const auto deadline = Clock::now() + grace;
-    while (m_inflight > 0 && Clock::now() < deadline) {
+    while (*m_inflight > 0 && Clock::now() < deadline) {
         co_await sleepFor(idlePollInterval);
     }
-    co_return m_inflight == 0;
+    co_return *m_inflight == 0;
 }
 
 } // namespace yucca::http
--- a/src/http_server.h
+++ b/src/http_server.h
@@ -2,12 +2,13 @@
 // event loop of one traffic thread.
 #pragma once
 
+#include "http_connection.h"
 #include "http_exchange.h"
 
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 
 #include <atomic>
+#include <exception>
 #include <functional>
 #include <memory>
 #include <mutex>
@@ -39,7 +40,8 @@
 
     /// Binds and starts accepting. Returns the port, or an error: 400 for an invalid address, 503 if the server cannot listen on it.
     Result<uint16_t> start();
-    /// Replaces the limits; open connections use them from their next request on.
+    /// Replaces the limits; open connections use them from their next request on. A longer idle timeout also
+    /// holds for connections that are idle.
     void setLimits(const ServerLimits &limits);
     /// From now on each response asks the caller to close its connection.
     /// Requests are still accepted until stopAccepting().
@@ -54,25 +56,16 @@
     /// Number of requests being read or handled.
     int64_t inflight() const
     {
-        return m_inflight.load();
+        return m_inflight->load();
     }
 
 private:
-    struct Connection {
-        explicit Connection(tcp::socket socket)
-            : stream(std::move(socket))
-        {
-        }
-        boost::beast::tcp_stream stream;
-        boost::beast::flat_buffer buffer;
-        bool idle = true; ///< waiting for a request; stopAccepting() closes the connection
-    };
-    using ConnectionPtr = std::shared_ptr<Connection>;
-
     Task<void> acceptLoop();
+    void open(tcp::socket socket, const tcp::endpoint &peer);
+    asio::io_context &nextLoop();
     Task<void> serve(ConnectionPtr connection);
+    Task<bool> awaitRequest(Connection &c);
     Task<bool> readRequest(Connection &c, Request &out);
-    Task<bool> readMessage(Connection &c, const ServerLimits &limits, Request &out);
     Task<void> rejectMessage(Connection &c, bhttp::status status, const char *why);
     Task<bool> handleRequest(ConnectionPtr c, const Request &request);
     static void watchForDisconnect(ConnectionPtr c, std::shared_ptr<Exchange *> exchange);
@@ -83,9 +76,10 @@
     Handler m_handler;
     std::atomic<std::shared_ptr<const ServerLimits>> m_limits;
     tcp::acceptor m_acceptor;
+    std::size_t m_acceptedConnections = 0;
     std::atomic<bool> m_closeAfterResponse{false};
     std::atomic<bool> m_stopping{false};
-    std::atomic<int64_t> m_inflight{0};
+    InflightCount::Counter m_inflight = std::make_shared<std::atomic<int64_t>>(0);
     std::mutex m_mutex;
     std::set<ConnectionPtr> m_connections;
 };
--- /dev/null
+++ b/tests/test_server_endings.cpp
@@ -0,0 +1,157 @@
+// A request that the server has read ends with a whole response, a refusal, or a connection that does not look complete,
+// and with a log line where the server is the cause.
+#include "raw_caller.h"
+
+#include "loop_group.h"
+
+using namespace yucca;
+using namespace yucca::fixture;
+using http::tcp;
+
+namespace
+{
+
+const std::string get = "GET /a HTTP/1.1\r\nHost: a\r\n\r\n";
+const std::string halfOfAPost = "POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nab";
+const std::string ok200 = "HTTP/1.1 200 OK\r\n";
+
+struct AnsweringServer {
+    explicit AnsweringServer(Loop &loop, http::ServerLimits limits = {})
+        : server(
+            {&loop.io}, "127.0.0.1", 0,
+            [this](http::Exchange &ex) -> Task<void> {
+                ++handled;
+                co_await ex.reply(200, ex.request().body());
+            },
+            limits)
+        , port(std::get<uint16_t>(server.start()))
+    {
+    }
+    int handled = 0;
+    http::Server server;
+    uint16_t port;
+};
+
+bool noneInFlight(Loop &loop, const http::Server &server)
+{
+    return runUntilOrFor(loop, [&] {
+        return server.inflight() == 0;
+    });
+}
+
+http::ServerLimits withIdleTimeout(Millis idleTimeout)
+{
+    http::ServerLimits limits;
+    limits.idleTimeout = idleTimeout;
+    return limits;
+}
+
+http::ServerLimits withHeaderTimeout(Millis headerTimeout)
+{
+    http::ServerLimits limits;
+    limits.headerTimeout = headerTimeout;
+    return limits;
+}
+
+} // namespace
+
+LOOP_GROUP(RequestsAtTimeouts);
+
+// The second request of a connection is read while a wait for the end of the first one's caller is still pending.
+TEST(RequestsAtTimeouts, RequestThatArrivedWhileTheLoopStalledPastTheIdleTimeoutIsAnswered)
+{
+    AnsweringServer server(loop(), withIdleTimeout(Millis(100)));
+    RawCaller caller(loop(), server.port);
+    caller.send(get);
+    CHECK(caller.runUntilReceived(ok200));
+    asio::post(loop().io, [&] {
+        caller.send(get);
+        std::this_thread::sleep_for(Millis(200));
+    });
+    CHECK(caller.runUntilReceived(ok200, 2));
+    LONGS_EQUAL(2, server.handled);
+}
+
+TEST(RequestsAtTimeouts, RequestThatArrivesAfterTheIdleTimerExpiredAndBeforeItsHandlerRunsIsAnswered)
+{
+    AnsweringServer server(loop(), withIdleTimeout(Millis(100)));
+    RawCaller caller(loop(), server.port);
+    caller.send(get);
+    CHECK(caller.runUntilReceived(ok200));
+    stallThen(loop(), Millis(200), [&] {
+        caller.send(get);
+    });
+    CHECK(caller.runUntilReceived(ok200, 2));
+}
+
+TEST(RequestsAtTimeouts, IdleConnectionIsClosedAtTheIdleTimeout)
+{
+    AnsweringServer server(loop(), withIdleTimeout(Millis(50)));
+    RawCaller caller(loop(), server.port);
+    caller.send(get);
+    CHECK(caller.runUntilEnd());
+    CHECK(caller.count(ok200) == 1);
+}
+
+TEST(RequestsAtTimeouts, RaisedIdleTimeoutHoldsForConnectionsThatAreIdle)
+{
+    AnsweringServer server(loop(), withIdleTimeout(Millis(100)));
+    RawCaller caller(loop(), server.port);
+    caller.send(get);
+    CHECK(caller.runUntilReceived(ok200));
+    server.server.setLimits({});
+    CHECK(!caller.runUntilEnd(Millis(200)));
+    caller.send(get);
+    CHECK(caller.runUntilReceived(ok200, 2));
+}
+
+TEST(RequestsAtTimeouts, SlowRequestIsRefusedWith408)
+{
+    AnsweringServer server(loop(), withHeaderTimeout(Millis(50)));
+    RawCaller caller(loop(), server.port);
+    caller.send(halfOfAPost);
+    CHECK(caller.runUntilEnd());
+    CHECK(caller.count("HTTP/1.1 408 ") == 1);
+    LONGS_EQUAL(0, server.handled);
+    CHECK(noneInFlight(loop(), server.server));
+}
+
+TEST(RequestsAtTimeouts, RestOfARequestThatArrivedWhileTheLoopStalledPastTheHeaderTimeoutIsRead)
+{
+    AnsweringServer server(loop(), withHeaderTimeout(Millis(150)));
+    RawCaller caller(loop(), server.port);
+    caller.send(halfOfAPost);
+    runUntilOrFor(
+        loop(),
+        [] {
+            return false; // until the server waits for the rest
+        },
+        Millis(50));
+    stallThen(loop(), Millis(300), [&] {
+        caller.send("cd");
+    });
+    CHECK(caller.runUntilReceived("abcd"));
+    CHECK(caller.count(ok200) == 1);
+}
+
+LOOP_GROUP(ConnectionEnds);
+
+TEST(ConnectionEnds, CallerThatHasClosedItsSendingSideGetsTheResponse)
+{
+    Signal release;
+    int handled = 0;
+    FakeEndpoint server(loop(), [&](http::Exchange &ex) -> Task<void> {
+        ++handled;
+        co_await release.wait();
+        co_await ex.reply(200, "whole");
+    });
+    RawCaller caller(loop(), server.port);
+    caller.send(get);
+    caller.socket().shutdown(tcp::socket::shutdown_send);
+    runUntilOrFor(loop(), [&] {
+        return handled == 1;
+    });
+    release.fire();
+    CHECK(caller.runUntilEnd());
+    CHECK(caller.count("whole") == 1);
+}
