A stop of the HTTP server answers the requests that have arrived

What callers saw: at a planned stop, a request that had arrived on an idle connection, was pipelined behind one in flight, or was sent on a connection not yet accepted, ended with a closed connection and no answer. If its read was complete and only the completion was queued, the handler ran it and its response went to a closed socket.

Cause: stopAccepting() closed each connection marked as idle and the acceptor without a look at what had arrived, and the loop over a connection's requests ended at a stop although the response before had not closed the connection. A wait for the requests in flight could end before any of them was counted.

Change: a stop interrupts the wait of an idle connection; it is closed if nothing has arrived. The acceptor takes the pending connections before it is closed. Each step of a stop counts as in flight until it has run, and a connection stays counted until nothing more has arrived on it.

Evidence: these tests of RequestsAtAStop failed on the code before: RequestThatArrivedOnAnIdleConnectionIsAnsweredAndItsConnectionClosed, RequestThatIsReadBeforeTheStopReachesItsConnectionIsAnswered, PipelinedRequestBehindOneInFlightIsAnswered, RequestOnAConnectionThatWasNotYetAcceptedIsAnswered, ReceivedRequestCountsAsInFlightUntilItIsAnswered. All pass now. IdleConnectionsAreClosedAtOnce passed before and after. PipelinedRequestBehindAResponseThatClosesTheConnectionIsNotHandled was not run on the code before.

--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -127,6 +127,21 @@
     }
 }
 
+// Accepts the connections whose callers have connected already, without waiting.
+void Server::acceptPending()
+{
+    boost::system::error_code ec;
+    m_acceptor.non_blocking(true, ec);
+    while (!ec) {
+        tcp::endpoint peer;
+        tcp::socket socket(nextLoop());
+        m_acceptor.accept(socket, peer, ec);
+        if (!ec) {
+            open(std::move(socket), peer);
+        }
+    }
+}
+
 // Distributes the connections over the event loops.
 asio::io_context &Server::nextLoop()
 {
@@ -142,6 +157,9 @@
     {
         std::lock_guard lock(m_mutex);
         m_connections.insert(connection);
+        if (m_stopping) {
+            connection->inflight.emplace(m_inflight); // until it is known whether a request has arrived
+        }
     }
     asio::co_spawn(executor, serve(connection), [this, connection](std::exception_ptr) {
         std::lock_guard lock(m_mutex);
@@ -307,16 +325,23 @@
 
 void Server::stopAccepting()
 {
+    // Each posted function counts as in flight, so that no wait for the requests in flight ends before the
+    // requests that have arrived are counted themselves.
     m_stopping = true;
-    asio::post(m_acceptor.get_executor(), [this] {
+    asio::post(m_acceptor.get_executor(), [this, count = InflightCount(m_inflight)]() mutable {
+        acceptPending();
         boost::system::error_code ec;
         m_acceptor.close(ec);
+        asio::post(m_acceptor.get_executor(), [count = std::move(count)] {}); // a connection accepted before may be queued for acceptLoop()
     });
     std::lock_guard lock(m_mutex);
     for (const auto &c : m_connections) {
-        asio::post(c->stream.get_executor(), [c] {
+        asio::post(c->stream.get_executor(), [c, count = InflightCount(m_inflight)]() mutable {
+            if (!c->inflight) {
+                c->inflight.emplace(std::move(count));
+            }
             if (c->idle) {
-                c->stream.close();
+                c->interruptWait();
             }
         });
     }
--- a/src/http_server.h
+++ b/src/http_server.h
@@ -49,7 +49,8 @@
     {
         m_closeAfterResponse = true;
     }
-    /// Stops accepting connections and closes idle ones; requests in flight continue.
+    /// Stops accepting connections and closes idle ones. Requests that have arrived, also on connections that
+    /// were not accepted yet, are handled; they count as in flight from this call on.
     void stopAccepting();
     /// Waits until no request is in flight or the grace period has passed. Returns true if none is left.
     Task<bool> waitIdle(Millis grace);
@@ -61,6 +62,7 @@
 
 private:
     Task<void> acceptLoop();
+    void acceptPending();
     void open(tcp::socket socket, const tcp::endpoint &peer);
     asio::io_context &nextLoop();
     Task<void> serve(ConnectionPtr connection);
--- a/tests/test_server_endings.cpp
+++ b/tests/test_server_endings.cpp
@@ -2,6 +2,9 @@
 // and with a log line where the server is the cause.
 #include "raw_caller.h"
 
+#include <boost/asio/local/connect_pair.hpp>
+#include <boost/asio/local/stream_protocol.hpp>
+
 #include "loop_group.h"
 
 using namespace yucca;
@@ -134,6 +137,113 @@
     CHECK(caller.count(ok200) == 1);
 }
 
+LOOP_GROUP(RequestsAtAStop);
+
+TEST(RequestsAtAStop, RequestThatArrivedOnAnIdleConnectionIsAnsweredAndItsConnectionClosed)
+{
+    AnsweringServer server(loop());
+    RawCaller caller(loop(), server.port);
+    caller.send(get);
+    CHECK(caller.runUntilReceived(ok200));
+    caller.send(get);
+    server.server.stopAccepting();
+    CHECK(caller.runUntilEnd());
+    CHECK(caller.count(ok200) == 2);
+    CHECK(caller.count("Connection: close") == 1);
+}
+
+TEST(RequestsAtAStop, RequestThatIsReadBeforeTheStopReachesItsConnectionIsAnswered)
+{
+    AnsweringServer server(loop());
+    RawCaller caller(loop(), server.port);
+    caller.send(get);
+    CHECK(caller.runUntilReceived(ok200));
+    asio::local::stream_protocol::socket stop(loop().io);
+    asio::local::stream_protocol::socket stopper(loop().io);
+    asio::local::connect_pair(stop, stopper);
+    stop.async_wait(asio::socket_base::wait_read, [&](const boost::system::error_code &) {
+        server.server.stopAccepting();
+    });
+    asio::write(stopper, asio::buffer("s", 1)); // becomes ready first
+    caller.send(get);
+    CHECK(caller.runUntilEnd());
+    CHECK(caller.count(ok200) == 2);
+}
+
+TEST(RequestsAtAStop, PipelinedRequestBehindOneInFlightIsAnswered)
+{
+    Signal release;
+    int handled = 0;
+    FakeEndpoint server(loop(), [&](http::Exchange &ex) -> Task<void> {
+        ++handled;
+        co_await release.wait();
+        co_await ex.reply(200, "");
+    });
+    RawCaller caller(loop(), server.port);
+    caller.send(get + get);
+    runUntilOrFor(loop(), [&] {
+        return handled == 1;
+    });
+    server.server.stopAccepting();
+    release.fire();
+    CHECK(caller.runUntilEnd());
+    CHECK(caller.count(ok200) == 2);
+    CHECK(caller.count("Connection: close") == 1);
+}
+
+TEST(RequestsAtAStop, PipelinedRequestBehindAResponseThatClosesTheConnectionIsNotHandled)
+{
+    AnsweringServer server(loop());
+    server.server.closeConnectionsAfterResponses();
+    RawCaller caller(loop(), server.port);
+    caller.send(get + get);
+    CHECK(caller.runUntilEnd());
+    CHECK(caller.count(ok200) == 1);
+    CHECK(caller.count("Connection: close") == 1);
+    LONGS_EQUAL(1, server.handled);
+}
+
+TEST(RequestsAtAStop, RequestOnAConnectionThatWasNotYetAcceptedIsAnswered)
+{
+    AnsweringServer server(loop());
+    RawCaller caller(loop(), server.port);
+    RawCaller another(loop(), server.port);
+    caller.send(get);
+    another.send(get);
+    server.server.stopAccepting();
+    CHECK(caller.runUntilEnd());
+    CHECK(another.runUntilEnd());
+    CHECK(caller.count(ok200) == 1);
+    CHECK(another.count(ok200) == 1);
+}
+
+TEST(RequestsAtAStop, ReceivedRequestCountsAsInFlightUntilItIsAnswered)
+{
+    AnsweringServer server(loop());
+    RawCaller caller(loop(), server.port);
+    caller.send(get);
+    CHECK(caller.runUntilReceived(ok200));
+    LONGS_EQUAL(0, server.server.inflight());
+    caller.send(get);
+    server.server.stopAccepting();
+    CHECK(server.server.inflight() > 0);
+    CHECK(loop().run(server.server.waitIdle(waitLimit)));
+    LONGS_EQUAL(2, server.handled);
+}
+
+TEST(RequestsAtAStop, IdleConnectionsAreClosedAtOnce)
+{
+    AnsweringServer server(loop());
+    RawCaller caller(loop(), server.port);
+    RawCaller silent(loop(), server.port);
+    caller.send(get);
+    CHECK(caller.runUntilReceived(ok200));
+    server.server.stopAccepting();
+    CHECK(caller.runUntilEnd());
+    CHECK(silent.runUntilEnd());
+    LONGS_EQUAL(0, server.server.inflight());
+}
+
 LOOP_GROUP(ConnectionEnds);
 
 TEST(ConnectionEnds, CallerThatHasClosedItsSendingSideGetsTheResponse)
