A header field that the HTTP parser cannot store gets a 431

What callers saw: with a limit on heads above 64 KiB, one request with a header field of 64 KiB ended the process, and with it all requests.

Cause: Beast throws std::length_error for such a field, inside its read operation and therefore out of the event loop.

Evidence: HeaderFieldThatTheParserCannotStoreGives431 ended the test program with an uncaught exception on the code before; it passes now.

--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -3,6 +3,8 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 
+#include <stdexcept>
+
 namespace yucca::http
 {
 
@@ -46,10 +48,14 @@
 // Parses what has arrived; sets ec to would_block if more is needed.
 void parseAvailable(Connection &c, Parser &parser, Part part, boost::system::error_code &ec)
 {
-    if (part == Part::Head) {
-        bhttp::read_header(c.stream.socket(), c.buffer, parser, ec);
-    } else {
-        bhttp::read(c.stream.socket(), c.buffer, parser, ec);
+    try {
+        if (part == Part::Head) {
+            bhttp::read_header(c.stream.socket(), c.buffer, parser, ec);
+        } else {
+            bhttp::read(c.stream.socket(), c.buffer, parser, ec);
+        }
+    } catch (const std::length_error &) {
+        ec = bhttp::error::header_limit; // Beast cannot store header fields of 64 KiB or more
     }
 }
 
--- a/tests/test_server_endings.cpp
+++ b/tests/test_server_endings.cpp
@@ -246,6 +246,19 @@
 
 LOOP_GROUP(ConnectionEnds);
 
+// Beast throws for a header field of 64 KiB or more.
+TEST(ConnectionEnds, HeaderFieldThatTheParserCannotStoreGives431)
+{
+    http::ServerLimits limits;
+    limits.headerBytes = 256 * 1024;
+    AnsweringServer server(loop(), limits);
+    RawCaller caller(loop(), server.port);
+    caller.send("GET /a HTTP/1.1\r\nHost: a\r\nX: " + std::string(70000, 'x') + "\r\n\r\n");
+    CHECK(caller.runUntilEnd());
+    CHECK(caller.count("HTTP/1.1 431 ") == 1);
+    CHECK(noneInFlight(loop(), server.server));
+}
+
 TEST(ConnectionEnds, CallerThatHasClosedItsSendingSideGetsTheResponse)
 {
     Signal release;
