The HTTP server's last response on a connection is not lost to a reset

What callers saw: a response with "Connection: close" was cut off in the middle if the caller had sent bytes after its request.

Cause: a socket that is closed with unread bytes is reset, which discards the part of the response that the caller has not received yet.

Change: after the last response the server ends its sending side, and reads and ignores bytes until the caller closes, for half a second at most, as it did already after a rejected message.

--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -308,6 +308,9 @@
     }
     if (!exchange.answered() || exchange.callerDisconnected()) {
         c->stream.close();
+    } else if (!keepAlive) {
+        c->inflight.reset();
+        co_await c->closeGracefully();
     }
     co_return keepAlive && c->stream.socket().is_open();
 }
--- a/tests/test_server_endings.cpp
+++ b/tests/test_server_endings.cpp
@@ -259,6 +259,27 @@
     CHECK(noneInFlight(loop(), server.server));
 }
 
+TEST(ConnectionEnds, LastResponseIsWholeThoughBytesFollowTheRequest)
+{
+    const std::string body(200 * 1024, 'x');
+    FakeEndpoint server(loop(), [&](http::Exchange &ex) {
+        return ex.reply(200, body);
+    });
+    RawCaller caller(loop(), server.port);
+    caller.socket().set_option(asio::socket_base::receive_buffer_size(32 * 1024));
+    caller.send("GET /a HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n" + std::string(16 * 1024, '\n'));
+    runUntilOrFor(
+        loop(),
+        [] {
+            return false;
+        },
+        Millis(100));
+    CHECK(caller.runUntilEnd());
+    const auto headEnd = caller.received().find("\r\n\r\n");
+    CHECK(headEnd != std::string::npos);
+    LONGS_EQUAL(body.size(), caller.received().size() - headEnd - 4);
+}
+
 TEST(ConnectionEnds, CallerThatHasClosedItsSendingSideGetsTheResponse)
 {
     Signal release;
