Failures of HTTP request handlers are logged, and never leave a response open

What callers saw: after an exception in a handler that had begun a response, a stream without an end on an open connection; after one that is no std::exception, an open connection without any answer; after a return without a response, a closed connection. None left a log line.

Cause: only std::exception was caught, and without a log line; nothing checked whether the response was complete. The callback for a disconnect, which refers to variables of the handler, stayed set after it had ended.

Change: HandlerFailed (2057) with peer, path and reason. A caller without a response gets a 500; a response that has begun is cut off. Exchange tells a complete response from one that was begun, aborted or detached. ServerCounters counts handler failures, truncated responses, aborts by handlers, callers that left, and rejected messages.

The tests of the counters are new with them.

--- a/src/http_exchange.cpp
+++ b/src/http_exchange.cpp
@@ -102,6 +102,7 @@
     boost::system::error_code ec;
     m_stream.expires_after(m_writeTimeout);
     co_await bhttp::async_write(m_stream, res, asio::redirect_error(asio::use_awaitable, ec));
+    m_complete = !ec;
     finishWrite(ec);
 }
 
@@ -141,12 +142,13 @@
     boost::system::error_code ec;
     m_stream.expires_after(m_writeTimeout);
     co_await asio::async_write(m_stream, bhttp::make_chunk_last(), asio::redirect_error(asio::use_awaitable, ec));
+    m_complete = !ec;
     finishWrite(ec);
 }
 
 int Exchange::detach()
 {
-    m_answered = true;
+    m_detached = true;
     m_callerDisconnected = true;
     boost::system::error_code ec;
     auto socket = m_stream.release_socket();
@@ -156,7 +158,7 @@
 
 void Exchange::abort()
 {
-    m_answered = true;
+    m_aborted = true;
     m_callerDisconnected = true;
     boost::system::error_code ec;
     m_stream.socket().shutdown(tcp::socket::shutdown_both, ec);
--- a/src/http_exchange.h
+++ b/src/http_exchange.h
@@ -55,7 +55,22 @@
     {
         return m_answered;
     }
-    /// True if the caller has disconnected or abort() was called.
+    /// True once a response was passed to the connection as a whole.
+    bool complete() const
+    {
+        return m_complete;
+    }
+    /// True if the handler called abort().
+    bool aborted() const
+    {
+        return m_aborted;
+    }
+    /// True if the handler called detach().
+    bool detached() const
+    {
+        return m_detached;
+    }
+    /// True if the caller has disconnected, or abort() or detach() was called.
     bool callerDisconnected() const
     {
         return m_callerDisconnected;
@@ -79,6 +94,9 @@
     bool m_keepAlive;
     Millis m_writeTimeout;
     bool m_answered = false;
+    bool m_complete = false;
+    bool m_aborted = false;
+    bool m_detached = false;
     bool m_callerDisconnected = false;
 };
 
--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -1,5 +1,7 @@
 #include "http_server.h"
 
+#include "log.h"
+
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 
@@ -14,6 +16,7 @@
 constexpr Millis idlePollInterval{10}; ///< at which waitIdle() checks for requests in flight
 constexpr Millis acceptRetryDelay{20}; ///< after a failed accept, likely for want of file descriptors
 constexpr Millis rejectWriteTimeout{500}; ///< for the response to an invalid message
+constexpr std::size_t maxLoggedBytes = 200; ///< of a path or a reason: longer log lines may be dropped
 constexpr std::string_view continueHead = "HTTP/1.1 100 Continue\r\n\r\n";
 
 // Returns why a parsed request head must be rejected, or null. Beast's parser
@@ -76,6 +79,18 @@
     }
 }
 
+std::string describe(const std::exception_ptr &failure)
+{
+    try {
+        std::rethrow_exception(failure);
+    } catch (const std::exception &e) {
+        const std::string_view what = e.what();
+        return what.empty() ? "an exception without a text" : std::string(what);
+    } catch (...) {
+        return "an exception of an unknown type";
+    }
+}
+
 } // namespace
 
 Server::Server(std::vector<asio::io_context *> loops, std::string host, uint16_t port, Handler handler, ServerLimits limits)
@@ -250,6 +265,7 @@
 // the message is unknown.
 Task<void> Server::rejectMessage(Connection &c, bhttp::status status, const char *why)
 {
+    ++m_counters.rejectedMessages;
     bhttp::response<bhttp::string_body> res{status, 11};
     res.set(bhttp::field::content_type, "text/plain");
     res.keep_alive(false);
@@ -296,17 +312,31 @@
     Exchange exchange(c->stream, request, keepAlive, m_limits.load()->writeTimeout);
     auto exchangeRef = std::make_shared<Exchange *>(&exchange);
     watchForDisconnect(c, exchangeRef);
-    bool failed = false;
+    std::string failure;
     try {
         co_await m_handler(exchange);
-    } catch (const std::exception &) {
-        failed = true;
+        if (!exchange.complete() && !exchange.callerDisconnected()) {
+            failure = exchange.answered() ? "returned before the end of its response" : "returned without a response";
+        }
+    } catch (...) {
+        failure = describe(std::current_exception());
     }
     *exchangeRef = nullptr;
-    if (failed && !exchange.answered()) {
+    exchange.onCallerDisconnect({}); // it may refer to the handler's variables
+    if (!failure.empty()) {
+        ++m_counters.handlerFailures;
+        const auto path = exchange.path();
+        log::Line{log::Event::HandlerFailed}
+            .add("peer", c->peerName())
+            .add("path", std::string_view(path).substr(0, maxLoggedBytes))
+            .add("why", std::string_view(failure).substr(0, maxLoggedBytes))
+            .add("answered", exchange.answered());
+    }
+    if (!exchange.answered() && !exchange.callerDisconnected()) {
         co_await exchange.reply(500, R"({"error":{"message":"internal error","type":"internal"}})");
     }
-    if (!exchange.answered() || exchange.callerDisconnected()) {
+    recordEnd(exchange);
+    if (!exchange.complete() || exchange.callerDisconnected()) {
         c->stream.close();
     } else if (!keepAlive) {
         c->inflight.reset();
@@ -315,6 +345,21 @@
     co_return keepAlive && c->stream.socket().is_open();
 }
 
+// Counts how a request ended, unless its response is complete.
+void Server::recordEnd(const Exchange &exchange)
+{
+    if (exchange.complete() || exchange.detached()) {
+        return;
+    }
+    if (exchange.aborted()) {
+        ++m_counters.aborted;
+    } else if (exchange.callerDisconnected()) {
+        ++m_counters.callersGone;
+    } else {
+        ++m_counters.truncated;
+    }
+}
+
 // Marks the exchange when its caller closes the connection. Ends silently when
 // bytes arrive, as they belong to the next, pipelined request.
 void Server::watchForDisconnect(ConnectionPtr c, std::shared_ptr<Exchange *> exchange)
--- a/src/http_server.h
+++ b/src/http_server.h
@@ -17,7 +17,9 @@
 namespace yucca::http
 {
 
-/// Handles one request; must respond through the Exchange. An exception before that becomes a 500 response.
+/// Handles one request; must respond through the Exchange, abort() or detach() it, unless the caller has
+/// disconnected. If it does not, or throws, a caller without a response gets a 500, and a response that has
+/// begun is cut off so that it does not look complete.
 using Handler = std::function<Task<void>(Exchange &)>;
 
 /// Limits on the size and duration of callers' requests.
@@ -30,6 +32,15 @@
     bool operator==(const ServerLimits &) const = default;
 };
 
+/// How requests that were read whole ended other than with a whole response, and what failed, since the start.
+struct ServerCounters {
+    std::atomic<uint64_t> handlerFailures{0}; ///< handlers that threw, or returned without a whole response
+    std::atomic<uint64_t> truncated{0}; ///< a response was begun and not completed, by a failure
+    std::atomic<uint64_t> aborted{0}; ///< the handler called Exchange::abort()
+    std::atomic<uint64_t> callersGone{0}; ///< the caller disconnected before its response was complete
+    std::atomic<uint64_t> rejectedMessages{0}; ///< messages that were not passed to the handler: 400, 408, 413 and 431
+};
+
 /// Accepts connections and runs the handler for each request. Counts the
 /// requests in flight so that a graceful stop can wait for them.
 class Server
@@ -59,6 +70,10 @@
     {
         return m_inflight->load();
     }
+    const ServerCounters &counters() const
+    {
+        return m_counters;
+    }
 
 private:
     Task<void> acceptLoop();
@@ -70,6 +85,7 @@
     Task<bool> readRequest(Connection &c, Request &out);
     Task<void> rejectMessage(Connection &c, bhttp::status status, const char *why);
     Task<bool> handleRequest(ConnectionPtr c, const Request &request);
+    void recordEnd(const Exchange &exchange);
     static void watchForDisconnect(ConnectionPtr c, std::shared_ptr<Exchange *> exchange);
 
     std::vector<asio::io_context *> m_loops;
@@ -82,6 +98,7 @@
     std::atomic<bool> m_closeAfterResponse{false};
     std::atomic<bool> m_stopping{false};
     InflightCount::Counter m_inflight = std::make_shared<std::atomic<int64_t>>(0);
+    ServerCounters m_counters;
     std::mutex m_mutex;
     std::set<ConnectionPtr> m_connections;
 };
--- a/src/log.cpp
+++ b/src/log.cpp
@@ -21,7 +21,7 @@
 namespace
 {
 
-constexpr std::array<EventInfo, 53> catalogue{{
+constexpr std::array<EventInfo, 54> catalogue{{
     {Event::ProgramStarted, "ProgramStarted", Level::Info},
     {Event::StopRequested, "StopRequested", Level::Info},
     {Event::ProgramStopped, "ProgramStopped", Level::Info},
@@ -68,6 +68,7 @@
     {Event::RelayRefused, "RelayRefused", Level::Warn},
     {Event::StreamRefused, "StreamRefused", Level::Info},
     {Event::RequestWithheld, "RequestWithheld", Level::Info},
+    {Event::HandlerFailed, "HandlerFailed", Level::Error},
     {Event::OrderAccepted, "OrderAccepted", Level::Info},
     {Event::OrderRefused, "OrderRefused", Level::Warn},
     {Event::Draining, "Draining", Level::Info},
--- a/src/log.h
+++ b/src/log.h
@@ -57,6 +57,7 @@
     RelayRefused = 2054,
     StreamRefused = 2055,
     RequestWithheld = 2056,
+    HandlerFailed = 2057,
     OrderAccepted = 3001,
     OrderRefused = 3002,
     Draining = 3003,
--- a/tests/test_server_endings.cpp
+++ b/tests/test_server_endings.cpp
@@ -1,5 +1,6 @@
 // A request that the server has read ends with a whole response, a refusal, or a connection that does not look complete,
 // and with a log line where the server is the cause.
+#include "log_capture.h"
 #include "raw_caller.h"
 
 #include <boost/asio/local/connect_pair.hpp>
@@ -17,6 +18,7 @@
 const std::string get = "GET /a HTTP/1.1\r\nHost: a\r\n\r\n";
 const std::string halfOfAPost = "POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nab";
 const std::string ok200 = "HTTP/1.1 200 OK\r\n";
+const std::string lastChunk = "0\r\n\r\n";
 
 struct AnsweringServer {
     explicit AnsweringServer(Loop &loop, http::ServerLimits limits = {})
@@ -58,6 +60,167 @@
 
 } // namespace
 
+LOOP_GROUP(HandlerFailures);
+
+TEST(HandlerFailures, ExceptionBeforeTheResponseGives500AndALogLine)
+{
+    LogCapture log;
+    FakeEndpoint server(loop(), [](http::Exchange &) -> Task<void> {
+        throw std::runtime_error("no such workspace");
+        co_return;
+    });
+    RawCaller caller(loop(), server.port);
+    caller.send(get);
+    CHECK(caller.runUntilReceived("internal error"));
+    CHECK(caller.count("HTTP/1.1 500 ") == 1);
+    const auto line = log.line("HandlerFailed");
+    CHECK(line.find("no such workspace") != std::string::npos);
+    CHECK(line.find("/a") != std::string::npos);
+    CHECK(line.find("127.0.0.1:") != std::string::npos);
+    LONGS_EQUAL(1, server.server.counters().handlerFailures.load());
+}
+
+TEST(HandlerFailures, ExceptionOfAnotherTypeGives500)
+{
+    LogCapture log;
+    FakeEndpoint server(loop(), [](http::Exchange &) -> Task<void> {
+        throw 7;
+        co_return;
+    });
+    RawCaller caller(loop(), server.port);
+    caller.send(get);
+    CHECK(caller.runUntilReceived("HTTP/1.1 500 "));
+    CHECK(!log.line("HandlerFailed").empty());
+    LONGS_EQUAL(0, server.server.inflight());
+}
+
+TEST(HandlerFailures, HandlerWithoutAResponseGives500)
+{
+    LogCapture log;
+    FakeEndpoint server(loop(), [](http::Exchange &) -> Task<void> {
+        co_return;
+    });
+    RawCaller caller(loop(), server.port);
+    caller.send(get);
+    CHECK(caller.runUntilReceived("HTTP/1.1 500 "));
+    CHECK(!log.line("HandlerFailed").empty());
+}
+
+TEST(HandlerFailures, ExceptionInAStreamEndsTheConnectionWithoutTheEndOfTheStream)
+{
+    LogCapture log;
+    FakeEndpoint server(loop(), [](http::Exchange &ex) -> Task<void> {
+        co_await ex.beginStream(200, "text/event-stream");
+        co_await ex.sendChunk("event 1");
+        throw std::runtime_error("no such service");
+    });
+    RawCaller caller(loop(), server.port);
+    caller.send(get);
+    CHECK(caller.runUntilEnd());
+    CHECK(caller.count("event 1") == 1);
+    CHECK(caller.count(lastChunk) == 0);
+    CHECK(log.line("HandlerFailed").find("no such service") != std::string::npos);
+    LONGS_EQUAL(1, server.server.counters().handlerFailures.load());
+    LONGS_EQUAL(1, server.server.counters().truncated.load());
+}
+
+TEST(HandlerFailures, StreamThatItsHandlerLeavesOpenEndsTheConnection)
+{
+    LogCapture log;
+    FakeEndpoint server(loop(), [](http::Exchange &ex) -> Task<void> {
+        co_await ex.beginStream(200, "text/event-stream");
+    });
+    RawCaller caller(loop(), server.port);
+    caller.send(get);
+    CHECK(caller.runUntilEnd());
+    CHECK(caller.count(lastChunk) == 0);
+    CHECK(!log.line("HandlerFailed").empty());
+}
+
+TEST(HandlerFailures, ExceptionAfterAWholeResponseKeepsTheConnection)
+{
+    LogCapture log;
+    FakeEndpoint server(loop(), [](http::Exchange &ex) -> Task<void> {
+        co_await ex.reply(200, "whole");
+        throw std::runtime_error("too late");
+    });
+    RawCaller caller(loop(), server.port);
+    caller.send(get);
+    CHECK(caller.runUntilReceived("whole"));
+    caller.send(get);
+    CHECK(caller.runUntilReceived("whole", 2));
+    CHECK(!log.line("HandlerFailed").empty());
+}
+
+TEST(HandlerFailures, DisconnectCallbackOfAFailedHandlerIsNotCalledAfterIt)
+{
+    LogCapture log;
+    bool handlerEnded = false;
+    bool calledAfterwards = false;
+    tcp::socket *callerSocket = nullptr;
+    FakeEndpoint server(loop(), [&](http::Exchange &ex) -> Task<void> {
+        ex.onCallerDisconnect([&] {
+            calledAfterwards = handlerEnded;
+        });
+        callerSocket->set_option(asio::socket_base::linger(true, 0));
+        callerSocket->close(); // a reset: the write of the response fails
+        handlerEnded = true;
+        throw std::runtime_error("failed");
+        co_return;
+    });
+    RawCaller caller(loop(), server.port);
+    callerSocket = &caller.socket();
+    caller.send(get);
+    runUntilOrFor(loop(), [&] {
+        return handlerEnded && server.server.inflight() == 0;
+    });
+    CHECK(handlerEnded);
+    CHECK(!calledAfterwards);
+}
+
+TEST(HandlerFailures, AbortByTheHandlerIsCountedApartFromFailures)
+{
+    LogCapture log;
+    FakeEndpoint server(loop(), [](http::Exchange &ex) -> Task<void> {
+        co_await ex.beginStream(200, "text/event-stream");
+        ex.abort();
+    });
+    RawCaller caller(loop(), server.port);
+    caller.send(get);
+    CHECK(caller.runUntilEnd());
+    CHECK(caller.count(lastChunk) == 0);
+    CHECK(noneInFlight(loop(), server.server));
+    const auto &counters = server.server.counters();
+    LONGS_EQUAL(1, counters.aborted.load());
+    LONGS_EQUAL(0, counters.handlerFailures.load());
+    LONGS_EQUAL(0, counters.truncated.load());
+    CHECK(log.line("HandlerFailed").empty());
+}
+
+TEST(HandlerFailures, CallerThatLeavesBeforeItsResponseIsCountedApartFromFailures)
+{
+    LogCapture log;
+    Signal left;
+    int handled = 0;
+    FakeEndpoint server(loop(), [&](http::Exchange &ex) -> Task<void> {
+        ++handled;
+        ex.onCallerDisconnect([&] {
+            left.fire();
+        });
+        co_await left.wait();
+    });
+    RawCaller caller(loop(), server.port);
+    caller.send(get);
+    runUntilOrFor(loop(), [&] {
+        return handled == 1;
+    });
+    caller.socket().close();
+    CHECK(noneInFlight(loop(), server.server));
+    LONGS_EQUAL(1, server.server.counters().callersGone.load());
+    LONGS_EQUAL(0, server.server.counters().handlerFailures.load());
+    CHECK(log.line("HandlerFailed").empty());
+}
+
 LOOP_GROUP(RequestsAtTimeouts);
 
 // The second request of a connection is read while a wait for the end of the first one's caller is still pending.
@@ -116,6 +279,7 @@
     CHECK(caller.runUntilEnd());
     CHECK(caller.count("HTTP/1.1 408 ") == 1);
     LONGS_EQUAL(0, server.handled);
+    LONGS_EQUAL(1, server.server.counters().rejectedMessages.load());
     CHECK(noneInFlight(loop(), server.server));
 }
 
@@ -249,6 +413,7 @@
 // Beast throws for a header field of 64 KiB or more.
 TEST(ConnectionEnds, HeaderFieldThatTheParserCannotStoreGives431)
 {
+    LogCapture log;
     http::ServerLimits limits;
     limits.headerBytes = 256 * 1024;
     AnsweringServer server(loop(), limits);
