Failures of the HTTP server outside of a handler are logged and counted

What callers saw: a connection closed in the middle of a response that they read too slowly, or after a failure inside the server, and nothing in the log told of it.

Cause: the completion handlers of the coroutines dropped exceptions, a failed accept was retried silently, and a write timeout looked like a caller that had left.

Change: ConnectionFailed (2058) tells where and why. An exception in a connection's coroutine also closes its socket, which a pending wait for the caller's disconnect kept open. A response that could not be written counts as truncated, a request that an exception left without a response as unanswered.

Evidence: ResponseThatItsCallerDoesNotReadIsLogged failed on the code before and passes now. No test causes an exception in the coroutines themselves or a failed accept.

--- a/src/http_connection.h
+++ b/src/http_connection.h
@@ -65,6 +65,7 @@
     boost::beast::flat_buffer buffer;
     std::optional<InflightCount> inflight; ///< set from the arrival of a request's first bytes to the end of its response
     bool idle = false; ///< waiting for a request
+    bool handling = false; ///< a whole request was read and its response is not complete
 
 private:
     tcp::endpoint m_peer;
--- a/src/http_exchange.cpp
+++ b/src/http_exchange.cpp
@@ -87,6 +87,7 @@
 {
     m_stream.expires_never();
     if (ec) {
+        m_writeError = ec;
         markCallerDisconnected();
     }
 }
--- a/src/http_exchange.h
+++ b/src/http_exchange.h
@@ -70,6 +70,11 @@
     {
         return m_detached;
     }
+    /// The error that ended the last write; none while all writes have succeeded.
+    const boost::system::error_code &writeError() const
+    {
+        return m_writeError;
+    }
     /// True if the caller has disconnected, or abort() or detach() was called.
     bool callerDisconnected() const
     {
@@ -93,6 +98,7 @@
     std::function<void()> m_onCallerDisconnect;
     bool m_keepAlive;
     Millis m_writeTimeout;
+    boost::system::error_code m_writeError;
     bool m_answered = false;
     bool m_complete = false;
     bool m_aborted = false;
--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -91,6 +91,13 @@
     }
 }
 
+// True if a write failed because the caller or the path to it is gone.
+bool isDisconnect(const boost::system::error_code &ec)
+{
+    return ec == asio::error::connection_reset || ec == asio::error::broken_pipe || ec == asio::error::connection_aborted || ec == asio::error::timed_out
+        || ec == asio::error::host_unreachable || ec == asio::error::network_unreachable;
+}
+
 } // namespace
 
 Server::Server(std::vector<asio::io_context *> loops, std::string host, uint16_t port, Handler handler, ServerLimits limits)
@@ -125,13 +132,18 @@
         return Error{503, "cannot listen on " + m_host + ":" + std::to_string(m_port) + ": " + ec.message()};
     }
     const uint16_t port = m_acceptor.local_endpoint().port();
-    asio::co_spawn(*m_loops.front(), acceptLoop(), [](std::exception_ptr) {});
+    asio::co_spawn(*m_loops.front(), acceptLoop(), [this](std::exception_ptr failure) {
+        if (failure) {
+            recordFailure("accept", {}, describe(failure));
+        }
+    });
     return port;
 }
 
 // Accepts connections until stopped.
 Task<void> Server::acceptLoop()
 {
+    bool failing = false;
     while (!m_stopping) {
         boost::system::error_code ec;
         tcp::endpoint peer;
@@ -141,9 +153,14 @@
             co_return;
         }
         if (ec) {
+            if (!failing) {
+                recordFailure("accept", {}, ec.message());
+            }
+            failing = true;
             co_await sleepFor(acceptRetryDelay);
             continue;
         }
+        failing = false;
         open(std::move(socket), peer);
     }
 }
@@ -182,7 +199,12 @@
             connection->inflight.emplace(m_inflight); // until it is known whether a request has arrived
         }
     }
-    asio::co_spawn(executor, serve(connection), [this, connection](std::exception_ptr) {
+    asio::co_spawn(executor, serve(connection), [this, connection](std::exception_ptr failure) {
+        if (failure) {
+            m_counters.unanswered += connection->handling ? 1 : 0;
+            recordFailure("serve", connection->peerName(), describe(failure));
+            connection->stream.close(); // a wait for the caller's disconnect may still refer to the connection
+        }
         std::lock_guard lock(m_mutex);
         m_connections.erase(connection);
     });
@@ -293,7 +315,9 @@
         if (!read) {
             break;
         }
+        c->handling = true;
         const bool keepOpen = co_await handleRequest(c, request);
+        c->handling = false;
         if (!keepOpen) {
             break;
         }
@@ -335,7 +359,7 @@
     if (!exchange.answered() && !exchange.callerDisconnected()) {
         co_await exchange.reply(500, R"({"error":{"message":"internal error","type":"internal"}})");
     }
-    recordEnd(exchange);
+    recordEnd(*c, exchange);
     if (!exchange.complete() || exchange.callerDisconnected()) {
         c->stream.close();
     } else if (!keepAlive) {
@@ -346,13 +370,16 @@
 }
 
 // Counts how a request ended, unless its response is complete.
-void Server::recordEnd(const Exchange &exchange)
+void Server::recordEnd(const Connection &c, const Exchange &exchange)
 {
     if (exchange.complete() || exchange.detached()) {
         return;
     }
     if (exchange.aborted()) {
         ++m_counters.aborted;
+    } else if (exchange.writeError() && !isDisconnect(exchange.writeError())) {
+        ++m_counters.truncated;
+        recordFailure("write", c.peerName(), exchange.writeError().message());
     } else if (exchange.callerDisconnected()) {
         ++m_counters.callersGone;
     } else {
@@ -360,6 +387,12 @@
     }
 }
 
+void Server::recordFailure(std::string_view where, std::string_view peer, std::string_view why)
+{
+    ++m_counters.connectionFailures;
+    log::Line{log::Event::ConnectionFailed}.add("where", where).add("peer", peer).add("why", why.substr(0, maxLoggedBytes));
+}
+
 // Marks the exchange when its caller closes the connection. Ends silently when
 // bytes arrive, as they belong to the next, pipelined request.
 void Server::watchForDisconnect(ConnectionPtr c, std::shared_ptr<Exchange *> exchange)
--- a/src/http_server.h
+++ b/src/http_server.h
@@ -35,7 +35,9 @@
 /// How requests that were read whole ended other than with a whole response, and what failed, since the start.
 struct ServerCounters {
     std::atomic<uint64_t> handlerFailures{0}; ///< handlers that threw, or returned without a whole response
-    std::atomic<uint64_t> truncated{0}; ///< a response was begun and not completed, by a failure
+    std::atomic<uint64_t> connectionFailures{0}; ///< failures outside of a handler, each with a log line
+    std::atomic<uint64_t> unanswered{0}; ///< no response was begun, though the caller was there
+    std::atomic<uint64_t> truncated{0}; ///< a response was begun and not completed, by a failure or a write timeout
     std::atomic<uint64_t> aborted{0}; ///< the handler called Exchange::abort()
     std::atomic<uint64_t> callersGone{0}; ///< the caller disconnected before its response was complete
     std::atomic<uint64_t> rejectedMessages{0}; ///< messages that were not passed to the handler: 400, 408, 413 and 431
@@ -85,7 +87,8 @@
     Task<bool> readRequest(Connection &c, Request &out);
     Task<void> rejectMessage(Connection &c, bhttp::status status, const char *why);
     Task<bool> handleRequest(ConnectionPtr c, const Request &request);
-    void recordEnd(const Exchange &exchange);
+    void recordEnd(const Connection &c, const Exchange &exchange);
+    void recordFailure(std::string_view where, std::string_view peer, std::string_view why);
     static void watchForDisconnect(ConnectionPtr c, std::shared_ptr<Exchange *> exchange);
 
     std::vector<asio::io_context *> m_loops;
--- a/src/log.cpp
+++ b/src/log.cpp
@@ -21,7 +21,7 @@
 namespace
 {
 
-constexpr std::array<EventInfo, 54> catalogue{{
+constexpr std::array<EventInfo, 55> catalogue{{
     {Event::ProgramStarted, "ProgramStarted", Level::Info},
     {Event::StopRequested, "StopRequested", Level::Info},
     {Event::ProgramStopped, "ProgramStopped", Level::Info},
@@ -69,6 +69,7 @@
     {Event::StreamRefused, "StreamRefused", Level::Info},
     {Event::RequestWithheld, "RequestWithheld", Level::Info},
     {Event::HandlerFailed, "HandlerFailed", Level::Error},
+    {Event::ConnectionFailed, "ConnectionFailed", Level::Warn},
     {Event::OrderAccepted, "OrderAccepted", Level::Info},
     {Event::OrderRefused, "OrderRefused", Level::Warn},
     {Event::Draining, "Draining", Level::Info},
--- a/src/log.h
+++ b/src/log.h
@@ -58,6 +58,7 @@
     StreamRefused = 2055,
     RequestWithheld = 2056,
     HandlerFailed = 2057,
+    ConnectionFailed = 2058,
     OrderAccepted = 3001,
     OrderRefused = 3002,
     Draining = 3003,
--- a/tests/test_server_endings.cpp
+++ b/tests/test_server_endings.cpp
@@ -78,6 +78,7 @@
     CHECK(line.find("/a") != std::string::npos);
     CHECK(line.find("127.0.0.1:") != std::string::npos);
     LONGS_EQUAL(1, server.server.counters().handlerFailures.load());
+    LONGS_EQUAL(0, server.server.counters().unanswered.load());
 }
 
 TEST(HandlerFailures, ExceptionOfAnotherTypeGives500)
@@ -464,3 +465,30 @@
     CHECK(caller.runUntilEnd());
     CHECK(caller.count("whole") == 1);
 }
+
+TEST(ConnectionEnds, ResponseThatItsCallerDoesNotReadIsLogged)
+{
+    LogCapture log;
+    http::ServerLimits limits;
+    limits.writeTimeout = Millis(50);
+    Signal ended;
+    const std::string chunk(64 * 1024, 'x');
+    http::Server server(
+        {&loop().io}, "127.0.0.1", 0,
+        [&](http::Exchange &ex) -> Task<void> {
+            co_await ex.beginStream(200, "text/plain");
+            while (co_await ex.sendChunk(chunk)) { }
+            ended.fire();
+        },
+        limits);
+    const auto port = std::get<uint16_t>(server.start());
+    RawCaller caller(loop(), port);
+    caller.send(get);
+    CHECK(runUntilOrFor(loop(), [&] {
+        return ended.fired() && server.inflight() == 0;
+    }));
+    const auto line = log.line("ConnectionFailed");
+    CHECK(line.find("where=\"write\"") != std::string::npos);
+    CHECK(line.find("127.0.0.1:") != std::string::npos);
+    LONGS_EQUAL(1, server.counters().truncated.load());
+}
