--- a/src/entry/entry_metrics.cpp
+++ b/src/entry/entry_metrics.cpp
@@ -198,6 +198,9 @@
     writeSingle(out, "yucca_cut_paths", "gauge", "Endpoints that only peers reach", static_cast<double>(gauges.cutPaths));
     writeSingle(out, "yucca_tunnels", "gauge", "Open tunnels of peers to endpoints", static_cast<double>(gauges.tunnels));
     writeSingle(out, "yucca_tunnels_accepted_total", "counter", "Tunnels opened for peers", static_cast<double>(gauges.tunnelsAccepted));
+    writeSingle(out, "yucca_requests_unanswered_total", "counter", "Requests read whole that got no response", static_cast<double>(gauges.unanswered));
+    writeSingle(out, "yucca_responses_truncated_total", "counter", "Responses that a failure or a write timeout ended", static_cast<double>(gauges.truncated));
+    writeSingle(out, "yucca_handler_failures_total", "counter", "Handlers of requests that failed", static_cast<double>(gauges.handlerFailures));
     writeSingle(out, "yucca_tunnels_refused_total", "counter", "Tunnels refused to peers", static_cast<double>(gauges.tunnelsRefused));
     writeSingle(out, "yucca_stream_origins", "gauge", "Streams whose software version this router knows", static_cast<double>(gauges.streamOrigins));
     writeSingle(out, "yucca_cold_endpoints", "gauge", "Endpoints that are taken for cold", static_cast<double>(gauges.coldEndpoints));
--- a/src/entry/entry_metrics.h
+++ b/src/entry/entry_metrics.h
@@ -81,6 +81,9 @@
     int64_t tunnels = 0; ///< number of open tunnels of peers to endpoints
     uint64_t tunnelsAccepted = 0; ///< since the start
     uint64_t tunnelsRefused = 0; ///< since the start
+    uint64_t unanswered = 0; ///< requests read whole that got no response although the caller was there, since the start
+    uint64_t truncated = 0; ///< responses that a failure or a write timeout ended, since the start
+    uint64_t handlerFailures = 0; ///< since the start
     std::size_t streamOrigins = 0; ///< number of streams whose software version this router knows
     std::vector<RetryGauge> retryBudgets; ///< at most maxGaugedServices
 };
--- a/src/entry/gateway.h
+++ b/src/entry/gateway.h
@@ -17,6 +17,7 @@
 #include "entry/retry_policy.h"
 #include "entry/silence_watch.h"
 #include "entry/stall_monitor.h"
+#include "failure.h"
 #include "http_client.h"
 #include "http_server.h"
 #include "idempotency.h"
@@ -419,18 +420,6 @@
     return std::chrono::duration_cast<Millis>(Clock::now() - then).count();
 }
 
-/// Returns the message of an exception, for log lines.
-inline std::string describe(const std::exception_ptr &failure)
-{
-    try {
-        std::rethrow_exception(failure);
-    } catch (const std::exception &error) {
-        return error.what();
-    } catch (...) {
-        return "unknown exception";
-    }
-}
-
 /// Returns a completion handler that logs an exception of a task which runs beside requests. id is of what it is about.
 inline auto logTaskFailure(const char *task, std::string id)
 {
--- a/src/entry/process.h
+++ b/src/entry/process.h
@@ -368,6 +368,9 @@
         gauges.tunnels = m_relay.counters().open;
         gauges.tunnelsAccepted = m_relay.counters().accepted;
         gauges.tunnelsRefused = m_relay.counters().refused;
+        gauges.unanswered = m_callerServer.counters().unanswered;
+        gauges.truncated = m_callerServer.counters().truncated;
+        gauges.handlerFailures = m_callerServer.counters().handlerFailures;
         std::string text = m_gateway.metricsText(gauges);
         co_await ex.reply(200, std::move(text), {}, "text/plain; version=0.0.4");
     }
--- a/src/log.h
+++ b/src/log.h
@@ -57,6 +57,8 @@
     RelayRefused = 2054,
     StreamRefused = 2055,
     RequestWithheld = 2056,
+    HandlerFailed = 2057,
+    ConnectionFailed = 2058,
     RequestFailed = 2059,
     TaskFailed = 2060,
     OrderAccepted = 3001,
--- a/src/router_traffic.cpp
+++ b/src/router_traffic.cpp
@@ -1,7 +1,7 @@
 #include "router_traffic.h"
 
-#include <boost/asio/post.hpp>
 #include <boost/asio/execution/context.hpp>
+#include <boost/asio/post.hpp>
 
 namespace yucca::router
 {
