--- a/src/entry/entry_metrics.h
+++ b/src/entry/entry_metrics.h
@@ -81,6 +81,9 @@
     int64_t tunnels = 0; ///< number of open tunnels of peers to endpoints
     uint64_t tunnelsAccepted = 0; ///< since the start
     uint64_t tunnelsRefused = 0; ///< since the start
+    uint64_t unanswered = 0; ///< requests read whole that got no response although the caller was there, since the start
+    uint64_t truncated = 0; ///< responses that a failure or a write timeout ended, since the start
+    uint64_t handlerFailures = 0; ///< since the start
     std::size_t streamOrigins = 0; ///< number of streams whose software version this router knows
     std::vector<RetryGauge> retryBudgets; ///< at most maxGaugedServices
 };
@@ -99,11 +102,17 @@
     {
         ++m_rejections[static_cast<std::size_t>(why)];
     }
+    /// Counts a request that ended with a response that is not whole.
+    void responseCut(GiveUpReason why)
+    {
+        ++m_cut[static_cast<std::size_t>(why)];
+    }
     void attemptEnded(AttemptEnd end)
     {
         ++m_attempts[static_cast<std::size_t>(end)];
     }
 
+    uint64_t requestsRead = 0; ///< requests that callers sent whole
     uint64_t retries = 0; ///< extra arrivals at endpoints
     uint64_t retriesDenied = 0; ///< retries that the retry budget did not allow
     uint64_t resumptions = 0; ///< streams that continued at another endpoint
@@ -133,6 +142,7 @@
     metrics::LatencyStats m_latency; ///< of delivered requests, in milliseconds
     std::array<uint64_t, rejectionNames.size()> m_rejections{};
     std::array<uint64_t, attemptEndNames.size()> m_attempts{};
+    std::array<uint64_t, giveUpReasonNames.size()> m_cut{};
 };
 
 } // namespace yucca::entry
--- a/src/entry/gateway.h
+++ b/src/entry/gateway.h
@@ -5,6 +5,7 @@
 
 #include "admission.h"
 #include "entry/control.h"
+#include "entry/endpoint_activity.h"
 #include "entry/entry_metrics.h"
 #include "entry/entry_settings.h"
 #include "entry/log_rate_limiter.h"
@@ -14,7 +15,9 @@
 #include "entry/request_profile.h"
 #include "entry/retry_after.h"
 #include "entry/retry_policy.h"
+#include "entry/silence_watch.h"
 #include "entry/stall_monitor.h"
+#include "failure.h"
 #include "http_client.h"
 #include "http_server.h"
 #include "idempotency.h"
@@ -87,6 +90,7 @@
     Millis connectTimeout{300}; ///< an endpoint answers a SYN in about 2 ms; one whose backlog is full drops SYNs for seconds
     double responseTimeoutFactor = 1.0; ///< multiple of a route's target latency after which a repeatable request is sent to another endpoint
     double eventGapTimeoutFactor = 2.0; ///< multiple of a route's event gap target after which a resumable stream moves to another endpoint
+    Millis maxEndpointPause{2000}; ///< a sound endpoint may fall silent for less than this
     RetryAfterOptions retryAfter;
     std::size_t routersPerConnectionCap = 16; ///< number of routers that share the connection limit of an endpoint
     /// A path that carried a response more recently than this is taken for intact. After a longer pause, hosts acknowledge at once.
@@ -143,6 +147,7 @@
         , m_fleet(parts.fleet)
         , m_origins(parts.origins)
         , m_options(options)
+        , m_activity(options.maxEndpointPause)
         , m_dialect(std::move(dialect))
     {
     }
@@ -191,6 +196,10 @@
         m_rejectingNewRequests = true;
     }
 
+    /// Ends all requests in flight, because this router exits: those without a response get one, streams are aborted. Must be
+    /// called on the traffic thread.
+    void endRequests();
+
 private:
     /// A failure response of an engine, returned to the caller if no later attempt succeeds.
     struct EngineFailure {
@@ -198,6 +207,45 @@
         http::Headers headers;
         std::string body;
     };
+    /// The endpoint of the next attempt, with what the attempt needs.
+    struct Selection {
+        Endpoint endpoint;
+        std::unique_ptr<router::AcquiredEndpoint> acquired;
+        Clock::time_point acquiredAt{};
+        limits::HeldPermit permit; ///< none for a first attempt
+        limits::HeldPermit reserve = {}; ///< for one more attempt, if this endpoint rejects a stream that its caller has begun to receive
+    };
+    struct RequestState;
+    /// Registers an attempt for the time that it is in progress, however it ends.
+    class AttemptInProgress
+    {
+    public:
+        AttemptInProgress(Gateway &gateway, RequestState &state, const Endpoint &endpoint, std::shared_ptr<SilenceWatch> watch)
+            : m_gateway(gateway)
+            , m_state(state)
+            , m_endpointKey(incarnationKey(endpoint))
+        {
+            gateway.m_attempts.insert_or_assign(&state, endpoint);
+            gateway.m_activity.recordSent(incarnationKey(endpoint), Clock::now());
+            state.watch = std::move(watch);
+        }
+        ~AttemptInProgress()
+        {
+            if (m_state.watch) {
+                m_state.watch->end();
+                m_state.watch.reset();
+            }
+            m_gateway.m_attempts.erase(&m_state);
+            m_gateway.m_activity.recordEnded(m_endpointKey, Clock::now());
+        }
+        AttemptInProgress(const AttemptInProgress &) = delete;
+        AttemptInProgress &operator=(const AttemptInProgress &) = delete;
+
+    private:
+        Gateway &m_gateway;
+        RequestState &m_state;
+        std::string m_endpointKey;
+    };
     /// The state of one request over all its attempts.
     struct RequestState {
         RequestProfile profile;
@@ -206,6 +254,10 @@
         AttemptCount count;
         std::optional<idempotency::Claim> claim; ///< of the request's idempotency key
         std::set<std::string> tried;
+        std::set<std::string> silent; ///< endpoints whose attempts ended because they were silent
+        limits::HeldPermit reserve; ///< until an endpoint has accepted the request
+        std::optional<Selection> successor; ///< takes over from the silent endpoint of the current attempt
+        std::shared_ptr<SilenceWatch> watch; ///< of the current attempt; null if it must not be replaced
         http::Cancellation cancellation;
         sse::EventRelay events;
         std::optional<streams::Origin> origin; ///< of the stream, once an event of it is known to have reached its caller
@@ -213,6 +265,7 @@
         bool headSent = false; ///< the head of a streamed response has been sent to the caller
         bool sendLost = false; ///< a keep-alive connection broke after the request was sent on it: the request may have run, whatever a second send returned
         bool timedOut = false;
+        bool stopping = false; ///< this router is about to exit
         bool endpointRestarted = false; ///< the endpoint of the current attempt has restarted
         std::string lastEndpoint;
         std::string lastVersion; ///< of the software of the last endpoint
@@ -224,8 +277,11 @@
         Clock::time_point acquiredAt{}; ///< when the current attempt was counted at its endpoint
         unsigned lastStatus = 0; ///< status of the last endpoint's own response
         ResponseHead lastHead; ///< head of the last attempt's response; default values if none arrived
-        std::optional<limits::RetryPermit> retryPermit; ///< of the current attempt, until it has arrived
+        std::unique_ptr<limits::RetryPermit> retryPermit; ///< of the current attempt, until it has arrived
         bool retryDenied = false; ///< for want of retry budget
+        std::optional<GiveUpReason> giveUpReason;
+        std::optional<AttemptEnd> lastEnd; ///< of the last attempt
+        Clock::time_point lastReceived{}; ///< when the endpoint of the current attempt last sent something; the begin of the attempt until then
         int64_t lastLoad = -1; ///< load that the last endpoint reported; -1: not reported
         std::optional<EngineFailure> failure;
         std::optional<router::NoEndpointReason> noEndpointReason; ///< the reason if no endpoint could take the request
@@ -259,6 +315,8 @@
     Task<void> settle(idempotency::Claim claim, nlohmann::json record);
     Task<void> releaseClaim(RequestState &state);
     Task<void> reject(http::Exchange &ex, const std::string &id, Rejection why, std::optional<Millis> retryAfter = std::nullopt);
+    Task<void> serve(http::Exchange &ex, RequestState &state);
+    Task<void> endFailed(http::Exchange &ex, RequestState &state, std::exception_ptr failure);
     Task<void> attempt(http::Exchange &ex, RequestState &state);
     Task<AttemptEnd> attemptAt(http::Exchange &ex, RequestState &state, const Endpoint &endpoint, http::ConnectionReuse reuse, bool &staleConnection);
     http::Request makeRequestFor(const http::Exchange &ex, const RequestState &state, const Endpoint &endpoint) const;
@@ -277,6 +335,7 @@
     void recordConnected(const Endpoint &endpoint);
     Task<void> probeCutPaths();
     Task<AttemptEnd> handleResponse(http::Exchange &ex, RequestState &state, const Endpoint &endpoint, http::Response &response);
+    void recordReceived(RequestState &state, const Endpoint &endpoint);
     void applySelfReport(const Endpoint &endpoint, const ResponseHead &head);
     Task<AttemptEnd> relayBuffered(http::Exchange &ex, RequestState &state, const Endpoint &endpoint, const ResponseHead &head, http::Response &response);
     Task<AttemptEnd> relayStream(http::Exchange &ex, RequestState &state, const Endpoint &endpoint, http::Response &response);
@@ -285,10 +344,24 @@
     limits::RetryBudget &retryBudgetFor(const std::string &service);
     std::string chooseService(const RequestProfile &profile) const;
     router::PromptEstimate estimatePrompt(const RequestState &state, const Endpoint &endpoint, Clock::time_point now) const;
+    bool showsFault(const RequestState &state, const Endpoint &endpoint, AttemptEnd end) const;
     void recordAttempt(const RequestState &state, const Endpoint &endpoint, AttemptEnd end, Clock::time_point began, bool willRetry);
     static RequestEnd requestEndFor(const RequestState &state, AttemptEnd end);
     double slackShare() const;
-    bool spendRetry(RequestState &state);
+    std::unique_ptr<limits::RetryPermit> takeRetryPermit(const std::string &service);
+    std::variant<Selection, GiveUpReason> selectEndpoint(RequestState &state, bool hasArrived, Clock::time_point now);
+    GiveUpReason noEndpointReason(RequestState &state, Clock::time_point now);
+    void recordGiveUp(RequestState &state, GiveUpReason why);
+    std::shared_ptr<SilenceWatch> watchSilence(RequestState &state, const Endpoint &endpoint, const asio::any_io_executor &executor);
+    Task<void> replaceSilentEndpoint(RequestState &state, Endpoint endpoint, std::shared_ptr<SilenceWatch> watch);
+    bool mayBeReplaced(const RequestState &state, const Endpoint &endpoint, Clock::time_point now) const;
+    std::optional<Selection> selectSuccessor(RequestState &state);
+    bool mayTakeOver(const RequestState &state, const Endpoint &endpoint, Clock::time_point now) const;
+    Task<void> judgeSilence(RequestProfile profile, Endpoint endpoint, Clock::time_point since);
+    Task<bool> connectAhead(Endpoint endpoint);
+    std::size_t maxIdleConnectionsTo(const Endpoint &endpoint) const;
+    Task<AttemptEnd> attemptWatched(http::Exchange &ex, RequestState &state, Endpoint endpoint);
+    Task<AttemptEnd> attemptTwice(http::Exchange &ex, RequestState &state, const Endpoint &endpoint);
     std::vector<RetryGauge> retryGauges() const;
     http::ConnectionReuse reuseFor(const RequestState &state, Clock::time_point now) const;
     Task<void> closeStaleConnections(const Endpoint &endpoint);
@@ -320,6 +393,7 @@
     const peers::FleetMembership *m_fleet;
     streams::StreamOrigins *m_origins;
     GatewayOptions m_options;
+    EndpointActivity m_activity;
     D m_dialect;
     http::Client m_client;
     std::map<std::string, limits::RetryBudget> m_budgets; ///< by service name
@@ -337,6 +411,7 @@
     std::minstd_rand m_random{std::random_device{}()};
     Clock::time_point m_startedAt = Clock::now();
     std::atomic<bool> m_rejectingNewRequests{false};
+    bool m_ending = false; ///< this router exits: no further attempt is made
 };
 
 /// Returns the milliseconds since a point in time, for log lines.
@@ -345,7 +420,53 @@
     return std::chrono::duration_cast<Millis>(Clock::now() - then).count();
 }
 
+/// Returns a completion handler that logs an exception of a task which runs beside requests. id is of what it is about.
+inline auto logTaskFailure(const char *task, std::string id)
+{
+    return [task, id = std::move(id)](std::exception_ptr failure) {
+        if (failure) {
+            log::Line{log::Event::TaskFailed}.add("task", task).add("id", id).add("error", describe(failure));
+        }
+    };
+}
+
 template <Dialect D> Task<void> Gateway<D>::handle(http::Exchange &ex)
+{
+    ++m_metrics.requestsRead;
+    RequestState state;
+    std::exception_ptr failure;
+    try {
+        co_await serve(ex, state);
+    } catch (...) {
+        failure = std::current_exception();
+    }
+    ex.onCallerDisconnect({});
+    if (failure) {
+        co_await endFailed(ex, state, failure);
+    }
+}
+
+// Ends a request whose handling threw. It may have run if an attempt had begun.
+template <Dialect D> Task<void> Gateway<D>::endFailed(http::Exchange &ex, RequestState &state, std::exception_ptr failure)
+{
+    if (!state.profile.route) {
+        std::rethrow_exception(failure); // not identified: the server answers and logs it
+    }
+    const std::string error = describe(failure);
+    log::Line{log::Event::RequestFailed}.add("id", state.profile.id).add("endpoint", state.lastEndpoint).add("error", error);
+    state.giveUpReason = GiveUpReason::Failed;
+    state.count.runs += state.count.attempts > 0 ? 1 : 0;
+    if (ex.answered() && !state.headSent) {
+        m_metrics.responseCut(GiveUpReason::Failed);
+        recordRequest(state, RequestEnd::Cut, 0);
+        ex.abort();
+        co_return;
+    }
+    co_await answerFailure(ex, state);
+}
+
+// Identifies and admits a request, and makes its attempts.
+template <Dialect D> Task<void> Gateway<D>::serve(http::Exchange &ex, RequestState &state)
 {
     const auto now = Clock::now();
     const auto earliestSend = m_stalls.earliestSend(BootClock::now());
@@ -354,7 +475,6 @@
         co_await reject(ex, m_dialect.requestId(ex), *why);
         co_return;
     }
-    RequestState state;
     state.profile = std::move(std::get<RequestProfile>(identified));
     if (const auto quarantine = withheld(state.profile, now)) {
         logWithheld(state.profile, *quarantine);
@@ -376,6 +496,7 @@
     state.events.setLastId(state.profile.resumeAfter);
     if (const auto why = co_await bindResumption(state)) {
         logStreamRefused(state, *why);
+        co_await releaseClaim(state);
         co_await reject(ex, state.profile.id, *why);
         co_return;
     }
@@ -388,7 +509,18 @@
         }
     });
     co_await attempt(ex, state);
-    ex.onCallerDisconnect({});
+}
+
+// Records why a request gets no further attempt.
+template <Dialect D> void Gateway<D>::recordGiveUp(RequestState &state, GiveUpReason why)
+{
+    state.giveUpReason = why;
+    state.timedOut = why == GiveUpReason::TimedOut;
+    state.retryDenied = why == GiveUpReason::RetryDenied;
+    m_metrics.retriesDenied += state.retryDenied ? 1 : 0;
+    if (why == GiveUpReason::NoVersion) {
+        logStreamRefused(state, Rejection::VersionUnavailable);
+    }
 }
 
 // Tries endpoints one after the other, within the limits on attempts, the deadline and the retry
@@ -398,59 +530,49 @@
     const Route &route = *state.profile.route;
     for (;;) {
         const auto now = Clock::now();
-        if (now >= state.profile.responseDeadline) {
-            state.timedOut = true;
+        if (m_ending) {
+            state.stopping = true;
+            recordGiveUp(state, GiveUpReason::Stopping);
             break;
         }
-        if (withheld(state.profile, now)) {
-            break; // meanwhile, an endpoint crashed while it ran this content
+        if (now >= state.profile.responseDeadline) {
+            recordGiveUp(state, GiveUpReason::TimedOut);
+            break;
         }
-        const auto endpoint = m_table.acquire(state.service, state.profile.affinity, state.tried, now, state.constraints);
-        if (!endpoint) {
-            state.noEndpointReason = m_table.noEndpointReason(state.service, state.tried, now, state.constraints);
-            if (state.noEndpointReason == router::NoEndpointReason::Version) {
-                logStreamRefused(state, Rejection::VersionUnavailable);
+        auto selection = std::exchange(state.successor, std::nullopt);
+        if (!selection) {
+            auto selected = selectEndpoint(state, state.count.arrivals > 0, now);
+            if (const auto *why = std::get_if<GiveUpReason>(&selected)) {
+                recordGiveUp(state, *why == GiveUpReason::NoEndpoint ? noEndpointReason(state, now) : *why);
+                break;
             }
-            break;
+            selection.emplace(std::move(std::get<Selection>(selected)));
         }
-        const router::AcquiredEndpoint acquired(m_table, *endpoint);
-        if (state.count.arrivals > 0 && !spendRetry(state)) {
-            break;
+        const Endpoint &endpoint = selection->endpoint;
+        state.retryPermit = selection->permit.take();
+        if (selection->reserve) {
+            state.reserve = std::move(selection->reserve);
         }
-        state.lastEndpoint = endpoint->id;
-        state.lastVersion = endpoint->version;
+        m_metrics.retries += state.retryPermit ? 1 : 0;
+        state.lastEndpoint = endpoint.id;
+        state.lastVersion = endpoint.version;
         state.home = sharesPrompt(state.profile.prompt) ? m_table.homeOf(state.service, state.profile.affinity.conversation) : std::nullopt;
-        state.placement = m_table.placementView(*endpoint, state.profile.affinity.conversation, now, state.constraints);
+        state.placement = m_table.placementView(endpoint, state.profile.affinity.conversation, now, state.constraints);
         state.placedAt = now;
-        state.acquiredAt = now;
-        state.tried.insert(endpoint->id);
+        state.acquiredAt = selection->acquiredAt;
+        state.lastReceived = now;
+        state.tried.insert(endpoint.id);
         ++state.count.attempts;
         m_metrics.resumptions += state.headSent ? 1 : 0;
-        bool staleConnection = false;
-        state.lastHead = {};
-        co_await closeStaleConnections(*endpoint);
-        m_attempts.insert_or_assign(&state, *endpoint);
-        AttemptEnd end = co_await attemptAt(ex, state, *endpoint, reuseFor(state, now), staleConnection);
-        if (staleConnection && !state.cancellation.isCancelled() && !ex.callerDisconnected()) {
-            co_await recordBrokenResponse(state.profile, *endpoint); // must precede a second send, which hides how the first one ended
-        }
-        state.sendLost = state.sendLost || staleConnection;
-        const bool mayRepeat = staleConnection && repeatable(route) && !state.cancellation.isCancelled() && !withheld(state.profile, Clock::now());
-        const auto resendAt = Clock::now();
-        if (mayRepeat && m_table.acquireForResend(*endpoint, resendAt) && spendRetry(state)) {
-            state.acquiredAt = resendAt;
-            // The keep-alive connection was closed during the request; the endpoint itself may be
-            // healthy.
-            end = co_await attemptAt(ex, state, *endpoint, http::ConnectionReuse::Never, staleConnection);
-        }
-        m_attempts.erase(&state);
-        if (state.endpointRestarted && !ex.callerDisconnected()) {
-            state.cancellation = http::Cancellation(); // only the attempt was cancelled, not the request
-            state.endpointRestarted = false;
-        }
+        AttemptEnd end = co_await attemptWatched(ex, state, endpoint);
+        state.lastEnd = end;
         state.count.runs += mayHaveRun(end) ? 1 : 0;
-        if ((end == AttemptEnd::Broken || end == AttemptEnd::Silent) && !state.cancellation.isCancelled() && !ex.callerDisconnected()) {
-            co_await recordBrokenResponse(state.profile, *endpoint);
+        const bool suspect = !state.stopping && (end == AttemptEnd::Broken || end == AttemptEnd::Silent) && showsFault(state, endpoint, end);
+        if (suspect && !state.cancellation.isCancelled() && !ex.callerDisconnected()) {
+            co_await recordBrokenResponse(state.profile, endpoint);
+        } else if (end == AttemptEnd::Silent && !state.stopping) {
+            const auto executor = co_await asio::this_coro::executor;
+            asio::co_spawn(executor, judgeSilence(state.profile, endpoint, state.lastReceived), logTaskFailure("judge a silence", state.profile.id));
         }
         if (state.cancellation.isCancelled() || ex.callerDisconnected()) {
             if (end != AttemptEnd::Delivered) {
@@ -459,24 +581,81 @@
             end = AttemptEnd::CallerGone;
         }
         const bool willRetry = mayRetry(route, end, state.count);
-        recordAttempt(state, *endpoint, end, now, willRetry);
+        recordAttempt(state, endpoint, end, now, willRetry);
         if (end == AttemptEnd::Delivered || end == AttemptEnd::CallerGone) {
             recordRequest(state, requestEndFor(state, end), state.lastStatus);
             co_return;
         }
+        if (state.stopping) {
+            recordGiveUp(state, GiveUpReason::Stopping);
+            break;
+        }
         if (!willRetry) {
-            state.timedOut = Clock::now() >= state.profile.responseDeadline;
+            const bool timedOut = Clock::now() >= state.profile.responseDeadline;
+            recordGiveUp(state, timedOut ? GiveUpReason::TimedOut : GiveUpReason::AttemptsUsed);
             break;
         }
     }
     co_await answerFailure(ex, state);
 }
 
+// Makes one attempt while its endpoint is watched for silence.
+template <Dialect D> Task<AttemptEnd> Gateway<D>::attemptWatched(http::Exchange &ex, RequestState &state, Endpoint endpoint)
+{
+    const auto executor = co_await asio::this_coro::executor;
+    state.lastHead = {};
+    co_await closeStaleConnections(endpoint);
+    AttemptEnd end = AttemptEnd::Broken;
+    {
+        const AttemptInProgress inProgress(*this, state, endpoint, watchSilence(state, endpoint, executor));
+        end = co_await attemptTwice(ex, state, endpoint);
+    }
+    const bool replaced = state.successor.has_value();
+    if ((replaced || state.endpointRestarted || state.stopping) && !ex.callerDisconnected()) {
+        state.cancellation = http::Cancellation(); // only the attempt was cancelled, not the request
+        state.endpointRestarted = false;
+    }
+    if (replaced && end == AttemptEnd::Broken) {
+        end = AttemptEnd::Silent;
+    }
+    if (replaced) {
+        state.silent.insert(endpoint.id);
+    }
+    co_return end;
+}
+
+// Makes one attempt, with a second send if a keep-alive connection broke.
+template <Dialect D> Task<AttemptEnd> Gateway<D>::attemptTwice(http::Exchange &ex, RequestState &state, const Endpoint &endpoint)
+{
+    bool staleConnection = false;
+    const AttemptEnd end = co_await attemptAt(ex, state, endpoint, reuseFor(state, Clock::now()), staleConnection);
+    if (staleConnection && !state.cancellation.isCancelled() && !ex.callerDisconnected()) {
+        co_await recordBrokenResponse(state.profile, endpoint); // must precede a second send, which hides how the first one ended
+    }
+    state.sendLost = state.sendLost || staleConnection;
+    const auto now = Clock::now();
+    const bool mayRepeat = staleConnection && repeatable(*state.profile.route) && !state.cancellation.isCancelled() && !withheld(state.profile, now);
+    if (!mayRepeat || !m_table.acquireForResend(endpoint, now)) {
+        co_return end;
+    }
+    state.retryPermit = takeRetryPermit(state.service);
+    if (!state.retryPermit) {
+        ++m_metrics.retriesDenied;
+        co_return end;
+    }
+    ++m_metrics.retries;
+    state.acquiredAt = now;
+    // The keep-alive connection was closed during the request; the endpoint itself may be
+    // healthy.
+    co_return co_await attemptAt(ex, state, endpoint, http::ConnectionReuse::Never, staleConnection);
+}
+
 // Sends the final response to a request that no attempt could serve.
 template <Dialect D> Task<void> Gateway<D>::answerFailure(http::Exchange &ex, RequestState &state)
 {
     co_await releaseClaim(state);
     if (state.headSent) {
+        m_metrics.responseCut(state.giveUpReason.value_or(GiveUpReason::AttemptsUsed));
         recordRequest(state, RequestEnd::Cut, 0);
         ex.abort(); // the stream must not look complete to the caller
         co_return;
@@ -493,6 +672,8 @@
     std::optional<Millis> retryAfter;
     if (state.count.runs > 0 || state.sendLost) {
         why = state.timedOut ? Rejection::TimedOut : Rejection::AnswerLost;
+    } else if (state.stopping) {
+        why = Rejection::Stopping;
     } else if (quarantine) {
         logWithheld(state.profile, *quarantine);
         why = quarantine->why();
@@ -518,5 +699,6 @@
 #include "entry/gateway_crashes.h"
 #include "entry/gateway_paths.h"
 #include "entry/gateway_place.h"
+#include "entry/gateway_silence.h"
 #include "entry/gateway_statistics.h"
 #include "entry/gateway_streams.h"
--- a/src/entry/gateway_attempt.h
+++ b/src/entry/gateway_attempt.h
@@ -10,15 +10,11 @@
 /// two years.
 inline constexpr std::size_t maxTrackedIncarnations = 4096;
 
-// Returns the time until which an endpoint must begin its response. A repeatable request with an
-// attempt left doesn't wait for a silent endpoint until its own deadline.
+// Returns the time after which another endpoint is sought for a request whose endpoint has not begun its response.
 template <Dialect D> Clock::time_point Gateway<D>::headDeadline(const RequestState &state, Clock::time_point now) const
 {
     const Route &route = *state.profile.route;
     const auto end = state.profile.responseDeadline;
-    if (!repeatable(route) || state.count.runs + 1 >= route.maxAttempts) {
-        return end;
-    }
     const auto responseTimeout = Millis(static_cast<int64_t>(static_cast<double>(route.targetLatency.count()) * m_options.responseTimeoutFactor));
     return std::min(now + responseTimeout, now + (end - now) / 2);
 }
@@ -50,6 +46,15 @@
     }
 }
 
+// Returns the number of idle connections that this router may keep to an endpoint.
+template <Dialect D> std::size_t Gateway<D>::maxIdleConnectionsTo(const Endpoint &endpoint) const
+{
+    const auto configuration = m_published.configuration();
+    const auto *service = configuration ? configuration->service(endpoint.pool) : nullptr;
+    const std::size_t share = service ? static_cast<std::size_t>(service->maxConnections) / m_options.routersPerConnectionCap : 1;
+    return std::clamp<std::size_t>(share, 2, m_options.maxIdleConnections);
+}
+
 template <Dialect D> void Gateway<D>::cancelAttemptsAtRestarted()
 {
     std::vector<RequestState *> affected;
@@ -66,21 +71,34 @@
     }
 }
 
+template <Dialect D> void Gateway<D>::endRequests()
+{
+    m_ending = true;
+    std::vector<RequestState *> inFlight;
+    for (const auto &[state, endpoint] : m_attempts) {
+        inFlight.push_back(state);
+    }
+    for (auto *state : inFlight) {
+        if (m_attempts.count(state)) { // cancelling one attempt may have ended another
+            state->stopping = true;
+            state->cancellation.cancel();
+        }
+    }
+}
+
 // Sends the request to one endpoint and relays its response. Sets staleConnection if a keep-alive
 // connection broke before any byte of the response arrived.
 template <Dialect D>
 Task<AttemptEnd> Gateway<D>::attemptAt(http::Exchange &ex, RequestState &state, const Endpoint &endpoint, http::ConnectionReuse reuse, bool &staleConnection)
 {
     const auto now = Clock::now();
-    const auto *service = state.profile.configuration->service(state.service);
     http::CallOptions options;
-    options.deadline = headDeadline(state, now);
+    options.deadline = state.profile.responseDeadline;
     options.reuse = reuse;
     options.cancellation = &state.cancellation;
     options.connectTimeout = m_options.connectTimeout;
     options.confirmAfterIdle = m_options.confirmAfterIdle;
-    const std::size_t share = service ? static_cast<std::size_t>(service->maxConnections) / m_options.routersPerConnectionCap : 1;
-    options.maxIdleConnections = std::clamp<std::size_t>(share, 2, m_options.maxIdleConnections);
+    options.maxIdleConnections = maxIdleConnectionsTo(endpoint);
     state.promptEstimate = estimatePrompt(state, endpoint, now);
     staleConnection = false;
     auto opened = co_await openByAnyPath(ex, state, endpoint, options);
@@ -97,7 +115,7 @@
         }
         state.retryPermit.reset();
         ++state.count.arrivals;
-        staleConnection = error->reused && Clock::now() < options.deadline;
+        staleConnection = error->reused && Clock::now() < options.deadline && !state.successor;
         if (staleConnection && !state.cancellation.isCancelled()) {
             m_keepAliveBrokeAt[state.service] = Clock::now();
         }
@@ -109,6 +127,12 @@
     co_return co_await handleResponse(ex, state, endpoint, response);
 }
 
+template <Dialect D> void Gateway<D>::recordReceived(RequestState &state, const Endpoint &endpoint)
+{
+    state.lastReceived = Clock::now();
+    m_activity.recordReceived(incarnationKey(endpoint), state.lastReceived);
+}
+
 // Applies what an endpoint reports about itself, even if it comes with the response to another
 // request.
 template <Dialect D> void Gateway<D>::applySelfReport(const Endpoint &endpoint, const ResponseHead &head)
@@ -127,6 +151,7 @@
 template <Dialect D> Task<AttemptEnd> Gateway<D>::handleResponse(http::Exchange &ex, RequestState &state, const Endpoint &endpoint, http::Response &response)
 {
     constexpr int maxForeignResponses = D::mayReceiveLateResponses ? 3 : 0;
+    recordReceived(state, endpoint);
     ResponseHead head = m_dialect.readHead(response, state.profile);
     applySelfReport(endpoint, head);
     for (int foreignResponses = 0; !head.matchesRequest && !head.notExecuted && !head.wrongInstance; ++foreignResponses) {
@@ -141,6 +166,9 @@
         head = m_dialect.readHead(response, state.profile);
         applySelfReport(endpoint, head);
     }
+    if (state.watch) {
+        state.watch->suspend();
+    }
     state.lastHead = head;
     const bool current = m_table.isCurrentIncarnation(endpoint);
     if (current) {
@@ -170,6 +198,7 @@
     if (!head.authentic) {
         co_return AttemptEnd::Broken;
     }
+    state.reserve.giveBack();
     const auto now = Clock::now();
     state.firstByte = state.firstByte == Clock::time_point{} ? now : state.firstByte;
     state.lastStatus = head.status;
@@ -191,7 +220,6 @@
                                            http::Response &response)
 {
     auto headers = m_dialect.responseHeaders(response, state.profile, endpoint);
-    response.setDeadline(state.profile.responseDeadline);
     std::string body;
     for (bool more = true; more;) {
         auto read = co_await response.read();
@@ -199,6 +227,7 @@
             co_return Clock::now() >= state.profile.responseDeadline ? AttemptEnd::Silent : AttemptEnd::Broken;
         }
         const auto &bytes = std::get<std::string>(read);
+        recordReceived(state, endpoint);
         more = !bytes.empty();
         body += bytes;
         if (body.size() > m_options.maxResponseBytes) {
@@ -225,23 +254,28 @@
 {
     const Route &route = *state.profile.route;
     if (!state.headSent) {
-        state.headSent = true;
         auto headers = m_dialect.responseHeaders(response, state.profile, endpoint);
+        state.headSent = true;
         co_await ex.beginStream(response.status(), "", std::move(headers));
     }
     const auto eventGapTimeout = Millis(static_cast<int64_t>(static_cast<double>(route.eventGapTarget.count()) * m_options.eventGapTimeoutFactor));
-    const bool mayResume = repeatable(route) && state.count.runs + 1 < route.maxAttempts;
     for (;;) {
-        response.setDeadline(mayResume ? std::min(state.profile.responseDeadline, Clock::now() + eventGapTimeout) : state.profile.responseDeadline);
+        if (state.watch) {
+            state.watch->expectBy(Clock::now() + eventGapTimeout);
+        }
         auto read = co_await response.read();
+        if (state.watch) {
+            state.watch->suspend(); // the endpoint is not silent while the caller is slow to read
+        }
         if (ex.callerDisconnected()) {
             co_return AttemptEnd::CallerGone;
         }
         if (std::holds_alternative<http::CallError>(read)) {
             state.events.discardPartialEvent();
-            co_return AttemptEnd::Broken;
+            co_return Clock::now() >= state.profile.responseDeadline ? AttemptEnd::Silent : AttemptEnd::Broken;
         }
         const auto &bytes = std::get<std::string>(read);
+        recordReceived(state, endpoint);
         if (bytes.empty()) {
             break;
         }
--- a/src/entry/gateway_statistics.h
+++ b/src/entry/gateway_statistics.h
@@ -24,18 +24,11 @@
     return m_fleet ? m_fleet->share(BootClock::now()) : 1;
 }
 
-// Spends one extra arrival from the retry budget of a service; returns false when the budget is
-// used up.
-template <Dialect D> bool Gateway<D>::spendRetry(RequestState &state)
+// Takes a permit for one extra arrival from the retry budget of a service; returns null when the budget is used up.
+template <Dialect D> std::unique_ptr<limits::RetryPermit> Gateway<D>::takeRetryPermit(const std::string &service)
 {
-    auto &budget = retryBudgetFor(state.service);
-    const bool taken = budget.tryRetry(BootClock::now(), slackShare());
-    if (taken) {
-        state.retryPermit.emplace(budget);
-    }
-    ++(taken ? m_metrics.retries : m_metrics.retriesDenied);
-    state.retryDenied = state.retryDenied || !taken;
-    return taken;
+    auto &budget = retryBudgetFor(service);
+    return budget.tryRetry(BootClock::now(), slackShare()) ? std::make_unique<limits::RetryPermit>(budget) : nullptr;
 }
 
 template <Dialect D> std::vector<RetryGauge> Gateway<D>::retryGauges() const
@@ -70,6 +63,15 @@
     return ids;
 }
 
+// Returns true if the end of an attempt speaks against its endpoint. A silence that a sound endpoint may have does not.
+template <Dialect D> bool Gateway<D>::showsFault(const RequestState &state, const Endpoint &endpoint, AttemptEnd end) const
+{
+    if (end == AttemptEnd::Silent) {
+        return m_activity.isFault(incarnationKey(endpoint), state.lastReceived, Clock::now());
+    }
+    return end != AttemptEnd::Delivered || state.lastStatus >= 500;
+}
+
 // Updates statistics, quarantine and outlier detection after an attempt, and logs attempts that did
 // not deliver.
 template <Dialect D>
@@ -84,8 +86,9 @@
     }
     // A failure over a cut path, or at a peer, says nothing about the endpoint.
     const bool pathAtFault = end != AttemptEnd::Delivered && m_paths.pathTo(endpoint) == Path::Relayed;
-    if (end != AttemptEnd::CallerGone && !pathAtFault) {
-        const bool failed = end != AttemptEnd::Delivered || state.lastStatus >= 500;
+    const bool failed = showsFault(state, endpoint, end);
+    const bool excused = end == AttemptEnd::Silent && !failed;
+    if (end != AttemptEnd::CallerGone && !pathAtFault && !excused && !state.stopping) {
         const auto ejection = m_outliers[state.service].record(incarnationKey(endpoint), failed, m_table.poolSize(state.service), now);
         if (ejection && m_table.isCurrentIncarnation(endpoint)) {
             ++m_metrics.ejections;
@@ -110,6 +113,7 @@
             .add("ms", elapsedMs(began))
             .add("path", nameOf(pathNames, state.path))
             .add("events", static_cast<int64_t>(state.events.lastId()))
+            .add("silent_ms", elapsedMs(state.lastReceived))
             .add("parts", sharedPartsText(state.profile.prompt))
             .add("again", willRetry);
     }
@@ -169,6 +173,10 @@
         .add("sends", int64_t{state.count.attempts})
         .add("runs", int64_t{state.count.runs})
         .add("retry_denied", state.retryDenied)
+        .add("why", state.giveUpReason ? nameOf(giveUpReasonNames, *state.giveUpReason) : "")
+        .add("last_end", state.lastEnd ? nameOf(attemptEndNames, *state.lastEnd) : "")
+        .add("silent_ms", state.lastEnd ? elapsedMs(state.lastReceived) : int64_t{-1})
+        .add("config_ms", elapsedMs(m_published.configurationAppliedAt()))
         .add("events", static_cast<int64_t>(state.events.lastId()))
         .add("first_ms", firstByte < 0 ? int64_t{-1} : static_cast<int64_t>(firstByte * 1000))
         .add("ms", elapsedMs(p.arrived));
--- a/src/entry/process.h
+++ b/src/entry/process.h
@@ -29,7 +29,8 @@
 /// Timing of a stop, within the grace period of the settings.
 struct StopOptions {
     Millis acceptRequestsFor{3000}; ///< how long new requests are still accepted: the load balancer needs two probes, a second apart, to stop sending them
-    Millis reserve{400}; ///< kept free at the end of the grace period for the exit of the process
+    Millis reserve{400}; ///< kept free at the end of the grace period for the last responses and the exit of the process
+    Millis lastResponses{200}; ///< of the reserve: to answer the requests that are still in flight
     Millis pollInterval{20};
 };
 
@@ -367,6 +368,9 @@
         gauges.tunnels = m_relay.counters().open;
         gauges.tunnelsAccepted = m_relay.counters().accepted;
         gauges.tunnelsRefused = m_relay.counters().refused;
+        gauges.unanswered = m_callerServer.counters().unanswered;
+        gauges.truncated = m_callerServer.counters().truncated;
+        gauges.handlerFailures = m_callerServer.counters().handlerFailures;
         std::string text = m_gateway.metricsText(gauges);
         co_await ex.reply(200, std::move(text), {}, "text/plain; version=0.0.4");
     }
@@ -375,7 +379,9 @@
     // sends some; then the requests in flight are finished.
     Task<void> drainAfterStopSignal()
     {
-        co_await awaitStopSignal();
+        // Kept until the exit: without it, the default action of a signal would end the process in the middle of its stop.
+        asio::signal_set signals(co_await asio::this_coro::executor, SIGTERM, SIGINT, SIGHUP);
+        co_await awaitStopSignal(signals);
         const auto began = Clock::now();
         m_stopping = true;
         m_callerServer.closeConnectionsAfterResponses();
@@ -388,12 +394,17 @@
         while ((m_callerServer.inflight() > 0 || m_relay.counters().open > 0) && Clock::now() < end) {
             co_await sleepFor(m_stop.pollInterval);
         }
+        asio::post(m_trafficLoop, [this] {
+            m_gateway.endRequests();
+        });
+        while (m_callerServer.inflight() > 0 && Clock::now() < end + m_stop.lastResponses) {
+            co_await sleepFor(m_stop.pollInterval);
+        }
     }
 
     // Waits for SIGTERM or SIGINT; each SIGHUP in the meantime triggers a reload.
-    Task<void> awaitStopSignal()
+    Task<void> awaitStopSignal(asio::signal_set &signals)
     {
-        asio::signal_set signals(co_await asio::this_coro::executor, SIGTERM, SIGINT, SIGHUP);
         for (;;) {
             boost::system::error_code ec;
             const int signal = co_await signals.async_wait(asio::redirect_error(asio::use_awaitable, ec));
--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -130,6 +130,7 @@
     m_parser.emplace();
     m_parser->header_limit(responseHeaderLimit);
     m_parser->body_limit(std::numeric_limits<uint64_t>::max()); // Beast 1.74 treats "none" as zero
+    m_parser->skip(m_options.headOnly);
 }
 
 unsigned Response::status() const
@@ -156,13 +157,6 @@
     return endToEndFields(m_parser->get());
 }
 
-void Response::setDeadline(Clock::time_point deadline)
-{
-    if (m_connection) {
-        m_connection->stream.expires_at(deadline);
-    }
-}
-
 // Returns the connection of a complete response to the pool, or closes it. A
 // connection whose request is not fully written is closed: the peer would read
 // the next request as the remainder of this one.
@@ -380,6 +374,28 @@
     co_return std::nullopt;
 }
 
+Task<bool> Client::connectAhead(Address to, CallOptions options)
+{
+    const auto ex = co_await asio::this_coro::executor;
+    auto connection = takeIdle(ex, to);
+    const auto now = Clock::now();
+    const bool fresh = connection && (!options.confirmAfterIdle || now - connection->idleSince < *options.confirmAfterIdle);
+    if (connection && !fresh) {
+        addIdle(to, std::move(connection), options.maxIdleConnections);
+    }
+    if (!fresh) {
+        connection = std::make_shared<ClientConnection>(ex);
+        const auto failed = co_await connect(*connection, to, options);
+        if (failed) {
+            co_return false;
+        }
+        connection->idleSince = Clock::now();
+        connection->closeDeadline = connection->idleSince + defaultIdleLifetime;
+    }
+    addIdle(to, std::move(connection), options.maxIdleConnections);
+    co_return true;
+}
+
 Task<std::optional<unsigned>> Client::tryTunnel(TunnelRequest request, Millis timeout)
 {
     ClientConnection connection(co_await asio::this_coro::executor);
@@ -448,7 +464,12 @@
     if (request.count(bhttp::field::host) == 0) {
         request.set(bhttp::field::host, to.host + ":" + std::to_string(to.port));
     }
-    request.prepare_payload();
+    if (request.body().empty()) {
+        request.prepare_payload();
+    } else {
+        request.content_length(request.body().size()); // prepare_payload() throws for methods that should have no body
+    }
+    options.headOnly = request.method() == bhttp::verb::head;
     if (options.cancellation && options.cancellation->isCancelled()) {
         co_return CallError{CallStage::Connect, "cancelled"};
     }
--- a/src/http_exchange.cpp
+++ b/src/http_exchange.cpp
@@ -87,6 +87,7 @@
 {
     m_stream.expires_never();
     if (ec) {
+        m_writeError = ec;
         markCallerDisconnected();
     }
 }
@@ -101,7 +102,13 @@
     m_answered = true;
     boost::system::error_code ec;
     m_stream.expires_after(m_writeTimeout);
-    co_await bhttp::async_write(m_stream, res, asio::redirect_error(asio::use_awaitable, ec));
+    if (m_request.method() == bhttp::verb::head) {
+        bhttp::response_serializer<bhttp::string_body> serializer{res};
+        co_await bhttp::async_write_header(m_stream, serializer, asio::redirect_error(asio::use_awaitable, ec));
+    } else {
+        co_await bhttp::async_write(m_stream, res, asio::redirect_error(asio::use_awaitable, ec));
+    }
+    m_complete = !ec;
     finishWrite(ec);
 }
 
@@ -141,12 +148,13 @@
     boost::system::error_code ec;
     m_stream.expires_after(m_writeTimeout);
     co_await asio::async_write(m_stream, bhttp::make_chunk_last(), asio::redirect_error(asio::use_awaitable, ec));
+    m_complete = !ec;
     finishWrite(ec);
 }
 
 int Exchange::detach()
 {
-    m_answered = true;
+    m_detached = true;
     m_callerDisconnected = true;
     boost::system::error_code ec;
     auto socket = m_stream.release_socket();
@@ -156,7 +164,7 @@
 
 void Exchange::abort()
 {
-    m_answered = true;
+    m_aborted = true;
     m_callerDisconnected = true;
     boost::system::error_code ec;
     m_stream.socket().shutdown(tcp::socket::shutdown_both, ec);
--- a/src/http_exchange.h
+++ b/src/http_exchange.h
@@ -55,7 +55,27 @@
     {
         return m_answered;
     }
-    /// True if the caller has disconnected or abort() was called.
+    /// True once a response was passed to the connection as a whole.
+    bool complete() const
+    {
+        return m_complete;
+    }
+    /// True if the handler called abort().
+    bool aborted() const
+    {
+        return m_aborted;
+    }
+    /// True if the handler called detach().
+    bool detached() const
+    {
+        return m_detached;
+    }
+    /// The error that ended the last write; none while all writes have succeeded.
+    const boost::system::error_code &writeError() const
+    {
+        return m_writeError;
+    }
+    /// True if the caller has disconnected, or abort() or detach() was called.
     bool callerDisconnected() const
     {
         return m_callerDisconnected;
@@ -78,7 +98,11 @@
     std::function<void()> m_onCallerDisconnect;
     bool m_keepAlive;
     Millis m_writeTimeout;
+    boost::system::error_code m_writeError;
     bool m_answered = false;
+    bool m_complete = false;
+    bool m_aborted = false;
+    bool m_detached = false;
     bool m_callerDisconnected = false;
 };
 
--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -1,10 +1,12 @@
 #include "http_server.h"
 
+#include "failure.h"
+#include "log.h"
+
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
-#include <boost/beast/http/chunk_encode.hpp>
 
-#include <array>
+#include <stdexcept>
 
 namespace yucca::http
 {
@@ -13,9 +15,9 @@
 {
 
 constexpr Millis idlePollInterval{10}; ///< at which waitIdle() checks for requests in flight
-constexpr std::size_t readBufferBytes = 4096; ///< most request heads fit into one read of this size
-constexpr Millis rejectDrainTimeout{500}; ///< time for a rejected caller to read its response
-constexpr std::size_t maxRejectDrainBytes = 256 * 1024; ///< maximum number of bytes read and ignored after a rejection
+constexpr Millis acceptRetryDelay{20}; ///< after a failed accept, likely for want of file descriptors
+constexpr Millis rejectWriteTimeout{500}; ///< for the response to an invalid message
+constexpr std::size_t maxLoggedBytes = 200; ///< of a path or a reason: longer log lines may be dropped
 constexpr std::string_view continueHead = "HTTP/1.1 100 Continue\r\n\r\n";
 
 // Returns why a parsed request head must be rejected, or null. Beast's parser
@@ -44,6 +46,47 @@
     return request.version() < 11 ? "a transfer coding in HTTP/1.0" : nullptr;
 }
 
+using Parser = bhttp::request_parser<bhttp::string_body>;
+enum class Part { Head, Message };
+
+// Parses what has arrived; sets ec to would_block if more is needed.
+void parseAvailable(Connection &c, Parser &parser, Part part, boost::system::error_code &ec)
+{
+    try {
+        if (part == Part::Head) {
+            bhttp::read_header(c.stream.socket(), c.buffer, parser, ec);
+        } else {
+            bhttp::read(c.stream.socket(), c.buffer, parser, ec);
+        }
+    } catch (const std::length_error &) {
+        ec = bhttp::error::header_limit; // Beast cannot store header fields of 64 KiB or more
+    }
+}
+
+// Reads a part of a message. Fails with a timeout if it has not arrived by the deadline; what has arrived by
+// then is read, also when the event loop is late.
+Task<boost::system::error_code> readPart(Connection &c, Parser &parser, Part part, Clock::time_point deadline)
+{
+    for (;;) {
+        boost::system::error_code ec;
+        parseAvailable(c, parser, part, ec);
+        if (ec != asio::error::would_block) {
+            co_return ec;
+        }
+        if (Clock::now() >= deadline) {
+            co_return boost::beast::error::timeout;
+        }
+        co_await c.waitReadable(deadline);
+    }
+}
+
+// True if a write failed because the caller or the path to it is gone.
+bool isDisconnect(const boost::system::error_code &ec)
+{
+    return ec == asio::error::connection_reset || ec == asio::error::broken_pipe || ec == asio::error::connection_aborted || ec == asio::error::timed_out
+        || ec == asio::error::host_unreachable || ec == asio::error::network_unreachable;
+}
+
 } // namespace
 
 Server::Server(std::vector<asio::io_context *> loops, std::string host, uint16_t port, Handler handler, ServerLimits limits)
@@ -78,87 +121,139 @@
         return Error{503, "cannot listen on " + m_host + ":" + std::to_string(m_port) + ": " + ec.message()};
     }
     const uint16_t port = m_acceptor.local_endpoint().port();
-    asio::co_spawn(*m_loops.front(), acceptLoop(), [](std::exception_ptr) {});
+    asio::co_spawn(*m_loops.front(), acceptLoop(), [this](std::exception_ptr failure) {
+        if (failure) {
+            recordFailure("accept", {}, describe(failure));
+        }
+    });
     return port;
 }
 
-// Accepts connections until stopped and assigns each to the next event loop.
+// Accepts connections until stopped.
 Task<void> Server::acceptLoop()
 {
-    for (std::size_t next = 0; !m_stopping; ++next) {
-        auto &loop = *m_loops[next % m_loops.size()];
+    bool failing = false;
+    while (!m_stopping) {
         boost::system::error_code ec;
-        tcp::socket socket(loop);
-        co_await m_acceptor.async_accept(socket, asio::redirect_error(asio::use_awaitable, ec));
+        tcp::endpoint peer;
+        tcp::socket socket(nextLoop());
+        co_await m_acceptor.async_accept(socket, peer, asio::redirect_error(asio::use_awaitable, ec));
         if (ec && m_stopping) {
             co_return;
         }
         if (ec) {
-            co_await sleepFor(Millis(20)); // likely out of file descriptors: wait until some are closed
+            if (!failing) {
+                recordFailure("accept", {}, ec.message());
+            }
+            failing = true;
+            co_await sleepFor(acceptRetryDelay);
             continue;
         }
-        socket.set_option(tcp::no_delay(true), ec);
-        auto connection = std::make_shared<Connection>(std::move(socket));
-        {
-            std::lock_guard lock(m_mutex);
-            m_connections.insert(connection);
+        failing = false;
+        open(std::move(socket), peer);
+    }
+}
+
+// Accepts the connections whose callers have connected already, without waiting.
+void Server::acceptPending()
+{
+    boost::system::error_code ec;
+    m_acceptor.non_blocking(true, ec);
+    while (!ec) {
+        tcp::endpoint peer;
+        tcp::socket socket(nextLoop());
+        m_acceptor.accept(socket, peer, ec);
+        if (!ec) {
+            open(std::move(socket), peer);
         }
-        asio::co_spawn(loop, serve(connection), [this, connection](std::exception_ptr) {
-            std::lock_guard lock(m_mutex);
-            m_connections.erase(connection);
-        });
     }
 }
 
+// Distributes the connections over the event loops.
+asio::io_context &Server::nextLoop()
+{
+    return *m_loops[m_acceptedConnections++ % m_loops.size()];
+}
+
+void Server::open(tcp::socket socket, const tcp::endpoint &peer)
+{
+    boost::system::error_code ec;
+    socket.set_option(tcp::no_delay(true), ec);
+    const auto executor = socket.get_executor();
+    auto connection = std::make_shared<Connection>(std::move(socket), peer);
+    {
+        std::lock_guard lock(m_mutex);
+        m_connections.insert(connection);
+        if (m_stopping) {
+            connection->inflight.emplace(m_inflight); // until it is known whether a request has arrived
+        }
+    }
+    asio::co_spawn(executor, serve(connection), [this, connection](std::exception_ptr failure) {
+        if (failure) {
+            m_counters.unanswered += connection->handling ? 1 : 0;
+            recordFailure("serve", connection->peerName(), describe(failure));
+            connection->stream.close(); // a wait for the caller's disconnect may still refer to the connection
+        }
+        std::lock_guard lock(m_mutex);
+        m_connections.erase(connection);
+    });
+}
+
 void Server::setLimits(const ServerLimits &limits)
 {
     m_limits = std::make_shared<const ServerLimits>(limits);
 }
 
-// Waits for a request and reads it. Returns false if the connection must be closed.
-Task<bool> Server::readRequest(Connection &c, Request &out)
+// Waits for the first bytes of a request. Returns false if the connection must be closed. Bytes that have
+// arrived come before the idle timeout and before a stop.
+Task<bool> Server::awaitRequest(Connection &c)
 {
-    const auto limits = m_limits.load();
-    if (c.buffer.size() == 0) {
-        c.stream.expires_after(limits->idleTimeout);
+    const auto idleSince = Clock::now();
+    for (;;) {
         boost::system::error_code ec;
-        auto into = c.buffer.prepare(readBufferBytes);
-        const auto n = co_await c.stream.async_read_some(into, asio::redirect_error(asio::use_awaitable, ec));
-        if (ec) {
+        if (c.buffer.size() == 0) {
+            c.readAvailable(ec);
+        }
+        if (c.buffer.size() > 0) {
+            if (!c.inflight) {
+                c.inflight.emplace(m_inflight);
+            }
+            co_return true;
+        }
+        c.inflight.reset();
+        const auto deadline = idleSince + m_limits.load()->idleTimeout;
+        if (ec != asio::error::would_block || m_stopping || Clock::now() >= deadline) {
             co_return false;
         }
-        c.buffer.commit(n);
+        c.idle = true;
+        co_await c.waitReadable(deadline);
+        c.idle = false;
     }
-    c.idle = false;
-    ++m_inflight;
-    const bool read = co_await readMessage(c, *limits, out);
-    if (!read) {
-        --m_inflight;
-    }
-    co_return read;
 }
 
 // Reads the head and body of one request. Rejects an invalid message and returns
 // false, which closes the connection.
-Task<bool> Server::readMessage(Connection &c, const ServerLimits &limits, Request &out)
+Task<bool> Server::readRequest(Connection &c, Request &out)
 {
-    boost::system::error_code ec;
-    c.stream.expires_after(limits.headerTimeout);
-    bhttp::request_parser<bhttp::string_body> parser;
-    parser.header_limit(static_cast<uint32_t>(limits.headerBytes));
-    parser.body_limit(limits.bodyBytes);
-    co_await bhttp::async_read_header(c.stream, c.buffer, parser, asio::redirect_error(asio::use_awaitable, ec));
+    const auto limits = m_limits.load();
+    const auto deadline = Clock::now() + limits->headerTimeout;
+    Parser parser;
+    parser.header_limit(static_cast<uint32_t>(limits->headerBytes));
+    parser.body_limit(limits->bodyBytes);
+    auto ec = co_await readPart(c, parser, Part::Head, deadline);
     if (!ec) {
         if (const char *why = headViolation(parser)) {
             co_await rejectMessage(c, bhttp::status::bad_request, why);
             co_return false;
         }
         if (boost::beast::iequals(parser.get()[bhttp::field::expect], "100-continue")) {
+            c.stream.expires_at(deadline);
             co_await asio::async_write(c.stream, asio::buffer(continueHead), asio::redirect_error(asio::use_awaitable, ec));
+            c.stream.expires_never();
         }
     }
     if (!ec) {
-        co_await bhttp::async_read(c.stream, c.buffer, parser, asio::redirect_error(asio::use_awaitable, ec));
+        ec = co_await readPart(c, parser, Part::Message, deadline);
     }
     if (!ec) {
         out = parser.release();
@@ -178,22 +273,21 @@
 }
 
 // Responds to an invalid message. The connection must then be closed, as the end of
-// the message is unknown. Reads and ignores further bytes for a limited time: closing
-// a socket with unread bytes sends a reset, which may destroy the response.
+// the message is unknown.
 Task<void> Server::rejectMessage(Connection &c, bhttp::status status, const char *why)
 {
+    ++m_counters.rejectedMessages;
     bhttp::response<bhttp::string_body> res{status, 11};
     res.set(bhttp::field::content_type, "text/plain");
     res.keep_alive(false);
     res.body() = why;
     res.prepare_payload();
     boost::system::error_code ec;
-    c.stream.expires_after(rejectDrainTimeout);
+    c.stream.expires_after(rejectWriteTimeout);
     co_await bhttp::async_write(c.stream, res, asio::redirect_error(asio::use_awaitable, ec));
-    c.stream.socket().shutdown(tcp::socket::shutdown_send, ec);
-    std::array<char, readBufferBytes> ignored;
-    for (std::size_t n = 0; !ec && n < maxRejectDrainBytes;) {
-        n += co_await c.stream.async_read_some(asio::buffer(ignored), asio::redirect_error(asio::use_awaitable, ec));
+    c.stream.expires_never();
+    if (!ec) {
+        co_await c.closeGracefully();
     }
 }
 
@@ -202,16 +296,17 @@
 {
     Request request;
     for (;;) {
-        c->idle = true;
-        if (m_stopping) {
+        const bool arrived = co_await awaitRequest(*c);
+        if (!arrived) {
             break;
         }
-        const bool more = co_await readRequest(*c, request);
-        if (!more) {
+        const bool read = co_await readRequest(*c, request);
+        if (!read) {
             break;
         }
+        c->handling = true;
         const bool keepOpen = co_await handleRequest(c, request);
-        --m_inflight;
+        c->handling = false;
         if (!keepOpen) {
             break;
         }
@@ -219,33 +314,74 @@
     boost::system::error_code ec;
     c->stream.socket().shutdown(tcp::socket::shutdown_send, ec);
     c->stream.close();
+    c->inflight.reset();
 }
 
 // Runs the handler for one request and watches for a disconnect of the caller.
 // Returns true if the connection may carry another request.
 Task<bool> Server::handleRequest(ConnectionPtr c, const Request &request)
 {
-    c->stream.expires_never();
     const bool keepAlive = request.keep_alive() && !m_stopping && !m_closeAfterResponse;
     Exchange exchange(c->stream, request, keepAlive, m_limits.load()->writeTimeout);
     auto exchangeRef = std::make_shared<Exchange *>(&exchange);
     watchForDisconnect(c, exchangeRef);
-    bool failed = false;
+    std::string failure;
     try {
         co_await m_handler(exchange);
-    } catch (const std::exception &) {
-        failed = true;
+        if (!exchange.complete() && !exchange.callerDisconnected()) {
+            failure = exchange.answered() ? "returned before the end of its response" : "returned without a response";
+        }
+    } catch (...) {
+        failure = describe(std::current_exception());
     }
     *exchangeRef = nullptr;
-    if (failed && !exchange.answered()) {
+    exchange.onCallerDisconnect({}); // it may refer to the handler's variables
+    if (!failure.empty()) {
+        ++m_counters.handlerFailures;
+        const auto path = exchange.path();
+        log::Line{log::Event::HandlerFailed}
+            .add("peer", c->peerName())
+            .add("path", std::string_view(path).substr(0, maxLoggedBytes))
+            .add("why", std::string_view(failure).substr(0, maxLoggedBytes))
+            .add("answered", exchange.answered());
+    }
+    if (!exchange.answered() && !exchange.callerDisconnected()) {
         co_await exchange.reply(500, R"({"error":{"message":"internal error","type":"internal"}})");
     }
-    if (!exchange.answered() || exchange.callerDisconnected()) {
+    recordEnd(*c, exchange);
+    if (!exchange.complete() || exchange.callerDisconnected()) {
         c->stream.close();
+    } else if (!keepAlive) {
+        c->inflight.reset();
+        co_await c->closeGracefully();
     }
     co_return keepAlive && c->stream.socket().is_open();
 }
 
+// Counts how a request ended, unless its response is complete.
+void Server::recordEnd(const Connection &c, const Exchange &exchange)
+{
+    if (exchange.complete() || exchange.detached()) {
+        return;
+    }
+    if (exchange.aborted()) {
+        ++m_counters.aborted;
+    } else if (exchange.writeError() && !isDisconnect(exchange.writeError())) {
+        ++m_counters.truncated;
+        recordFailure("write", c.peerName(), exchange.writeError().message());
+    } else if (exchange.callerDisconnected()) {
+        ++m_counters.callersGone;
+    } else {
+        ++m_counters.truncated;
+    }
+}
+
+void Server::recordFailure(std::string_view where, std::string_view peer, std::string_view why)
+{
+    ++m_counters.connectionFailures;
+    log::Line{log::Event::ConnectionFailed}.add("where", where).add("peer", peer).add("why", why.substr(0, maxLoggedBytes));
+}
+
 // Marks the exchange when its caller closes the connection. Ends silently when
 // bytes arrive, as they belong to the next, pipelined request.
 void Server::watchForDisconnect(ConnectionPtr c, std::shared_ptr<Exchange *> exchange)
@@ -254,24 +390,34 @@
     socket.async_wait(tcp::socket::wait_read, [c, exchange](const boost::system::error_code &ec) {
         if (*exchange && ec) {
             (*exchange)->markCallerDisconnected();
-        } else if (*exchange) {
-            (*exchange)->pollCallerDisconnected();
+            return;
+        }
+        boost::system::error_code available;
+        if (*exchange && !(*exchange)->pollCallerDisconnected() && c->stream.socket().available(available) == 0) {
+            watchForDisconnect(c, exchange); // an event of bytes that were read before
         }
     });
 }
 
 void Server::stopAccepting()
 {
+    // Each posted function counts as in flight, so that no wait for the requests in flight ends before the
+    // requests that have arrived are counted themselves.
     m_stopping = true;
-    asio::post(m_acceptor.get_executor(), [this] {
+    asio::post(m_acceptor.get_executor(), [this, count = InflightCount(m_inflight)]() mutable {
+        acceptPending();
         boost::system::error_code ec;
         m_acceptor.close(ec);
+        asio::post(m_acceptor.get_executor(), [count = std::move(count)] {}); // a connection accepted before may be queued for acceptLoop()
     });
     std::lock_guard lock(m_mutex);
     for (const auto &c : m_connections) {
-        asio::post(c->stream.get_executor(), [c] {
+        asio::post(c->stream.get_executor(), [c, count = InflightCount(m_inflight)]() mutable {
+            if (!c->inflight) {
+                c->inflight.emplace(std::move(count));
+            }
             if (c->idle) {
-                c->stream.close();
+                c->interruptWait();
             }
         });
     }
@@ -280,10 +426,10 @@
 Task<bool> Server::waitIdle(Millis grace)
 {
     const auto deadline = Clock::now() + grace;
-    while (m_inflight > 0 && Clock::now() < deadline) {
+    while (*m_inflight > 0 && Clock::now() < deadline) {
         co_await sleepFor(idlePollInterval);
     }
-    co_return m_inflight == 0;
+    co_return *m_inflight == 0;
 }
 
 } // namespace yucca::http
