Comments of the stop's signals, of a connection opened ahead and of the rule on silence; one name

A reader who joins would have asked what 'until the exit' and 'recentlyAfter' mean. No logic changes.

--- a/src/entry/endpoint_activity.cpp
+++ b/src/entry/endpoint_activity.cpp
@@ -67,8 +67,9 @@
     }
     // An endpoint that has just gone on has not had the time to answer all requests that wait at it.
     const bool pausedMeanwhile = activity.resumedAt > since;
-    const auto recentlyAfter = since + (now - since) / 2;
-    return !pausedMeanwhile && activity.receivedAt > recentlyAfter;
+    // An answer to another request at the beginning of the wait may have come just before a pause.
+    const auto halfway = since + (now - since) / 2;
+    return !pausedMeanwhile && activity.receivedAt > halfway;
 }
 
 } // namespace yucca::entry
--- a/src/entry/process.h
+++ b/src/entry/process.h
@@ -379,7 +379,7 @@
     // sends some; then the requests in flight are finished.
     Task<void> drainAfterStopSignal()
     {
-        // Kept until the exit: without it, the default action of a signal would end the process in the middle of its stop.
+        // Kept for the whole stop: without it, the default action of another signal would end the process in the middle.
         asio::signal_set signals(co_await asio::this_coro::executor, SIGTERM, SIGINT, SIGHUP);
         co_await awaitStopSignal(signals);
         const auto began = Clock::now();
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -172,7 +172,7 @@
     Task<CallResult<Reply>> call(Address to, Request request, CallOptions options);
 
     /// Makes sure that a connection to a peer is open for a call that follows at once. Returns false if it could not be opened
-    /// within the connect timeout. Bytes are only sent by the call.
+    /// within the connect timeout. Sends nothing.
     Task<bool> connectAhead(Address to, CallOptions options);
 
     /// Asks for a tunnel and closes it unused. Returns nothing if it was opened, otherwise the peer's status, 0 if it did not answer.
