Store calls by kind, operation and freshness; whence each change came, and the age of the held state

Cause: the logs and metrics could not tell a change that came late for the store's link from one that came late for a router's processor or for a peer that refused.

Change: the store's client counts calls, failures and bytes by kind, operation and freshness (metrics, and the event StoreCalls each ten seconds). Each batch of changes gets a line (ChangesReceived): from a peer, the store, a replica or a listing, how old the held state was, how long it took to apply. The age of the state of each kind is a gauge. No decision changes.

--- a/src/entry/control.h
+++ b/src/entry/control.h
@@ -230,7 +230,9 @@
     {
         for (auto *replica : {shared.configuration, shared.endpoints, shared.evacuations}) {
             if (replica) {
-                replica->onConfirmed = [this, evacuations = replica == m_shared.evacuations](Clock::time_point at) {
+                auto &confirmedAt = m_confirmedAt[replica->kind()];
+                replica->onConfirmed = [this, &confirmedAt, evacuations = replica == m_shared.evacuations](Clock::time_point at) {
+                    confirmedAt = at;
                     m_published.recordConfirmation(at);
                     if (evacuations) {
                         m_published.recordEvacuationsConfirmed(at);
@@ -286,6 +288,11 @@
             answered = answers;
         }
     }
+    /// Returns when the store last confirmed the state of each shared kind; callable from any thread.
+    std::map<std::string, Clock::time_point> confirmedAt() const
+    {
+        return {m_confirmedAt.begin(), m_confirmedAt.end()};
+    }
     void stop()
     {
         m_stopping = true;
@@ -454,6 +461,7 @@
     platform::ObjectApi &m_api;
     Published &m_published;
     SharedKinds m_shared;
+    std::map<std::string, std::atomic<Clock::time_point>> m_confirmedAt; ///< by kind; the keys never change after the construction
     bool m_stopping = false;
     ReadPolicy m_readPolicy;
     ConfigurationSink m_configurationSink;
--- a/src/entry/entry_metrics.cpp
+++ b/src/entry/entry_metrics.cpp
@@ -74,6 +74,17 @@
     }
 }
 
+// Writes one counter of the calls to the store, with one sample for each class of calls.
+void writeStoreUsage(std::string &out, std::string_view name, std::string_view help, const store::UsageCounts &usage, uint64_t store::CallCount::*member)
+{
+    writeHead(out, name, "counter", help);
+    for (const auto &[call, count] : usage) {
+        const auto labels = labelled("kind", call.kind) + "," + labelled("operation", nameOf(store::operationNames, call.operation)) + ","
+            + labelled("freshness", nameOf(store::freshnessNames, call.freshness));
+        writeSample(out, name, labels, static_cast<double>(count.*member));
+    }
+}
+
 } // namespace
 
 std::vector<VersionGauge> versionGauges(const std::vector<Endpoint> &endpoints)
@@ -183,6 +194,13 @@
     writeSingle(out, "yucca_endpoint_connections_total", "counter", "Connections opened to endpoints", static_cast<double>(gauges.connectionsOpened));
     writeSingle(out, "yucca_configuration_version", "gauge", "The version in force", static_cast<double>(gauges.configurationVersion));
     writeSingle(out, "yucca_store_silence_seconds", "gauge", "Since the store last answered", gauges.storeSilenceSeconds);
+    writeHead(out, "yucca_state_age_seconds", "gauge", "Since the store confirmed the state, to this router or to a peer");
+    for (const auto &gauge : gauges.stateAges) {
+        writeSample(out, "yucca_state_age_seconds", labelled("kind", gauge.kind), gauge.seconds);
+    }
+    writeStoreUsage(out, "yucca_store_calls_total", "Calls to the store", gauges.storeUsage, &store::CallCount::calls);
+    writeStoreUsage(out, "yucca_store_failed_calls_total", "Calls to the store that failed", gauges.storeUsage, &store::CallCount::failed);
+    writeStoreUsage(out, "yucca_store_bytes_total", "Bytes received from the store", gauges.storeUsage, &store::CallCount::bytesReceived);
     writeSingle(out, "yucca_endpoints", "gauge", "Endpoints that are listed and live", static_cast<double>(gauges.endpoints));
     writeHead(out, "yucca_endpoint_versions", "gauge", "Live endpoints by service and version of their software");
     for (const auto &gauge : gauges.versions) {
--- a/src/entry/entry_metrics.h
+++ b/src/entry/entry_metrics.h
@@ -6,6 +6,7 @@
 #include "entry/request_profile.h"
 #include "entry/retry_policy.h"
 #include "metrics.h"
+#include "store_usage.h"
 
 #include <boost/histogram.hpp>
 
@@ -59,6 +60,12 @@
     std::size_t endpoints = 0;
 };
 
+/// The age of the state of one kind of the store's objects.
+struct StateAgeGauge {
+    std::string kind;
+    double seconds = 0; ///< since the store last confirmed the state, to this router or to a peer
+};
+
 /// The number of pairs of a service and a version that are exported.
 inline constexpr std::size_t maxGaugedVersions = 200;
 
@@ -69,6 +76,8 @@
 struct Gauges {
     int64_t configurationVersion = 0;
     double storeSilenceSeconds = 0; ///< time since the store last answered: upper bound on the age of missing configuration changes
+    std::vector<StateAgeGauge> stateAges; ///< of the kinds that have been confirmed
+    store::UsageCounts storeUsage;
     std::size_t endpoints = 0;
     std::vector<VersionGauge> versions;
     std::size_t peers = 0; ///< number of routers in the failure domain that were heard from recently
--- a/src/entry/process.h
+++ b/src/entry/process.h
@@ -44,6 +44,7 @@
         , m_settingsPath(std::move(settingsPath))
         , m_table(tableOptions(settings))
         , m_published(m_table, publishedOptions(settings))
+        , m_store(store)
         , m_configurationReplica(C::configurationKind, rankAmongNeighbours(), m_changeClient, querySchedule(settings))
         , m_endpointReplica(C::endpointKind, rankAmongNeighbours(), m_changeClient, querySchedule(settings))
         , m_evacuationReplica(C::evacuationKind, rankAmongNeighbours(), m_changeClient, replica::queryScheduleWithin(Millis(settings.evacuationBoundMs)))
@@ -276,6 +277,7 @@
         ConfigurationPtr seen;
         uint64_t restarts = 0;
         Clock::time_point peersDue{};
+        Clock::time_point usageDue{};
         for (;;) {
             const auto configuration = m_published.configuration();
             if (configuration != seen) {
@@ -287,6 +289,10 @@
                 updateRelayPeers(now);
                 peersDue = now + relayPeersInterval;
             }
+            if (const auto now = Clock::now(); now >= usageDue) {
+                logStoreCalls();
+                usageDue = now + usageLogInterval;
+            }
             if (m_table.restartCount() != restarts) {
                 restarts = m_table.restartCount();
                 asio::post(m_trafficLoop, [this] {
@@ -357,6 +363,8 @@
         Gauges gauges;
         gauges.configurationVersion = configuration ? configuration->version : -1;
         gauges.storeSilenceSeconds = std::chrono::duration<double>(Clock::now() - m_published.lastContact()).count();
+        gauges.stateAges = stateAges(Clock::now());
+        gauges.storeUsage = m_store.usage();
         gauges.endpoints = m_published.endpointCount();
         gauges.versions = versionGauges(m_table.endpoints());
         gauges.inflight = m_callerServer.inflight();
@@ -375,6 +383,37 @@
         co_await ex.reply(200, std::move(text), {}, "text/plain; version=0.0.4");
     }
 
+    std::vector<StateAgeGauge> stateAges(Clock::time_point now) const
+    {
+        std::vector<StateAgeGauge> ages;
+        for (const auto &[kind, at] : m_control.confirmedAt()) {
+            if (at != Clock::time_point{}) {
+                ages.push_back({kind, std::chrono::duration<double>(now - at).count()});
+            }
+        }
+        return ages;
+    }
+
+    // Logs the calls to the store by class, if there were any since the last time.
+    void logStoreCalls()
+    {
+        const auto usage = m_store.usage();
+        for (const auto &[call, count] : usage) {
+            const auto before = m_loggedUsage.find(call);
+            if (before != m_loggedUsage.end() && before->second == count) {
+                continue;
+            }
+            log::Line{log::Event::StoreCalls}
+                .add("kind", call.kind)
+                .add("operation", nameOf(store::operationNames, call.operation))
+                .add("freshness", nameOf(store::freshnessNames, call.freshness))
+                .add("calls", static_cast<int64_t>(count.calls))
+                .add("failed", static_cast<int64_t>(count.failed))
+                .add("bytes", static_cast<int64_t>(count.bytesReceived));
+        }
+        m_loggedUsage = usage;
+    }
+
     // Readiness ends first. New requests are accepted for a while, because the load balancer still
     // sends some; then the requests in flight are finished.
     Task<void> drainAfterStopSignal()
@@ -418,6 +457,7 @@
     }
 
     static constexpr Millis relayPeersInterval{1000}; ///< between updates of the peers that may relay
+    static constexpr Millis usageLogInterval{10000}; ///< between log lines on the calls to the store
     static constexpr Millis maintenanceInterval{200}; ///< maximum delay until new limits on callers are in effect and expired endpoints are removed
 
     const Settings m_settings; ///< as at the start
@@ -429,6 +469,8 @@
     asio::io_context m_trafficLoop{1};
     router::RoutingTable m_table;
     Published m_published;
+    platform::ObjectApi &m_store;
+    store::UsageCounts m_loggedUsage;
     replica::ChangeClient m_changeClient;
     replica::SharedReplica m_configurationReplica;
     replica::SharedReplica m_endpointReplica;
--- a/src/follower.h
+++ b/src/follower.h
@@ -189,30 +189,58 @@
         }
     }
 
+    // Logs changes that are in force, given the time at which they arrived and that of the confirmation before.
+    void logChanges(std::size_t changes, std::string_view from, const std::string &peer, Clock::time_point arrivedAt, Clock::time_point confirmedAt) const
+    {
+        const auto age = confirmedAt == Clock::time_point{} ? Millis(-1) : std::chrono::duration_cast<Millis>(arrivedAt - confirmedAt);
+        log::Line{log::Event::ChangesReceived}
+            .add("kind", m_kind)
+            .add("from", from)
+            .add("peer", peer)
+            .add("changes", static_cast<int64_t>(changes))
+            .add("age_ms", age.count())
+            .add("took_ms", std::chrono::duration_cast<Millis>(Clock::now() - arrivedAt).count());
+    }
+
+    Clock::time_point confirmedAt() const
+    {
+        return m_options.sharedReplica ? m_options.sharedReplica->confirmedAt() : m_lastContact;
+    }
+
     replica::FetchSink fetchSink()
     {
         return {[this](const platform::Object &object, bool deleted) {
                     recordContact(); // recorded before the first update after an outage
+                    recordFetchedChanges(1);
                     m_sink.onChange(object, deleted);
-                    m_hadChanges = true;
                 },
                 [this](const platform::Listing &listing) {
                     recordContact();
                     applyEpoch(listing);
                     m_revision = listing.revision;
+                    recordFetchedChanges(listing.items.size());
                     m_sink.onListing(listing, platform::Freshness::MayLag);
-                    m_hadChanges = true;
                 }};
     }
 
+    void recordFetchedChanges(std::size_t count)
+    {
+        m_fetchedAt = m_hadChanges ? m_fetchedAt : Clock::now();
+        m_fetchedChanges = m_hadChanges ? m_fetchedChanges + count : count;
+        m_hadChanges = true;
+    }
+
     // Fetches the state that a peer announced, and reads from the store if the fetch fails.
     Task<bool> fetch()
     {
+        const auto confirmedBefore = confirmedAt();
+        const auto peer = m_options.sharedReplica->newerPeer();
         const bool laterEpoch = m_options.sharedReplica->behindEpoch();
         const auto limit = m_storeLost ? replica::TransferLimit::Large : replica::TransferLimit::Regular;
         const auto outcome = co_await m_options.sharedReplica->fetch(limit, fetchSink());
         if (m_hadChanges) {
             m_sink.onBatchEnd();
+            logChanges(m_fetchedChanges, "peer", peer, m_fetchedAt, confirmedBefore);
         }
         if (outcome == replica::FetchOutcome::Complete) {
             recordContact();
@@ -298,6 +326,7 @@
     void applyListing(platform::Freshness freshness)
     {
         const auto listing = std::exchange(m_listing, {});
+        const auto confirmedBefore = confirmedAt();
         applyEpoch(listing);
         m_listedAt = Clock::now();
         if (freshness == platform::Freshness::Current) {
@@ -310,6 +339,7 @@
         if (m_options.sharedReplica) {
             m_options.sharedReplica->applyListing(listing, freshness, m_listedAt);
         }
+        logChanges(listing.items.size(), "listing", "", m_listedAt, confirmedBefore);
     }
 
     // Overrides the read policy's choice for one watch.
@@ -343,6 +373,8 @@
             recordStoreLost(error);
             co_return false;
         }
+        const auto confirmedBefore = confirmedAt();
+        const auto arrivedAt = Clock::now();
         recordContact();
         const auto &batch = std::get<platform::WatchBatch>(result);
         if (batch.epoch != m_epoch) {
@@ -362,6 +394,9 @@
             }
         }
         m_sink.onBatchEnd();
+        if (m_hadChanges) {
+            logChanges(batch.events.size(), freshness == platform::Freshness::Current ? "store" : "replica", "", arrivedAt, confirmedBefore);
+        }
         if (m_options.sharedReplica && freshness == platform::Freshness::Current) {
             m_options.sharedReplica->recordConfirmation(batch.revision, Clock::now(), m_hadChanges);
         }
@@ -463,6 +498,8 @@
     platform::Listing m_listing; ///< pages read so far
     platform::Freshness m_lastFreshness = platform::Freshness::Current; ///< of the last answered watch
     bool m_hadChanges = false; ///< in the last step
+    std::size_t m_fetchedChanges = 0; ///< from a peer in the last step
+    Clock::time_point m_fetchedAt{}; ///< when the first of them arrived
     bool m_listed = false;
     bool m_storeLost = false;
     bool m_stopping = false;
--- a/src/log.cpp
+++ b/src/log.cpp
@@ -21,7 +21,7 @@
 namespace
 {
 
-constexpr std::array<EventInfo, 57> catalogue{{
+constexpr std::array<EventInfo, 59> catalogue{{
     {Event::ProgramStarted, "ProgramStarted", Level::Info},
     {Event::StopRequested, "StopRequested", Level::Info},
     {Event::ProgramStopped, "ProgramStopped", Level::Info},
@@ -72,6 +72,8 @@
     {Event::ConnectionFailed, "ConnectionFailed", Level::Warn},
     {Event::RequestFailed, "RequestFailed", Level::Error},
     {Event::TaskFailed, "TaskFailed", Level::Error},
+    {Event::ChangesReceived, "ChangesReceived", Level::Info},
+    {Event::StoreCalls, "StoreCalls", Level::Info},
     {Event::OrderAccepted, "OrderAccepted", Level::Info},
     {Event::OrderRefused, "OrderRefused", Level::Warn},
     {Event::Draining, "Draining", Level::Info},
--- a/src/log.h
+++ b/src/log.h
@@ -61,6 +61,8 @@
     ConnectionFailed = 2058,
     RequestFailed = 2059,
     TaskFailed = 2060,
+    ChangesReceived = 2061,
+    StoreCalls = 2062,
     OrderAccepted = 3001,
     OrderRefused = 3002,
     Draining = 3003,
--- a/src/object_api.h
+++ b/src/object_api.h
@@ -3,6 +3,7 @@
 
 #include "http_client.h"
 #include "store.h"
+#include "store_usage.h"
 #include "task.h"
 #include "yucca/types.h"
 
@@ -47,6 +48,11 @@
     {
         return 0;
     }
+    /// Returns the calls so far, if the implementation counts them; callable from any thread.
+    virtual store::UsageCounts usage() const
+    {
+        return {};
+    }
 };
 
 /// Lists all objects of a kind, page by page. The result has the revision of the first page, so that a watch from there misses no
--- a/src/shared_replica.h
+++ b/src/shared_replica.h
@@ -113,6 +113,11 @@
     {
         return m_newerPeerState.has_value();
     }
+    /// Returns the host address of the peer that announced a newer state; empty if there is none.
+    std::string newerPeer() const
+    {
+        return m_newerPeerState ? m_newerPeerState->from.host : std::string();
+    }
     /// Fetches the newer state from the peer that announced it. On any result but Complete, the store must be queried.
     Task<FetchOutcome> fetch(TransferLimit limit, FetchSink sink);
     /// Returns true if the held state is the one that could not be fetched from a peer.
