--- a/src/change_exchange.cpp
+++ b/src/change_exchange.cpp
@@ -13,24 +13,25 @@
 constexpr std::string_view changesPath = "/changes/";
 constexpr unsigned statusBusy = 503;
 
-// Counts an answer while it is being sent.
-class ScopedCounter
+// Releases an acquired slot at the end of its scope.
+class AcquiredSlot
 {
 public:
-    explicit ScopedCounter(int &count)
-        : m_count(count)
+    AcquiredSlot(AnswerSlots &slots, TransferLimit limit)
+        : m_slots(slots)
+        , m_limit(limit)
     {
-        ++m_count;
     }
-    ~ScopedCounter()
+    ~AcquiredSlot()
     {
-        --m_count;
+        m_slots.release(m_limit);
     }
-    ScopedCounter(const ScopedCounter &) = delete;
-    ScopedCounter &operator=(const ScopedCounter &) = delete;
+    AcquiredSlot(const AcquiredSlot &) = delete;
+    AcquiredSlot &operator=(const AcquiredSlot &) = delete;
 
 private:
-    int &m_count;
+    AnswerSlots &m_slots;
+    TransferLimit m_limit;
 };
 
 std::string textOf(const std::vector<uint8_t> &bytes)
@@ -45,9 +46,19 @@
 
 } // namespace
 
+bool AnswerSlots::acquire(TransferLimit limit)
+{
+    auto &count = active(limit);
+    if (count >= (limit == TransferLimit::Large ? m_options.maxConcurrentLarge : m_options.maxConcurrent)) {
+        return false;
+    }
+    ++count;
+    return true;
+}
+
 ChangeServer::ChangeServer(std::vector<SharedReplica *> replicas, ChangeExchangeOptions options)
     : m_replicas(std::move(replicas))
-    , m_options(options)
+    , m_slots(options)
 {
 }
 
@@ -64,18 +75,17 @@
         co_return;
     }
     const auto limit = ex.query("whole") == "1" ? TransferLimit::Large : TransferLimit::Regular;
-    int &activeAnswers = limit == TransferLimit::Large ? m_activeLargeAnswers : m_activeAnswers;
-    if (activeAnswers >= (limit == TransferLimit::Large ? m_options.maxConcurrentLarge : m_options.maxConcurrent)) {
+    if (!m_slots.acquire(limit)) {
         co_await ex.reply(statusBusy, "busy\n", {}, "text/plain");
         co_return;
     }
+    const AcquiredSlot slot(m_slots, limit);
     const auto changes = (*replica)->changesSince({*epoch, *since}, limit);
     if (const auto *error = std::get_if<Error>(&changes)) {
         co_await ex.reply(static_cast<unsigned>(error->code), error->message + "\n", {}, "text/plain");
         co_return;
     }
     std::string body = textOf(encode(std::get<Changes>(changes)));
-    const ScopedCounter counter(activeAnswers);
     co_await ex.reply(200, std::move(body), {}, "application/cbor");
 }
 
--- a/src/change_exchange.h
+++ b/src/change_exchange.h
@@ -23,6 +23,31 @@
     Millis connectTimeout{200};
 };
 
+/// Counts the answers that a router sends concurrently.
+class AnswerSlots
+{
+public:
+    explicit AnswerSlots(ChangeExchangeOptions options = {})
+        : m_options(options)
+    {
+    }
+    /// Takes a slot for an answer of the given limit; returns false if all are taken.
+    bool acquire(TransferLimit limit);
+    void release(TransferLimit limit)
+    {
+        --active(limit);
+    }
+
+private:
+    int &active(TransferLimit limit)
+    {
+        return limit == TransferLimit::Large ? m_large : m_regular;
+    }
+    ChangeExchangeOptions m_options;
+    int m_regular = 0;
+    int m_large = 0;
+};
+
 /// Answers other routers' requests for changes.
 class ChangeServer
 {
@@ -34,9 +59,7 @@
 
 private:
     std::vector<SharedReplica *> m_replicas;
-    ChangeExchangeOptions m_options;
-    int m_activeAnswers = 0;
-    int m_activeLargeAnswers = 0;
+    AnswerSlots m_slots;
 };
 
 /// Requests changes from other routers.
--- a/src/notifier.h
+++ b/src/notifier.h
@@ -15,7 +15,7 @@
     /// Suspends until notifyAll() is called or the deadline passes.
     Task<void> wait(Clock::time_point deadline)
     {
-        asio::steady_timer timer(co_await asio::this_coro::executor, deadline);
+        Timer timer(co_await asio::this_coro::executor, deadline);
         const auto position = m_waiting.insert(m_waiting.end(), &timer);
         boost::system::error_code ec;
         co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
@@ -29,7 +29,7 @@
     }
 
 private:
-    std::list<asio::steady_timer *> m_waiting;
+    std::list<Timer *> m_waiting;
 };
 
 } // namespace yucca
--- a/src/task.h
+++ b/src/task.h
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include <boost/asio/awaitable.hpp>
+#include <boost/asio/basic_waitable_timer.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/redirect_error.hpp>
@@ -21,16 +22,44 @@
 
 namespace asio = boost::asio;
 
-using Clock = std::chrono::steady_clock;
 using Millis = std::chrono::milliseconds;
 
+/// The clock of all timers and deadlines: the steady clock, or the virtual time of a simulation that runs on this thread.
+struct Clock {
+    using duration = std::chrono::steady_clock::duration;
+    using rep = std::chrono::steady_clock::rep;
+    using period = std::chrono::steady_clock::period;
+    using time_point = std::chrono::steady_clock::time_point;
+    static constexpr bool is_steady = true;
+    static time_point now() noexcept
+    {
+        return virtualNow ? *virtualNow : std::chrono::steady_clock::now();
+    }
+    static inline thread_local const time_point *virtualNow = nullptr; ///< set by a simulation on its thread, null otherwise
+};
+
+/// Tells Asio how long to wait for a timer. In virtual time no timer waits: the simulation polls after each step.
+struct TimerTraits {
+    static Clock::duration to_wait_duration(const Clock::duration &d)
+    {
+        return Clock::virtualNow ? Clock::duration::zero() : d;
+    }
+    static Clock::duration to_wait_duration(const Clock::time_point &t)
+    {
+        return to_wait_duration(t - Clock::now());
+    }
+};
+
+/// A timer that follows Clock.
+using Timer = asio::basic_waitable_timer<Clock, TimerTraits>;
+
 /// A coroutine that yields a T when awaited. It runs on the executor of its awaiter.
 template <typename T> using Task = asio::awaitable<T>;
 
 /// Suspends the calling task for the given duration.
 inline Task<void> sleepFor(Clock::duration d)
 {
-    asio::steady_timer timer(co_await asio::this_coro::executor, d);
+    Timer timer(co_await asio::this_coro::executor, d);
     boost::system::error_code ec;
     co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
 }
