Large changes are fetched from peers, from one after the other

What callers saw: a configuration of a series was not in force in time at the last routers of a large fleet, most of all at those that the store refused.

Cause: changes above 64 KB were refused by peers (413) and read from a replica by every router, so that the time grew with routers x size x versions over the store's link. A router knew one peer with a newer state; once it was busy or did not answer, the same state was not asked for again for a second.

Change: changes beyond the regular limit are asked for again as a large answer, of which a peer sends two at once. A router remembers up to eight peers that announced a newer state and asks one after the other; a busy one (429) again after 50 to 150 ms, a silent one after a second. The store is read when no peer can send the state, or when the age of the confirmation asks for it as before; while peers hold the newer state, the age counts from their announcement. A state read from a replica that a peer announced is confirmed at once.

In the model, a busy peer answers 429 as the product does.

--- a/emulators/model/change_fleet.cpp
+++ b/emulators/model/change_fleet.cpp
@@ -234,7 +234,7 @@
     }
     co_await sleepUntil(peer.processor.enqueue(m_fleet.processorTime(m_fleet.m_options.costs.perAnswer)));
     if (!peer.slots.acquire(limit)) {
-        co_return Error{store::Unavailable, "busy"};
+        co_return Error{replica::PeerBusy, "busy"};
     }
     auto result = co_await answer(peer, since, limit, deadline);
     peer.slots.release(limit);
--- a/src/change_exchange.cpp
+++ b/src/change_exchange.cpp
@@ -11,7 +11,6 @@
 {
 
 constexpr std::string_view changesPath = "/changes/";
-constexpr unsigned statusBusy = 503;
 
 // Releases an acquired slot at the end of its scope.
 class AcquiredSlot
@@ -76,7 +75,7 @@
     }
     const auto limit = ex.query("whole") == "1" ? TransferLimit::Large : TransferLimit::Regular;
     if (!m_slots.acquire(limit)) {
-        co_await ex.reply(statusBusy, "busy\n", {}, "text/plain");
+        co_await ex.reply(static_cast<unsigned>(PeerBusy), "busy\n", {}, "text/plain");
         co_return;
     }
     const AcquiredSlot slot(m_slots, limit);
--- a/src/change_exchange.h
+++ b/src/change_exchange.h
@@ -13,13 +13,13 @@
 /// Limits of the transfers.
 struct ChangeExchangeOptions {
     /// Maximum number of answers sent concurrently. A round of datagrams announces a change to eight routers; a router that is
-    /// refused queries the store.
+    /// refused asks another one, or again.
     int maxConcurrent = 12;
-    /// Maximum number of large answers sent concurrently, in addition to the regular ones; they go to routers that the store
-    /// refuses. A configuration of 400 KB takes 0.16 s on a link of 20 Mbit/s.
+    /// Maximum number of large answers sent concurrently, in addition to the regular ones. A configuration of 400 KB takes 0.16 s on a
+    /// link of 20 Mbit/s, and each router that has received it sends it on: sent to few at a time, it reaches all of them sooner.
     int maxConcurrentLarge = 2;
     Millis fetchTimeout{400}; ///< a neighbour answers in 1 ms; a query to the store after this timeout still meets the time bound of a change
-    Millis fetchLargeTimeout{2000}; ///< longer, because the store refuses this router and no other source is left
+    Millis fetchLargeTimeout{2000}; ///< longer: the peer has answered that the changes are large
     Millis connectTimeout{200};
 };
 
@@ -53,8 +53,8 @@
 {
 public:
     explicit ChangeServer(std::vector<SharedReplica *> replicas, ChangeExchangeOptions options = {});
-    /// Answers one request: GET /changes/KIND?since=REVISION&epoch=EPOCH, with &whole=1 from a router that the store refuses. Replies
-    /// 404 for an unknown kind or a malformed query, 503 if too many answers are being sent, and the codes of SharedReplica::changesSince().
+    /// Answers one request: GET /changes/KIND?since=REVISION&epoch=EPOCH, with &whole=1 for TransferLimit::Large. Replies
+    /// 404 for an unknown kind or a malformed query, PeerBusy if too many answers are being sent, and the codes of SharedReplica::changesSince().
     Task<void> handle(http::Exchange &ex);
 
 private:
--- a/src/follower.h
+++ b/src/follower.h
@@ -88,7 +88,7 @@
             }
             const bool reached = co_await step();
             if (!reached && !m_stopping && !behindPeer()) {
-                co_await wake().wait(Clock::now() + nextRetryDelay());
+                co_await wake().wait(std::min(Clock::now() + nextRetryDelay(), nextFetchAt()));
             } else if (m_hadChanges && !m_stopping) {
                 co_await wake().wait(Clock::now() + m_options.changeCoalescingDelay);
             }
@@ -123,6 +123,8 @@
             reached = co_await fetch();
         } else if (behindEpoch()) {
             reached = co_await list();
+        } else if (nextFetchAt() != Clock::time_point::max()) {
+            reached = co_await readAnnounced(); // the peers that hold the newer state are busy
         } else {
             reached = co_await watch();
         }
@@ -176,6 +178,11 @@
         return m_options.sharedReplica && m_options.sharedReplica->behindPeer();
     }
 
+    Clock::time_point nextFetchAt() const
+    {
+        return m_options.sharedReplica ? m_options.sharedReplica->nextFetchAt() : Clock::time_point::max();
+    }
+
     // Waits while confirmations from peers are recent enough.
     Task<void> waitUntilDue()
     {
@@ -185,7 +192,7 @@
             if (behindPeer() || behindEpoch() || due <= now) {
                 co_return;
             }
-            co_await wake().wait(due);
+            co_await wake().wait(std::min(due, nextFetchAt()));
         }
     }
 
@@ -230,18 +237,17 @@
         m_hadChanges = true;
     }
 
-    // Fetches the state that a peer announced, and reads from the store if the fetch fails.
+    // Fetches the state that peers announced, from one after the other. Reads it from the store if no peer can send it; while peers
+    // are only busy, they are asked again until the store must be queried.
     Task<bool> fetch()
     {
-        const auto confirmedBefore = confirmedAt();
-        const auto peer = m_options.sharedReplica->newerPeer();
         const bool laterEpoch = m_options.sharedReplica->behindEpoch();
-        const auto limit = m_storeLost ? replica::TransferLimit::Large : replica::TransferLimit::Regular;
-        const auto outcome = co_await m_options.sharedReplica->fetch(limit, fetchSink());
-        if (m_hadChanges) {
-            m_sink.onBatchEnd();
-            logChanges(m_fetchedChanges, "peer", peer, m_fetchedAt, confirmedBefore);
-        }
+        auto outcome = replica::FetchOutcome::Unavailable;
+        bool busy = false;
+        do {
+            outcome = co_await fetchFromPeer();
+            busy = busy || outcome == replica::FetchOutcome::Busy;
+        } while (outcome != replica::FetchOutcome::Complete && outcome != replica::FetchOutcome::Mismatch && behindPeer() && !m_stopping);
         if (outcome == replica::FetchOutcome::Complete) {
             recordContact();
             co_return true;
@@ -254,11 +260,30 @@
             m_listed = false;
             co_return co_await list();
         }
+        if (busy && m_options.sharedReplica->queryDueAt(Clock::now()) > Clock::now()) {
+            co_return true;
+        }
+        co_return co_await readAnnounced();
+    }
+
+    Task<replica::FetchOutcome> fetchFromPeer()
+    {
+        const auto confirmedBefore = confirmedAt();
+        const auto outcome = co_await m_options.sharedReplica->fetch(fetchSink());
+        if (m_hadChanges) {
+            m_sink.onBatchEnd();
+            logChanges(m_fetchedChanges, "peer", m_options.sharedReplica->lastPeer(), m_fetchedAt, confirmedBefore);
+        }
+        co_return outcome;
+    }
+
+    // Reads a state that peers announced from a replica, at a tenth of the cost of a current read, and from the store if the replica
+    // lags.
+    Task<bool> readAnnounced()
+    {
         if (!m_storeLost) {
-            // Changes too large to be fetched from peers are read from a replica at a tenth of the cost of a current read: every router
-            // of the fleet reads each change of a large configuration this way.
             const bool reached = co_await watch(WatchMode{platform::Freshness::MayLag, m_options.replicaWatchTimeout});
-            if (!reached || m_options.sharedReplica->holdsAnnouncedState()) {
+            if (!reached || m_options.sharedReplica->adoptAnnouncedState(Clock::now())) {
                 co_return reached;
             }
         }
--- a/src/object_replica.cpp
+++ b/src/object_replica.cpp
@@ -207,7 +207,7 @@
         }
         bytes += name.size() + held.value.size() + objectOverheadBytes;
         if (held.value.empty() || bytes > maxBytes) {
-            return Error{413, "more than a router hands on"};
+            return Error{ChangesTooLarge, "more than a router hands on"};
         }
         out.objects.push_back({name, held.version, json::from_cbor(held.value)});
     }
--- a/src/object_replica.h
+++ b/src/object_replica.h
@@ -45,18 +45,21 @@
 std::vector<uint8_t> encode(const Changes &changes);
 Result<Changes> decode(std::span<const uint8_t> bytes);
 
+/// Error code of changes that exceed the size limit.
+inline constexpr int ChangesTooLarge = 413;
+
 /// Which size limit applies to a transfer between routers.
 enum class TransferLimit {
-    Regular, ///< larger changes are read from the store
-    Large, ///< for a router that the store refuses
+    Regular,
+    Large, ///< for changes that exceed the regular limit; a router sends few such answers concurrently
 };
 
 /// Size limits of an ObjectReplica.
 struct ReplicaOptions {
     /// Size of a regular answer. 64 KB take 26 ms on the slowest supported link (20 Mbit/s), so that eight concurrent answers take
-    /// 0.2 s. Larger changes are read from the store, whose link is 50 times faster.
+    /// 0.2 s.
     std::size_t maxBytes = 64 * 1024;
-    /// Size of an answer to a router that the store refuses: one object may have 1 MB.
+    /// Size of a large answer: one object may have 1 MB.
     std::size_t maxBytesLarge = 1024 * 1024;
     /// Deletions remembered; a router that lacks an older one queries the store.
     std::size_t maxDeletions = 1024;
--- a/src/shared_replica.cpp
+++ b/src/shared_replica.cpp
@@ -2,6 +2,7 @@
 
 #include "log.h"
 
+#include <algorithm>
 #include <random>
 
 namespace yucca::replica
@@ -13,6 +14,10 @@
 /// Minimum delay before a state that could not be fetched is requested again. Without it, each announcement of that state ends
 /// the follower's retry delay, and routers that the store refuses flood it with calls.
 constexpr Millis failedFetchRetryDelay{1000};
+constexpr std::size_t maxNewerPeerStates = 8; ///< a round of datagrams reaches eight routers
+/// A busy peer is asked again after a random delay up to this; it sends 64 KB in 26 ms on the slowest supported link.
+constexpr Millis maxBusyRetryDelay{150};
+constexpr Millis minBusyRetryDelay{50};
 constexpr Millis revisionSampleInterval{500}; ///< six samples span watchRevisionMinAge
 
 double randomJitter()
@@ -40,7 +45,7 @@
     m_objects.applyListing(listing);
     m_lastChange = listing.revision;
     m_confirmedRevisions.clear();
-    m_newerPeerState.reset();
+    m_newerPeerStates.clear();
     if (freshness == store::Freshness::MayLag) {
         m_querySchedule.expectConfirmationsFrom(now);
         return;
@@ -60,9 +65,7 @@
 void SharedReplica::recordConfirmation(uint64_t revision, Clock::time_point at, bool hasChanges)
 {
     applyConfirmation(revision, at, at);
-    if (m_newerPeerState && m_newerPeerState->position <= Position{m_objects.epoch(), revision}) {
-        m_newerPeerState.reset();
-    }
+    dropReachedStates();
     if (hasChanges && onChange) {
         onChange();
     }
@@ -124,16 +127,78 @@
         return;
     }
     const Position announced{confirmation.epoch, confirmation.revision};
-    const bool newer = announced > position() && (!m_newerPeerState || announced > m_newerPeerState->position);
-    if (newer) {
-        const bool first = !m_newerPeerState;
-        m_newerPeerState = PeerState{from, announced, confirmation.digest, confirmation.at};
-        if (first) {
+    if (announced > position()) {
+        const bool wasBehind = behindPeer(now);
+        if (m_newerPeerStates.empty()) {
+            m_querySchedule.expectConfirmationsFrom(confirmation.at); // peers hold the newer state and can be expected to send it
+        }
+        addPeerState({from, announced, confirmation.digest, confirmation.at, now}, now);
+        if (!wasBehind && behindPeer(now)) {
             m_wake.notifyAll();
         }
     }
 }
 
+// Records a newer state that a peer announced. A peer that may not be asked yet stays excluded.
+void SharedReplica::addPeerState(PeerState state, Clock::time_point now)
+{
+    const auto known = std::find_if(m_newerPeerStates.begin(), m_newerPeerStates.end(), [&state](const PeerState &other) {
+        return other.from == state.from;
+    });
+    if (known != m_newerPeerStates.end()) {
+        if (state.position <= known->position) {
+            return;
+        }
+        state.mayAskAt = std::max(known->mayAskAt, now);
+        m_newerPeerStates.erase(known);
+    }
+    if (m_newerPeerStates.size() >= maxNewerPeerStates) {
+        m_newerPeerStates.erase(m_newerPeerStates.begin());
+    }
+    m_newerPeerStates.push_back(std::move(state));
+}
+
+// Drops the announced states that are not newer than the held one.
+void SharedReplica::dropReachedStates()
+{
+    std::erase_if(m_newerPeerStates, [this](const PeerState &state) {
+        const bool sameObjects = state.position.epoch == m_objects.epoch() && state.digest == m_objects.digest();
+        return sameObjects || state.position <= position();
+    });
+}
+
+bool SharedReplica::behindEpoch() const
+{
+    return std::any_of(m_newerPeerStates.begin(), m_newerPeerStates.end(), [this](const PeerState &state) {
+        return state.position.epoch > m_objects.epoch();
+    });
+}
+
+Clock::time_point SharedReplica::nextFetchAt() const
+{
+    auto next = Clock::time_point::max();
+    for (const auto &state : m_newerPeerStates) {
+        next = std::min(next, state.mayAskAt);
+    }
+    return next;
+}
+
+bool SharedReplica::adoptAnnouncedState(Clock::time_point now)
+{
+    const auto announced = std::find_if(m_newerPeerStates.begin(), m_newerPeerStates.end(), [this](const PeerState &state) {
+        return state.position.epoch == m_objects.epoch() && state.digest == m_objects.digest();
+    });
+    if (announced == m_newerPeerStates.end()) {
+        return m_objects.digest() == m_unfetchedDigest;
+    }
+    applyConfirmation(announced->position.revision, announced->at, now);
+    dropReachedStates();
+    if (onChange) {
+        onChange();
+    }
+    return true;
+}
+
 std::optional<Confirmation> SharedReplica::currentConfirmation() const
 {
     if (!isConfirmed()) {
@@ -142,42 +207,94 @@
     return Confirmation{m_kind, m_objects.revision(), m_objects.digest(), m_querySchedule.confirmedAt(), m_objects.epoch()};
 }
 
-Task<FetchOutcome> SharedReplica::fetch(TransferLimit limit, FetchSink sink)
+// Asks for the changes since the held state. Changes beyond the regular limit are asked for again, because the peer sends only a few
+// large answers concurrently.
+Task<Result<Changes>> SharedReplica::request() const
 {
-    if (!m_newerPeerState) {
-        co_return FetchOutcome::Unavailable;
+    auto result = co_await m_source.fetch(m_requested.from, m_kind, position(), TransferLimit::Regular);
+    const auto *error = std::get_if<Error>(&result);
+    if (error && error->code == ChangesTooLarge) {
+        result = co_await m_source.fetch(m_requested.from, m_kind, position(), TransferLimit::Large);
     }
-    const PeerState requested = *m_newerPeerState;
-    m_newerPeerState.reset();
-    auto result = co_await m_source.fetch(requested.from, m_kind, position(), limit);
-    if (!ok(result)) {
-        recordFetchFailure(requested);
-        const auto &error = std::get<Error>(result);
-        log::Line{log::Event::ChangesNotHad}.add("kind", m_kind).add("peer", requested.from.host).add("code", int64_t{error.code}).add("why", error.message);
+    co_return result;
+}
+
+Task<FetchOutcome> SharedReplica::fetch(FetchSink sink)
+{
+    const auto now = Clock::now();
+    const PeerState *newest = nullptr;
+    for (const auto &state : m_newerPeerStates) {
+        // Of several peers with the same state, the last one to announce it has had the fewest requests for it.
+        if (state.mayAskAt <= now && (!newest || state.position >= newest->position)) {
+            newest = &state;
+        }
+    }
+    if (!newest) {
         co_return FetchOutcome::Unavailable;
     }
+    m_requested = *newest;
+    auto result = co_await request();
+    if (const auto *error = std::get_if<Error>(&result)) {
+        co_return recordFetchError(*error);
+    }
     const auto &changes = std::get<Changes>(result);
     const bool identical = changes.isSnapshot ? replaceAll(changes, sink) : applyChanges(changes, sink);
     if (!identical) {
-        recordFetchFailure(requested);
+        recordFetchFailure();
         log::Line{log::Event::ChangesNotHad}
             .add("kind", m_kind)
-            .add("peer", requested.from.host)
+            .add("peer", m_requested.from.host)
             .add("code", int64_t{409})
             .add("why", "the peer holds different objects");
         co_return FetchOutcome::Mismatch;
     }
-    applyConfirmation(changes.revision, requested.at, Clock::now());
+    applyConfirmation(changes.revision, m_requested.at, Clock::now());
+    dropReachedStates();
     if (onChange) {
         onChange();
     }
     co_return FetchOutcome::Complete;
 }
 
-void SharedReplica::recordFetchFailure(const PeerState &requested)
+// Decides when the peer, or any peer with the same state, may be asked again.
+FetchOutcome SharedReplica::recordFetchError(const Error &error)
+{
+    if (error.code == PeerBusy) {
+        excludePeer(Clock::now() + busyRetryDelay());
+        return FetchOutcome::Busy;
+    }
+    log::Line{log::Event::ChangesNotHad}.add("kind", m_kind).add("peer", m_requested.from.host).add("code", int64_t{error.code}).add("why", error.message);
+    if (error.code == store::Unavailable) {
+        excludePeer(Clock::now() + failedFetchRetryDelay);
+    } else {
+        recordFetchFailure();
+    }
+    return FetchOutcome::Unavailable;
+}
+
+Millis SharedReplica::busyRetryDelay()
+{
+    return Millis(std::uniform_int_distribution<int64_t>(minBusyRetryDelay.count(), maxBusyRetryDelay.count())(m_random));
+}
+
+// Keeps the requested peer from being asked until the given time.
+void SharedReplica::excludePeer(Clock::time_point until)
+{
+    for (auto &state : m_newerPeerStates) {
+        if (state.from == m_requested.from) {
+            state.mayAskAt = until;
+        }
+    }
+}
+
+// No peer can send the requested state: it is not asked for again before failedFetchRetryDelay.
+void SharedReplica::recordFetchFailure()
 {
-    m_unfetchedDigest = requested.digest;
+    m_unfetchedDigest = m_requested.digest;
     m_unfetchedAt = Clock::now();
+    std::erase_if(m_newerPeerStates, [this](const PeerState &state) {
+        return state.digest == m_unfetchedDigest;
+    });
 }
 
 // Replaces the held objects by all objects of a peer with a later epoch. Returns true if both hold the same objects then.
--- a/src/shared_replica.h
+++ b/src/shared_replica.h
@@ -10,7 +10,9 @@
 #include <deque>
 #include <functional>
 #include <optional>
+#include <random>
 #include <string>
+#include <vector>
 
 namespace yucca::replica
 {
@@ -28,10 +30,14 @@
 /// Result of fetching changes from a peer.
 enum class FetchOutcome {
     Complete, ///< both routers hold the same objects now
-    Unavailable, ///< the peer did not answer, or refused to send the changes
+    Busy, ///< the peer is sending to others and may be asked again soon
+    Unavailable, ///< the peer did not answer, or cannot send the changes
     Mismatch, ///< one of the two routers holds wrong objects
 };
 
+/// Error code of a peer that is sending to as many routers as it may.
+inline constexpr int PeerBusy = 429;
+
 /// Fetches changes from other routers.
 class ChangeSource
 {
@@ -104,27 +110,24 @@
     /// Returns the confirmation to announce to peers; nothing before the store has confirmed the held state.
     std::optional<Confirmation> currentConfirmation() const;
     /// Returns true if a peer announced a later epoch of the store.
-    bool behindEpoch() const
-    {
-        return m_newerPeerState && m_newerPeerState->position.epoch > m_objects.epoch();
-    }
-    /// Returns true if a peer announced a newer state.
-    bool behindPeer() const
-    {
-        return m_newerPeerState.has_value();
-    }
-    /// Returns the host address of the peer that announced a newer state; empty if there is none.
-    std::string newerPeer() const
+    bool behindEpoch() const;
+    /// Returns true if a peer that may be asked now announced a newer state.
+    bool behindPeer(Clock::time_point now = Clock::now()) const
     {
-        return m_newerPeerState ? m_newerPeerState->from.host : std::string();
+        return nextFetchAt() <= now;
     }
-    /// Fetches the newer state from the peer that announced it. On any result but Complete, the store must be queried.
-    Task<FetchOutcome> fetch(TransferLimit limit, FetchSink sink);
-    /// Returns true if the held state is the one that could not be fetched from a peer.
-    bool holdsAnnouncedState() const
+    /// Returns when a peer that announced a newer state may be asked; the maximum if none announced one.
+    Clock::time_point nextFetchAt() const;
+    /// Returns the host address of the peer that was last asked for changes.
+    const std::string &lastPeer() const
     {
-        return m_objects.digest() == m_unfetchedDigest;
+        return m_requested.from.host;
     }
+    /// Fetches the newest announced state from one of the peers that hold it. On any result but Complete, behindPeer() tells whether
+    /// another peer may be asked at once.
+    Task<FetchOutcome> fetch(FetchSink sink);
+    /// Returns true if the state, as read from a replica of the store, is one that a peer announced; it is confirmed then.
+    bool adoptAnnouncedState(Clock::time_point now);
     /// Returns what changed after a peer's position, or all objects if the epochs differ. Fails with 410 or 413 as ObjectReplica does.
     Result<Changes> changesSince(Position since, TransferLimit limit) const
     {
@@ -146,12 +149,19 @@
         Position position;
         uint64_t digest = 0;
         Clock::time_point at{};
+        Clock::time_point mayAskAt{};
     };
     struct ConfirmedRevision {
         Clock::time_point at;
         uint64_t revision = 0;
     };
-    void recordFetchFailure(const PeerState &requested);
+    Task<Result<Changes>> request() const;
+    FetchOutcome recordFetchError(const Error &error);
+    void recordFetchFailure();
+    void excludePeer(Clock::time_point until);
+    void addPeerState(PeerState state, Clock::time_point now);
+    void dropReachedStates();
+    Millis busyRetryDelay();
     void applyConfirmation(uint64_t revision, Clock::time_point at, Clock::time_point now);
     Position position() const
     {
@@ -165,7 +175,9 @@
     ChangeSource &m_source;
     QuerySchedule m_querySchedule;
     ObjectReplica m_objects;
-    std::optional<PeerState> m_newerPeerState;
+    std::vector<PeerState> m_newerPeerStates; ///< at most one for each peer, in the order of their announcements
+    PeerState m_requested; ///< the state that was last requested
+    std::minstd_rand m_random{std::random_device{}()};
     uint64_t m_unfetchedDigest = 0; ///< digest of the state that could not be fetched from a peer
     Clock::time_point m_unfetchedAt{};
     bool m_listed = false;
--- a/tests/follower_fixture.h
+++ b/tests/follower_fixture.h
@@ -7,6 +7,7 @@
 #include "local_object_api.h"
 #include "recording_sink.h"
 
+#include <map>
 #include <memory>
 #include <optional>
 
@@ -22,12 +23,16 @@
         ++fetches;
         lastFrom = from;
         co_await sleepFor(Millis(1));
+        if (const auto failure = failures.find(from.host); failure != failures.end()) {
+            co_return Error{failure->second, "refused"};
+        }
         if (!peer) {
             co_return Error{503, "no answer"};
         }
         co_return peer->changesSince(since, limit);
     }
     const replica::SharedReplica *peer = nullptr;
+    std::map<std::string, int> failures; ///< error codes by the host of the peer that is asked
     int fetches = 0;
     http::Address lastFrom;
 };
