A change of endpoints is applied in place

What callers saw: in a fleet before 10,000 endpoints, requests reached endpoints that had said that they leave, and configurations came late: whatever arrives at a small VM waits for its control thread.

Cause: each batch of changes and each configuration copied all endpoints, compared and sorted them, and rebuilt all pools; an endpoint's own report that it leaves rebuilt them as well.

Change: Published passes on the entries that were written or removed; the routing table holds its endpoints by id and updates the pools' members, the pickers' state and the counts of versions for these alone. A pool refers to the endpoints' records and states in place of copies and look-ups. A whole list (own interface, relisting) is applied as its differences.

--- a/include/yucca/observed_load.h
+++ b/include/yucca/observed_load.h
@@ -89,6 +89,9 @@
 {
 public:
     void setMembers(std::vector<std::string> ids);
+    /// Adds and removes members; both lists must be sorted. A member that is in both loses its state. Takes time in proportion to the
+    /// changes, besides one pass that moves the other members.
+    void updateMembers(const std::vector<std::string> &added, const std::vector<std::string> &removed);
     const std::vector<std::string> &members() const
     {
         return m_ids;
--- a/include/yucca/types.h
+++ b/include/yucca/types.h
@@ -116,10 +116,13 @@
     return a.id == b.id && a.startedAtMs == b.startedAtMs;
 }
 
+/// Separates the id from the start time in incarnationKey(). The id may contain it, the start time does not.
+inline constexpr char incarnationSeparator = '#';
+
 /// A map key that identifies one incarnation of an endpoint.
 inline std::string incarnationKey(const Endpoint &e)
 {
-    return e.id + "#" + std::to_string(e.startedAtMs);
+    return e.id + incarnationSeparator + std::to_string(e.startedAtMs);
 }
 
 } // namespace yucca
--- a/src/endpoint_refusals.cpp
+++ b/src/endpoint_refusals.cpp
@@ -8,7 +8,7 @@
 bool EndpointRefusals::recordLeaving(const Endpoint &endpoint, bool leaving, Clock::time_point now)
 {
     const std::string key = incarnationKey(endpoint);
-    return leaving ? m_leaving.insert_or_assign(key, now).second : m_leaving.erase(key) > 0;
+    return leaving ? m_leaving.insert_or_assign(key, Leaving{endpoint.id, now}).second : m_leaving.erase(key) > 0;
 }
 
 bool EndpointRefusals::backOff(const std::string &id, Clock::time_point until)
@@ -25,22 +25,19 @@
     return it != m_backOffUntil.end() && it->second > now ? std::optional(it->second) : std::nullopt;
 }
 
-void EndpointRefusals::dropExpired(const std::vector<Endpoint> &listed, Clock::time_point now)
+void EndpointRefusals::dropExpired(const std::map<std::string, Endpoint> &listed, Clock::time_point now)
 {
     std::erase_if(m_backOffUntil, [now](const auto &entry) {
         return entry.second <= now;
     });
-    if (m_leaving.empty()) {
-        return;
-    }
-    for (const auto &endpoint : listed) {
-        const auto it = m_leaving.find(incarnationKey(endpoint));
-        if (it != m_leaving.end()) {
-            it->second = now;
+    for (auto &[key, leaving] : m_leaving) {
+        const auto endpoint = listed.find(leaving.id);
+        if (endpoint != listed.end() && incarnationKey(endpoint->second) == key) {
+            leaving.at = now;
         }
     }
     std::erase_if(m_leaving, [&](const auto &entry) {
-        return now - entry.second > m_options.unlistedRetention;
+        return now - entry.second.at > m_options.unlistedRetention;
     });
 }
 
--- a/src/endpoint_refusals.h
+++ b/src/endpoint_refusals.h
@@ -47,11 +47,15 @@
         return isLeaving(endpoint) || backOffEnd(endpoint.id, now);
     }
     /// Drops expired back-offs, and leaving incarnations that have not been listed for the retention time.
-    void dropExpired(const std::vector<Endpoint> &listed, Clock::time_point now);
+    void dropExpired(const std::map<std::string, Endpoint> &listed, Clock::time_point now);
 
 private:
     RefusalOptions m_options;
-    std::map<std::string, Clock::time_point> m_leaving; ///< by incarnation: when it was last listed, or announced that it is leaving
+    struct Leaving {
+        std::string id;
+        Clock::time_point at{}; ///< when it was last listed, or announced that it is leaving
+    };
+    std::map<std::string, Leaving> m_leaving; ///< by incarnation
     std::map<std::string, Clock::time_point> m_backOffUntil; ///< by endpoint id
 };
 
--- a/src/entry/control.cpp
+++ b/src/entry/control.cpp
@@ -34,9 +34,38 @@
 {
     configuration.index();
     applyColdAllowances(configuration);
+    const auto before = m_configuration.load();
     m_configuration = std::make_shared<const Configuration>(std::move(configuration));
     m_configurationAppliedAt = Clock::now();
-    publishEndpoints(); // the set of services without engines may have changed
+    markChangedKinds(before.get());
+    publishEndpoints();
+}
+
+// The kind of a service's endpoints follows from the configuration.
+EndpointKind Published::kindOf(const std::string &service) const
+{
+    const auto configuration = m_configuration.load();
+    const auto *known = configuration ? configuration->service(service) : nullptr;
+    return known && known->engine ? EndpointKind::Engine : EndpointKind::Service;
+}
+
+// Marks the endpoints of services that have engines now and had none before, or the other way round.
+void Published::markChangedKinds(const Configuration *before)
+{
+    const auto hadEngines = [before](const std::string &service) {
+        const auto *known = before ? before->service(service) : nullptr;
+        return known && known->engine;
+    };
+    std::map<std::string, bool> changed; // by service
+    for (const auto &[id, endpoint] : m_endpoints) {
+        const auto [service, first] = changed.try_emplace(endpoint.pool, false);
+        if (first) {
+            service->second = hadEngines(endpoint.pool) != (kindOf(endpoint.pool) == EndpointKind::Engine);
+        }
+        if (service->second) {
+            m_changed.insert(id);
+        }
+    }
 }
 
 void Published::applyColdAllowances(const Configuration &configuration)
@@ -141,6 +170,7 @@
     logEndpointChange(endpoint);
     m_expired.erase(endpoint.id);
     const bool excluded = mustStayExcluded(endpoint, source, Clock::now());
+    m_changed.insert(endpoint.id);
     auto &held = m_endpoints[endpoint.id];
     held = endpoint;
     held.state = excluded ? EndpointState::Leaving : endpoint.state;
@@ -196,6 +226,7 @@
     recordRemoval(it->second);
     m_expired.erase(id);
     m_reappeared.erase(id);
+    m_changed.insert(id);
     m_endpoints.erase(it);
 }
 
@@ -279,6 +310,7 @@
     for (const auto &id : std::exchange(m_reappeared, {})) {
         auto &endpoint = m_endpoints[id];
         endpoint.state = EndpointState::Live;
+        m_changed.insert(id);
         logChange(log::Event::EndpointJoined, endpoint);
     }
     publishEndpoints();
@@ -286,18 +318,19 @@
 
 void Published::publishEndpoints()
 {
-    const auto configuration = m_configuration.load();
-    std::vector<Endpoint> endpoints;
-    endpoints.reserve(m_endpoints.size());
-    for (const auto &[id, endpoint] : m_endpoints) {
-        endpoints.push_back(endpoint);
-        const auto *service = configuration ? configuration->service(endpoint.pool) : nullptr;
-        endpoints.back().kind = service && service->engine ? EndpointKind::Engine : EndpointKind::Service;
+    router::EndpointChanges changes;
+    for (const auto &id : std::exchange(m_changed, {})) {
+        const auto endpoint = m_endpoints.find(id);
+        if (endpoint == m_endpoints.end()) {
+            changes.removed.push_back(id);
+            continue;
+        }
+        changes.listed.push_back(endpoint->second);
+        changes.listed.back().kind = kindOf(endpoint->second.pool);
     }
-    m_endpointCount = static_cast<std::size_t>(std::count_if(endpoints.begin(), endpoints.end(), [](const Endpoint &e) {
-        return e.state == EndpointState::Live;
-    }));
-    m_table.setEndpoints(endpoints);
+    m_publishedRecords += changes.listed.size() + changes.removed.size();
+    m_table.applyChanges(changes);
+    m_endpointCount = m_table.liveCount();
     for (const auto &[id, until] : std::exchange(m_coldUntil, {})) {
         m_table.recordCold(id, until);
     }
--- a/src/entry/control.h
+++ b/src/entry/control.h
@@ -137,8 +137,13 @@
     {
         return m_endpointCount;
     }
-    /// Passes the endpoints to the routing table.
+    /// Passes the endpoints that have changed to the routing table.
     void publishEndpoints();
+    /// Returns the number of endpoint records that were passed to the routing table since the start.
+    uint64_t publishedRecords() const
+    {
+        return m_publishedRecords;
+    }
 
 private:
     /// The last known state of an incarnation that is no longer listed.
@@ -158,6 +163,8 @@
     void admitReappeared();
     void applyEvacuated(Clock::time_point revokedAt);
     void applyColdAllowances(const Configuration &configuration);
+    EndpointKind kindOf(const std::string &service) const;
+    void markChangedKinds(const Configuration *before);
 
     router::RoutingTable &m_table;
     PublishedOptions m_options;
@@ -170,6 +177,8 @@
     std::atomic<bool> m_endpointsUsable{false};
     std::atomic<bool> m_endpointsKnown{false};
     std::map<std::string, Endpoint> m_endpoints;
+    std::set<std::string> m_changed; ///< ids of entries that were written or removed since the last publication
+    std::atomic<uint64_t> m_publishedRecords{0};
     std::set<std::string> m_expired; ///< ids in m_endpoints that are no longer listed but retained for now
     Clock::time_point m_retainExpiredUntil{};
     std::map<std::string, RemovedIncarnation> m_removed; ///< by incarnation key
--- a/src/member_state.h
+++ b/src/member_state.h
@@ -5,7 +5,9 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <iterator>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace yucca::placement
@@ -34,6 +36,69 @@
     return out;
 }
 
+// A change of a sorted member list, by positions: some members are removed and others are inserted. Per-member state is changed in one
+// pass that moves what stays, without comparing ids.
+struct MemberEdit {
+    struct Insertion {
+        std::size_t before = 0; ///< position in the old list
+        std::size_t index = 0; ///< of the member in the list of added ones
+    };
+    std::vector<std::size_t> removed; ///< positions in the old list, ascending
+    std::vector<Insertion> inserted; ///< by position, ascending
+
+    // Both lists must be sorted. An id that is in both loses its state. Ids to add that are held, and to remove that are not, are ignored.
+    static MemberEdit of(const std::vector<std::string> &ids, const std::vector<std::string> &added, const std::vector<std::string> &dropped)
+    {
+        MemberEdit edit;
+        const auto find = [&ids](const std::string &id) {
+            const auto at = std::lower_bound(ids.begin(), ids.end(), id);
+            return std::pair(static_cast<std::size_t>(at - ids.begin()), at != ids.end() && *at == id);
+        };
+        for (const auto &id : dropped) {
+            if (const auto [position, held] = find(id); held) {
+                edit.removed.push_back(position);
+            }
+        }
+        for (std::size_t i = 0; i < added.size(); ++i) {
+            const auto [position, held] = find(added[i]);
+            if (!held || std::binary_search(dropped.begin(), dropped.end(), added[i])) {
+                edit.inserted.push_back({position, i});
+            }
+        }
+        return edit;
+    }
+    bool empty() const
+    {
+        return removed.empty() && inserted.empty();
+    }
+    // Returns the edited list; makeState returns the state of the added member with an index.
+    template <typename State, typename MakeState> std::vector<State> apply(std::vector<State> old, MakeState makeState) const
+    {
+        std::vector<State> out;
+        out.reserve(old.size() - removed.size() + inserted.size());
+        std::size_t done = 0;
+        const auto keepUntil = [&](std::size_t end) {
+            std::move(old.begin() + static_cast<std::ptrdiff_t>(done), old.begin() + static_cast<std::ptrdiff_t>(end), std::back_inserter(out));
+            done = end;
+        };
+        auto gone = removed.begin();
+        for (const auto &insertion : inserted) {
+            for (; gone != removed.end() && *gone < insertion.before; ++gone) {
+                keepUntil(*gone);
+                ++done;
+            }
+            keepUntil(insertion.before);
+            out.push_back(makeState(insertion.index));
+        }
+        for (; gone != removed.end(); ++gone) {
+            keepUntil(*gone);
+            ++done;
+        }
+        keepUntil(old.size());
+        return out;
+    }
+};
+
 // Returns the hashes by which rendezvousScore() scores members, in the order of the ids.
 inline std::vector<uint64_t> memberHashes(const std::vector<std::string> &ids)
 {
--- a/src/observed_load.cpp
+++ b/src/observed_load.cpp
@@ -82,6 +82,23 @@
     m_hashes = memberHashes(m_ids);
 }
 
+void ObservedMembers::updateMembers(const std::vector<std::string> &added, const std::vector<std::string> &removed)
+{
+    const auto edit = MemberEdit::of(m_ids, added, removed);
+    if (edit.empty()) {
+        return;
+    }
+    m_loads = edit.apply(std::move(m_loads), [](std::size_t) {
+        return ObservedLoad();
+    });
+    m_hashes = edit.apply(std::move(m_hashes), [&added](std::size_t i) {
+        return ring::hash(added[i]);
+    });
+    m_ids = edit.apply(std::move(m_ids), [&added](std::size_t i) {
+        return added[i];
+    });
+}
+
 void ObservedMembers::recordOtherInflight(double requests, TimePoint now)
 {
     m_otherInflight = requests;
--- a/src/router_constraints.cpp
+++ b/src/router_constraints.cpp
@@ -32,7 +32,7 @@
     if (m_evacuated == domains) {
         return;
     }
-    for (const auto &e : m_endpoints) {
+    for (const auto &[id, e] : m_endpoints) {
         if (isEvacuated(e) && !domains.count(e.zone)) {
             extendCold(e.id, revokedAt + m_coldLimiter.coldDuration(e.pool));
         }
@@ -104,8 +104,8 @@
 std::size_t RoutingTable::coldCount(Clock::time_point now) const
 {
     std::lock_guard lock(m_mutex);
-    return static_cast<std::size_t>(std::count_if(m_endpoints.begin(), m_endpoints.end(), [&](const Endpoint &e) {
-        return isCold(e, now);
+    return static_cast<std::size_t>(std::count_if(m_endpoints.begin(), m_endpoints.end(), [&](const auto &entry) {
+        return isCold(entry.second, now);
     }));
 }
 
@@ -118,7 +118,7 @@
     std::size_t totalShare = 0;
     std::vector<std::size_t> allowed;
     for (const auto member : cold) {
-        const auto &id = pool.members[member].id;
+        const auto &id = pool.members[member]->id;
         const auto left = m_coldLimiter.available(name, id, now);
         free += left;
         totalShare += m_coldLimiter.share(name, id);
@@ -136,19 +136,31 @@
     return allowed.size();
 }
 
-void RoutingTable::recordVersions(Clock::time_point now)
+void RoutingTable::countVersion(const Endpoint &endpoint, int difference, Batch &batch)
 {
-    std::map<std::string, std::set<std::string>> listed;
-    for (const auto *list : {&m_endpoints, &m_leaving}) {
-        for (const auto &endpoint : *list) {
-            listed[endpoint.pool].insert(endpoint.version);
-        }
+    auto &counts = m_versions[endpoint.pool].counts;
+    auto &count = counts[endpoint.version];
+    count += static_cast<std::size_t>(difference);
+    if (count == 0) {
+        counts.erase(endpoint.version);
     }
-    for (auto &[pool, versions] : listed) {
-        const auto known = m_versions.find(pool);
-        const bool replaced = known != m_versions.end() && known->second.versions != versions;
+    batch.versionsOf.insert(endpoint.pool);
+}
+
+// A pool without endpoints keeps the versions of its last ones.
+void RoutingTable::recordVersions(const Batch &batch)
+{
+    for (const auto &pool : batch.versionsOf) {
         auto &held = m_versions[pool];
-        held.mixedAt = replaced || versions.size() > 1 ? now : held.mixedAt;
+        std::set<std::string> versions;
+        for (const auto &[version, count] : held.counts) {
+            versions.insert(version);
+        }
+        if (versions.empty()) {
+            continue;
+        }
+        const bool replaced = !held.versions.empty() && held.versions != versions;
+        held.mixedAt = replaced || versions.size() > 1 ? batch.now : held.mixedAt;
         held.versions = std::move(versions);
     }
 }
@@ -216,8 +228,8 @@
     std::size_t warm = 0;
     const bool limited = m_coldLimiter.isLimited(name);
     for (std::size_t i = 0; i < pool.members.size(); ++i) {
-        const auto &m = pool.members[i];
-        const auto &health = m_health[m.id];
+        const auto &m = *pool.members[i];
+        const auto &health = *pool.health[i];
         const bool candidate = !exclude.count(m.id) && !m_refusals.backOffEnd(m.id, now) && health.suspectUntil <= now && health.ejectedUntil <= now
             && constraints.allows(m) && mayRiskRejection(m, now);
         if (candidate && limited && health.coldUntil > now) {
@@ -257,9 +269,9 @@
             picker.requestStarted(*index, now);
         },
         it->second.picker);
-    const Endpoint &chosen = it->second.members[*index];
-    ++m_health[chosen.id].inflight;
-    ++m_health[chosen.id].placed;
+    const Endpoint &chosen = *it->second.members[*index];
+    ++it->second.health[*index]->inflight;
+    ++it->second.health[*index]->placed;
     m_coldLimiter.recordSend(pool, chosen.id, now);
     if (m_rejections.isBrittle(pool, now)) {
         m_rejections.recordSend(pool, chosen.id, now);
@@ -293,7 +305,7 @@
 {
     std::lock_guard lock(m_mutex);
     std::optional<Clock::time_point> first;
-    for (const auto &e : m_endpoints) {
+    for (const auto &[id, e] : m_endpoints) {
         if (e.pool != pool || isEvacuated(e) || isFailedOrLeaving(e, now) || !constraints.allows(e)) {
             continue;
         }
@@ -315,7 +327,7 @@
     bool cold = false;
     bool otherRegion = false;
     bool otherVersion = false;
-    for (const auto &e : m_endpoints) {
+    for (const auto &[id, e] : m_endpoints) {
         if (e.pool != pool || exclude.count(e.id) || isFailedOrLeaving(e, now)) {
             continue;
         }
--- a/src/router_core.cpp
+++ b/src/router_core.cpp
@@ -1,5 +1,7 @@
 #include "router_core.h"
 
+#include "member_state.h"
+
 #include <algorithm>
 
 namespace yucca::router
@@ -8,119 +10,304 @@
 namespace
 {
 
-bool byId(const Endpoint &a, const Endpoint &b)
+/// Unlisted endpoints with a state that are held before they are looked through.
+constexpr std::size_t maxUnlistedHealth = 256;
+
+} // namespace
+
+RoutingTable::RoutingTable(TableOptions options)
+    : m_options(options)
 {
-    return a.id < b.id;
 }
 
-// The index of an endpoint in a list sorted by id.
-std::optional<std::size_t> findById(const std::vector<Endpoint> &sorted, const std::string &id)
+bool RoutingTable::setEndpoints(const std::vector<Endpoint> &endpoints, Clock::time_point now)
 {
-    auto it = std::lower_bound(sorted.begin(), sorted.end(), id, [](const Endpoint &e, const std::string &want) {
-        return e.id < want;
-    });
-    if (it == sorted.end() || it->id != id) {
-        return std::nullopt;
+    EndpointChanges changes{endpoints, {}};
+    std::set<std::string> listed;
+    for (const auto &e : endpoints) {
+        listed.insert(e.id);
     }
-    return static_cast<std::size_t>(it - sorted.begin());
+    {
+        std::lock_guard lock(m_mutex);
+        for (const auto *list : {&m_endpoints, &m_leaving}) {
+            for (const auto &[id, endpoint] : *list) {
+                if (!listed.count(id)) {
+                    changes.removed.push_back(id);
+                }
+            }
+        }
+    }
+    return applyChanges(changes, now);
 }
 
-bool contains(const std::vector<Endpoint> &sorted, const std::string &id)
+bool RoutingTable::applyChanges(const EndpointChanges &changes, Clock::time_point now)
 {
-    return findById(sorted, id).has_value();
+    std::lock_guard lock(m_mutex);
+    Batch batch;
+    batch.now = now;
+    batch.firstListing = m_endpoints.empty();
+    for (const auto &id : changes.removed) {
+        unlist(id, batch);
+    }
+    for (const auto &endpoint : changes.listed) {
+        if (endpoint.state == EndpointState::Live) {
+            listLive(endpoint, batch);
+        } else {
+            listLeaving(endpoint, batch);
+        }
+    }
+    m_refusals.dropExpired(m_endpoints, now);
+    recordVersions(batch);
+    if (batch.changed) {
+        pruneUnlisted(now);
+    }
+    applyBatch(batch);
+    return batch.changed;
 }
 
-// The endpoints in the given state, sorted by id.
-std::vector<Endpoint> endpointsInState(const std::vector<Endpoint> &endpoints, EndpointState state)
+std::size_t RoutingTable::liveCount() const
 {
-    std::vector<Endpoint> out;
-    std::copy_if(endpoints.begin(), endpoints.end(), std::back_inserter(out), [state](const Endpoint &e) {
-        return e.state == state;
-    });
-    std::sort(out.begin(), out.end(), byId);
-    return out;
+    std::lock_guard lock(m_mutex);
+    return m_endpoints.size();
 }
 
-} // namespace
+void RoutingTable::listLive(Endpoint endpoint, Batch &batch)
+{
+    removeLeaving(endpoint.id, batch);
+    const auto known = m_endpoints.find(endpoint.id);
+    const bool listed = known != m_endpoints.end();
+    if (listed) {
+        // A store that was restored from a backup lists an incarnation that has ended.
+        endpoint.startedAtMs = std::max(endpoint.startedAtMs, known->second.startedAtMs);
+        if (known->second == endpoint) {
+            return;
+        }
+    }
+    batch.changed = true;
+    const bool restarted = listed && !sameIncarnation(known->second, endpoint);
+    const bool moved = listed && (known->second.pool != endpoint.pool || known->second.kind != endpoint.kind);
+    if (restarted) {
+        m_health[endpoint.id] = {};
+        ++m_restarts;
+    }
+    if (!listed) {
+        // An endpoint that left the VM list and returned starts without failures.
+        auto &health = m_health[endpoint.id];
+        health.failures = 0;
+        health.suspectUntil = {};
+        if (endpoint.startedAtMs == 0) {
+            m_refusals.recordLeaving(endpoint, false, batch.now); // without a start time, only its return to the list indicates a new incarnation
+        }
+    }
+    if (!batch.firstListing && (!listed || restarted)) {
+        m_health[endpoint.id].joinedAt = batch.now;
+        assumeCold(endpoint, batch.now);
+    }
+    if (listed) {
+        countVersion(known->second, -1, batch);
+        if (restarted || moved || !acceptsRequests(endpoint)) {
+            batch.pools[known->second.pool].removed.insert(endpoint.id);
+        }
+    }
+    countVersion(endpoint, 1, batch);
+    auto &update = batch.pools[endpoint.pool];
+    if (acceptsRequests(endpoint)) {
+        update.added.insert(endpoint.id);
+    } else {
+        update.added.erase(endpoint.id);
+    }
+    m_endpoints[endpoint.id] = std::move(endpoint);
+}
 
-RoutingTable::RoutingTable(TableOptions options)
-    : m_options(options)
+void RoutingTable::listLeaving(const Endpoint &endpoint, Batch &batch)
 {
+    removeLive(endpoint.id, batch);
+    removeLeaving(endpoint.id, batch);
+    countVersion(endpoint, 1, batch);
+    m_leaving[endpoint.id] = endpoint;
 }
 
-bool RoutingTable::setEndpoints(const std::vector<Endpoint> &endpoints, Clock::time_point now)
+void RoutingTable::unlist(const std::string &id, Batch &batch)
 {
-    auto live = endpointsInState(endpoints, EndpointState::Live);
-    auto leaving = endpointsInState(endpoints, EndpointState::Leaving);
-    std::lock_guard lock(m_mutex);
-    keepLaterStarts(live);
-    m_leaving = std::move(leaving);
-    m_refusals.dropExpired(live, now);
-    if (live == m_endpoints) {
-        recordVersions(now);
-        return false;
-    }
-    // An endpoint that left the VM list and returned starts without failures. An endpoint that is gone is dropped once
-    // this router has nothing in flight on it.
-    for (auto it = m_health.begin(); it != m_health.end();) {
-        const bool listed = contains(live, it->first);
-        if (listed && !contains(m_endpoints, it->first)) {
-            it->second.failures = 0;
-            it->second.suspectUntil = {};
+    removeLive(id, batch);
+    removeLeaving(id, batch);
+}
+
+// Removes an endpoint from the live ones. The pool refers to the removed record until the batch is applied.
+void RoutingTable::removeLive(const std::string &id, Batch &batch)
+{
+    const auto known = m_endpoints.find(id);
+    if (known == m_endpoints.end()) {
+        return;
+    }
+    batch.changed = true;
+    countVersion(known->second, -1, batch);
+    m_unlistedAt[incarnationKey(known->second)] = batch.now;
+    auto &update = batch.pools[known->second.pool];
+    update.added.erase(id);
+    update.removed.insert(id);
+    m_endpoints.erase(known);
+}
+
+void RoutingTable::removeLeaving(const std::string &id, Batch &batch)
+{
+    const auto known = m_leaving.find(id);
+    if (known != m_leaving.end()) {
+        countVersion(known->second, -1, batch);
+        m_leaving.erase(known);
+    }
+}
+
+// Updates the pools, then drops the state of endpoints that are gone.
+void RoutingTable::applyBatch(const Batch &batch)
+{
+    for (const auto &[name, update] : batch.pools) {
+        updatePool(name, update);
+    }
+    for (const auto &[name, update] : batch.pools) {
+        for (const auto &id : update.removed) {
+            const auto health = m_health.find(id);
+            if (!m_endpoints.count(id) && health != m_health.end() && health->second.inflight == 0) {
+                m_health.erase(health);
+            }
         }
-        it = !listed && it->second.inflight == 0 ? m_health.erase(it) : std::next(it);
     }
-    for (const auto &e : m_endpoints) {
-        if (!contains(live, e.id)) {
-            m_unlistedAt[incarnationKey(e)] = now;
+    if (m_health.size() > m_endpoints.size() + maxUnlistedHealth) {
+        std::erase_if(m_health, [this](const auto &entry) {
+            return entry.second.inflight == 0 && !m_endpoints.count(entry.first);
+        });
+    }
+}
+
+// Adds and removes members of a pool. The picker keeps the state of members that stay.
+void RoutingTable::updatePool(const std::string &name, const PoolUpdate &update)
+{
+    const std::vector<std::string> added(update.added.begin(), update.added.end());
+    const std::vector<std::string> removed(update.removed.begin(), update.removed.end());
+    auto it = m_pools.find(name);
+    if (it == m_pools.end()) {
+        if (added.empty()) {
+            return;
         }
+        const auto kind = m_endpoints.at(added.front()).kind;
+        it = m_pools.emplace(name, Pool{kind, makePicker(kind), {}, {}}).first;
+    }
+    auto &pool = it->second;
+    const bool otherKind = std::any_of(added.begin(), added.end(), [&](const std::string &id) {
+        return m_endpoints.at(id).kind != pool.kind;
+    });
+    if (otherKind) {
+        rebuildPools(); // the endpoints may have been listed before the configuration set their kind
+        return;
+    }
+    const auto edit = std::visit(
+        [&](const auto &picker) {
+            return placement::MemberEdit::of(picker.members(), added, removed);
+        },
+        pool.picker);
+    pool.members = edit.apply(std::move(pool.members), [&](std::size_t i) {
+        return &m_endpoints.at(added[i]);
+    });
+    pool.health = edit.apply(std::move(pool.health), [&](std::size_t i) {
+        return &m_health[added[i]];
+    });
+    if (pool.members.empty()) {
+        m_pools.erase(it);
+        return;
     }
-    pruneUnlisted(now);
-    std::set<std::string> restarted;
-    for (const auto &e : live) {
-        const auto before = findById(m_endpoints, e.id);
-        if (before && !sameIncarnation(m_endpoints[*before], e)) {
-            m_health[e.id] = {};
-            restarted.insert(e.id);
-            ++m_restarts;
+    std::visit(
+        [&](auto &picker) {
+            if constexpr (requires { picker.updateMembers(added, removed); }) {
+                picker.updateMembers(added, removed);
+            } else {
+                setPickerMembers(picker, pool, removed);
+            }
+        },
+        pool.picker);
+    updateIdleCount(name, pool);
+}
+
+// Sets the members of a picker that has no update of its own.
+template <typename P> void RoutingTable::setPickerMembers(P &picker, const Pool &pool, const std::vector<std::string> &restarted)
+{
+    std::vector<std::string> ids;
+    std::vector<std::string> kept;
+    for (const auto *member : pool.members) {
+        ids.push_back(member->id);
+        if (!std::binary_search(restarted.begin(), restarted.end(), member->id)) {
+            kept.push_back(member->id);
         }
-        if (!before && e.startedAtMs == 0) {
-            m_refusals.recordLeaving(e, false, now); // an endpoint without a start time: only its return to the list indicates a new incarnation
+    }
+    if (kept.size() != ids.size()) {
+        picker.setMembers(std::move(kept)); // drops the state of restarted members
+    }
+    picker.setMembers(std::move(ids));
+}
+
+// Counts the live endpoints of a pool that get no requests because their failure domain is evacuated.
+void RoutingTable::updateIdleCount(const std::string &name, Pool &pool)
+{
+    std::size_t idle = 0;
+    if (!m_evacuated.empty()) {
+        idle = static_cast<std::size_t>(std::count_if(m_endpoints.begin(), m_endpoints.end(), [&](const auto &entry) {
+            return entry.second.pool == name && isEvacuated(entry.second);
+        }));
+    }
+    std::visit(
+        [idle](auto &picker) {
+            if constexpr (requires { picker.setIdleCount(idle); }) {
+                picker.setIdleCount(idle);
+            }
+        },
+        pool.picker);
+}
+
+// Updates the members of all pools to the endpoints that accept new requests.
+void RoutingTable::rebuildPools()
+{
+    for (auto &[name, pool] : m_pools) {
+        pool.members.clear();
+        pool.health.clear();
+    }
+    for (const auto &[id, endpoint] : m_endpoints) {
+        if (!acceptsRequests(endpoint)) {
+            continue;
         }
-        if (!m_endpoints.empty() && (!before || restarted.count(e.id))) {
-            m_health[e.id].joinedAt = now;
-            assumeCold(e, now);
+        auto it = m_pools.find(endpoint.pool);
+        if (it == m_pools.end()) {
+            it = m_pools.emplace(endpoint.pool, Pool{endpoint.kind, makePicker(endpoint.kind), {}, {}}).first;
+        } else if (it->second.kind != endpoint.kind) {
+            it->second.kind = endpoint.kind;
+            it->second.picker = makePicker(endpoint.kind);
         }
+        it->second.members.push_back(&endpoint);
+        it->second.health.push_back(&m_health[id]);
+    }
+    std::erase_if(m_pools, [](const auto &entry) {
+        return entry.second.members.empty();
+    });
+    for (auto &[name, pool] : m_pools) {
+        std::visit(
+            [&, &held = pool](auto &picker) {
+                setPickerMembers(picker, held, {});
+            },
+            pool.picker);
+        updateIdleCount(name, pool);
     }
-    m_endpoints = std::move(live);
-    recordVersions(now);
-    rebuildPools(restarted);
-    return true;
 }
 
 // The record of a live or leaving endpoint, or null.
 const Endpoint *RoutingTable::findListed(const std::string &id) const
 {
     for (const auto *list : {&m_endpoints, &m_leaving}) {
-        if (const auto place = findById(*list, id)) {
-            return &(*list)[*place];
+        const auto endpoint = list->find(id);
+        if (endpoint != list->end()) {
+            return &endpoint->second;
         }
     }
     return nullptr;
 }
 
-// Restores the start times of incarnations that are known to be later than the listed ones: a store that was restored from a
-// backup lists an incarnation that has ended.
-void RoutingTable::keepLaterStarts(std::vector<Endpoint> &live) const
-{
-    for (auto &e : live) {
-        const auto known = findById(m_endpoints, e.id);
-        if (known) {
-            e.startedAtMs = std::max(e.startedAtMs, m_endpoints[*known].startedAtMs);
-        }
-    }
-}
-
 uint64_t RoutingTable::restartCount() const
 {
     std::lock_guard lock(m_mutex);
@@ -149,15 +336,18 @@
     if (!findListed(endpoint.id)) {
         return ListingState::Unlisted;
     }
-    return m_refusals.isLeaving(endpoint) || !contains(m_endpoints, endpoint.id) ? ListingState::Leaving : ListingState::Live;
+    return m_refusals.isLeaving(endpoint) || !m_endpoints.count(endpoint.id) ? ListingState::Leaving : ListingState::Live;
 }
 
 bool RoutingTable::recordLeaving(const Endpoint &endpoint, bool leaving, Clock::time_point now)
 {
     std::lock_guard lock(m_mutex);
     const bool changed = m_refusals.recordLeaving(endpoint, leaving, now);
-    if (changed) {
-        rebuildPools();
+    const auto listed = m_endpoints.find(endpoint.id);
+    if (changed && listed != m_endpoints.end() && sameIncarnation(listed->second, endpoint)) {
+        PoolUpdate update;
+        (acceptsRequests(listed->second) ? update.added : update.removed).insert(endpoint.id);
+        updatePool(listed->second.pool, update);
     }
     return changed;
 }
@@ -240,60 +430,6 @@
     return placement::RoundRobin();
 }
 
-// Updates the members of all pools to the endpoints that accept new requests. The pickers keep the state of members
-// that stay, except for restarted ones.
-void RoutingTable::rebuildPools(const std::set<std::string> &restarted)
-{
-    for (auto &[name, pool] : m_pools) {
-        pool.members.clear();
-    }
-    m_poolNames.clear();
-    for (const auto &e : m_endpoints) {
-        m_poolNames[e.id] = e.pool;
-        if (m_refusals.isLeaving(e) || isEvacuated(e)) {
-            continue;
-        }
-        auto it = m_pools.find(e.pool);
-        if (it == m_pools.end()) {
-            it = m_pools.emplace(e.pool, Pool{e.kind, makePicker(e.kind), {}}).first;
-        } else if (it->second.kind != e.kind) {
-            it->second.kind = e.kind; // the endpoints may have been listed before the configuration set their kind
-            it->second.picker = makePicker(e.kind);
-        }
-        it->second.members.push_back(e);
-    }
-    std::map<std::string, std::size_t> idleByPool;
-    for (const auto &e : m_endpoints) {
-        idleByPool[e.pool] += isEvacuated(e) ? 1 : 0;
-    }
-    for (auto it = m_pools.begin(); it != m_pools.end();) {
-        std::vector<std::string> ids;
-        for (const auto &m : it->second.members) {
-            ids.push_back(m.id);
-        }
-        if (ids.empty()) {
-            it = m_pools.erase(it);
-            continue;
-        }
-        std::vector<std::string> kept;
-        std::copy_if(ids.begin(), ids.end(), std::back_inserter(kept), [&](const std::string &id) {
-            return !restarted.count(id);
-        });
-        std::visit(
-            [&](auto &picker) {
-                if (kept.size() != ids.size()) {
-                    picker.setMembers(kept); // drops the state of restarted members
-                }
-                picker.setMembers(ids);
-                if constexpr (requires { picker.setIdleCount(std::size_t{}); }) {
-                    picker.setIdleCount(idleByPool[it->first]);
-                }
-            },
-            it->second.picker);
-        ++it;
-    }
-}
-
 bool RoutingTable::isSuspected(const std::string &id, Clock::time_point now) const
 {
     const auto health = m_health.find(id);
@@ -310,11 +446,10 @@
 std::optional<Endpoint> RoutingTable::findLive(const std::string &key) const
 {
     std::lock_guard lock(m_mutex);
-    const auto found = std::find_if(m_endpoints.begin(), m_endpoints.end(), [&key](const Endpoint &e) {
-        return incarnationKey(e) == key;
-    });
-    const bool usable = found != m_endpoints.end() && !m_refusals.isLeaving(*found) && !isEvacuated(*found) && !isSuspected(found->id, Clock::now());
-    return usable ? std::optional(*found) : std::nullopt;
+    const auto found = m_endpoints.find(key.substr(0, key.rfind(incarnationSeparator)));
+    const bool usable =
+        found != m_endpoints.end() && incarnationKey(found->second) == key && acceptsRequests(found->second) && !isSuspected(found->first, Clock::now());
+    return usable ? std::optional(found->second) : std::nullopt;
 }
 
 Clock::time_point RoutingTable::joinedAt(const std::string &id) const
@@ -327,17 +462,17 @@
 // The pool in which an endpoint accepts new requests, and its index there in member; or null.
 RoutingTable::Pool *RoutingTable::findPool(const std::string &id, std::size_t &member)
 {
-    auto name = m_poolNames.find(id);
-    if (name == m_poolNames.end()) {
-        return nullptr;
-    }
-    auto pool = m_pools.find(name->second);
+    const auto endpoint = m_endpoints.find(id);
+    const auto pool = endpoint == m_endpoints.end() ? m_pools.end() : m_pools.find(endpoint->second.pool);
     if (pool == m_pools.end()) {
         return nullptr;
     }
-    const auto found = findById(pool->second.members, id);
-    member = found.value_or(0);
-    return found ? &pool->second : nullptr;
+    const auto &members = pool->second.members;
+    const auto found = std::lower_bound(members.begin(), members.end(), id, [](const Endpoint *e, const std::string &wanted) {
+        return e->id < wanted;
+    });
+    member = static_cast<std::size_t>(found - members.begin());
+    return found != members.end() && (*found)->id == id ? &pool->second : nullptr;
 }
 
 void RoutingTable::release(const Endpoint &endpoint, Clock::time_point now)
@@ -361,7 +496,12 @@
 std::vector<Endpoint> RoutingTable::endpoints() const
 {
     std::lock_guard lock(m_mutex);
-    return m_endpoints;
+    std::vector<Endpoint> out;
+    out.reserve(m_endpoints.size());
+    for (const auto &[id, endpoint] : m_endpoints) {
+        out.push_back(endpoint);
+    }
+    return out;
 }
 
 nlohmann::json RoutingTable::status() const
@@ -369,8 +509,8 @@
     std::lock_guard lock(m_mutex);
     nlohmann::json out = nlohmann::json::array();
     const auto now = Clock::now();
-    for (const auto &e : m_endpoints) {
-        auto it = m_health.find(e.id);
+    for (const auto &[id, e] : m_endpoints) {
+        auto it = m_health.find(id);
         const Health h = it == m_health.end() ? Health{} : it->second;
         out.push_back({{"id", e.id},
                        {"pool", e.pool},
--- a/src/router_core.h
+++ b/src/router_core.h
@@ -79,6 +79,12 @@
     placement::LoadView load; ///< includes the request, if it has been acquired
 };
 
+/// Changes of the list of endpoints.
+struct EndpointChanges {
+    std::vector<Endpoint> listed; ///< endpoints that are new or may have changed
+    std::vector<std::string> removed; ///< ids of endpoints that are no longer listed
+};
+
 /// The endpoints that a router may send to, grouped by pool. Thread-safe: the control thread updates it, the traffic
 /// threads use it.
 class RoutingTable
@@ -89,6 +95,11 @@
     /// Replaces the endpoints by the VM list. Endpoints that are leaving or absent receive no new requests. Returns
     /// true if the set of live endpoints changed.
     bool setEndpoints(const std::vector<Endpoint> &endpoints, Clock::time_point now = Clock::now());
+    /// Applies changes of the VM list, in time that depends on their number and hardly on that of all endpoints. Returns true if the
+    /// set of live endpoints changed.
+    bool applyChanges(const EndpointChanges &changes, Clock::time_point now = Clock::now());
+    /// The number of endpoints that are listed as live.
+    std::size_t liveCount() const;
     /// Records an endpoint's own report of whether it is leaving. A leaving endpoint receives no further requests, even
     /// while the VM list shows this incarnation as live. Returns true if the state changed.
     bool recordLeaving(const Endpoint &endpoint, bool leaving, Clock::time_point now);
@@ -198,10 +209,18 @@
 
 private:
     using Picker = std::variant<placement::PrefixAffinity, placement::BoundedLoadHashing, placement::PromptHome, placement::LeastLoaded, placement::RoundRobin>;
-    struct Pool {
-        EndpointKind kind = EndpointKind::Engine; ///< kind that the picker was made for
-        Picker picker;
-        std::vector<Endpoint> members; ///< sorted by id, like the picker's members
+    /// Changes of one pool's members.
+    struct PoolUpdate {
+        std::set<std::string> added;
+        std::set<std::string> removed; ///< a member that is in both has restarted, or changed its kind
+    };
+    /// What a batch of changes does to the pools.
+    struct Batch {
+        Clock::time_point now{};
+        bool firstListing = false; ///< no endpoint was live before
+        bool changed = false; ///< the set of live endpoints
+        std::map<std::string, PoolUpdate> pools;
+        std::set<std::string> versionsOf; ///< pools whose endpoints' versions may have changed
     };
     /// State of one endpoint beyond its listing.
     struct Health {
@@ -220,12 +239,31 @@
         Clock::time_point peerReceivedAt{}; ///< when the peer received it
         Clock::time_point peerMergedAt{}; ///< when this router got it from a peer
     };
+    struct Pool {
+        EndpointKind kind = EndpointKind::Engine; ///< kind that the picker was made for
+        Picker picker;
+        std::vector<const Endpoint *> members; ///< of m_endpoints; sorted by id, like the picker's members
+        std::vector<Health *> health; ///< of m_health, in the order of the members
+    };
     /// The software versions of a pool's endpoints.
     struct PoolVersions {
-        std::set<std::string> versions;
+        std::map<std::string, std::size_t> counts; ///< of endpoints, by version
+        std::set<std::string> versions; ///< of the last endpoints that were listed
         Clock::time_point mixedAt = Clock::time_point::min(); ///< when there were last several, or another one
     };
-    void recordVersions(Clock::time_point now);
+    void listLive(Endpoint endpoint, Batch &batch);
+    void listLeaving(const Endpoint &endpoint, Batch &batch);
+    void unlist(const std::string &id, Batch &batch);
+    void removeLive(const std::string &id, Batch &batch);
+    void removeLeaving(const std::string &id, Batch &batch);
+    void applyBatch(const Batch &batch);
+    void updatePool(const std::string &name, const PoolUpdate &update);
+    bool acceptsRequests(const Endpoint &endpoint) const
+    {
+        return !m_refusals.isLeaving(endpoint) && !isEvacuated(endpoint);
+    }
+    void countVersion(const Endpoint &endpoint, int difference, Batch &batch);
+    void recordVersions(const Batch &batch);
     Picker makePicker(EndpointKind kind) const;
     std::optional<std::size_t> pickMember(const std::string &name, Pool &pool, const placement::Affinity &requestAffinity, const std::set<std::string> &exclude,
                                           Clock::time_point now, const PlacementConstraints &constraints);
@@ -243,11 +281,12 @@
     bool isFailedOrLeaving(const Endpoint &endpoint, Clock::time_point now) const;
     void assumeCold(const Endpoint &endpoint, Clock::time_point now);
     void pruneUnlisted(Clock::time_point now);
-    void rebuildPools(const std::set<std::string> &restarted = {});
+    template <typename P> static void setPickerMembers(P &picker, const Pool &pool, const std::vector<std::string> &restarted);
+    void updateIdleCount(const std::string &name, Pool &pool);
+    void rebuildPools();
     const Endpoint *findListed(const std::string &id) const;
     bool isListed(const Endpoint &endpoint) const;
     bool isSuperseded(const Endpoint &endpoint) const;
-    void keepLaterStarts(std::vector<Endpoint> &live) const;
     const Endpoint *firstInOrder(const std::string &pool, uint64_t prompt, const std::string &excluded, Clock::time_point now,
                                  const PlacementConstraints &constraints) const;
     std::vector<Endpoint> likelyHolders(uint64_t prompt, Clock::time_point now, const PlacementConstraints &constraints) const;
@@ -258,11 +297,10 @@
 
     mutable std::mutex m_mutex;
     TableOptions m_options;
-    std::vector<Endpoint> m_endpoints; ///< live endpoints, sorted by id
-    std::vector<Endpoint> m_leaving; ///< endpoints listed as leaving, sorted by id
-    std::map<std::string, Pool> m_pools;
-    std::map<std::string, std::string> m_poolNames; ///< by endpoint id
-    std::map<std::string, Health> m_health;
+    std::map<std::string, Endpoint> m_endpoints; ///< live endpoints, by id
+    std::map<std::string, Endpoint> m_leaving; ///< endpoints listed as leaving, by id
+    std::map<std::string, Pool> m_pools; ///< none is empty
+    std::map<std::string, Health> m_health; ///< by endpoint id; every member of a pool has one
     PromptHolders m_holders;
     std::deque<peers::PromptAnnouncement> m_promptAnnouncements; ///< not yet announced, oldest first
     uint64_t m_restarts = 0;
--- a/src/router_prompts.cpp
+++ b/src/router_prompts.cpp
@@ -53,7 +53,7 @@
     RendezvousFirst home(prompt);
     if (it != m_pools.end()) {
         for (const auto &member : it->second.members) {
-            home.consider(member);
+            home.consider(*member);
         }
     }
     return home.found() ? std::optional(*home.found()) : std::nullopt;
@@ -85,7 +85,7 @@
 {
     RendezvousFirst first(prompt, excluded);
     for (const auto *list : {&m_endpoints, &m_leaving}) {
-        for (const auto &endpoint : *list) {
+        for (const auto &[id, endpoint] : *list) {
             if (endpoint.pool == pool && !isEvacuated(endpoint) && !m_refusals.refuses(endpoint, now) && constraints.allows(endpoint)) {
                 first.consider(endpoint);
             }
--- a/src/router_reports.cpp
+++ b/src/router_reports.cpp
@@ -32,7 +32,7 @@
 void RoutingTable::mergePeerReport(const peers::LoadReport &report, Clock::time_point now)
 {
     std::lock_guard lock(m_mutex);
-    if (!m_poolNames.count(report.endpoint)) {
+    if (!m_endpoints.count(report.endpoint)) {
         return; // not listed here
     }
     auto &health = m_health[report.endpoint];
@@ -65,8 +65,8 @@
         if (health.peerMergedAt <= then || now - health.peerReceivedAt > maxAge) {
             continue;
         }
-        const auto pool = m_poolNames.find(id);
-        const auto bound = pool == m_poolNames.end() ? limits.end() : limits.find(pool->second);
+        const auto endpoint = m_endpoints.find(id);
+        const auto bound = endpoint == m_endpoints.end() ? limits.end() : limits.find(endpoint->second.pool);
         if (bound != limits.end() && static_cast<double>(health.peerLoad + 1) > bound->second) {
             out.push_back({id, health.peerLoad, health.peerReceivedAt});
         }
@@ -83,9 +83,9 @@
 {
     std::map<std::string, int64_t> out;
     for (const auto &[id, health] : m_health) {
-        const auto pool = m_poolNames.find(id);
-        if (pool != m_poolNames.end()) {
-            out[pool->second] += health.inflight;
+        const auto endpoint = m_endpoints.find(id);
+        if (endpoint != m_endpoints.end()) {
+            out[endpoint->second.pool] += health.inflight;
         }
     }
     return out;
@@ -123,8 +123,8 @@
             continue;
         }
         auto elsewhere = own[name]; // on endpoints that are not members
-        for (const auto &member : pool->second.members) {
-            elsewhere -= m_health[member.id].inflight;
+        for (const auto *health : pool->second.health) {
+            elsewhere -= health->inflight;
         }
         std::visit(
             [&](auto &picker) {
--- a/tests/test_entry_state.cpp
+++ b/tests/test_entry_state.cpp
@@ -128,6 +128,32 @@
     LONGS_EQUAL(3, table.endpoints().size());
 }
 
+// Guards against a change of one endpoint that costs a small VM time in proportion to all endpoints.
+TEST(EntryPublished, APublicationPassesOnTheChangedEndpointsAlone)
+{
+    for (const int count : {90, 2950, 9815, 19630}) {
+        router::RoutingTable largeTable;
+        entry::Published large(largeTable);
+        std::map<std::string, Endpoint> all;
+        for (int n = 0; n < count; ++n) {
+            const auto id = "e" + std::to_string(100000 + n);
+            all.emplace(id, endpoint(id));
+        }
+        large.replaceEndpoints(all);
+        LONGS_EQUAL(count, largeTable.liveCount());
+        const auto before = large.publishedRecords();
+        auto leaving = endpoint("e100007");
+        leaving.state = EndpointState::Leaving;
+        large.setEndpoint(leaving);
+        large.removeEndpoint("e100008");
+        large.publishEndpoints();
+        LONGS_EQUAL(2, large.publishedRecords() - before);
+        LONGS_EQUAL(count - 2, largeTable.liveCount());
+        large.publishEndpoints();
+        LONGS_EQUAL(2, large.publishedRecords() - before);
+    }
+}
+
 TEST(EntryPublished, EndpointsMissingAfterTheRetentionAreRemoved)
 {
     published.replaceEndpoints(listing({"a", "b"}));
