A page of a first listing is parsed and published once

Cause: with each page of a first listing all pages so far were parsed and published again, so that the time grew with the square of the endpoints.

Change: a page is passed on alone; with changes applied in place it costs time in proportion to its own length.

The recording sink of the tests records the size of each page where it recorded that of all pages so far, as the interface passes on the page alone.

--- a/src/entry/control.h
+++ b/src/entry/control.h
@@ -89,8 +89,8 @@
     void applyUnchecked(Configuration configuration);
     /// Replaces all endpoints with a complete listing.
     void replaceEndpoints(std::map<std::string, Endpoint> endpoints);
-    /// Adds the endpoints of the first pages of the initial listing, so that requests can be served
-    /// before the listing is complete. When a large fleet of routers starts at once, the last page
+    /// Adds the endpoints of one page of the initial listing, so that requests can be served before
+    /// the listing is complete. When a large fleet of routers starts at once, the last page
     /// arrives more than a second after the first.
     void applyPartialListing(const std::map<std::string, Endpoint> &endpoints);
     /// Applies an entry that was written since the last listing.
--- a/src/follower.h
+++ b/src/follower.h
@@ -26,7 +26,7 @@
                                 Clock::duration outageDuration)
 {
     s.onListing(listing, freshness);
-    s.onPartialListing(listing); // the pages read so far of the first listing
+    s.onPartialListing(listing); // one page of the first listing; the complete listing follows
     s.onChange(object, deleted);
     s.onBatchEnd();
     s.onStoreRecovered(outageDuration); // called before the first update after an outage
@@ -313,11 +313,11 @@
                 co_return !late;
             }
             const bool hasMore = page.more;
+            if (hasMore && first) {
+                m_sink.onPartialListing(page);
+            }
             appendPage(std::move(page));
             more = hasMore && lastName() != after;
-            if (more && first) {
-                m_sink.onPartialListing(m_listing);
-            }
         }
         recordContact();
         if (delayListing(m_listing)) {
--- a/tests/recording_sink.h
+++ b/tests/recording_sink.h
@@ -18,7 +18,7 @@
     }
     void onPartialListing(const platform::Listing &listing)
     {
-        updates.push_back("so far " + std::to_string(listing.items.size()));
+        updates.push_back("page " + std::to_string(listing.items.size()));
     }
     void onChange(const platform::Object &object, bool deleted)
     {
--- a/tests/test_entry_state.cpp
+++ b/tests/test_entry_state.cpp
@@ -154,6 +154,26 @@
     }
 }
 
+// Guards against a first listing that takes time with the square of its length: each page passes on its own endpoints alone.
+TEST(EntryPublished, APageOfAFirstListingIsPublishedOnce)
+{
+    constexpr int pageSize = 200;
+    for (const int count : {90, 2950, 9815, 19630}) {
+        router::RoutingTable largeTable;
+        entry::Published large(largeTable);
+        for (int read = 0; read < count; read += pageSize) {
+            std::map<std::string, Endpoint> page;
+            for (int n = read; n < std::min(count, read + pageSize); ++n) {
+                const auto id = "e" + std::to_string(100000 + n);
+                page.emplace(id, endpoint(id));
+            }
+            large.applyPartialListing(page);
+            LONGS_EQUAL(std::min(count, read + pageSize), largeTable.liveCount());
+        }
+        LONGS_EQUAL(count, large.publishedRecords());
+    }
+}
+
 TEST(EntryPublished, EndpointsMissingAfterTheRetentionAreRemoved)
 {
     published.replaceEndpoints(listing({"a", "b"}));
@@ -456,7 +476,7 @@
     const std::vector<std::string> pages{"", "b", "d", "d"};
     CHECK(api.asked == pages);
     CHECK(loop().run(follower.step()));
-    const std::vector<std::string> expected{"so far 2", "so far 4", "regained", "listed 5", "set a"};
+    const std::vector<std::string> expected{"page 2", "page 2", "regained", "listed 5", "set a"};
     CHECK(sink.updates == expected);
 }
 
