Requests in flight are counted over the busy endpoints

Change: the ids of the endpoints with requests in flight are held, and only these are added up. The sums are the same.

--- a/src/router_constraints.cpp
+++ b/src/router_constraints.cpp
@@ -272,6 +272,7 @@
     const Endpoint &chosen = *it->second.members[*index];
     ++it->second.health[*index]->inflight;
     ++it->second.health[*index]->placed;
+    m_busy.insert(chosen.id);
     m_coldLimiter.recordSend(pool, chosen.id, now);
     if (m_rejections.isBrittle(pool, now)) {
         m_rejections.recordSend(pool, chosen.id, now);
--- a/src/router_core.cpp
+++ b/src/router_core.cpp
@@ -88,6 +88,7 @@
     const bool moved = listed && (known->second.pool != endpoint.pool || known->second.kind != endpoint.kind);
     if (restarted) {
         m_health[endpoint.id] = {};
+        m_busy.erase(endpoint.id);
         ++m_restarts;
     }
     if (!listed) {
@@ -483,6 +484,9 @@
     }
     auto &inflight = m_health[endpoint.id].inflight;
     inflight = std::max<int64_t>(0, inflight - 1);
+    if (inflight == 0) {
+        m_busy.erase(endpoint.id);
+    }
     std::size_t member = 0;
     if (auto *pool = findPool(endpoint.id, member)) {
         std::visit(
--- a/src/router_core.h
+++ b/src/router_core.h
@@ -301,6 +301,7 @@
     std::map<std::string, Endpoint> m_leaving; ///< endpoints listed as leaving, by id
     std::map<std::string, Pool> m_pools; ///< none is empty
     std::map<std::string, Health> m_health; ///< by endpoint id; every member of a pool has one
+    std::set<std::string> m_busy; ///< ids of the endpoints on which this router has requests in flight
     PromptHolders m_holders;
     std::deque<peers::PromptAnnouncement> m_promptAnnouncements; ///< not yet announced, oldest first
     uint64_t m_restarts = 0;
--- a/src/router_reports.cpp
+++ b/src/router_reports.cpp
@@ -82,10 +82,10 @@
 std::map<std::string, int64_t> RoutingTable::inflightByPool() const
 {
     std::map<std::string, int64_t> out;
-    for (const auto &[id, health] : m_health) {
+    for (const auto &id : m_busy) {
         const auto endpoint = m_endpoints.find(id);
         if (endpoint != m_endpoints.end()) {
-            out[endpoint->second.pool] += health.inflight;
+            out[endpoint->second.pool] += m_health.at(id).inflight;
         }
     }
     return out;
@@ -123,8 +123,9 @@
             continue;
         }
         auto elsewhere = own[name]; // on endpoints that are not members
-        for (const auto *health : pool->second.health) {
-            elsewhere -= health->inflight;
+        for (const auto &id : m_busy) {
+            std::size_t member = 0;
+            elsewhere -= findPool(id, member) == &pool->second ? m_health.at(id).inflight : 0;
         }
         std::visit(
             [&](auto &picker) {
