Output of an endpoint without end is bounded wherever it is read

Cause: a call that reads a whole response, an event without an end, the head of a chunk, interim responses and the skipped body of a late response were bounded by the deadline alone; an endpoint in trouble that sends bytes until its caller closes took memory and processor time at the rate of the link until then.

Change: a connection holds 128 KB unparsed, call() reads 16 MB, an event has 1 MB, a late response is skipped up to 1 MB, and 16 interim responses precede a final one. Beyond these the attempt has failed and its connection is closed; the end of an event is sought from where the last search ended.

Tests: ten kinds of endless heads and bodies are bounded in bytes and time, refused or broken off, the connection closed, and a request at a sound endpoint answered meanwhile.

--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -24,6 +24,10 @@
 constexpr double idleTimeoutShare = 0.7; ///< of the idle timeout that a peer states; the remainder covers a request in transit
 constexpr Millis closeIdleInterval{1000};
 constexpr std::size_t responseHeaderLimit = 64 * 1024;
+constexpr std::size_t maxUnparsedBytes = 2 * responseHeaderLimit; ///< received on a connection: a head, or the head of a chunk
+constexpr std::size_t maxWholeBodyBytes = 16 * 1024 * 1024; ///< of a response that call() reads
+constexpr std::size_t maxSkippedBytes = 1024 * 1024; ///< of a late response to an earlier request
+constexpr int maxInterimResponses = 16; ///< (1xx) before a final response
 constexpr std::size_t heldHeadBytes = 2; ///< the empty line that completes a head
 constexpr Millis firstAcknowledgementPoll{1}; ///< doubled for each further one
 
@@ -180,7 +184,12 @@
 Task<std::optional<CallError>> Response::readHead()
 {
     boost::system::error_code ec;
+    int interimResponses = 0;
     do {
+        if (interimResponses++ > maxInterimResponses) {
+            m_connection->stream.close();
+            co_return CallError{CallStage::Receive, "too many interim responses"};
+        }
         if (m_parser->is_done()) {
             startParser();
         }
@@ -196,12 +205,18 @@
 Task<std::optional<CallError>> Response::skipToNextResponse()
 {
     m_reusable = false;
+    std::size_t skipped = 0;
     for (bool more = true; more;) {
         auto part = co_await readSome();
         if (auto *error = std::get_if<CallError>(&part)) {
             co_return *error;
         }
-        more = !std::get<std::string>(part).empty();
+        const auto size = std::get<std::string>(part).size();
+        more = size > 0;
+        skipped += size;
+        if (skipped > maxSkippedBytes) {
+            co_return CallError{CallStage::Receive, "the late response is too long"};
+        }
     }
     startParser();
     co_return co_await readHead();
@@ -363,6 +378,7 @@
     }
     c.stream.socket().set_option(tcp::no_delay(true), ec);
     c.resetOnClose();
+    c.buffer.max_size(maxUnparsedBytes);
     if (options.tunnel) {
         const auto refused = co_await openTunnel(c.stream, c.buffer, *options.tunnel);
         if (refused) {
@@ -530,6 +546,9 @@
             break;
         }
         reply.body += bytes;
+        if (reply.body.size() > maxWholeBodyBytes) {
+            co_return CallError{CallStage::Receive, "the response is too long"};
+        }
     }
     reply.headers = response.headers();
     co_return reply;
--- a/src/sse.cpp
+++ b/src/sse.cpp
@@ -11,6 +11,7 @@
 constexpr std::string_view terminalEvent = "data: [DONE]";
 constexpr std::string_view eventEnd = "\n\n";
 constexpr std::string_view idField = "id: ";
+constexpr std::size_t maxEventBytes = 1024 * 1024; // a longer one is not an event but the output of a broken endpoint
 
 // Returns the id of an event, if it has one.
 std::optional<uint64_t> eventId(std::string_view event)
@@ -31,15 +32,20 @@
 
 std::vector<std::string> EventRelay::push(std::string_view bytes)
 {
+    const auto searchFrom = m_partial.empty() ? 0 : m_partial.size() - 1; // the end may begin with the last byte of before
     m_partial += bytes;
     std::vector<std::string> out;
-    for (auto end = m_partial.find(eventEnd); end != std::string::npos && !m_gap; end = m_partial.find(eventEnd)) {
+    for (auto end = m_partial.find(eventEnd, searchFrom); end != std::string::npos && !m_gap; end = m_partial.find(eventEnd)) {
         std::string event = m_partial.substr(0, end + eventEnd.size());
         m_partial.erase(0, event.size());
         if (accept(event)) {
             out.push_back(std::move(event));
         }
     }
+    if (m_partial.size() > maxEventBytes) {
+        m_partial.clear();
+        m_gap = true;
+    }
     return out;
 }
 
--- /dev/null
+++ b/tests/test_endless_answers.cpp
@@ -0,0 +1,180 @@
+// Guards against endpoints that send bytes without end, in a head or a body: a router must bound what it reads, refuse the request,
+// close the connection and go on serving other requests.
+#include "endings_fixture.h"
+
+// CppUTest goes last: its memory-leak macros redefine operator new.
+#include "loop_group.h"
+
+using namespace yucca;
+using namespace yucca::fixture;
+
+namespace
+{
+
+/// What a router may take from one answer: the longest body that it holds, and what the sockets' buffers hold.
+constexpr std::size_t maxBytesTaken = 40 * 1024 * 1024;
+constexpr Millis maxTimeTaken{4000}; ///< less than the timeout of the routes, 5 s
+
+/// How an endpoint's output without end went.
+struct Output {
+    std::size_t bytes = 0;
+    bool closed = false; ///< by the router
+};
+
+// Writes the beginning, then the repeated bytes until the connection ends.
+Task<void> sendWithoutEnd(tcp::socket &socket, std::string beginning, std::string repeated, Output &output)
+{
+    boost::system::error_code ec;
+    co_await asio::async_write(socket, asio::buffer(beginning), asio::redirect_error(asio::use_awaitable, ec));
+    while (!ec) {
+        output.bytes += co_await asio::async_write(socket, asio::buffer(repeated), asio::redirect_error(asio::use_awaitable, ec));
+    }
+    output.closed = true;
+}
+
+// Returns the end of the head of an answer to a request, without its signature.
+std::string headOf(const std::string &id, const std::string &extra)
+{
+    return "HTTP/1.1 200 OK\r\nYuccasaddle-Attempt-Id: " + id + "\r\n" + extra + "\r\n";
+}
+
+std::string signatureOf(const std::string &id)
+{
+    return "Yuccasaddle-Response-Signature: sig-" + id + "\r\n";
+}
+
+std::string repeat(const std::string &text, std::size_t bytes)
+{
+    std::string out;
+    while (out.size() < bytes) {
+        out += text;
+    }
+    return out;
+}
+
+/// An answer without end: its beginning, given the request's id, and what is repeated.
+struct EndlessAnswer {
+    const char *name;
+    const char *path;
+    std::function<std::string(const std::string &id)> beginning;
+    std::string repeated;
+};
+
+const std::string fill = std::string(64 * 1024, 'x');
+
+const std::vector<EndlessAnswer> answers{
+    {"a field of the head", "/remind/1",
+     [](const std::string &) {
+         return std::string("HTTP/1.1 200 OK\r\nX: ");
+     },
+     fill},
+    {"fields of the head", "/remind/1",
+     [](const std::string &) {
+         return std::string("HTTP/1.1 200 OK\r\n");
+     },
+     repeat("X: y\r\n", 64 * 1024)},
+    {"bytes that are no head", "/remind/1",
+     [](const std::string &) {
+         return std::string();
+     },
+     fill},
+    {"interim responses", "/remind/1",
+     [](const std::string &) {
+         return std::string();
+     },
+     repeat("HTTP/1.1 100 Continue\r\n\r\n", 64 * 1024)},
+    {"a body without a signature", "/remind/1",
+     [](const std::string &id) {
+         return headOf(id, "");
+     },
+     fill},
+    {"the body of an answer to another request", "/remind/1",
+     [](const std::string &) {
+         return headOf("other", signatureOf("other"));
+     },
+     fill},
+    {"a body", "/remind/1",
+     [](const std::string &id) {
+         return headOf(id, signatureOf(id));
+     },
+     fill},
+    {"the head of a chunk", "/remind/1",
+     [](const std::string &id) {
+         return headOf(id, signatureOf(id) + "Transfer-Encoding: chunked\r\n") + "1;";
+     },
+     fill},
+    {"a trailer", "/remind/1",
+     [](const std::string &id) {
+         return headOf(id, signatureOf(id) + "Transfer-Encoding: chunked\r\n") + "0\r\n";
+     },
+     repeat("X: y\r\n", 64 * 1024)},
+    {"an event", "/chat/1",
+     [](const std::string &id) {
+         return streamHead(id);
+     },
+     chunk(fill)},
+};
+
+// Sends a request to an endpoint that answers without end, and others to a sound one meanwhile. Returns true if all went as it must.
+bool isBounded(Loop &loop, const EndlessAnswer &answer)
+{
+    Output output;
+    ScriptedEndpoint broken(loop, [&](tcp::socket &socket, const ReceivedRequest &request) -> Task<void> {
+        const auto beginning = answer.beginning(idOf(request));
+        co_await sendWithoutEnd(socket, beginning, answer.repeated, output);
+        socket.close();
+    });
+    ScriptedEndpoint sound(loop, [](tcp::socket &socket, const ReceivedRequest &request) -> Task<void> {
+        co_await sendBytes(socket, signedAnswer(idOf(request), "ok"));
+    });
+    EntryFixture fixture(loop, {{"e1", {"m", broken.port}}, {"e2", {"s", sound.port}}});
+    auto configuration = entryConfiguration(2);
+    configuration["routes"][1]["service"] = "m";
+    configuration["routes"][1]["max_attempts"] = 1;
+    configuration["routes"][2]["max_attempts"] = 1;
+    fixture.configure(configuration);
+    Received endless;
+    asio::co_spawn(loop.io, request(fixture, answer.path, "a1", endless), asio::detached);
+    Received other;
+    asio::co_spawn(loop.io, request(fixture, "/book/1", "a2", other), asio::detached);
+    const bool ended = becomesTrue(
+        loop,
+        [&] {
+            return endless.ended && other.ended && output.closed;
+        },
+        maxTimeTaken);
+    const bool refused = !endless.complete || endless.status >= 500;
+    return ended && refused && output.bytes <= maxBytesTaken && other.complete && other.status == 200 && other.body == "ok";
+}
+
+} // namespace
+
+LOOP_GROUP(EndlessAnswers);
+
+TEST(EndlessAnswers, BytesWithoutEndAreBoundedRefusedAndHarmNoOtherRequest)
+{
+    for (const auto &answer : answers) {
+        CHECK_TEXT(isBounded(loop(), answer), answer.name);
+    }
+}
+
+// Guards against a store, a peer or an endpoint that answers a call of the router's own without end.
+TEST(EndlessAnswers, ACallThatReadsTheWholeBodyIsBounded)
+{
+    Output output;
+    ScriptedEndpoint broken(loop(), [&](tcp::socket &socket, const ReceivedRequest &) -> Task<void> {
+        co_await sendWithoutEnd(socket, "HTTP/1.1 200 OK\r\n\r\n", fill, output);
+        socket.close();
+    });
+    http::Client client;
+    http::CallOptions options;
+    options.deadline = Clock::now() + std::chrono::seconds(30);
+    const http::Address to{"127.0.0.1", broken.port};
+    auto request = http::makeRequest("GET", "/");
+    const auto result = loop().run(client.call(to, std::move(request), options));
+    CHECK(std::holds_alternative<http::CallError>(result));
+    CHECK(becomesTrue(loop(), [&] {
+        return output.closed;
+    }));
+    CHECK(output.bytes <= maxBytesTaken);
+}
