--- a/emulators/model/change_fleet.h
+++ b/emulators/model/change_fleet.h
@@ -17,7 +17,7 @@
 namespace yucca::model
 {
 
-/// Processor time of a router's steps, on one whole core.
+/// Processor time of a router's steps, on one whole core; estimates.
 struct ChangeCosts {
     std::chrono::duration<double, std::milli> perKilobyte{0.03}; ///< to parse, apply or encode objects
     std::chrono::duration<double, std::milli> perAnswer{0.3}; ///< of an HTTP answer, without its body
@@ -75,8 +75,7 @@
     explicit ChangeFleet(ChangeFleetOptions options);
     ~ChangeFleet();
 
-    /// Writes a version of the one object, which then has about the given size in bytes as JSON. The number of entries changed differs
-    /// from version to version.
+    /// Writes a version of the one object, which then has about the given size in bytes as JSON.
     void write(std::size_t bytes);
     void run(Millis duration)
     {
