--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -105,6 +105,47 @@
         pass
 
 
+def serve_pausing(address, handle, paused, backlog):
+    """As serve(), with a short queue of new channels; while paused() nothing is accepted. Returns a function that ends it."""
+    listener = socket.socket()
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    listener.bind(address)
+    listener.listen(backlog)
+    listener.settimeout(0.02)
+    ended = threading.Event()
+
+    def run(sock):
+        try:
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            handle(sock)
+        except (Closed, OSError, ValueError):
+            pass
+        finally:
+            sock.close()
+
+    def accept():
+        while not ended.is_set():
+            if paused():
+                time.sleep(0.002)
+                continue
+            try:
+                sock, _ = listener.accept()
+            except socket.timeout:
+                continue
+            except OSError:
+                return
+            sock.settimeout(None)
+            threading.Thread(target=run, args=(sock,), daemon=True).start()
+
+    threading.Thread(target=accept, daemon=True).start()
+
+    def end():
+        ended.set()
+        listener.close()
+
+    return end
+
+
 def serve(address, handle):
     """Calls handle(socket) on a thread of its own for each connection."""
 
@@ -127,6 +168,25 @@
         return s.getsockname()[1]
 
 
+def free_block(size):
+    """Returns the first of some ports in a row that are free on 127.0.0.1, below those that the system hands out."""
+    for base in range(12000 + os.getpid() % 190 * 100, 32000, size):
+        held = []
+        try:
+            for port in range(base, base + size):
+                s = socket.socket()
+                held.append(s)
+                s.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+                s.bind(("127.0.0.1", port))
+            return base
+        except OSError:
+            pass
+        finally:
+            for s in held:
+                s.close()
+    raise SystemExit(2)
+
+
 # --- The platform's store ---------------------------------------------------------------------------------------------
 
 class Store:
@@ -295,10 +355,11 @@
 
 
 class Router:
-    """One router process on a loopback address of its own."""
+    """One router process. All are at one address, as a channel to a peer must come from the address that the peer is listed with."""
 
     def __init__(self, folder, number, zone, zones, store, base_port):
-        self.ip = "127.0.0.%d" % (10 + number)
+        self.ip = "127.0.0.1"
+        base_port += 20 * number
         self.name = "front-%s-%d" % (zone, number)
         self.front = (self.ip, base_port)
         self.ready_at = (self.ip, base_port + 1)
@@ -345,7 +406,6 @@
     def add(self, *words):
         with self.lock:
             self.file.write("%8.3f %s\n" % (now() - self.begin, " ".join(map(str, words))))
-            self.file.flush()
 
 
 # --- Servers ----------------------------------------------------------------------------------------------------------
@@ -517,7 +577,7 @@
         if not os.access(os.path.join(ROOT, run[0]), os.X_OK):
             raise SystemExit(2)
         self.routers = []
-        base = 20000 + (os.getpid() % 1000) * 20
+        base = free_block(20 * (len(zones) * routers_per_zone + 1))
         for i in range(len(zones) * routers_per_zone):
             self.routers.append(Router(self.folder, i + 1, zones[i % len(zones)], zones, self.store.address, base))
 
@@ -533,12 +593,13 @@
             raise SystemExit(2)
 
     def end(self):
+        """Ends all processes and removes their folder."""
         for r in self.routers:
             r.kill()
         for r in self.routers:
             if r.process:
                 r.process.wait()
-        shutil.rmtree(self.folder, ignore_errors=True)
+        shutil.rmtree(self.folder, ignore_errors=True) if not os.environ.get("KEEP") else print(self.folder)
 
 
 def configuration(version, routes, services, keys=("key-1",)):
