Relay endpoints' bytes in frames, so that no router completes a truncated answer

Cause: the peer that relays an answer marked the orderly end of the endpoint's connection by appending 32 hexadecimal digits to the endpoint's bytes, on every framing; the other side took them out again only where an answer has neither a length nor chunks. An answer that broke off up to 32 bytes before its stated length was completed by the marker: 200, the endpoint's signature, a wrong end.

Change: a peer sends the endpoint's bytes as a CBOR sequence of byte strings, and how the connection ended (orderly, reset, timed out) as an item of its own; TunnelStream gives both to the parser like a socket. Any other end of a tunnel is a broken connection. Frames are offered and confirmed in the heads that open a tunnel; between releases no marker is sent, and an answer that ends with its connection counts as broken there. Bytes before an endpoint's reset, and early answers of endpoints that read no more, now arrive.

--- a/src/entry/gateway_paths.h
+++ b/src/entry/gateway_paths.h
@@ -52,7 +52,7 @@
         }
         asked.insert(*peer);
         const auto lifetime = std::chrono::ceil<Millis>(state.profile.responseDeadline - now);
-        options.tunnel = http::makeTunnelRequest(*peer, incarnationKey(endpoint), lifetime);
+        options.tunnel = http::TunnelRequest{*peer, incarnationKey(endpoint), lifetime};
         auto request = makeRequestFor(ex, state, endpoint);
         const http::Address address{endpoint.host, endpoint.port};
         auto opened = co_await m_client.open(address, std::move(request), options);
@@ -126,7 +126,7 @@
             break;
         }
         asked.insert(*peer);
-        const auto request = http::makeTunnelRequest(*peer, incarnationKey(endpoint), m_options.relayConnectTimeout);
+        const http::TunnelRequest request{*peer, incarnationKey(endpoint), m_options.relayConnectTimeout};
         const auto refused = co_await m_client.tryTunnel(request, m_options.relayConnectTimeout);
         if (!refused) {
             co_return PeerView::Reached;
--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -193,7 +193,7 @@
         if (m_parser->is_done()) {
             startParser();
         }
-        co_await bhttp::async_read_header(m_connection->stream, m_connection->buffer, *m_parser, asio::redirect_error(asio::use_awaitable, ec));
+        ec = co_await receiveHead();
     } while (!ec && status() < 200);
     if (ec) {
         m_connection->stream.close();
@@ -207,7 +207,7 @@
     m_reusable = false;
     std::size_t skipped = 0;
     for (bool more = true; more;) {
-        auto part = co_await readSome();
+        auto part = co_await readBody();
         if (auto *error = std::get_if<CallError>(&part)) {
             co_return *error;
         }
@@ -222,36 +222,29 @@
     co_return co_await readHead();
 }
 
-// True if only the end of the tunnel marks the end of this response.
-bool Response::endsWithTunnel() const
+// GCC 12 evaluates both arms of a conditional expression if each contains co_await.
+Task<boost::system::error_code> Response::receiveHead()
 {
-    return m_options.tunnel && m_parser->need_eof();
+    auto &c = *m_connection;
+    boost::system::error_code ec;
+    if (c.tunnel) {
+        co_await bhttp::async_read_header(*c.tunnel, c.buffer, *m_parser, asio::redirect_error(asio::use_awaitable, ec));
+    } else {
+        co_await bhttp::async_read_header(c.stream, c.buffer, *m_parser, asio::redirect_error(asio::use_awaitable, ec));
+    }
+    co_return ec;
 }
 
-// Holds back as many bytes as the end marker of a tunnel has, if the response has no other end: it is complete only if
-// these turn out to be the marker.
-Task<CallResult<std::string>> Response::readSome()
+Task<boost::system::error_code> Response::receiveBody()
 {
-    for (;;) {
-        auto part = co_await readBody();
-        const auto *bytes = std::get_if<std::string>(&part);
-        if (!bytes || !endsWithTunnel()) {
-            co_return std::move(part);
-        }
-        const std::string &marker = m_options.tunnel->endMarker;
-        if (bytes->empty() && m_heldBack != marker) {
-            co_return CallError{CallStage::Receive, "the tunnel broke before the end of the response"};
-        }
-        if (bytes->empty()) {
-            co_return std::string();
-        }
-        m_heldBack += *bytes;
-        if (m_heldBack.size() > marker.size()) {
-            std::string ready = m_heldBack.substr(0, m_heldBack.size() - marker.size());
-            m_heldBack.erase(0, ready.size());
-            co_return std::move(ready);
-        }
+    auto &c = *m_connection;
+    boost::system::error_code ec;
+    if (c.tunnel) {
+        co_await bhttp::async_read_some(*c.tunnel, c.buffer, *m_parser, asio::redirect_error(asio::use_awaitable, ec));
+    } else {
+        co_await bhttp::async_read_some(c.stream, c.buffer, *m_parser, asio::redirect_error(asio::use_awaitable, ec));
     }
+    co_return ec;
 }
 
 Task<CallResult<std::string>> Response::readBody()
@@ -261,8 +254,7 @@
         body.data = m_bodyBuffer.data();
         body.size = m_bodyBuffer.size();
         body.more = true;
-        boost::system::error_code ec;
-        co_await bhttp::async_read_some(m_connection->stream, m_connection->buffer, *m_parser, asio::redirect_error(asio::use_awaitable, ec));
+        auto ec = co_await receiveBody();
         if (ec == bhttp::error::need_buffer) {
             ec = {};
         }
@@ -284,7 +276,7 @@
 
 Task<CallResult<std::string>> Response::read()
 {
-    auto part = co_await readSome();
+    auto part = co_await readBody();
     const auto *bytes = std::get_if<std::string>(&part);
     if (bytes && bytes->empty()) {
         releaseConnection();
@@ -380,13 +372,21 @@
     c.resetOnClose();
     c.buffer.max_size(maxUnparsedBytes);
     if (options.tunnel) {
-        const auto refused = co_await openTunnel(c.stream, c.buffer, *options.tunnel);
-        if (refused) {
-            CallError error{CallStage::Connect, "no tunnel"};
-            error.tunnelStatus = *refused;
-            co_return error;
-        }
+        co_return co_await enterTunnel(c, *options.tunnel);
+    }
+    co_return std::nullopt;
+}
+
+Task<std::optional<CallError>> Client::enterTunnel(ClientConnection &c, const TunnelRequest &request)
+{
+    boost::beast::flat_buffer received(maxUnparsedBytes);
+    const auto opened = co_await openTunnel(c.stream, received, request);
+    if (const auto *refusal = std::get_if<TunnelRefusal>(&opened)) {
+        CallError error{CallStage::Connect, "no tunnel"};
+        error.tunnelStatus = refusal->status;
+        co_return error;
     }
+    c.tunnel.emplace(c.stream, std::get<TunnelFraming>(opened), std::move(received));
     co_return std::nullopt;
 }
 
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -3,7 +3,7 @@
 #pragma once
 
 #include "http.h"
-#include "tunnel.h"
+#include "tunnel_stream.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -93,6 +93,7 @@
     void closeInOrder();
 
     boost::beast::tcp_stream stream;
+    std::optional<TunnelStream> tunnel; ///< through which responses arrive instead of the stream
     boost::beast::flat_buffer buffer;
     Request request; ///< the request being sent; stored here because its write may outlast the call
     std::string wire; ///< the same as text, if it is sent in two parts
@@ -134,9 +135,9 @@
 private:
     friend class Client;
     Task<std::optional<CallError>> readHead();
-    Task<CallResult<std::string>> readSome();
     Task<CallResult<std::string>> readBody();
-    bool endsWithTunnel() const;
+    Task<boost::system::error_code> receiveHead();
+    Task<boost::system::error_code> receiveBody();
     void startParser();
     void releaseConnection();
 
@@ -148,7 +149,6 @@
     bool m_reusable = true;
     std::optional<bhttp::response_parser<bhttp::buffer_body>> m_parser;
     std::array<char, 8192> m_bodyBuffer;
-    std::string m_heldBack; ///< the last bytes received through a tunnel, which may be its end marker
 };
 
 /// Counts bytes sent and received: bodies, plus an estimate for the heads.
@@ -199,6 +199,7 @@
     std::shared_ptr<ClientConnection> takeIdle(const asio::any_io_executor &ex, const Address &to);
     void addIdle(const Address &peer, std::shared_ptr<ClientConnection> connection, std::size_t maxIdle);
     Task<std::optional<CallError>> connect(ClientConnection &c, Address to, CallOptions options);
+    Task<std::optional<CallError>> enterTunnel(ClientConnection &c, const TunnelRequest &request);
     /// How the confirmation that a kept connection still reaches its peer ended.
     enum class Confirmation {
         Confirmed,
--- a/src/relay_server.cpp
+++ b/src/relay_server.cpp
@@ -3,6 +3,7 @@
 #include "connect.h"
 #include "log.h"
 #include "text.h"
+#include "tunnel_frames.h"
 
 #include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
@@ -31,16 +32,19 @@
     stream.close();
 }
 
-std::string headFor(http::TunnelStatus status)
+std::string headFor(http::TunnelStatus status, http::TunnelFraming framing)
 {
     const auto code = std::to_string(static_cast<unsigned>(status));
     if (status == http::TunnelStatus::Open) {
-        return "HTTP/1.1 " + code + " Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: " + std::string(http::tunnelProtocol) + "\r\n\r\n";
+        const std::string confirmed =
+            framing == http::TunnelFraming::Frames ? std::string(http::tunnelFramingHeader) + ": " + std::string(http::tunnelFrames) + "\r\n" : "";
+        return "HTTP/1.1 " + code + " Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: " + std::string(http::tunnelProtocol) + "\r\n" + confirmed
+            + "\r\n";
     }
     return "HTTP/1.1 " + code + " Refused\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
 }
 
-Task<bool> writeAll(Stream &stream, asio::const_buffer bytes, Millis timeout)
+template <typename Buffers> Task<bool> writeAll(Stream &stream, Buffers bytes, Millis timeout)
 {
     boost::system::error_code ec;
     stream.expires_after(timeout);
@@ -50,7 +54,7 @@
 
 } // namespace
 
-/// Two connections between which bytes are passed on.
+/// Two connections between which bytes are passed on. A peer of a release without frames gets the endpoint's bytes as they are.
 struct RelayServer::Tunnel {
     Tunnel(Tcp::socket peerSocket, RelayCounters &relayCounters)
         : peer(std::move(peerSocket))
@@ -79,7 +83,7 @@
     asio::steady_timer lifetimeTimer;
     RelayCounters &counters;
     std::string endpointKey;
-    std::string endMarker;
+    http::TunnelFraming framing = http::TunnelFraming::None;
     Millis lifetime{};
     Millis writeTimeout{};
 };
@@ -87,44 +91,76 @@
 namespace
 {
 
-// Passes bytes of the peer on until it closes the tunnel, which ends the request at the endpoint.
+// Passes bytes of the peer on until it closes the tunnel, which ends the request at the endpoint. An endpoint that takes no more
+// may have answered already: the tunnel stays open for that.
 template <typename TunnelPtr> Task<void> forwardToEndpoint(TunnelPtr tunnel)
 {
     std::array<char, relayBufferBytes> buffer;
+    bool taken = true;
     for (;;) {
         boost::system::error_code ec;
         tunnel->peer.expires_never();
         const auto n = co_await tunnel->peer.async_read_some(asio::buffer(buffer), asio::redirect_error(asio::use_awaitable, ec));
-        bool written = false;
-        if (!ec) {
-            written = co_await writeAll(tunnel->endpoint, asio::buffer(buffer.data(), n), tunnel->writeTimeout);
-        }
-        if (!written) {
+        if (ec) {
             tunnel->abort();
             co_return;
         }
+        if (taken) {
+            taken = co_await writeAll(tunnel->endpoint, asio::buffer(buffer.data(), n), tunnel->writeTimeout);
+        }
     }
 }
 
-// Passes bytes of the endpoint on. An orderly end is marked; any other end resets the tunnel.
+http::TunnelEnd endFor(const boost::system::error_code &ec)
+{
+    if (ec == asio::error::eof) {
+        return http::TunnelEnd::Orderly;
+    }
+    // A write that timed out has closed the connection, which aborts the read.
+    const bool timedOut = ec == asio::error::timed_out || ec == asio::error::operation_aborted;
+    return timedOut ? http::TunnelEnd::TimedOut : http::TunnelEnd::Reset;
+}
+
+template <typename TunnelPtr> Task<bool> sendToPeer(TunnelPtr tunnel, asio::const_buffer bytes)
+{
+    if (tunnel->framing == http::TunnelFraming::None) {
+        co_return co_await writeAll(tunnel->peer, bytes, tunnel->writeTimeout);
+    }
+    const auto head = http::dataFrameHead(bytes.size());
+    const std::array<asio::const_buffer, 2> frame{asio::buffer(head), bytes};
+    co_return co_await writeAll(tunnel->peer, frame, tunnel->writeTimeout);
+}
+
+// Returns false if the tunnel must be reset: without frames, a reset is the only way to state that the endpoint's connection broke.
+template <typename TunnelPtr> Task<bool> sendEndToPeer(TunnelPtr tunnel, http::TunnelEnd end)
+{
+    if (tunnel->framing == http::TunnelFraming::None) {
+        co_return end == http::TunnelEnd::Orderly;
+    }
+    const auto frame = http::endFrame(end);
+    co_return co_await writeAll(tunnel->peer, asio::buffer(frame), tunnel->writeTimeout);
+}
+
+// Passes bytes of the endpoint on, then how they ended.
 template <typename TunnelPtr> Task<void> forwardToPeer(TunnelPtr tunnel)
 {
     std::array<char, relayBufferBytes> buffer;
+    static_assert(relayBufferBytes <= http::maxFrameBytes);
     for (;;) {
         boost::system::error_code ec;
         tunnel->endpoint.expires_never();
         const auto n = co_await tunnel->endpoint.async_read_some(asio::buffer(buffer), asio::redirect_error(asio::use_awaitable, ec));
-        const bool ended = ec == asio::error::eof;
-        const auto bytes = ended ? asio::buffer(tunnel->endMarker) : asio::buffer(buffer.data(), n);
-        bool written = false;
-        if (ended || !ec) {
-            written = co_await writeAll(tunnel->peer, bytes, tunnel->writeTimeout);
+        bool sent = false;
+        if (ec) {
+            sent = co_await sendEndToPeer(tunnel, endFor(ec));
+        } else {
+            sent = co_await sendToPeer(tunnel, asio::buffer(buffer.data(), n));
         }
-        if (!written) {
+        if (!sent) {
             tunnel->abort();
             co_return;
         }
-        if (ended) {
+        if (ec) {
             tunnel->peer.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ec);
             co_return;
         }
@@ -152,12 +188,12 @@
 {
     const auto lifetime = text::parseNumber(ex.header(http::tunnelLifetimeHeader)).value_or(0);
     const auto key = ex.header(http::tunnelEndpointHeader);
-    const auto marker = ex.header(http::tunnelEndMarkerHeader);
+    const auto framing = ex.header(http::tunnelFramingHeader) == http::tunnelFrames ? http::TunnelFraming::Frames : http::TunnelFraming::None;
     const int descriptor = ex.detach();
     if (descriptor < 0) {
         return;
     }
-    asio::post(m_trafficLoop, [this, descriptor, lifetime, key, marker] {
+    asio::post(m_trafficLoop, [this, descriptor, lifetime, key, framing] {
         boost::system::error_code ec;
         Tcp::socket socket(m_trafficLoop);
         socket.assign(Tcp::v4(), descriptor, ec);
@@ -167,7 +203,7 @@
         }
         auto tunnel = std::make_shared<Tunnel>(std::move(socket), m_counters);
         tunnel->endpointKey = key;
-        tunnel->endMarker = marker.substr(0, http::maxTunnelEndMarkerBytes);
+        tunnel->framing = framing;
         tunnel->lifetime = std::clamp(Millis(lifetime), Millis(0), m_options.maxLifetime);
         tunnel->writeTimeout = m_options.writeTimeout;
         asio::co_spawn(m_trafficLoop, serve(tunnel), asio::detached);
@@ -221,7 +257,7 @@
 Task<void> RelayServer::serve(TunnelPtr tunnel)
 {
     const auto status = co_await connect(*tunnel);
-    const std::string head = headFor(status);
+    const std::string head = headFor(status, tunnel->framing);
     const bool answered = co_await writeAll(tunnel->peer, asio::buffer(head), m_options.writeTimeout);
     if (status != http::TunnelStatus::Open) {
         ++m_counters.refused;
--- a/src/tunnel.cpp
+++ b/src/tunnel.cpp
@@ -1,19 +1,33 @@
 #include "tunnel.h"
 
-#include "text.h"
-
-#include <random>
-
 namespace yucca::http
 {
 
-TunnelRequest makeTunnelRequest(const Address &peer, const std::string &endpoint, Millis lifetime)
+namespace
+{
+
+using Answer = std::variant<TunnelFraming, TunnelRefusal>;
+
+// A framing that was not offered cannot be read.
+Answer interpret(const bhttp::response<bhttp::empty_body> &response)
 {
-    static thread_local std::mt19937_64 random{std::random_device{}()};
-    return {peer, endpoint, lifetime, text::toHex(random()) + text::toHex(random())};
+    const unsigned status = response.result_int();
+    if (status != static_cast<unsigned>(TunnelStatus::Open)) {
+        return TunnelRefusal{status};
+    }
+    const auto framing = headerValue(response, tunnelFramingHeader);
+    if (framing.empty()) {
+        return TunnelFraming::None;
+    }
+    if (framing != tunnelFrames) {
+        return TunnelRefusal{static_cast<unsigned>(TunnelStatus::Unsupported)};
+    }
+    return TunnelFraming::Frames;
 }
 
-Task<std::optional<unsigned>> openTunnel(boost::beast::tcp_stream &stream, boost::beast::flat_buffer &buffer, const TunnelRequest &request)
+} // namespace
+
+Task<Answer> openTunnel(boost::beast::tcp_stream &stream, boost::beast::flat_buffer &buffer, const TunnelRequest &request)
 {
     bhttp::request<bhttp::empty_body> message(bhttp::verb::get, beastView(tunnelPath), 11);
     message.set(bhttp::field::host, request.peer.host + ":" + std::to_string(request.peer.port));
@@ -21,18 +35,17 @@
     message.set(bhttp::field::upgrade, beastView(tunnelProtocol));
     message.set(beastView(tunnelEndpointHeader), request.endpoint);
     message.set(beastView(tunnelLifetimeHeader), std::to_string(request.lifetime.count()));
-    message.set(beastView(tunnelEndMarkerHeader), request.endMarker);
+    message.set(beastView(tunnelFramingHeader), beastView(tunnelFrames));
     boost::system::error_code ec;
     co_await bhttp::async_write(stream, message, asio::redirect_error(asio::use_awaitable, ec));
     bhttp::response_parser<bhttp::empty_body> parser;
     if (!ec) {
         co_await bhttp::async_read_header(stream, buffer, parser, asio::redirect_error(asio::use_awaitable, ec));
     }
-    const unsigned status = ec ? 0 : parser.get().result_int();
-    if (status == static_cast<unsigned>(TunnelStatus::Open)) {
-        co_return std::nullopt;
+    if (ec) {
+        co_return TunnelRefusal{};
     }
-    co_return status;
+    co_return interpret(parser.get());
 }
 
 } // namespace yucca::http
--- a/src/tunnel.h
+++ b/src/tunnel.h
@@ -1,5 +1,5 @@
-// A connection to an endpoint through a peer router. The peer connects to the endpoint before it accepts the tunnel and
-// then passes bytes on unchanged: until the tunnel is open, no byte of a request has been sent.
+// A connection to an endpoint through a peer router. The peer connects to the endpoint before it accepts the tunnel: until the
+// tunnel is open, no byte of a request has been sent. Then it passes the request's bytes on unchanged, and the endpoint's in frames.
 #pragma once
 
 #include "http.h"
@@ -8,9 +8,9 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 
-#include <optional>
 #include <string>
 #include <string_view>
+#include <variant>
 
 namespace yucca::http
 {
@@ -19,8 +19,9 @@
 inline constexpr std::string_view tunnelPath = "/relay";
 inline constexpr std::string_view tunnelEndpointHeader = "Relay-Endpoint"; ///< incarnation key
 inline constexpr std::string_view tunnelLifetimeHeader = "Relay-Lifetime-Ms";
-inline constexpr std::string_view tunnelEndMarkerHeader = "Relay-End-Marker";
-inline constexpr std::size_t maxTunnelEndMarkerBytes = 64;
+/// How the endpoint's bytes are sent: offered in the request for a tunnel, confirmed in the peer's answer.
+inline constexpr std::string_view tunnelFramingHeader = "Relay-Framing";
+inline constexpr std::string_view tunnelFrames = "cbor-seq"; ///< see tunnel_frames.h
 
 /// A peer's answer to a request for a tunnel.
 enum class TunnelStatus : unsigned {
@@ -37,16 +38,21 @@
     Address peer;
     std::string endpoint; ///< incarnation key
     Millis lifetime{}; ///< the peer closes the tunnel after this time
-    /// Sent by the peer after the endpoint's last byte, if the endpoint ends the connection in order. Without it, the end of a
-    /// response that has no length could be the end of the peer.
-    std::string endMarker;
 };
 
-/// Returns a request with a random end marker.
-TunnelRequest makeTunnelRequest(const Address &peer, const std::string &endpoint, Millis lifetime);
+/// How a peer sends the endpoint's bytes.
+enum class TunnelFraming {
+    None, ///< as they are, by a peer of a release without frames: how the endpoint's connection ends stays unknown
+    Frames,
+};
+
+/// The status with which a peer refused a tunnel; 0 if it did not answer.
+struct TunnelRefusal {
+    unsigned status = 0;
+};
 
-/// Asks the peer on the other end of a connected stream for the tunnel. Returns nothing once the tunnel is open, otherwise the
-/// peer's status, 0 if it did not answer.
-Task<std::optional<unsigned>> openTunnel(boost::beast::tcp_stream &stream, boost::beast::flat_buffer &buffer, const TunnelRequest &request);
+/// Asks the peer on the other end of a connected stream for the tunnel. Once it is open, the buffer holds what arrived after the
+/// peer's answer.
+Task<std::variant<TunnelFraming, TunnelRefusal>> openTunnel(boost::beast::tcp_stream &stream, boost::beast::flat_buffer &buffer, const TunnelRequest &request);
 
 } // namespace yucca::http
--- a/tests/fuzz/fuzz_decoders.cpp
+++ b/tests/fuzz/fuzz_decoders.cpp
@@ -6,6 +6,7 @@
 #include "explain.h"
 #include "model/scenario.h"
 #include "peers/peer_message.h"
+#include "tunnel_frames.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -25,6 +26,35 @@
     }
 }
 
+/// What a sequence of frames holds.
+struct FrameContent {
+    std::string bytes;
+    bool ended = false;
+    bool malformed = false;
+    bool operator==(const FrameContent &) const = default;
+};
+
+// Reads frames of which a part arrives at a time.
+FrameContent readFrames(const std::string &wire, std::size_t partBytes)
+{
+    http::TunnelFrameReader reader;
+    FrameContent out;
+    std::string pending;
+    for (std::size_t at = 0; at < wire.size() && !out.ended && !out.malformed; at += partBytes) {
+        pending += wire.substr(at, partBytes);
+        std::string_view left = pending;
+        for (bool more = true; more;) {
+            const auto item = reader.next(left, partBytes);
+            more = std::holds_alternative<std::string_view>(item);
+            out.bytes += more ? std::get<std::string_view>(item) : std::string_view();
+            out.ended = std::holds_alternative<http::TunnelEnd>(item);
+            out.malformed = std::holds_alternative<http::MalformedFrame>(item);
+        }
+        pending = std::string(left);
+    }
+    return out;
+}
+
 } // namespace
 
 extern "C" int LLVMFuzzerTestOneInput(const uint8_t *data, std::size_t size)
@@ -35,6 +65,9 @@
             require(part.tokens >= 0);
         }
     }
+    const auto frames = readFrames(bytes, 1);
+    require(frames == readFrames(bytes, size + 1));
+    require(frames.bytes.size() < size || size == 0);
     const Clock::time_point now{std::chrono::hours(1)};
     const auto message = peers::decode({data, size}, now);
     if (ok(message)) {
--- a/tests/test_relay.cpp
+++ b/tests/test_relay.cpp
@@ -199,7 +199,7 @@
     PeerRouter peer(loop(), {{"e1", {"s", engine.port}}});
     http::Client client;
     const auto ask = [&](const std::string &endpoint) {
-        const auto request = http::makeTunnelRequest(peer.address, endpoint, Millis(1000));
+        const http::TunnelRequest request{peer.address, endpoint, Millis(1000)};
         return loop().run(client.tryTunnel(request, Millis(1000))).value_or(101);
     };
     const auto key = incarnationKey(peer.table.endpoints()[0]);
@@ -224,7 +224,7 @@
     stopping.relay.stop();
     http::Client client;
     for (const auto *peer : {&full, &stopping}) {
-        const auto request = http::makeTunnelRequest(peer->address, "e1#0", Millis(1000));
+        const http::TunnelRequest request{peer->address, "e1#0", Millis(1000)};
         LONGS_EQUAL(503, loop().run(client.tryTunnel(request, Millis(1000))).value_or(101));
     }
 }
--- a/tests/test_relay_endings.cpp
+++ b/tests/test_relay_endings.cpp
@@ -164,3 +164,51 @@
     CHECK(std::holds_alternative<http::Reply>(*result));
     STRCMP_EQUAL(eventsUpTo(2).c_str(), std::get<http::Reply>(*result).body.c_str());
 }
+
+TEST(RelayEndings, TruncatedAnswerIsNotCompletedByTheRelayingRouter)
+{
+    for (const std::size_t missing : {1, 16, 31, 32, 33, 40}) {
+        Loop ownLoop; // what is suspended in it ends with its fixtures
+        ScriptedEndpoint engine(ownLoop, [missing](tcp::socket &socket, const ReceivedRequest &request) -> Task<void> {
+            auto answer = signedAnswer(idOf(request), std::string(60, 'x'));
+            answer.resize(answer.size() - missing);
+            co_await sendBytes(socket, answer);
+            socket.close();
+        });
+        PeerRouter peer(ownLoop, {{"e1", {"s", engine.port}}});
+        EntryFixture fixture(ownLoop, {{"e1", {"s", closedPort(ownLoop)}}});
+        usePeers(fixture, {peer.address});
+        LONGS_EQUAL(502, fixture.reply("POST", "/book/1", "a1").status);
+        LONGS_EQUAL(1, engine.seen.size());
+        CHECK(peer.relay.counters().accepted >= 1);
+        CHECK(becomesTrue(ownLoop, [&] {
+            return peer.relay.counters().open == 0;
+        }));
+    }
+}
+
+TEST(RelayEndings, StreamThatBreaksInsideAChunkBringsNoByteOfTheRelayingRouter)
+{
+    for (const std::string framing : {"Transfer-Encoding: chunked\r\n", "Content-Length: 400\r\n"}) {
+        Loop ownLoop;
+        ScriptedEndpoint engine(ownLoop, [framing](tcp::socket &socket, const ReceivedRequest &request) -> Task<void> {
+            const std::string head = "HTTP/1.1 200 OK\r\nYuccasaddle-Attempt-Id: " + idOf(request) + "\r\nYuccasaddle-Response-Signature: s\r\n" + framing;
+            const std::string begun = framing.starts_with("T") ? "100\r\n" : ""; // the head of a chunk of 256 bytes
+            co_await sendBytes(socket, head + "Content-Type: text/event-stream\r\n\r\n" + begun + eventNumber(1) + "id: 2\ndata: ");
+            socket.close();
+        });
+        PeerRouter peer(ownLoop, {{"e1", {"m", engine.port}}});
+        EntryFixture fixture(ownLoop, {{"e1", {"m", closedPort(ownLoop)}}});
+        usePeers(fixture, {peer.address});
+        Received received;
+        asio::co_spawn(ownLoop.io, request(fixture, "/once/1", "a1", received), asio::detached);
+        ownLoop.runUntil([&] {
+            return received.ended;
+        });
+        CHECK(!received.complete);
+        STRCMP_EQUAL(eventNumber(1).c_str(), received.body.c_str());
+        CHECK(becomesTrue(ownLoop, [&] {
+            return peer.relay.counters().open == 0;
+        }));
+    }
+}
