Decode what comes from outside in one place, bounded in depth and number

Cause: the library parses text of any depth, and calls a function for each level wherever such a value is copied, compared or written, or read from CBOR; nothing bounded it. One entry of another writer with 150,000 nested lists ended every router at each start (a copy in the store's response parser; behind it the replica that is handed on), one chat of 120 KB a router of the own interface, and the operators' tool could not remove the entry.

Beyond the bounds: 400 to a caller; an entry counts as unreadable, is logged with its name and the reason, and the others hold; the configuration in force stays; yucca-ctl shows the problem and removes the entry; files are refused with exit code 2. Findings of one input are bounded. Fields of stored values that have another type give a fallback instead of an exception, which ended a reading task.

--- a/emulators/endpoint_server.cpp
+++ b/emulators/endpoint_server.cpp
@@ -1,5 +1,6 @@
 #include "endpoint_server.h"
 
+#include "decode.h"
 #include "text.h"
 #include "yucca/ring.h"
 
@@ -312,7 +313,7 @@
         co_await ex.reply(200, runs.dump());
         co_return;
     }
-    const auto body = json::parse(ex.request().body(), nullptr, false);
+    const auto body = decode::textOrNull(ex.request().body());
     m_faults = {};
     if (body.is_object()) {
         m_faults.shed = body.value("shed", false);
--- a/emulators/engine_server.cpp
+++ b/emulators/engine_server.cpp
@@ -1,5 +1,6 @@
 #include "engine_server.h"
 
+#include "decode.h"
 #include "log.h"
 #include "prefix.h"
 #include "text.h"
@@ -189,7 +190,7 @@
 Task<void> EngineServer::handleChat(http::Exchange &ex)
 {
     recordArrival();
-    const json body = json::parse(ex.request().body(), nullptr, false);
+    const json body = decode::textOrNull(ex.request().body());
     if (!body.is_object() || !body.contains("messages")) {
         co_await ex.reply(400, R"({"error":{"message":"messages required","type":"invalid_request_error"}})", responseHeaders(ex.header("x-request-id")));
         co_return;
@@ -300,7 +301,7 @@
 // Handles an order. An order with an old fencing token is rejected, unless the engine is set not to check it.
 Task<void> EngineServer::handleOrder(http::Exchange &ex)
 {
-    const json body = json::parse(ex.request().body(), nullptr, false);
+    const json body = decode::textOrNull(ex.request().body());
     if (!body.is_object()) {
         co_await ex.reply(400, R"({"error":"order must be a JSON object"})");
         co_return;
@@ -335,7 +336,7 @@
 // Responds with the leading cached blocks of a prompt, to be imported by another engine.
 Task<void> EngineServer::exportKv(http::Exchange &ex)
 {
-    const json body = json::parse(ex.request().body(), nullptr, false);
+    const json body = decode::textOrNull(ex.request().body());
     json blocks = json::array();
     if (body.is_object() && body.contains("messages")) {
         const std::string prompt = prefix::promptText(body["messages"]);
@@ -354,7 +355,7 @@
 
 Task<void> EngineServer::importKv(http::Exchange &ex)
 {
-    const json body = json::parse(ex.request().body(), nullptr, false);
+    const json body = decode::textOrNull(ex.request().body());
     if (!body.is_object() || !body.contains("blocks") || !body["blocks"].is_array()) {
         co_await ex.reply(400, R"({"error":"blocks required"})");
         co_return;
@@ -368,7 +369,7 @@
 
 Task<void> EngineServer::setFaults(http::Exchange &ex)
 {
-    const json body = json::parse(ex.request().body(), nullptr, false);
+    const json body = decode::textOrNull(ex.request().body());
     if (!body.is_object()) {
         co_await ex.reply(400, R"({"error":"faults must be a JSON object"})");
         co_return;
--- a/emulators/experiment.cpp
+++ b/emulators/experiment.cpp
@@ -1,6 +1,7 @@
 #include "experiment.h"
 #include "experiment_calls.h"
 
+#include "decode.h"
 #include "engine_core.h"
 #include "prefix.h"
 #include "yucca/ring.h"
@@ -301,7 +302,7 @@
         text += std::get<std::string>(read);
     }
     result.text = text.substr(0, 160);
-    const json parsed = json::parse(text, nullptr, false);
+    const json parsed = decode::textOrNull(text);
     if (!parsed.is_object()) {
         co_return result;
     }
@@ -334,7 +335,7 @@
         }
         for (const auto &event : events.push(bytes)) {
             const auto data = event.find("data: ");
-            const json parsed = data == std::string::npos ? json() : json::parse(event.substr(data + 6), nullptr, false);
+            const json parsed = data == std::string::npos ? json() : decode::textOrNull(event.substr(data + 6));
             if (!parsed.is_object()) {
                 continue; // the terminal event
             }
--- a/emulators/experiment_events.cpp
+++ b/emulators/experiment_events.cpp
@@ -1,5 +1,6 @@
 // Events during an experiment (engines that leave, a move to another pool, a store outage, a surge), and the sampling
 // of loads.
+#include "decode.h"
 #include "experiment.h"
 #include "experiment_calls.h"
 
@@ -34,7 +35,7 @@
     const auto options = callOptions(probeTimeout, http::ConnectionReuse::KeepAliveWithRetry);
     auto called = co_await m_client.call(std::move(from), http::makeRequest("GET", path), options);
     auto *reply = std::get_if<http::Reply>(&called);
-    json parsed = reply ? json::parse(reply->body, nullptr, false) : json();
+    json parsed = reply ? decode::textOrNull(reply->body) : json();
     co_return parsed.is_object() ? std::move(parsed) : json::object();
 }
 
--- a/emulators/platform_server.cpp
+++ b/emulators/platform_server.cpp
@@ -1,5 +1,6 @@
 #include "platform_server.h"
 
+#include "decode.h"
 #include "log.h"
 #include "object_api.h"
 #include "object_form.h"
@@ -8,6 +9,8 @@
 #include <boost/asio/detached.hpp>
 
 #include <algorithm>
+#include <array>
+#include <string_view>
 
 namespace yucca::platform
 {
@@ -51,6 +54,41 @@
     return {{"events", events}, {"store_revision", batch.revision}};
 }
 
+/// How a stored {MARKER: LEVELS} is sent: as so many nested values, which would be too deep for the stand-in's own handling.
+struct NestedShape {
+    std::string_view marker;
+    std::string_view open;
+    std::string_view innermost;
+    std::string_view close;
+};
+constexpr std::array<NestedShape, 2> nestedShapes{{{"{\"nestedLists\":", "[", "", "]"}, {"{\"nestedObjects\":", "{\"a\":", "1", "}"}}};
+constexpr int64_t maxNestedLevels = 200000;
+
+std::string repeated(std::string_view text, int64_t count)
+{
+    std::string out;
+    for (int64_t i = 0; i < count; ++i) {
+        out += text;
+    }
+    return out;
+}
+
+// Replaces the markers in an encoded response by what they stand for.
+std::string withNestedValues(std::string text)
+{
+    for (const auto &shape : nestedShapes) {
+        for (auto at = text.find(shape.marker); at != std::string::npos; at = text.find(shape.marker, at + 1)) {
+            const auto end = text.find('}', at);
+            const auto begin = at + shape.marker.size();
+            const auto levels = text::parseNumber(std::string_view(text).substr(begin, end - begin));
+            if (levels && *levels <= maxNestedLevels) {
+                text.replace(at, end + 1 - at, repeated(shape.open, *levels) + std::string(shape.innermost) + repeated(shape.close, *levels));
+            }
+        }
+    }
+    return text;
+}
+
 std::string errorBody(const Error &e)
 {
     json body;
@@ -64,6 +102,7 @@
 Task<void> PlatformServer::respond(http::Exchange &ex, unsigned status, std::string body, http::Headers headers)
 {
     headers.emplace_back("Store-Era", std::to_string(m_store.epoch()));
+    body = withNestedValues(std::move(body));
     co_await ex.reply(status, std::move(body), std::move(headers));
 }
 
@@ -187,7 +226,7 @@
     if (method == http::bhttp::verb::delete_) {
         return m_store.remove(kind, name, ifVersion);
     }
-    const json body = json::parse(ex.request().body(), nullptr, false);
+    const json body = decode::textOrNull(ex.request().body());
     if (!body.is_object()) {
         return Error{400, "body is not a JSON object"};
     }
@@ -256,7 +295,7 @@
 Task<void> PlatformServer::handleAdmin(http::Exchange &ex, std::string path)
 {
     const auto &text = ex.request().body();
-    json body = json::parse(text.empty() ? "{}" : text, nullptr, false);
+    json body = decode::textOrNull(text.empty() ? "{}" : text);
     if (!body.is_object()) {
         co_await respondError(ex, Error{400, "body is not a JSON object"});
         co_return;
--- a/emulators/soak/fleet.h
+++ b/emulators/soak/fleet.h
@@ -117,6 +117,7 @@
     CutOffService *currentService(std::size_t router);
     void checkCutOffService();
     Task<void> applyEvacuation(Step step);
+    Task<void> applyForeignEntry(Step step);
     Task<void> restoreStore(Step step);
     std::vector<std::size_t> killAllRouters();
     Task<void> rewriteEvacuations();
--- a/emulators/soak/plan.cpp
+++ b/emulators/soak/plan.cpp
@@ -25,12 +25,13 @@
     uint64_t salt; ///< XORed with the seed
     int maxIntervalMs; ///< between two starts
 };
-constexpr std::array<IndependentFault, 6> independentFaults{{{Fault::DomainEvacuated, 0x65766163, 5000},
+constexpr std::array<IndependentFault, 7> independentFaults{{{Fault::DomainEvacuated, 0x65766163, 5000},
                                                              {Fault::EndpointAsksForRest, 0x72657374, 5000},
                                                              {Fault::StoreRestored, 0x72657475, 6000},
                                                              {Fault::RouterCutOff, 0x72637574, 2500},
                                                              {Fault::DomainCutOff, 0x64637574, 6000},
-                                                             {Fault::PartEndsEndpoints, 0x70617274, 6000}}};
+                                                             {Fault::PartEndsEndpoints, 0x70617274, 6000},
+                                                             {Fault::ForeignEntry, 0x666f7265, 4000}}};
 /// What happens to open connections over a path that is cut.
 constexpr std::array<Disturbance, 5> cutDisturbances{Disturbance::None, Disturbance::Reset, Disturbance::MuteForth, Disturbance::MuteBack,
                                                      Disturbance::Silence};
@@ -87,6 +88,8 @@
         return std::min(options.routers, maxCuttableRouters);
     case Fault::DomainCutOff:
         return routerDomains;
+    case Fault::ForeignEntry:
+        return foreignEntries;
     default:
         return 1;
     }
--- a/emulators/soak/plan.h
+++ b/emulators/soak/plan.h
@@ -43,9 +43,10 @@
     RouterEntriesLost, ///< the store loses the entries of all routers
     PartEndsEndpoints, ///< requests that share only a part of their prompts crash each endpoint that runs them
     EndpointRequestsPaused, ///< those that are running, and no others
+    ForeignEntry, ///< another writer stores a deeply nested value; the target selects its kind and shape
 };
 
-inline constexpr NameTable<Fault, 32> faultNames{{{Fault::RouterKilled, "router_killed"},
+inline constexpr NameTable<Fault, 33> faultNames{{{Fault::RouterKilled, "router_killed"},
                                                   {Fault::RouterPaused, "router_paused"},
                                                   {Fault::RouterStopped, "router_stopped"},
                                                   {Fault::RouterReloads, "router_reloads"},
@@ -76,7 +77,8 @@
                                                   {Fault::AllRoutersKilled, "all_routers_killed"},
                                                   {Fault::RouterEntriesLost, "router_entries_lost"},
                                                   {Fault::PartEndsEndpoints, "part_ends_endpoints"},
-                                                  {Fault::EndpointRequestsPaused, "endpoint_requests_paused"}}};
+                                                  {Fault::EndpointRequestsPaused, "endpoint_requests_paused"},
+                                                  {Fault::ForeignEntry, "foreign_entry"}}};
 
 /// One fault of a plan.
 struct Step {
@@ -101,6 +103,8 @@
     bool pauses = false; ///< the plan has only short pauses of endpoints, releases, changes of the configuration, and reloads and graceful stops of routers
 };
 
+/// The number of foreign entries to choose from.
+inline constexpr std::size_t foreignEntries = 4;
 /// The number of failure domains of endpoints. With four endpoints or more, each domain has endpoints of both services.
 inline constexpr std::size_t endpointDomains = 2;
 /// The number of failure domains of routers.
--- a/scripts/proofs.sh
+++ b/scripts/proofs.sh
@@ -52,9 +52,9 @@
 # Fuzzing of the decoders of external input. Asio's coroutine support is enabled by defines, because Boost 1.74 does not
 # detect it in this version of clang.
 clang++ -std=c++20 -g -O1 -fsanitize=fuzzer,address,undefined -fno-pie -no-pie -w -DBOOST_ASIO_HAS_CO_AWAIT=1 -DBOOST_ASIO_HAS_STD_COROUTINE=1 \
-    -Iinclude -Isrc -Iplatform -Iemulators -o $OUT/fuzz_decoders tests/fuzz/fuzz_decoders.cpp platform/codec.cpp platform/prompt_parts.cpp \
+    -Iinclude -Isrc -Iplatform -Iemulators -Itests -o $OUT/fuzz_decoders tests/fuzz/fuzz_decoders.cpp platform/codec.cpp platform/prompt_parts.cpp \
     src/entry/entry_settings.cpp src/entry/configuration.cpp src/explain.cpp src/peers/peer_message.cpp emulators/model/scenario.cpp src/settings.cpp src/findings.cpp src/http.cpp \
-    src/tunnel_frames.cpp
+    src/tunnel_frames.cpp src/decode.cpp platform/response_parser.cpp src/object_replica.cpp -lxxhash
 mkdir -p $OUT/decoders
 cp config/router.json $OUT/decoders/
 cp tests/fuzz/regressions/decoders/* $OUT/decoders/ # inputs of earlier findings
@@ -64,6 +64,9 @@
 printf '{"at_ms":1,"name":"RequestFinished","id":"q1","end":"cut"}' >$OUT/decoders/line
 cp config/scenarios/lonestar.json $OUT/decoders/scenario
 printf '\x81\x83\x61i\x0c\x18\xfa' >$OUT/decoders/loads
+printf '[%.0s' $(seq 2000) >$OUT/decoders/nested_lists
+printf '{"a":%.0s' $(seq 600) >$OUT/decoders/nested_objects
+printf '\x41"x"' >$OUT/decoders/at_the_bound
 printf '\x59\x00\x04HTTP\x59\x00\x01/\x00' >$OUT/decoders/frames
 $OUT/fuzz_decoders -seed=1 -runs=20000 -max_len=4096 -verbosity=0 $OUT/decoders >$OUT/fuzz_decoders.log 2>&1 || { tail -20 $OUT/fuzz_decoders.log; exit 1; }
 echo "proofs: decoders: 20000 fuzz runs without a finding"
--- a/src/background_tasks.cpp
+++ b/src/background_tasks.cpp
@@ -1,5 +1,7 @@
 #include "background_tasks.h"
 
+#include "decode.h"
+
 #include "connect_probe.h"
 #include "idempotency.h"
 #include "log.h"
@@ -74,7 +76,8 @@
 
 bool isExpired(const nlohmann::json &record, int64_t nowS, int64_t retentionS)
 {
-    return record.value("state", "") != "started" && record.contains("at") && nowS - record.value("at", nowS) > retentionS;
+    const int64_t at = decode::fieldOr(record, "at", nowS);
+    return decode::fieldOr<std::string>(record, "state", {}) != "started" && at < nowS - retentionS;
 }
 
 std::vector<orders::Order> desiredOrders(const catalogue::Snapshot &snapshot)
--- a/src/catalogue.cpp
+++ b/src/catalogue.cpp
@@ -158,7 +158,9 @@
 void View::applyValue(const store::Object &object)
 {
     Findings findings;
-    if (object.kind == workspaceKind) {
+    if (!object.problem.empty()) {
+        findings.add("", object.problem);
+    } else if (object.kind == workspaceKind) {
         auto parsed = parseWorkspace(object.value, "", findings);
         if (findings.empty()) {
             m_state.workspaces[object.name] = std::move(parsed);
--- a/src/ctl.cpp
+++ b/src/ctl.cpp
@@ -1,6 +1,7 @@
 #include "ctl.h"
 
 #include "catalogue.h"
+#include "decode.h"
 
 #include <algorithm>
 #include <ctime>
@@ -203,12 +204,12 @@
     std::vector<AuditLine> out;
     for (const auto &object : std::get<platform::Listing>(listed).items) {
         const auto &record = object.value;
-        if (record.value("kind", "") != kind || record.value("name", "") != name) {
+        if (decode::fieldOr<std::string>(record, "kind", {}) != kind || decode::fieldOr<std::string>(record, "name", {}) != name) {
             continue;
         }
-        std::string outcome = record.value("outcome", "");
+        std::string outcome = decode::fieldOr<std::string>(record, "outcome", {});
         const std::string changeId = object.name.substr(std::min(prefix.size(), object.name.size()));
-        if (outcome == "proposed" && ok(current) && std::get<platform::Object>(current).value.value(changeIdKey, "") == changeId) {
+        if (outcome == "proposed" && ok(current) && decode::fieldOr<std::string>(std::get<platform::Object>(current).value, changeIdKey, {}) == changeId) {
             outcome = "accepted"; // the program ended before it recorded the outcome
         }
         AuditLine line;
@@ -218,7 +219,7 @@
     }
     std::stable_sort(out.begin(), out.end(), [](const AuditLine &a, const AuditLine &b) {
         const auto order = [](const AuditLine &line) {
-            return std::pair(line.record.value("at", int64_t{0}), line.record.value("base", uint64_t{0}));
+            return std::pair(decode::fieldOr<int64_t>(line.record, "at", 0), decode::fieldOr<uint64_t>(line.record, "base", 0));
         };
         return order(a) < order(b);
     });
--- a/src/ctl_main.cpp
+++ b/src/ctl_main.cpp
@@ -2,6 +2,7 @@
 #include "catalogue.h"
 #include "cli.h"
 #include "ctl.h"
+#include "decode.h"
 #include "explain.h"
 #include "object_store.h"
 #include "quarantine_store.h"
@@ -22,7 +23,11 @@
 // Returns an object in the form that yucca-ctl prints.
 json toOutput(const store::Object &o)
 {
-    return {{"kind", o.kind}, {"name", o.name}, {"version", o.version}, {"value", o.value}};
+    json out{{"kind", o.kind}, {"name", o.name}, {"version", o.version}, {"value", o.value}};
+    if (!o.problem.empty()) {
+        out["problem"] = "the value " + o.problem;
+    }
+    return out;
 }
 
 constexpr const char *usage = "COMMAND ...\n"
@@ -190,11 +195,13 @@
     }
     const auto &object = std::get<platform::Object>(current);
     json value = ctl::withoutChangeId(object.value);
-    json field = json::parse(args[4], nullptr, false);
-    if (field.is_discarded()) {
-        field = args[4]; // text that is not JSON is taken as a string
-    }
+    auto decoded = decode::text(args[4]);
     Findings findings;
+    if (!ok(decoded) && std::get<Error>(decoded).code == decode::OutOfBounds) {
+        findings.add(args[3], std::get<Error>(decoded).message);
+        return printFindings(args[1] + "/" + args[2], findings);
+    }
+    const json field = ok(decoded) ? std::get<json>(decoded) : json(args[4]); // text that is not JSON is taken as a string
     try {
         value[json::json_pointer(args[3])] = field;
     } catch (const json::exception &e) {
@@ -227,9 +234,10 @@
     }
     for (const auto &line : std::get<std::vector<ctl::AuditLine>>(lines)) {
         const auto &r = line.record;
-        printf("%s: version %llu by %s at %lld: %s\n  - %s\n  + %s\n", line.outcome.c_str(), static_cast<unsigned long long>(r.value("version", uint64_t{0})),
-               r.value("author", "").c_str(), static_cast<long long>(r.value("at", int64_t{0})), r.value("reason", "").c_str(), r["before"].dump().c_str(),
-               r["after"].dump().c_str());
+        printf("%s: version %llu by %s at %lld: %s\n  - %s\n  + %s\n", line.outcome.c_str(),
+               static_cast<unsigned long long>(decode::fieldOr<uint64_t>(r, "version", 0)), decode::fieldOr<std::string>(r, "author", {}).c_str(),
+               static_cast<long long>(decode::fieldOr<int64_t>(r, "at", 0)), decode::fieldOr<std::string>(r, "reason", {}).c_str(),
+               r.value("before", json()).dump().c_str(), r.value("after", json()).dump().c_str());
     }
     return cli::ExitOk;
 }
--- a/src/entry/control.h
+++ b/src/entry/control.h
@@ -262,6 +262,11 @@
     {
         return m_evacuations.run();
     }
+    /// Performs one listing or watch of the configuration; returns false if the store was unreachable.
+    Task<bool> stepConfiguration()
+    {
+        return m_configurations.step();
+    }
     /// Performs one listing or watch of the evacuation orders; returns false if the store was
     /// unreachable.
     Task<bool> stepEvacuations()
@@ -322,6 +327,16 @@
         return shared(now) && m_shared.endpoints->rank(now) >= maxProbingRouters;
     }
 
+    // Parses an object's value; what could not even be decoded is a finding too.
+    template <typename T, typename Parse> static std::optional<T> parseObject(const platform::Object &object, Findings &findings, Parse parse)
+    {
+        if (!object.problem.empty()) {
+            findings.add("", object.problem);
+            return std::nullopt;
+        }
+        return parse(object.value, findings);
+    }
+
     struct ConfigurationSink {
         Published &published;
         void onListing(const platform::Listing &listing, platform::Freshness)
@@ -339,7 +354,7 @@
                 return; // if the configuration is deleted, the last one stays in effect
             }
             Findings findings;
-            auto parsed = C::configuration(object.value, findings);
+            auto parsed = parseObject<Configuration>(object, findings, &C::configuration);
             if (parsed) {
                 published.apply(std::move(*parsed));
             } else {
@@ -412,7 +427,9 @@
         std::optional<Endpoint> parse(const platform::Object &object)
         {
             Findings findings;
-            auto endpoint = C::endpoint(object.name, object.value, findings);
+            auto endpoint = parseObject<Endpoint>(object, findings, [&object](const nlohmann::json &value, Findings &problems) {
+                return C::endpoint(object.name, value, problems);
+            });
             if (endpoint) {
                 reportedEntries.erase(object.name);
             } else if (reportedEntries.size() < maxReportedEntries && reportedEntries.insert(object.name).second) {
--- a/src/explain.cpp
+++ b/src/explain.cpp
@@ -1,5 +1,7 @@
 #include "explain.h"
 
+#include "decode.h"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -28,7 +30,7 @@
     {"out_of_date", "the router does not know the route or key of the request; it could not reach the store and may lack the newest configuration"},
     {"no_route", "no route of the active configuration matches the host and path of the request"},
     {"unknown_key", "the API key of the request belongs to no workspace of the active configuration"},
-    {"malformed", "the request has no valid request id"},
+    {"malformed", "the request has no valid request id, or its body cannot be decoded"},
     {"stopping", "the router was stopping; the caller was told to use another one"},
     {"no_endpoint", "no endpoint of the service was usable"},
     {"not_executed", "every endpoint that was asked refused it without running it"},
@@ -105,7 +107,7 @@
 {
     std::string text;
     while (std::getline(log, text)) {
-        const auto line = json::parse(text, nullptr, false);
+        const auto line = decode::textOrNull(text);
         if (!line.is_object() || !line.contains("name") || !line.contains("at_ms") || !line["at_ms"].is_number()) {
             ++m_timeline.skippedLines;
             continue;
--- a/src/idempotency.cpp
+++ b/src/idempotency.cpp
@@ -1,5 +1,7 @@
 #include "idempotency.h"
 
+#include "decode.h"
+
 #include "yucca/ring.h"
 
 #include <algorithm>
@@ -22,6 +24,11 @@
     return {{"state", "started"}, {"owner", owner}, {"nonce", nonce}, {"requestHash", requestHash}, {"at", static_cast<int64_t>(std::time(nullptr))}};
 }
 
+std::string nonceOf(const nlohmann::json &record)
+{
+    return decode::fieldOr<std::string>(record, "nonce", {});
+}
+
 // Returns an id that no earlier process of the same router had: a restarted
 // router must not mistake the claims of the process before for its own.
 std::string randomProcessId()
@@ -115,7 +122,7 @@
     if (stored && stored->value == record) {
         co_return std::move(got);
     }
-    if (stored && stored->value.value("nonce", "") != record.value("nonce", "")) {
+    if (stored && nonceOf(stored->value) != nonceOf(record)) {
         co_return Error{store::Conflict, "another attempt holds the claim"};
     }
     co_return co_await m_api.put(m_kind, name, record, stored ? stored->version : 0);
@@ -143,16 +150,20 @@
     Claim c;
     c.record = existing;
     const auto &v = existing.value;
-    if (v.value("requestHash", uint64_t{0}) != requestHash) {
+    if (!v.is_object()) {
+        c.decision = Decision::InProgress; // another writer has replaced the record: the request may have run
+        return c;
+    }
+    if (decode::fieldOr<uint64_t>(v, "requestHash", 0) != requestHash) {
         c.decision = Decision::Mismatch;
         return c;
     }
-    const std::string state = v.value("state", "");
+    const std::string state = decode::fieldOr<std::string>(v, "state", {});
     if (state == "done") {
         c.decision = Decision::Replay;
-        c.storedStatus = v.value("status", 200u);
-        c.storedBody = v.value("body", "");
-    } else if (state == "started" && v.value("nonce", "") == nonce) {
+        c.storedStatus = decode::fieldOr<unsigned>(v, "status", 200);
+        c.storedBody = decode::fieldOr<std::string>(v, "body", {});
+    } else if (state == "started" && nonceOf(v) == nonce) {
         c.decision = Decision::Run; // this attempt's own claim; the store's answer to it was lost
     } else if (state == "started") {
         c.decision = Decision::InProgress;
--- a/src/lease.cpp
+++ b/src/lease.cpp
@@ -1,5 +1,7 @@
 #include "lease.h"
 
+#include "decode.h"
+
 #include "boot_clock.h"
 
 #include <algorithm>
@@ -52,14 +54,14 @@
 // duration by this process's clock.
 bool Lease::hasExpired(const platform::Object &object)
 {
-    if (object.value.value("holder", "").empty()) {
+    if (object.value.is_object() && decode::fieldOr<std::string>(object.value, "holder", {}).empty()) {
         return true; // released
     }
     if (m_observedRecord.version != object.version || m_observedRecord.epoch != object.epoch) {
         m_observedRecord = {object.epoch, object.version, m_clock()};
         return false;
     }
-    return m_clock() - m_observedRecord.since >= Millis(object.value.value("durationMs", m_duration.count()));
+    return m_clock() - m_observedRecord.since >= Millis(decode::fieldOr<int64_t>(object.value, "durationMs", m_duration.count()));
 }
 
 // Writes this process's record; the duration counts from before the write was
@@ -113,7 +115,7 @@
         co_return false;
     }
     // A new term gets a new token, also when this process held the lease before.
-    const uint64_t last = exists ? object.value.value("fence", uint64_t{0}) : 0;
+    const uint64_t last = exists ? decode::fieldOr<uint64_t>(object.value, "fence", 0) : 0;
     co_return co_await writeRecord(object.version, nextFence(last, epoch), startedAt, epoch);
 }
 
--- a/src/object_api.cpp
+++ b/src/object_api.cpp
@@ -1,5 +1,7 @@
 #include "object_api.h"
 
+#include "decode.h"
+
 namespace yucca::platform
 {
 
@@ -40,15 +42,18 @@
 Endpoint endpointFromJson(const nlohmann::json &j)
 {
     Endpoint e;
-    e.id = j.value("id", "");
-    e.host = j.value("host", "127.0.0.1");
-    e.port = j.value("port", uint16_t{0});
-    e.pool = j.value("pool", "");
-    e.zone = j.value("zone", "");
-    e.startedAtMs = j.value("born", int64_t{0});
-    e.version = j.value("version", "");
-    e.kind = parseName(endpointKindNames, j.value("kind", "engine")).value_or(EndpointKind::Engine);
-    e.state = parseName(endpointStateNames, j.value("state", "live")).value_or(EndpointState::Live);
+    const auto textField = [&j](const char *key, const char *fallback) {
+        return decode::fieldOr<std::string>(j, key, fallback);
+    };
+    e.id = textField("id", "");
+    e.host = textField("host", "127.0.0.1");
+    e.port = decode::fieldOr<uint16_t>(j, "port", 0);
+    e.pool = textField("pool", "");
+    e.zone = textField("zone", "");
+    e.startedAtMs = decode::fieldOr<int64_t>(j, "born", 0);
+    e.version = textField("version", "");
+    e.kind = parseName(endpointKindNames, textField("kind", "engine")).value_or(EndpointKind::Engine);
+    e.state = parseName(endpointStateNames, textField("state", "live")).value_or(EndpointState::Live);
     return e;
 }
 
--- a/src/object_replica.cpp
+++ b/src/object_replica.cpp
@@ -1,5 +1,7 @@
 #include "object_replica.h"
 
+#include "decode.h"
+
 #include <xxhash.h>
 
 #include <algorithm>
@@ -21,7 +23,8 @@
 
 constexpr std::size_t objectOverheadBytes = 16; ///< estimated size of an object in an answer, without its name and value
 
-// Reads one object: [name, version, value as CBOR].
+// Reads one object: [name, version, value as CBOR]. A value that exceeds the bounds of decode.h makes only this object unreadable: a
+// router of another release may have other bounds.
 bool readObject(const json &item, ReplicatedObject &out)
 {
     const bool wellFormed = item.is_array() && item.size() == 3 && item[0].is_string() && item[1].is_number_unsigned() && item[2].is_binary();
@@ -30,8 +33,13 @@
     }
     out.name = item[0].get<std::string>();
     out.version = item[1].get<uint64_t>();
-    out.value = json::from_cbor(static_cast<const std::vector<uint8_t> &>(item[2].get_binary()), true, false);
-    return !out.value.is_discarded();
+    auto value = decode::cbor(static_cast<const std::vector<uint8_t> &>(item[2].get_binary()));
+    if (const auto *error = std::get_if<Error>(&value)) {
+        out.problem = error->message;
+        return error->code == decode::OutOfBounds;
+    }
+    out.value = std::move(std::get<json>(value));
+    return true;
 }
 
 Result<Changes> readChanges(const json &encoded)
@@ -81,11 +89,11 @@
 
 Result<Changes> decode(std::span<const uint8_t> bytes)
 {
-    try {
-        return readChanges(json::from_cbor(bytes.begin(), bytes.end(), true, false));
-    } catch (const json::exception &e) {
-        return Error{400, e.what()}; // from_cbor() throws on an excessive size even with exceptions disabled
+    const auto encoded = decode::cbor(bytes);
+    if (!ok(encoded)) {
+        return std::get<Error>(encoded);
     }
+    return readChanges(std::get<json>(encoded));
 }
 
 void ObjectReplica::insertObject(const store::Object &object)
@@ -209,7 +217,11 @@
         if (held.value.empty() || bytes > maxBytes) {
             return Error{ChangesTooLarge, "more than a router hands on"};
         }
-        out.objects.push_back({name, held.version, json::from_cbor(held.value)});
+        auto value = decode::cbor(held.value);
+        if (!ok(value)) {
+            return std::get<Error>(value);
+        }
+        out.objects.push_back({name, held.version, std::move(std::get<json>(value))});
     }
     return out;
 }
--- a/src/object_replica.h
+++ b/src/object_replica.h
@@ -22,6 +22,7 @@
     std::string name;
     uint64_t version = 0;
     nlohmann::json value;
+    std::string problem = {}; ///< as in store::Object
 };
 
 /// The changes of one kind between two revisions.
--- a/src/peers/peer_message.cpp
+++ b/src/peers/peer_message.cpp
@@ -1,5 +1,7 @@
 #include "peers/peer_message.h"
 
+#include "decode.h"
+
 #include <algorithm>
 #include <map>
 
@@ -208,12 +210,11 @@
 
 Result<PeerMessage> decode(std::span<const uint8_t> datagram, Clock::time_point now)
 {
-    json items;
-    try {
-        items = json::from_cbor(datagram.begin(), datagram.end(), true, false);
-    } catch (const json::exception &e) {
-        return Error{400, e.what()}; // from_cbor() throws on an excessive size even with exceptions disabled
+    const auto decoded = decode::cbor(datagram);
+    if (!ok(decoded)) {
+        return std::get<Error>(decoded);
     }
+    const auto &items = std::get<json>(decoded);
     if (!items.is_array()) {
         return Error{400, "the datagram is not a CBOR array"};
     }
--- a/src/router_dialect.cpp
+++ b/src/router_dialect.cpp
@@ -1,5 +1,6 @@
 #include "router_dialect.h"
 
+#include "decode.h"
 #include "prefix.h"
 #include "router_configuration.h"
 #include "text.h"
@@ -12,13 +13,15 @@
 namespace
 {
 
+static_assert(decode::maxDepth == 128 && decode::maxValues == 100000, "the message of Malformed states both");
+
 /// Message for callers about each rejection.
 constexpr NameTable<entry::Rejection, 22> rejectionMessages{{
     {entry::Rejection::NotLoaded, "the catalogue is not loaded yet"},
     {entry::Rejection::OutOfDate, "the router does not know the workspace, and has not heard of the store for a while"},
     {entry::Rejection::NoRoute, "the workspace has no class of work of this kind"},
     {entry::Rejection::UnknownKey, "unknown workspace"},
-    {entry::Rejection::Malformed, "messages required: a list of objects with role and content"},
+    {entry::Rejection::Malformed, "the body must be JSON of at most 128 levels and 100,000 values, with messages: a list of objects with role and content"},
     {entry::Rejection::Stopping, "the router is about to end"},
     {entry::Rejection::NoEndpoint, "no endpoint of the pool could take the request"},
     {entry::Rejection::NotExecuted, "the endpoints that were asked did not run the request"},
@@ -63,7 +66,7 @@
 // conversation to the engine that holds its prompt prefix.
 std::optional<entry::Rejection> parseChat(const http::Exchange &ex, entry::RequestProfile &p, bool &streamed)
 {
-    const json body = json::parse(ex.request().body(), nullptr, false);
+    const json body = decode::textOrNull(ex.request().body());
     if (!body.is_object() || !body.contains("messages") || !prefix::isValidMessageList(body["messages"])) {
         return entry::Rejection::Malformed;
     }
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -1,5 +1,7 @@
 #include "settings.h"
 
+#include "decode.h"
+
 #include <fstream>
 #include <sstream>
 
@@ -132,12 +134,12 @@
 
 nlohmann::json parseText(const std::string &text, Findings &findings)
 {
-    try {
-        return nlohmann::json::parse(text, nullptr, true, true);
-    } catch (const nlohmann::json::parse_error &e) {
-        findings.add("", std::string("not valid JSON: ") + e.what());
+    auto decoded = decode::text(text, decode::Comments::Ignored);
+    if (const auto *error = std::get_if<Error>(&decoded)) {
+        findings.add("", "not valid JSON: it " + error->message);
         return nlohmann::json::object();
     }
+    return std::move(std::get<nlohmann::json>(decoded));
 }
 
 nlohmann::json loadFile(const std::string &path, Findings &findings)
--- a/src/settings.h
+++ b/src/settings.h
@@ -126,7 +126,7 @@
     std::string logLevel = "info";
 };
 
-/// Parses JSON with comments. On a syntax error, adds one finding and returns an empty object.
+/// Parses JSON with comments. On a syntax error, and beyond the bounds of decode.h, adds one finding and returns an empty object.
 nlohmann::json parseText(const std::string &text, Findings &findings);
 /// Reads a file of JSON with comments. On an unreadable file or a syntax error, adds one finding and returns an empty object.
 nlohmann::json loadFile(const std::string &path, Findings &findings);
--- a/src/shared_replica.cpp
+++ b/src/shared_replica.cpp
@@ -305,7 +305,7 @@
     }
     store::Listing listing{changes.revision, {}, false, changes.epoch};
     for (const auto &received : changes.objects) {
-        listing.items.push_back({m_kind, received.name, received.version, received.value});
+        listing.items.push_back({m_kind, received.name, received.version, received.value, changes.epoch, received.problem});
     }
     m_objects.applyListing(listing);
     m_lastChange = listing.revision;
@@ -321,7 +321,7 @@
         return false;
     }
     for (const auto &received : changes.objects) {
-        const store::Object object{m_kind, received.name, received.version, received.value};
+        const store::Object object{m_kind, received.name, received.version, received.value, changes.epoch, received.problem};
         if (m_objects.applyChange(object, false, received.version)) {
             m_lastChange = std::max(m_lastChange, received.version);
             sink.changed(object, false);
--- a/src/store.h
+++ b/src/store.h
@@ -27,6 +27,7 @@
     uint64_t version = 0;
     nlohmann::json value;
     Epoch epoch = 0; ///< epoch of the answer that contained the object; unset for objects of a listing or a watch
+    std::string problem = {}; ///< why the value could not be decoded, which is null then; empty if it could
 };
 
 /// A change reported by a watch.
--- a/tests/test_foreign_entries.cpp
+++ b/tests/test_foreign_entries.cpp
@@ -2,9 +2,8 @@
 // entry must not create an endpoint, must remove the endpoint whose valid entry it
 // replaces, and must not affect the entries of other endpoints.
 #include "codec.h"
-#include "entry_fixture.h"
-#include "object_store.h"
 #include "response_parser.h"
+#include "scripted_store.h"
 
 #include "loop_group.h"
 
@@ -28,12 +27,6 @@
     return platform::ObjectCodec::endpoint(name, entry, findings).has_value();
 }
 
-// Returns an item of a listing; the spec is inserted byte by byte and may be invalid JSON.
-std::string item(const std::string &name, const std::string &spec)
-{
-    return R"({"metadata":{"name":")" + name + R"(","revision":7,"created_rev":1,"finalizers":[],"deleting":false},"spec":)" + spec + R"(,"status":null})";
-}
-
 const std::vector<std::string> invalidSpecs{
     "{\"service\":\"m\xff\xfe\"}", // invalid UTF-8
     "{\"service\":\"m\",\"slots\":1e999}", // number out of range
@@ -84,12 +77,15 @@
     for (const auto &spec : invalidSpecs) {
         const std::string text = R"({"items":[)" + item("a", endpointEntryAt("127.0.0.1:1").dump()) + "," + item("b", spec) + " , "
             + item("c", "{\"x\":\"]}\\\"\"}") + R"(],"store_revision":9})";
-        const auto answer = platform::parseResponse(text);
+        Findings problems;
+        const auto answer = platform::parseResponse(text, problems);
         CHECK_TEXT(answer.is_object(), spec.c_str());
         LONGS_EQUAL(9, answer["store_revision"].get<int>());
         LONGS_EQUAL(3, answer["items"].size());
         CHECK(answer["items"][0]["spec"] == endpointEntryAt("127.0.0.1:1"));
         CHECK(answer["items"][1]["spec"].is_null());
+        CHECK(!problems.messageAt("/items/1/spec").empty());
+        LONGS_EQUAL(1, problems.items().size());
         CHECK(answer["items"][1]["metadata"]["name"] == "b");
         CHECK(answer["items"][2]["spec"]["x"] == "]}\"");
     }
@@ -98,52 +94,14 @@
 TEST(ForeignEntries, ResponseThatCannotBeSplitIntoEntriesGivesNoItems)
 {
     for (const char *text : {"", "{", "{\"items\":[{]}", "{\"items\":[\"a}", "[1,2", "nonsense"}) {
-        CHECK_TEXT(!platform::parseResponse(text).is_object() || platform::parseResponse(text)["items"].is_null(), text);
+        Findings problems;
+        const auto answer = platform::parseResponse(text, problems);
+        CHECK_TEXT(!answer.is_object() || answer["items"].is_null(), text);
     }
 }
 
 LOOP_GROUP(ForeignEntriesInTheStore);
 
-namespace
-{
-
-// A store that responds to each call with the bytes that the test has set.
-struct ScriptedStore {
-    explicit ScriptedStore(Loop &loop)
-        : endpoint(loop,
-                   [this](tcp::socket &socket, const ReceivedRequest &) -> Task<void> {
-                       std::string bytes = "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(answer.size()) + "\r\n\r\n" + answer;
-                       co_await sendBytes(socket, std::move(bytes));
-                   })
-        , client({"127.0.0.1", endpoint.port})
-    {
-    }
-    std::string answer;
-    ScriptedEndpoint endpoint;
-    platform::StoreClient client;
-};
-
-std::string listingResponse(const std::string &items)
-{
-    return R"({"items":[)" + items + R"(],"has_more":false,"store_revision":9})";
-}
-
-std::string watchEvent(const std::string &object)
-{
-    return R"({"deleted":false,"object":)" + object + "}";
-}
-
-std::vector<std::string> endpointIds(const router::RoutingTable &table)
-{
-    std::vector<std::string> ids;
-    for (const auto &e : table.endpoints()) {
-        ids.push_back(e.id);
-    }
-    return ids;
-}
-
-} // namespace
-
 TEST(ForeignEntriesInTheStore, InvalidEntryInAListingOrAWatchLeavesTheOtherEndpointsListed)
 {
     for (const auto &spec : invalidSpecs) {
