Encode names from outside wherever they become part of a request; use what a list gives

Cause: StoreClient put names into targets as they are, so the next page was refused, or another one was read. And a list whose next page cannot be had was asked for again at once, and hid the pages that had been read; the configuration was not found at all.

Change: uri::Target builds every target (store, peers, emulators). PageCursor bounds the start of a page, tries a plain name if the last one is refused, and asks for no page twice. After that, what was read is in effect, the configuration and the evacuations are read by name, the router is found by its own name, and the rest is asked for after 2 s, doubled up to 60 s. yucca-platform refuses what is no target of RFC 3986 and can have small pages.

--- a/emulators/experiment_events.cpp
+++ b/emulators/experiment_events.cpp
@@ -3,6 +3,7 @@
 #include "decode.h"
 #include "experiment.h"
 #include "experiment_calls.h"
+#include "uri.h"
 
 #include <algorithm>
 
@@ -23,6 +24,11 @@
     return {{"kind", kind}, {"fence", UINT32_MAX}, {"holder", "yucca-load"}};
 }
 
+std::string vmTarget(const std::string &id)
+{
+    return uri::Target("/admin/vms").segment(id).text();
+}
+
 json outageFault()
 {
     return {{"outage", true}};
@@ -104,7 +110,7 @@
         }
         co_await sendJson(addressOf(e), "POST", "/v1/orders", orderBody("drain"));
         e.state = EndpointState::Leaving;
-        co_await sendJson(m_options.platform, "PUT", "/admin/vms/" + e.id, platform::toJson(e));
+        co_await sendJson(m_options.platform, "PUT", vmTarget(e.id), platform::toJson(e));
         fprintf(stderr, "yucca-load: ordered engine %s to drain\n", e.id.c_str());
     }
 }
@@ -118,7 +124,7 @@
     co_await sendJson(address, "POST", "/v1/orders", orderBody("undrain"));
     co_await sendJson(address, "POST", "/admin/clear-cache", json::object());
     e.state = EndpointState::Live;
-    co_await sendJson(m_options.platform, "PUT", "/admin/vms/" + e.id, platform::toJson(e));
+    co_await sendJson(m_options.platform, "PUT", vmTarget(e.id), platform::toJson(e));
 }
 
 // Replaces the engines one after the other.
--- a/emulators/model/change_fleet.cpp
+++ b/emulators/model/change_fleet.cpp
@@ -49,6 +49,10 @@
     void onPartialListing(const platform::Listing &)
     {
     }
+    void onIncompleteListing(const platform::Listing &listing)
+    {
+        onListing(listing, platform::Freshness::MayLag);
+    }
     void onChange(const platform::Object &object, bool)
     {
         record(object);
--- a/emulators/platform_server.cpp
+++ b/emulators/platform_server.cpp
@@ -5,6 +5,7 @@
 #include "object_api.h"
 #include "object_form.h"
 #include "text.h"
+#include "uri.h"
 
 #include <boost/asio/detached.hpp>
 
@@ -26,7 +27,6 @@
 constexpr std::string_view adminPrefix = "/admin/";
 constexpr std::string_view vmAdminPrefix = "/admin/vms/";
 constexpr Millis maxWatchTimeout{30000};
-constexpr std::size_t pageLimit = 500; ///< objects per page, as on the real platform
 
 // GCC 12 cannot keep braced initializer lists in a coroutine frame, so JSON bodies and headers are made in plain
 // functions.
@@ -89,6 +89,12 @@
     return text;
 }
 
+// Decodes a path segment of a target that was checked before.
+std::string decodedSegment(std::string_view segment)
+{
+    return uri::decode(segment).value_or("");
+}
+
 std::string errorBody(const Error &e)
 {
     json body;
@@ -122,6 +128,10 @@
 Task<void> PlatformServer::handle(http::Exchange &ex)
 {
     const std::string path = ex.path();
+    if (!uri::isTarget({ex.request().target().data(), ex.request().target().size()})) {
+        co_await respond(ex, 400, R"({"error":"not a target of RFC 3986"})");
+        co_return;
+    }
     if (path.rfind(adminPrefix, 0) == 0) {
         co_await handleAdmin(ex, path);
         co_return;
@@ -144,8 +154,9 @@
         co_await respond(ex, 429, R"({"error":"rate limited"})", retryAfterHeader());
         co_return;
     }
-    if (path.rfind(objectsPath, 0) == 0) {
-        co_await handleObjects(ex, path.substr(objectsPath.size()));
+    const std::string prefix = std::string(objectsPath) + "/";
+    if (path.rfind(prefix, 0) == 0) {
+        co_await handleObjects(ex, path.substr(prefix.size()));
     } else {
         co_await respond(ex, 404, R"({"error":"no such path"})");
     }
@@ -185,8 +196,8 @@
 Task<void> PlatformServer::handleObjects(http::Exchange &ex, std::string kindAndName)
 {
     const auto slash = kindAndName.find('/');
-    const std::string kind = kindAndName.substr(0, slash);
-    const std::string name = slash == std::string::npos ? "" : kindAndName.substr(slash + 1);
+    const std::string kind = decodedSegment(kindAndName.substr(0, slash));
+    const std::string name = slash == std::string::npos ? "" : decodedSegment(kindAndName.substr(slash + 1));
     const bool write = ex.request().method() != http::bhttp::verb::get;
     if (!write && !ex.query("watch").empty()) {
         co_await handleWatch(ex, kind);
@@ -249,7 +260,7 @@
 // Responds with one page of the objects of a kind, starting after the name in the query.
 Task<void> PlatformServer::handleListing(http::Exchange &ex, std::string kind)
 {
-    const auto page = m_store.list(kind, ex.query("after_rev"), pageLimit);
+    const auto page = m_store.list(kind, ex.query("after_rev"), static_cast<std::size_t>(m_settings.pageEntries));
     co_await respond(ex, 200, makePage(page).dump());
 }
 
@@ -325,7 +336,7 @@
         co_await respondError(ex, Error{404, "no such admin path"});
         co_return;
     }
-    const std::string id = path.substr(vmAdminPrefix.size());
+    const std::string id = decodedSegment(std::string_view(path).substr(vmAdminPrefix.size()));
     std::optional<json> entry;
     if (ex.request().method() == http::bhttp::verb::put) {
         body["id"] = id;
--- a/src/change_exchange.cpp
+++ b/src/change_exchange.cpp
@@ -1,6 +1,7 @@
 #include "change_exchange.h"
 
 #include "text.h"
+#include "uri.h"
 
 #include <algorithm>
 
@@ -10,7 +11,7 @@
 namespace
 {
 
-constexpr std::string_view changesPath = "/changes/";
+constexpr std::string_view changesPath = "/changes";
 
 // Releases an acquired slot at the end of its scope.
 class AcquiredSlot
@@ -67,7 +68,7 @@
     const auto since = text::parseNumber<uint64_t>(ex.query("since"));
     const auto epoch = text::parseNumber<store::Epoch>(ex.query("epoch"));
     const auto replica = std::find_if(m_replicas.begin(), m_replicas.end(), [&path](const SharedReplica *r) {
-        return path == std::string(changesPath) + r->kind();
+        return path == uri::Target(changesPath).segment(r->kind()).text();
     });
     if (replica == m_replicas.end() || !since || !epoch) {
         co_await ex.reply(404, "no such kind\n", {}, "text/plain");
@@ -94,9 +95,12 @@
     options.deadline = Clock::now() + (limit == TransferLimit::Large ? m_options.fetchLargeTimeout : m_options.fetchTimeout);
     options.connectTimeout = m_options.connectTimeout;
     options.reuse = http::ConnectionReuse::KeepAliveWithRetry;
-    const std::string target = std::string(changesPath) + kind + "?since=" + std::to_string(since.revision) + "&epoch=" + std::to_string(since.epoch)
-        + (limit == TransferLimit::Large ? "&whole=1" : "");
-    auto request = http::makeRequest("GET", target);
+    auto target = uri::Target(changesPath).segment(kind);
+    target.parameter("since", std::to_string(since.revision)).parameter("epoch", std::to_string(since.epoch));
+    if (limit == TransferLimit::Large) {
+        target.parameter("whole", "1");
+    }
+    auto request = http::makeRequest("GET", target.text());
     auto called = co_await m_client.call(from, std::move(request), options);
     if (const auto *error = std::get_if<http::CallError>(&called)) {
         co_return Error{store::Unavailable, error->message};
--- a/src/ctl.cpp
+++ b/src/ctl.cpp
@@ -199,6 +199,9 @@
     if (!ok(listed)) {
         co_return std::get<Error>(listed);
     }
+    if (std::get<platform::Listing>(listed).more) {
+        co_return Error{store::Unavailable, "the store refuses a page of the audit records"};
+    }
     auto current = co_await api.get(kind, name, platform::Freshness::Current);
     const std::string prefix = kind + "." + name + ".";
     std::vector<AuditLine> out;
--- a/src/ctl_main.cpp
+++ b/src/ctl_main.cpp
@@ -110,6 +110,16 @@
     return cli::ExitOk;
 }
 
+// Returns the exit code of a command that printed a list.
+int reportIncomplete(const platform::Listing &listing)
+{
+    if (!listing.more) {
+        return cli::ExitOk;
+    }
+    fprintf(stderr, "the list is incomplete: the store refuses its next page\n");
+    return cli::ExitFailure;
+}
+
 int list(platform::ObjectApi &api, const std::string &kind)
 {
     const auto r = runBlocking(platform::listAll(api, kind));
@@ -119,7 +129,7 @@
     for (const auto &object : std::get<platform::Listing>(r).items) {
         printf("%s\n", toOutput(object).dump().c_str());
     }
-    return cli::ExitOk;
+    return reportIncomplete(std::get<platform::Listing>(r));
 }
 
 int orderEvacuation(platform::ObjectApi &api, const std::string &domain, bool active, const ctl::Author &author)
@@ -146,7 +156,7 @@
         std::strftime(since, sizeof since, "%FT%TZ", std::gmtime(&at));
         printf("%s %s since %s by %s\n", object.name.c_str(), evacuation.active ? "evacuated" : "in use", since, evacuation.author.c_str());
     }
-    return cli::ExitOk;
+    return reportIncomplete(std::get<platform::Listing>(r));
 }
 
 // Applies all entries of a file and returns the highest exit code.
--- a/src/entry/control.cpp
+++ b/src/entry/control.cpp
@@ -160,6 +160,12 @@
     publishEndpoints();
 }
 
+void Published::applyIncompleteListing(const std::map<std::string, Endpoint> &endpoints)
+{
+    applyPartialListing(endpoints);
+    m_endpointsKnown = true;
+}
+
 void Published::setEndpoint(const Endpoint &endpoint)
 {
     applyEntry(endpoint, EntrySource::Change);
--- a/src/entry/control.h
+++ b/src/entry/control.h
@@ -93,6 +93,8 @@
     /// the listing is complete. When a large fleet of routers starts at once, the last page
     /// arrives more than a second after the first.
     void applyPartialListing(const std::map<std::string, Endpoint> &endpoints);
+    /// Adds the endpoints of a listing whose rest cannot be had: no more than these and those that change will be known.
+    void applyIncompleteListing(const std::map<std::string, Endpoint> &endpoints);
     /// Applies an entry that was written since the last listing.
     void setEndpoint(const Endpoint &endpoint);
     void removeEndpoint(const std::string &id);
@@ -226,16 +228,17 @@
 template <Codec C> class Control
 {
 public:
-    Control(platform::ObjectApi &api, Published &published, SharedKinds shared = {})
+    /// domains are the names of the failure domains that may be evacuated.
+    Control(platform::ObjectApi &api, Published &published, SharedKinds shared = {}, std::vector<std::string> domains = {})
         : m_api(api)
         , m_published(published)
         , m_shared(shared)
         , m_configurationSink{published}
         , m_endpointSink{published}
         , m_evacuationSink{published, shared.evacuations != nullptr}
-        , m_configurations(api, C::configurationKind, m_configurationSink, followerOptions(shared.configuration))
+        , m_configurations(api, C::configurationKind, m_configurationSink, followerOptions(shared.configuration, {C::configurationName}))
         , m_endpoints(api, C::endpointKind, m_endpointSink, followerOptions(shared.endpoints))
-        , m_evacuations(api, C::evacuationKind, m_evacuationSink, followerOptions(shared.evacuations))
+        , m_evacuations(api, C::evacuationKind, m_evacuationSink, followerOptions(shared.evacuations, std::move(domains)))
     {
         for (auto *replica : {shared.configuration, shared.endpoints, shared.evacuations}) {
             if (replica) {
@@ -348,6 +351,10 @@
         void onPartialListing(const platform::Listing &)
         {
         }
+        void onIncompleteListing(const platform::Listing &listing)
+        {
+            onListing(listing, platform::Freshness::MayLag);
+        }
         void onChange(const platform::Object &object, bool deleted)
         {
             if (deleted || object.name != C::configurationName) {
@@ -386,6 +393,10 @@
         {
             published.applyPartialListing(parsed(listing));
         }
+        void onIncompleteListing(const platform::Listing &listing)
+        {
+            published.applyIncompleteListing(parsed(listing));
+        }
         std::map<std::string, Endpoint> parsed(const platform::Listing &listing)
         {
             std::map<std::string, Endpoint> endpoints;
@@ -455,6 +466,11 @@
         void onPartialListing(const platform::Listing &)
         {
         }
+        // All known domains are among the essential names: what is missing beyond them concerns no endpoint.
+        void onIncompleteListing(const platform::Listing &listing)
+        {
+            onListing(listing, platform::Freshness::Current);
+        }
         void onChange(const platform::Object &object, bool deleted)
         {
             published.setEvacuated(object.name, !deleted);
@@ -476,9 +492,10 @@
         }
     };
 
-    FollowerOptions followerOptions(replica::SharedReplica *shared)
+    FollowerOptions followerOptions(replica::SharedReplica *shared, std::vector<std::string> essentialNames = {})
     {
         FollowerOptions options;
+        options.essentialNames = std::move(essentialNames);
         options.readPolicy = &m_readPolicy;
         options.sharedReplica = shared;
         return options;
--- a/src/entry/process.h
+++ b/src/entry/process.h
@@ -48,7 +48,7 @@
         , m_configurationReplica(C::configurationKind, rankAmongNeighbours(), m_changeClient, querySchedule(settings))
         , m_endpointReplica(C::endpointKind, rankAmongNeighbours(), m_changeClient, querySchedule(settings))
         , m_evacuationReplica(C::evacuationKind, rankAmongNeighbours(), m_changeClient, replica::queryScheduleWithin(Millis(settings.evacuationBoundMs)))
-        , m_control(store, m_published, {&m_configurationReplica, &m_endpointReplica, &m_evacuationReplica})
+        , m_control(store, m_published, {&m_configurationReplica, &m_endpointReplica, &m_evacuationReplica}, failureDomains(settings))
         , m_exchange(store, {settings.id, settings.failureDomain, settings.peers}, m_table)
         , m_snapshot(
               store, m_table,
@@ -163,6 +163,14 @@
         }
         return replicas;
     }
+    static std::vector<std::string> failureDomains(const Settings &s)
+    {
+        std::vector<std::string> domains;
+        for (const auto &[domain, region] : s.regions) {
+            domains.push_back(domain);
+        }
+        return domains;
+    }
     static PublishedOptions publishedOptions(const Settings &s)
     {
         return {s.evacuationBoundMs > 0, s.coldOvershoot, s.coldSlack, s.regions};
--- a/src/follower.h
+++ b/src/follower.h
@@ -6,6 +6,7 @@
 #include "log.h"
 #include "notifier.h"
 #include "object_api.h"
+#include "page_cursor.h"
 #include "read_policy.h"
 #include "shared_replica.h"
 #include "task.h"
@@ -16,6 +17,7 @@
 #include <random>
 #include <string>
 #include <utility>
+#include <vector>
 
 namespace yucca
 {
@@ -27,6 +29,7 @@
 {
     s.onListing(listing, freshness);
     s.onPartialListing(listing); // one page of the first listing; the complete listing follows
+    s.onIncompleteListing(listing); // the objects that can be had; others may exist
     s.onChange(object, deleted);
     s.onBatchEnd();
     s.onStoreRecovered(outageDuration); // called before the first update after an outage
@@ -61,6 +64,12 @@
     Millis relistDelayAfterRestore{0};
     /// Minimum interval between two listings that are made because two routers hold different objects.
     Millis minRelistInterval{10000};
+    /// Objects that are read by name where the list cannot be completed and lacks them.
+    std::vector<std::string> essentialNames;
+    /// Failures in a row after which a later page counts as one that cannot be had, though other calls may be answered.
+    int maxPageFailures = 6;
+    Millis firstListRetryDelay{2000}; ///< after an incomplete listing; each further one doubles it, up to maxListRetryDelay
+    Millis maxListRetryDelay{60000};
 };
 
 /// Number of routers that keep calling an unreachable store while routers hear each other: enough that one of them is running.
@@ -117,7 +126,7 @@
         if (Clock::now() < m_listNotBefore) {
             co_await wake().wait(m_listNotBefore);
         }
-        if (!m_listed) {
+        if (!m_listed || listRetryDue()) {
             reached = co_await list();
         } else if (behindPeer()) {
             reached = co_await fetch();
@@ -135,6 +144,17 @@
     }
 
 private:
+    // The state shared with other routers; null while this router's own is incomplete, as nothing may be concluded from a comparison.
+    replica::SharedReplica *shared() const
+    {
+        return m_incomplete ? nullptr : m_options.sharedReplica;
+    }
+
+    bool listRetryDue() const
+    {
+        return m_incomplete && Clock::now() >= m_listRetryAt;
+    }
+
     // Returns true if the store has announced a later epoch than that of the held state.
     bool behindEpoch() const
     {
@@ -175,20 +195,20 @@
     // the use of that state.
     bool behindPeer() const
     {
-        return m_options.sharedReplica && m_options.sharedReplica->behindPeer();
+        return shared() && shared()->behindPeer();
     }
 
     Clock::time_point nextFetchAt() const
     {
-        return m_options.sharedReplica ? m_options.sharedReplica->nextFetchAt() : Clock::time_point::max();
+        return shared() ? shared()->nextFetchAt() : Clock::time_point::max();
     }
 
     // Waits while confirmations from peers are recent enough.
     Task<void> waitUntilDue()
     {
-        while (m_options.sharedReplica && m_listed && !m_stopping) {
+        while (shared() && m_listed && !m_stopping) {
             const auto now = Clock::now();
-            const auto due = m_options.sharedReplica->queryDueAt(now);
+            const auto due = shared()->queryDueAt(now);
             if (behindPeer() || behindEpoch() || due <= now) {
                 co_return;
             }
@@ -211,7 +231,7 @@
 
     Clock::time_point confirmedAt() const
     {
-        return m_options.sharedReplica ? m_options.sharedReplica->confirmedAt() : m_lastContact;
+        return shared() ? shared()->confirmedAt() : m_lastContact;
     }
 
     replica::FetchSink fetchSink()
@@ -241,7 +261,7 @@
     // are only busy, they are asked again until the store must be queried.
     Task<bool> fetch()
     {
-        const bool laterEpoch = m_options.sharedReplica->behindEpoch();
+        const bool laterEpoch = shared()->behindEpoch();
         auto outcome = replica::FetchOutcome::Unavailable;
         bool busy = false;
         do {
@@ -260,7 +280,7 @@
             m_listed = false;
             co_return co_await list();
         }
-        if (busy && m_options.sharedReplica->queryDueAt(Clock::now()) > Clock::now()) {
+        if (busy && shared()->queryDueAt(Clock::now()) > Clock::now()) {
             co_return true;
         }
         co_return co_await readAnnounced();
@@ -269,10 +289,10 @@
     Task<replica::FetchOutcome> fetchFromPeer()
     {
         const auto confirmedBefore = confirmedAt();
-        const auto outcome = co_await m_options.sharedReplica->fetch(fetchSink());
+        const auto outcome = co_await shared()->fetch(fetchSink());
         if (m_hadChanges) {
             m_sink.onBatchEnd();
-            logChanges(m_fetchedChanges, "peer", m_options.sharedReplica->lastPeer(), m_fetchedAt, confirmedBefore);
+            logChanges(m_fetchedChanges, "peer", shared()->lastPeer(), m_fetchedAt, confirmedBefore);
         }
         co_return outcome;
     }
@@ -283,7 +303,7 @@
     {
         if (!m_storeLost) {
             const bool reached = co_await watch(WatchMode{platform::Freshness::MayLag, m_options.replicaWatchTimeout});
-            if (!reached || m_options.sharedReplica->adoptAnnouncedState(Clock::now())) {
+            if (!reached || shared()->adoptAnnouncedState(Clock::now())) {
                 co_return reached;
             }
         }
@@ -299,35 +319,85 @@
         const bool first = m_listedAt == Clock::time_point{};
         const auto freshness = m_options.sharedReplica && first ? platform::Freshness::MayLag : platform::Freshness::Current;
         for (bool more = true; more;) {
-            const std::string after = lastName();
-            auto result = co_await m_api.list(m_kind, after, freshness);
-            if (!ok(result)) {
-                recordStoreLost(std::get<Error>(result));
-                co_return false;
+            auto result = co_await m_api.list(m_kind, m_cursor.after(), freshness);
+            if (const auto *error = std::get_if<Error>(&result)) {
+                if (canHaveNextPage(*error)) {
+                    if (store::isRefusal(error->code) && !m_cursor.after().empty()) {
+                        continue;
+                    }
+                    recordStoreLost(*error);
+                    co_return false;
+                }
+                co_return co_await useIncompleteListing(freshness, error->message);
             }
+            m_pageFailures = 0;
             auto &page = std::get<platform::Listing>(result);
             const bool late = page.epoch < std::max(m_epoch, m_listing.epoch);
             const bool mixed = !m_listing.items.empty() && page.epoch != m_listing.epoch;
             if (late || mixed) {
-                m_listing = {}; // pages from before a restore of the store are not mixed with later ones
+                discardPages(); // pages from before a restore of the store are not mixed with later ones
                 co_return !late;
             }
             const bool hasMore = page.more;
             if (hasMore && first) {
                 m_sink.onPartialListing(page);
             }
+            more = hasMore && m_cursor.advance(page);
             appendPage(std::move(page));
-            more = hasMore && lastName() != after;
+            if (hasMore && !more) {
+                co_return co_await useIncompleteListing(freshness, "no name to continue from");
+            }
         }
         recordContact();
         if (delayListing(m_listing)) {
-            m_listing = {};
+            discardPages();
             co_return true;
         }
         applyListing(freshness);
         co_return true;
     }
 
+    // Returns true if the page that failed may still be had: at once from another start if it was refused, else after a delay.
+    bool canHaveNextPage(const Error &error)
+    {
+        if (m_cursor.after().empty()) {
+            return true;
+        }
+        return store::isRefusal(error.code) ? m_cursor.retreat() : ++m_pageFailures < m_options.maxPageFailures;
+    }
+
+    void discardPages()
+    {
+        m_listing = {};
+        m_cursor = {};
+        m_pageFailures = 0;
+    }
+
+    // Uses the pages that were read, and the essential objects. Objects that are missing are kept, as they may be in the rest.
+    Task<bool> useIncompleteListing(platform::Freshness freshness, std::string why)
+    {
+        m_pageFailures = 0;
+        for (const auto &name : m_options.essentialNames) {
+            auto read = co_await m_api.get(m_kind, name, freshness);
+            if (const auto *error = std::get_if<Error>(&read)) {
+                if (error->code != store::NotFound) {
+                    recordStoreLost(*error);
+                    co_return false;
+                }
+            } else {
+                m_listing.items.push_back(std::move(std::get<platform::Object>(read)));
+            }
+        }
+        platform::logIncompleteList(m_kind, m_listing.items.size(), why);
+        recordContact();
+        m_incomplete = true;
+        m_listRetryDelay = m_listRetryDelay == Millis(0) ? m_options.firstListRetryDelay : std::min(m_listRetryDelay * 2, m_options.maxListRetryDelay);
+        m_listRetryAt = Clock::now() + m_listRetryDelay;
+        const auto listing = adoptListing(freshness);
+        m_sink.onIncompleteListing(listing);
+        co_return true;
+    }
+
     // The listing gets the revision of its first page, so that a watch from there misses no change made while later pages were read.
     void appendPage(platform::Listing page)
     {
@@ -338,20 +408,11 @@
         std::move(page.items.begin(), page.items.end(), std::back_inserter(m_listing.items));
     }
 
-    // Returns the name after which the next page starts. An entry of another writer may have no name.
-    std::string lastName() const
+    // Makes the pages that were read the held state, up to what the sink receives.
+    platform::Listing adoptListing(platform::Freshness freshness)
     {
-        const auto &items = m_listing.items;
-        const auto last = std::find_if(items.rbegin(), items.rend(), [](const platform::Object &o) {
-            return !o.name.empty();
-        });
-        return last == items.rend() ? std::string() : last->name;
-    }
-
-    void applyListing(platform::Freshness freshness)
-    {
-        const auto listing = std::exchange(m_listing, {});
-        const auto confirmedBefore = confirmedAt();
+        auto listing = std::exchange(m_listing, {});
+        m_cursor = {};
         applyEpoch(listing);
         m_listedAt = Clock::now();
         if (freshness == platform::Freshness::Current) {
@@ -360,6 +421,15 @@
         m_lastFreshness = freshness;
         m_revision = listing.revision;
         m_listed = true;
+        return listing;
+    }
+
+    void applyListing(platform::Freshness freshness)
+    {
+        const auto confirmedBefore = confirmedAt();
+        m_incomplete = false;
+        m_listRetryDelay = Millis(0);
+        const auto listing = adoptListing(freshness);
         m_sink.onListing(listing, freshness);
         if (m_options.sharedReplica) {
             m_options.sharedReplica->applyListing(listing, freshness, m_listedAt);
@@ -378,10 +448,10 @@
         http::Cancellation cancellation;
         m_cancellation = &cancellation;
         const auto requestedAt = Clock::now();
-        const bool sharedWatch = m_options.sharedReplica && m_options.sharedReplica->hasActivePeers(requestedAt);
+        const bool sharedWatch = shared() && shared()->hasActivePeers(requestedAt);
         const auto freshness = mode ? mode->freshness : sharedWatch ? platform::Freshness::Current : standaloneFreshness(requestedAt);
-        const auto wait = mode ? mode->wait : sharedWatch ? m_options.sharedReplica->watchTimeout() : standaloneWait(requestedAt);
-        const auto from = m_options.sharedReplica ? m_options.sharedReplica->watchFrom(requestedAt) : m_revision;
+        const auto wait = mode ? mode->wait : sharedWatch ? shared()->watchTimeout() : standaloneWait(requestedAt);
+        const auto from = shared() ? shared()->watchFrom(requestedAt) : m_revision;
         auto result = co_await m_api.watch(m_kind, from, wait, freshness, &cancellation);
         m_cancellation = nullptr;
         if (!ok(result) && cancellation.isCancelled()) {
@@ -414,16 +484,16 @@
         m_hadChanges = !batch.events.empty();
         for (const auto &event : batch.events) {
             m_sink.onChange(event.object, event.deleted);
-            if (m_options.sharedReplica) {
-                m_options.sharedReplica->applyChange(event.object, event.deleted, batch.revision);
+            if (shared()) {
+                shared()->applyChange(event.object, event.deleted, batch.revision);
             }
         }
         m_sink.onBatchEnd();
         if (m_hadChanges) {
             logChanges(batch.events.size(), freshness == platform::Freshness::Current ? "store" : "replica", "", arrivedAt, confirmedBefore);
         }
-        if (m_options.sharedReplica && freshness == platform::Freshness::Current) {
-            m_options.sharedReplica->recordConfirmation(batch.revision, Clock::now(), m_hadChanges);
+        if (shared() && freshness == platform::Freshness::Current) {
+            shared()->recordConfirmation(batch.revision, Clock::now(), m_hadChanges);
         }
         co_return true;
     }
@@ -431,7 +501,7 @@
     // Returns true while the first listing, which a replica served, is not confirmed.
     bool unconfirmed() const
     {
-        return m_options.sharedReplica && !m_options.sharedReplica->isConfirmed();
+        return shared() && !shared()->isConfirmed();
     }
 
     platform::Freshness standaloneFreshness(Clock::time_point now) const
@@ -470,7 +540,7 @@
     void recordContact()
     {
         const auto now = Clock::now();
-        const auto last = m_options.sharedReplica ? std::max(m_lastContact, m_options.sharedReplica->confirmedAt()) : m_lastContact;
+        const auto last = shared() ? std::max(m_lastContact, shared()->confirmedAt()) : m_lastContact;
         const auto outageDuration = last == Clock::time_point{} ? Clock::duration::zero() : now - last;
         if (!m_storeLost && outageDuration >= m_options.outageSuspectedAfter) {
             m_sink.onStoreRecovered(outageDuration); // this router made no call meanwhile
@@ -495,7 +565,7 @@
     // that routers that lost the store together do not retry together, or nonProberRetryDelay if other routers probe the store.
     Millis nextRetryDelay()
     {
-        if (m_options.sharedReplica && m_options.sharedReplica->rank(Clock::now()) >= maxProbingRouters) {
+        if (shared() && shared()->rank(Clock::now()) >= maxProbingRouters) {
             return m_options.nonProberRetryDelay;
         }
         const Millis delay = m_retryDelay / 2 + Millis(m_random() % static_cast<uint64_t>(m_retryDelay.count() / 2 + 1));
@@ -521,6 +591,11 @@
     store::Epoch m_delayedEpoch = 0; ///< epoch whose first listing was delayed
     Clock::time_point m_listNotBefore{};
     platform::Listing m_listing; ///< pages read so far
+    store::PageCursor m_cursor; ///< of the page to read
+    int m_pageFailures = 0; ///< of the page to read, in a row
+    bool m_incomplete = false; ///< the last listing could not be completed
+    Millis m_listRetryDelay{0};
+    Clock::time_point m_listRetryAt{};
     platform::Freshness m_lastFreshness = platform::Freshness::Current; ///< of the last answered watch
     bool m_hadChanges = false; ///< in the last step
     std::size_t m_fetchedChanges = 0; ///< from a peer in the last step
--- a/src/http.cpp
+++ b/src/http.cpp
@@ -1,7 +1,10 @@
 #include "http.h"
 
+#include "http_fields.h"
 #include "text.h"
 
+#include <algorithm>
+
 namespace yucca::http
 {
 
@@ -18,6 +21,19 @@
     return req;
 }
 
+bool isSendable(const Request &request)
+{
+    const auto target = request.target();
+    const bool validTarget = !target.empty() && std::none_of(target.begin(), target.end(), [](char c) {
+        return static_cast<unsigned char>(c) <= ' ' || c == '\x7f';
+    });
+    return validTarget && std::all_of(request.begin(), request.end(), [](const auto &field) {
+               const std::string_view name(field.name_string().data(), field.name_string().size());
+               const std::string_view value(field.value().data(), field.value().size());
+               return isFieldName(name) && isFieldValue(value);
+           });
+}
+
 std::optional<Millis> requestedBackOff(unsigned status, std::string_view retryAfter)
 {
     constexpr double maxSeconds = 3600; // a wrong value from a peer must not exclude it for good
--- a/src/http.h
+++ b/src/http.h
@@ -66,6 +66,9 @@
 /// one hour. Nothing for other statuses or values.
 std::optional<Millis> requestedBackOff(unsigned status, std::string_view retryAfter);
 
+/// True if a request can be sent as it is: a target or a field with a line end, or with a blank in the target, would make it another one.
+bool isSendable(const Request &request);
+
 /// Builds an HTTP/1.1 request. The content type of a non-empty body is application/json unless the headers set another one.
 Request makeRequest(std::string_view method, std::string_view target, std::string body = {}, const Headers &headers = {});
 
--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -485,6 +485,9 @@
     } else {
         request.content_length(request.body().size()); // prepare_payload() throws for methods that should have no body
     }
+    if (!isSendable(request)) {
+        co_return CallError{CallStage::Connect, "the request holds characters that cannot be sent"};
+    }
     options.headOnly = request.method() == bhttp::verb::head;
     if (options.cancellation && options.cancellation->isCancelled()) {
         co_return CallError{CallStage::Connect, "cancelled"};
--- a/src/http_exchange.cpp
+++ b/src/http_exchange.cpp
@@ -1,5 +1,7 @@
 #include "http_exchange.h"
 
+#include "uri.h"
+
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/chunk_encode.hpp>
 
@@ -56,7 +58,7 @@
         const auto pair = rest.substr(0, amp);
         const auto eq = pair.find('=');
         if (pair.substr(0, eq) == key) {
-            return eq == std::string_view::npos ? std::string() : std::string(pair.substr(eq + 1));
+            return eq == std::string_view::npos ? std::string() : uri::decodeParameter(pair.substr(eq + 1)).value_or(fallback);
         }
         rest = amp == std::string_view::npos ? std::string_view{} : rest.substr(amp + 1);
     }
--- a/src/http_exchange.h
+++ b/src/http_exchange.h
@@ -28,7 +28,7 @@
     }
     /// The path of the request target, without the query.
     std::string path() const;
-    /// A query parameter of the request target, not percent-decoded; the fallback if absent.
+    /// A query parameter of the request target, decoded; the fallback if it is absent or cannot be decoded.
     std::string query(std::string_view key, std::string fallback = {}) const;
     /// A request header; empty if absent.
     std::string header(std::string_view name) const
--- a/src/log.cpp
+++ b/src/log.cpp
@@ -21,7 +21,7 @@
 namespace
 {
 
-constexpr std::array<EventInfo, 59> catalogue{{
+constexpr std::array<EventInfo, 60> catalogue{{
     {Event::ProgramStarted, "ProgramStarted", Level::Info},
     {Event::StopRequested, "StopRequested", Level::Info},
     {Event::ProgramStopped, "ProgramStopped", Level::Info},
@@ -74,6 +74,7 @@
     {Event::TaskFailed, "TaskFailed", Level::Error},
     {Event::ChangesReceived, "ChangesReceived", Level::Info},
     {Event::StoreCalls, "StoreCalls", Level::Info},
+    {Event::ListIncomplete, "ListIncomplete", Level::Warn},
     {Event::OrderAccepted, "OrderAccepted", Level::Info},
     {Event::OrderRefused, "OrderRefused", Level::Warn},
     {Event::Draining, "Draining", Level::Info},
--- a/src/log.h
+++ b/src/log.h
@@ -63,6 +63,7 @@
     TaskFailed = 2060,
     ChangesReceived = 2061,
     StoreCalls = 2062,
+    ListIncomplete = 2063,
     OrderAccepted = 3001,
     OrderRefused = 3002,
     Draining = 3003,
--- a/src/object_api.cpp
+++ b/src/object_api.cpp
@@ -1,6 +1,8 @@
 #include "object_api.h"
 
 #include "decode.h"
+#include "log.h"
+#include "page_cursor.h"
 
 namespace yucca::platform
 {
@@ -8,22 +10,39 @@
 Task<Result<Listing>> listAll(ObjectApi &api, std::string kind, Freshness freshness)
 {
     Listing combined;
-    std::string after;
-    for (bool first = true;; first = false) {
-        auto listed = co_await api.list(kind, after, freshness);
-        if (!ok(listed)) {
-            co_return std::get<Error>(listed);
+    store::PageCursor cursor;
+    for (bool complete = false; !complete;) {
+        auto listed = co_await api.list(kind, cursor.after(), freshness);
+        if (const auto *error = std::get_if<Error>(&listed)) {
+            if (cursor.after().empty() || !store::isRefusal(error->code)) {
+                co_return *error;
+            }
+            if (!cursor.retreat()) {
+                logIncompleteList(kind, combined.items.size(), error->message);
+                co_return combined;
+            }
+            continue;
         }
         auto &page = std::get<Listing>(listed);
-        if (first) {
+        if (cursor.after().empty()) {
             combined.revision = page.revision;
+            combined.epoch = page.epoch;
         }
+        combined.more = page.more;
+        const bool continues = page.more && cursor.advance(page);
         std::move(page.items.begin(), page.items.end(), std::back_inserter(combined.items));
-        if (!page.more || page.items.empty()) {
-            co_return combined;
+        if (combined.more && !continues) {
+            logIncompleteList(kind, combined.items.size(), "no name to continue from");
         }
-        after = combined.items.back().name;
+        complete = !continues;
     }
+    co_return combined;
+}
+
+void logIncompleteList(const std::string &kind, std::size_t entries, const std::string &why)
+{
+    constexpr std::size_t maxLoggedBytes = 200;
+    log::Line{log::Event::ListIncomplete}.add("kind", kind).add("entries", static_cast<int64_t>(entries)).add("why", why.substr(0, maxLoggedBytes));
 }
 
 nlohmann::json toJson(const Endpoint &e)
--- a/src/object_api.h
+++ b/src/object_api.h
@@ -55,9 +55,12 @@
     }
 };
 
-/// Lists all objects of a kind, page by page. The result has the revision of the first page, so that a watch from there misses no
-/// change made while later pages were read. Fails with the error of the first failed call.
+/// Lists all objects of a kind, page by page; an object may be in the result more than once. The result has the revision of the first
+/// page, so that a watch from there misses no change made while later pages were read. If the store refuses a later page, the result
+/// holds the entries before it, and more is true. Fails with the error of the first other failed call.
 Task<Result<Listing>> listAll(ObjectApi &api, std::string kind, Freshness freshness = Freshness::Current);
+/// Logs that the rest of a list cannot be had.
+void logIncompleteList(const std::string &kind, std::size_t entries, const std::string &why);
 
 nlohmann::json toJson(const Endpoint &e);
 /// Reads an endpoint from an entry of the VM list. Absent fields and unknown names take defaults.
--- a/src/peers/peer_directory.cpp
+++ b/src/peers/peer_directory.cpp
@@ -39,19 +39,24 @@
     if (!ok(result)) {
         co_return false;
     }
-    std::vector<Peer> peers;
-    std::vector<Peer> otherDomainPeers;
+    auto &listing = std::get<platform::Listing>(result);
+    if (listing.more) {
+        co_await addOwnEntry(listing);
+    }
+    std::map<std::string, Peer> peers;
+    if (listing.more) {
+        peers = knownPeers(); // they may be in the part that could not be had
+    }
     std::optional<Peer> own;
-    for (const auto &object : std::get<platform::Listing>(result).items) {
+    for (const auto &object : listing.items) {
         auto peer = parsePeer(object);
         if (object.name == m_self.id) {
             own = peer ? peer : Peer{m_self.id, {}, {}, object.version};
         } else if (peer) {
-            (peer->failureDomain == m_self.failureDomain ? peers : otherDomainPeers).push_back(std::move(*peer));
+            peers.insert_or_assign(object.name, std::move(*peer));
         }
     }
-    m_domainPeers = std::move(peers);
-    m_otherDomainPeers = std::move(otherDomainPeers);
+    setPeers(std::move(peers));
     m_listsSelf = own && own->address == m_self.address && own->failureDomain == m_self.failureDomain;
     m_announceFailed = false;
     if (!m_listsSelf) {
@@ -61,6 +66,35 @@
     co_return true;
 }
 
+// Adds this router's entry to a listing that may lack it.
+Task<void> PeerDirectory::addOwnEntry(platform::Listing &listing)
+{
+    auto own = co_await m_api.get(routerKind, m_self.id, platform::Freshness::Current);
+    if (ok(own)) {
+        listing.items.push_back(std::move(std::get<platform::Object>(own)));
+    }
+}
+
+std::map<std::string, Peer> PeerDirectory::knownPeers() const
+{
+    std::map<std::string, Peer> known;
+    for (const auto *peers : {&m_domainPeers, &m_otherDomainPeers}) {
+        for (const auto &peer : *peers) {
+            known.emplace(peer.id, peer);
+        }
+    }
+    return known;
+}
+
+void PeerDirectory::setPeers(std::map<std::string, Peer> peers)
+{
+    m_domainPeers.clear();
+    m_otherDomainPeers.clear();
+    for (auto &[id, peer] : peers) {
+        (peer.failureDomain == m_self.failureDomain ? m_domainPeers : m_otherDomainPeers).push_back(std::move(peer));
+    }
+}
+
 // Writes this router's entry over the expected version, 0 to create it. Returns false and logs the error if the write fails.
 Task<bool> PeerDirectory::announce(uint64_t expectedVersion)
 {
--- a/src/peers/peer_directory.h
+++ b/src/peers/peer_directory.h
@@ -58,6 +58,9 @@
 
 private:
     Task<bool> announce(uint64_t expectedVersion);
+    Task<void> addOwnEntry(platform::Listing &listing);
+    std::map<std::string, Peer> knownPeers() const;
+    void setPeers(std::map<std::string, Peer> peers);
 
     platform::ObjectApi &m_api;
     Peer m_self;
--- a/src/router_control.cpp
+++ b/src/router_control.cpp
@@ -81,13 +81,27 @@
 void Control::Sink::onListing(const platform::Listing &listing, platform::Freshness)
 {
     control.m_view.applyListing(kind, listing);
-    for (const auto &followed : control.m_followed) {
+    control.recordLoaded(kind);
+    control.publish();
+}
+
+void Control::Sink::onIncompleteListing(const platform::Listing &listing)
+{
+    for (const auto &object : listing.items) {
+        control.m_view.apply(object, false);
+    }
+    control.recordLoaded(kind);
+    control.publish();
+}
+
+void Control::recordLoaded(const std::string &kind)
+{
+    for (const auto &followed : m_followed) {
         if (followed->sink.kind == kind && !followed->loaded) {
             followed->loaded = true;
-            ++control.m_loaded;
+            ++m_loaded;
         }
     }
-    control.publish();
 }
 
 void Control::Sink::onStoreRestored()
--- a/src/router_control.h
+++ b/src/router_control.h
@@ -55,6 +55,7 @@
         void onPartialListing(const platform::Listing &)
         {
         }
+        void onIncompleteListing(const platform::Listing &listing);
         void onChange(const platform::Object &object, bool deleted);
         void onBatchEnd();
         void onStoreRecovered(Clock::duration)
@@ -69,6 +70,7 @@
         bool loaded = false;
     };
     void publish();
+    void recordLoaded(const std::string &kind);
 
     settings::RouterSettings m_settings;
     catalogue::View m_view;
--- a/src/settings.h
+++ b/src/settings.h
@@ -123,6 +123,7 @@
     int64_t readsPerS = 2000; ///< rate limit of reads
     int64_t vmListLagMs = 1000; ///< delay of the VM list
     int64_t watchHistory = 10000; ///< number of events kept for watches that start at an older revision
+    int64_t pageEntries = 500; ///< of a list
     std::string logLevel = "info";
 };
 
--- a/src/store.h
+++ b/src/store.h
@@ -48,7 +48,7 @@
 struct Listing {
     uint64_t revision = 0;
     std::vector<Object> items;
-    bool more = false; ///< true if another page follows, after the name of the last item
+    bool more = false; ///< true if another page follows, after the name of the last item; of several pages: the rest cannot be had
     Epoch epoch = 0;
 };
 
@@ -58,5 +58,12 @@
 inline constexpr int Gone = 410; ///< the revision to watch from is no longer kept; list again
 inline constexpr int Unavailable = 503;
 inline constexpr int AnswerLost = 504; ///< the call was sent and may have taken effect
+inline constexpr int RateLimited = 429;
+
+/// True for an error that the same call would get again: the store does not take the call as it is.
+constexpr bool isRefusal(int code)
+{
+    return code >= 400 && code < 500 && code != RateLimited && code != 408;
+}
 
 } // namespace yucca::store
--- a/tests/recording_sink.h
+++ b/tests/recording_sink.h
@@ -20,6 +20,10 @@
     {
         updates.push_back("page " + std::to_string(listing.items.size()));
     }
+    void onIncompleteListing(const platform::Listing &listing)
+    {
+        updates.push_back("incomplete " + std::to_string(listing.items.size()));
+    }
     void onChange(const platform::Object &object, bool deleted)
     {
         updates.push_back((deleted ? "gone " : "set ") + object.name);
