Accept heads of responses by one strict rule; take no reset for the end of an answer

Cause: a socket reports a reset once. The write of the upload got it, and the read after it saw the end of the connection as if in order; a relaying router stated the same to its peer. The library's parser takes any three digits for a status, those below 200 for an interim response, and unfolds lines.

An answer that ends with its connection is whole only if its request was written without an error; the relaying router waits for the same before it states an orderly end. A trailer is no part of a head any more.

--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -2,6 +2,7 @@
 
 #include "connect.h"
 #include "forwarding.h"
+#include "response_head.h"
 #include "socket_queue.h"
 #include "text.h"
 
@@ -23,8 +24,7 @@
 constexpr Millis defaultIdleLifetime{4000}; ///< for peers that state no idle timeout: shorter than the usual 5 s
 constexpr double idleTimeoutShare = 0.7; ///< of the idle timeout that a peer states; the remainder covers a request in transit
 constexpr Millis closeIdleInterval{1000};
-constexpr std::size_t responseHeaderLimit = 64 * 1024;
-constexpr std::size_t maxUnparsedBytes = 2 * responseHeaderLimit; ///< received on a connection: a head, or the head of a chunk
+constexpr std::size_t maxUnparsedBytes = 2 * maxResponseHeadBytes; ///< received on a connection: a head, or the head of a chunk
 constexpr std::size_t maxWholeBodyBytes = 16 * 1024 * 1024; ///< of a response that call() reads
 constexpr std::size_t maxSkippedBytes = 1024 * 1024; ///< of a late response to an earlier request
 constexpr int maxInterimResponses = 16; ///< (1xx) before a final response
@@ -132,7 +132,7 @@
 void Response::startParser()
 {
     m_parser.emplace();
-    m_parser->header_limit(responseHeaderLimit);
+    m_parser->header_limit(maxResponseHeadBytes);
     m_parser->body_limit(std::numeric_limits<uint64_t>::max()); // Beast 1.74 treats "none" as zero
     m_parser->skip(m_options.headOnly);
 }
@@ -183,21 +183,21 @@
 // Reads the head of the next final response; skips interim (1xx) responses.
 Task<std::optional<CallError>> Response::readHead()
 {
-    boost::system::error_code ec;
+    std::optional<std::string> failure;
     int interimResponses = 0;
     do {
         if (interimResponses++ > maxInterimResponses) {
-            m_connection->stream.close();
-            co_return CallError{CallStage::Receive, "too many interim responses"};
+            failure = "too many interim responses";
+            break;
         }
         if (m_parser->is_done()) {
             startParser();
         }
-        ec = co_await receiveHead();
-    } while (!ec && status() < 200);
-    if (ec) {
+        failure = co_await receiveHead();
+    } while (!failure && status() < 200);
+    if (failure) {
         m_connection->stream.close();
-        co_return CallError{CallStage::Receive, ec.message()};
+        co_return CallError{CallStage::Receive, std::move(*failure)};
     }
     co_return std::nullopt;
 }
@@ -223,16 +223,13 @@
 }
 
 // GCC 12 evaluates both arms of a conditional expression if each contains co_await.
-Task<boost::system::error_code> Response::receiveHead()
+Task<std::optional<std::string>> Response::receiveHead()
 {
     auto &c = *m_connection;
-    boost::system::error_code ec;
     if (c.tunnel) {
-        co_await bhttp::async_read_header(*c.tunnel, c.buffer, *m_parser, asio::redirect_error(asio::use_awaitable, ec));
-    } else {
-        co_await bhttp::async_read_header(c.stream, c.buffer, *m_parser, asio::redirect_error(asio::use_awaitable, ec));
+        co_return co_await readResponseHead(*c.tunnel, c.buffer, *m_parser, Upgrade::NotRequested);
     }
-    co_return ec;
+    co_return co_await readResponseHead(c.stream, c.buffer, *m_parser, Upgrade::NotRequested);
 }
 
 Task<boost::system::error_code> Response::receiveBody()
@@ -271,9 +268,25 @@
     if (!m_parser->is_done()) {
         co_return CallError{CallStage::Receive, "connection closed before the end of the response"};
     }
+    if (m_parser->need_eof()) {
+        const bool written = co_await requestWritten();
+        if (!written) {
+            co_return CallError{CallStage::Receive, "the connection failed while the request was being written"};
+        }
+    }
     co_return std::string();
 }
 
+// Waits until the request is written, and returns false if that failed. A socket reports a reset once: if the write got it, the end
+// of the connection is read as an orderly one.
+Task<bool> Response::requestWritten()
+{
+    while (m_connection && m_connection->writing && !m_connection->writeFailed && Clock::now() < m_options.deadline) {
+        co_await m_connection->writeEnded.wait(m_options.deadline);
+    }
+    co_return m_connection && !m_connection->writing;
+}
+
 Task<CallResult<std::string>> Response::read()
 {
     auto part = co_await readBody();
@@ -460,6 +473,8 @@
     c->writing = true;
     const auto written = [c](const boost::system::error_code &ec, std::size_t) {
         c->writing = ec.failed(); // a truncated request leaves the connection unusable
+        c->writeFailed = ec.failed();
+        c->writeEnded.notifyAll();
     };
     if (c->wire.empty()) {
         bhttp::async_write(c->stream, c->request, written);
@@ -539,6 +554,7 @@
     auto &response = *std::get<std::unique_ptr<Response>>(opened);
     Reply reply;
     reply.status = response.status();
+    reply.headers = response.headers(); // before the body, whose trailer is no part of the head
     for (;;) {
         auto part = co_await response.read();
         if (auto *err = std::get_if<CallError>(&part)) {
@@ -553,7 +569,6 @@
             co_return CallError{CallStage::Receive, "the response is too long"};
         }
     }
-    reply.headers = response.headers();
     co_return reply;
 }
 
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "http.h"
+#include "notifier.h"
 #include "tunnel_stream.h"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -99,6 +100,8 @@
     std::string wire; ///< the same as text, if it is sent in two parts
     Clock::time_point idleSince{};
     bool writing = false; ///< the write is in progress or failed; a peer may respond before it has read the whole request
+    bool writeFailed = false;
+    Notifier writeEnded;
     Clock::time_point closeDeadline; ///< when an idle connection must be closed: before the peer closes it
 };
 
@@ -136,7 +139,8 @@
     friend class Client;
     Task<std::optional<CallError>> readHead();
     Task<CallResult<std::string>> readBody();
-    Task<boost::system::error_code> receiveHead();
+    Task<bool> requestWritten();
+    Task<std::optional<std::string>> receiveHead();
     Task<boost::system::error_code> receiveBody();
     void startParser();
     void releaseConnection();
--- a/src/log.cpp
+++ b/src/log.cpp
@@ -21,7 +21,7 @@
 namespace
 {
 
-constexpr std::array<EventInfo, 60> catalogue{{
+constexpr std::array<EventInfo, 61> catalogue{{
     {Event::ProgramStarted, "ProgramStarted", Level::Info},
     {Event::StopRequested, "StopRequested", Level::Info},
     {Event::ProgramStopped, "ProgramStopped", Level::Info},
@@ -75,6 +75,7 @@
     {Event::ChangesReceived, "ChangesReceived", Level::Info},
     {Event::StoreCalls, "StoreCalls", Level::Info},
     {Event::ListIncomplete, "ListIncomplete", Level::Warn},
+    {Event::TunnelNotOpened, "TunnelNotOpened", Level::Info},
     {Event::OrderAccepted, "OrderAccepted", Level::Info},
     {Event::OrderRefused, "OrderRefused", Level::Warn},
     {Event::Draining, "Draining", Level::Info},
--- a/src/log.h
+++ b/src/log.h
@@ -64,6 +64,7 @@
     ChangesReceived = 2061,
     StoreCalls = 2062,
     ListIncomplete = 2063,
+    TunnelNotOpened = 2064,
     OrderAccepted = 3001,
     OrderRefused = 3002,
     Draining = 3003,
--- a/src/relay_server.cpp
+++ b/src/relay_server.cpp
@@ -2,6 +2,7 @@
 
 #include "connect.h"
 #include "log.h"
+#include "notifier.h"
 #include "text.h"
 #include "tunnel_frames.h"
 
@@ -82,6 +83,9 @@
     Stream endpoint;
     asio::steady_timer lifetimeTimer;
     RelayCounters &counters;
+    bool writing = false; ///< to the endpoint
+    bool writeFailed = false; ///< the endpoint's connection took no more
+    Notifier writeEnded;
     std::string endpointKey;
     http::TunnelFraming framing = http::TunnelFraming::None;
     Millis lifetime{};
@@ -91,12 +95,21 @@
 namespace
 {
 
+http::TunnelEnd endFor(const boost::system::error_code &ec)
+{
+    if (ec == asio::error::eof) {
+        return http::TunnelEnd::Orderly;
+    }
+    // A write that timed out has closed the connection, which aborts the read.
+    const bool timedOut = ec == asio::error::timed_out || ec == asio::error::operation_aborted;
+    return timedOut ? http::TunnelEnd::TimedOut : http::TunnelEnd::Reset;
+}
+
 // Passes bytes of the peer on until it closes the tunnel, which ends the request at the endpoint. An endpoint that takes no more
 // may have answered already: the tunnel stays open for that.
 template <typename TunnelPtr> Task<void> forwardToEndpoint(TunnelPtr tunnel)
 {
     std::array<char, relayBufferBytes> buffer;
-    bool taken = true;
     for (;;) {
         boost::system::error_code ec;
         tunnel->peer.expires_never();
@@ -105,20 +118,27 @@
             tunnel->abort();
             co_return;
         }
-        if (taken) {
-            taken = co_await writeAll(tunnel->endpoint, asio::buffer(buffer.data(), n), tunnel->writeTimeout);
+        if (!tunnel->writeFailed) {
+            tunnel->writing = true;
+            const bool taken = co_await writeAll(tunnel->endpoint, asio::buffer(buffer.data(), n), tunnel->writeTimeout);
+            tunnel->writing = false;
+            tunnel->writeFailed = !taken;
+            tunnel->writeEnded.notifyAll();
         }
     }
 }
 
-http::TunnelEnd endFor(const boost::system::error_code &ec)
+// Returns how the endpoint ended its connection. A socket reports a reset once: if a write got it, the end is read as an orderly one.
+template <typename TunnelPtr> Task<http::TunnelEnd> endOf(TunnelPtr tunnel, boost::system::error_code ec)
 {
-    if (ec == asio::error::eof) {
-        return http::TunnelEnd::Orderly;
+    const auto end = endFor(ec);
+    if (end != http::TunnelEnd::Orderly) {
+        co_return end;
     }
-    // A write that timed out has closed the connection, which aborts the read.
-    const bool timedOut = ec == asio::error::timed_out || ec == asio::error::operation_aborted;
-    return timedOut ? http::TunnelEnd::TimedOut : http::TunnelEnd::Reset;
+    while (tunnel->writing) {
+        co_await tunnel->writeEnded.wait(Clock::now() + tunnel->writeTimeout);
+    }
+    co_return tunnel->writeFailed ? http::TunnelEnd::Reset : end;
 }
 
 template <typename TunnelPtr> Task<bool> sendToPeer(TunnelPtr tunnel, asio::const_buffer bytes)
@@ -152,7 +172,8 @@
         const auto n = co_await tunnel->endpoint.async_read_some(asio::buffer(buffer), asio::redirect_error(asio::use_awaitable, ec));
         bool sent = false;
         if (ec) {
-            sent = co_await sendEndToPeer(tunnel, endFor(ec));
+            const auto end = co_await endOf(tunnel, ec);
+            sent = co_await sendEndToPeer(tunnel, end);
         } else {
             sent = co_await sendToPeer(tunnel, asio::buffer(buffer.data(), n));
         }
--- a/src/tunnel.cpp
+++ b/src/tunnel.cpp
@@ -1,5 +1,8 @@
 #include "tunnel.h"
 
+#include "log.h"
+#include "response_head.h"
+
 namespace yucca::http
 {
 
@@ -39,12 +42,14 @@
     boost::system::error_code ec;
     co_await bhttp::async_write(stream, message, asio::redirect_error(asio::use_awaitable, ec));
     bhttp::response_parser<bhttp::empty_body> parser;
-    if (!ec) {
-        co_await bhttp::async_read_header(stream, buffer, parser, asio::redirect_error(asio::use_awaitable, ec));
-    }
     if (ec) {
         co_return TunnelRefusal{};
     }
+    const auto failure = co_await readResponseHead(stream, buffer, parser, Upgrade::Requested);
+    if (failure) {
+        log::Line{log::Event::TunnelNotOpened}.add("peer", request.peer.host).add("why", *failure);
+        co_return TunnelRefusal{};
+    }
     co_return interpret(parser.get());
 }
 
