Keep in the store what binds streams to the version that began them

Cause: every copy of an origin, and what versions there had been, was in routers' memory.

Change: StreamStore. For each service with resumable streams the store holds the versions that streams under way may be of; one is added when it is listed, and dropped when a recording router has missed it for a minute by its own clock. While there are several, the first router by name writes the origins of streams that begin, new ones only, at most every 100 ms, to 128 objects in turn; streams under way when the second version appears are sent to it once more. A router reads both kinds, once a second at most, when a stream is taken up that neither it nor its peers know. A sole recorded version binds a stream if it is the only one listed as well. What the store does not tell, or not now, is refused.

--- a/src/entry/configuration.cpp
+++ b/src/entry/configuration.cpp
@@ -45,4 +45,21 @@
     return it == services.end() ? nullptr : &it->second;
 }
 
+std::set<std::string> resumableServices(const ConfigurationPtr &configuration)
+{
+    std::set<std::string> services;
+    if (!configuration) {
+        return services;
+    }
+    for (const auto &route : configuration->routes) {
+        if (route.kind != RequestKind::Stream || !route.resumable) {
+            continue;
+        }
+        for (const auto &destination : route.destinations) {
+            services.insert(destination.service);
+        }
+    }
+    return services;
+}
+
 } // namespace yucca::entry
--- a/src/entry/configuration.h
+++ b/src/entry/configuration.h
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -102,4 +103,7 @@
 
 using ConfigurationPtr = std::shared_ptr<const Configuration>;
 
+/// Returns the services to which routes with resumable streams lead; none without a configuration.
+std::set<std::string> resumableServices(const ConfigurationPtr &configuration);
+
 } // namespace yucca::entry
--- a/src/entry/gateway.h
+++ b/src/entry/gateway.h
@@ -29,6 +29,7 @@
 #include "router_core.h"
 #include "sse.h"
 #include "stream_origins.h"
+#include "stream_store.h"
 
 #include <atomic>
 #include <concepts>
@@ -131,6 +132,7 @@
     relay::RelayPeers *relayPeers = nullptr; ///< null if this router has no peers
     const peers::FleetMembership *fleet = nullptr; ///< null if this router shares no limits with others
     streams::StreamOrigins *origins = nullptr; ///< null if callers don't take up streams
+    streams::StreamStore *streamStore = nullptr; ///< as origins
 };
 
 /// Serves requests of callers by forwarding them to endpoints. Runs on one traffic thread.
@@ -146,6 +148,7 @@
         , m_relayPeers(parts.relayPeers)
         , m_fleet(parts.fleet)
         , m_origins(parts.origins)
+        , m_streamStore(parts.streamStore)
         , m_options(options)
         , m_activity(options.maxEndpointPause)
         , m_dialect(std::move(dialect))
@@ -392,6 +395,7 @@
     relay::RelayPeers *m_relayPeers;
     const peers::FleetMembership *m_fleet;
     streams::StreamOrigins *m_origins;
+    streams::StreamStore *m_streamStore;
     GatewayOptions m_options;
     EndpointActivity m_activity;
     D m_dialect;
--- a/src/entry/gateway_streams.h
+++ b/src/entry/gateway_streams.h
@@ -13,18 +13,23 @@
 }
 
 // Returns the software that began the stream which a caller takes up; nothing if it is unknown. Where the caller doesn't name
-// the attempt that began it, only a service whose endpoints have all been of one version leaves no choice.
+// the attempt that began it, only a service whose streams are all of one version leaves no choice.
 template <Dialect D> Task<std::optional<streams::Origin>> Gateway<D>::originOf(const RequestProfile &profile)
 {
-    if (!profile.resumes.empty()) {
-        if (!m_origins) {
-            co_return std::nullopt;
-        }
-        co_return co_await m_origins->locate(streamKey(profile, profile.resumes));
+    if (!m_origins || !m_streamStore) {
+        co_return std::nullopt;
     }
     const auto service = chooseService(profile);
-    const auto version = m_table.soleVersion(service, Clock::now());
-    co_return version ? std::optional(streams::Origin{service, *version}) : std::nullopt;
+    if (profile.resumes.empty()) {
+        const auto version = co_await m_streamStore->soleVersion(service);
+        co_return version ? std::optional(streams::Origin{service, *version}) : std::nullopt;
+    }
+    const auto stream = streamKey(profile, profile.resumes);
+    auto origin = co_await m_origins->locate(stream);
+    if (!origin) {
+        origin = co_await m_streamStore->find(stream, service);
+    }
+    co_return origin;
 }
 
 // Binds a stream that its caller takes up to the software that began it. Returns why it can't go on; nothing if it may.
--- a/src/entry/process.h
+++ b/src/entry/process.h
@@ -11,6 +11,7 @@
 #include "relay_peers.h"
 #include "relay_server.h"
 #include "settings.h"
+#include "stream_store.h"
 #include "supervisor.h"
 
 #include <boost/asio/detached.hpp>
@@ -67,7 +68,8 @@
                   return m_exchange.isFirstByName(Clock::now());
               })
         , m_relayPeers(settings.regions)
-        , m_gateway(GatewayParts{m_published, m_table, m_admission, m_quarantine, nullptr, &m_relayPeers, &m_exchange.membership(), &m_origins},
+        , m_streamStore(streamStoreParts(store), m_controlLoop.get_executor())
+        , m_gateway(GatewayParts{m_published, m_table, m_admission, m_quarantine, nullptr, &m_relayPeers, &m_exchange.membership(), &m_origins, &m_streamStore},
                     gatewayOptions(settings))
         , m_changes(sharedReplicas(settings))
         , m_relay(
@@ -155,6 +157,31 @@
             return m_exchange.rank(now);
         };
     }
+    streams::StreamStoreParts streamStoreParts(platform::ObjectApi &store)
+    {
+        return {store,
+                m_table,
+                m_origins,
+                [this] {
+                    return currentResumableServices();
+                },
+                [this] {
+                    return m_exchange.rankByName(Clock::now());
+                },
+                [this] {
+                    return m_exchange.listedHosts().size();
+                }};
+    }
+    // Called often, on the control thread; a configuration may have more than a thousand routes.
+    std::set<std::string> currentResumableServices()
+    {
+        auto configuration = m_published.configuration();
+        if (configuration != m_resumableOf) {
+            m_resumable = resumableServices(configuration);
+            m_resumableOf = std::move(configuration);
+        }
+        return m_resumable;
+    }
     std::vector<replica::SharedReplica *> sharedReplicas(const Settings &s)
     {
         std::vector<replica::SharedReplica *> replicas{&m_configurationReplica, &m_endpointReplica};
@@ -239,6 +266,13 @@
                             [this] {
                                 m_quarantineStore.stop();
                             }});
+        m_supervisor.start({"streams",
+                            [this] {
+                                return m_streamStore.run();
+                            },
+                            [this] {
+                                m_streamStore.stop();
+                            }});
         if (m_settings.peers.port != 0) {
             startExchange();
         }
@@ -491,6 +525,9 @@
     limits::Admission m_admission; ///< sets no limits here, because the workspaces of the platform define none
     relay::RelayPeers m_relayPeers;
     streams::StreamOrigins m_origins;
+    ConfigurationPtr m_resumableOf; ///< the configuration of m_resumable
+    std::set<std::string> m_resumable; ///< services with streams that callers may take up
+    streams::StreamStore m_streamStore;
     Gateway<D> m_gateway;
     replica::ChangeServer m_changes;
     relay::RelayServer m_relay;
--- a/src/log.h
+++ b/src/log.h
@@ -65,6 +65,7 @@
     StoreCalls = 2062,
     ListIncomplete = 2063,
     TunnelNotOpened = 2064,
+    StreamsRead = 2065,
     OrderAccepted = 3001,
     OrderRefused = 3002,
     Draining = 3003,
--- a/src/peers/load_exchange.cpp
+++ b/src/peers/load_exchange.cpp
@@ -343,14 +343,14 @@
     }
 }
 
-bool LoadExchange::isFirstByName(Clock::time_point now) const
+std::size_t LoadExchange::rankByName(Clock::time_point now) const
 {
     const auto before = [&](const Peer &peer) {
         return peer.id < m_self.id && !isSilent(peer, now);
     };
     const auto &near = m_directory.domainPeers();
     const auto &far = m_directory.otherDomainPeers();
-    return std::none_of(near.begin(), near.end(), before) && std::none_of(far.begin(), far.end(), before);
+    return static_cast<std::size_t>(std::count_if(near.begin(), near.end(), before) + std::count_if(far.begin(), far.end(), before));
 }
 
 // Logs a problem that may recur with each round or datagram, at most once per warningInterval.
--- a/src/peers/load_exchange.h
+++ b/src/peers/load_exchange.h
@@ -89,7 +89,12 @@
     }
     /// Returns true if no recently heard router has a name before this one's. The router for which this is true does the tasks that
     /// only one router of the fleet must do.
-    bool isFirstByName(Clock::time_point now) const;
+    bool isFirstByName(Clock::time_point now) const
+    {
+        return rankByName(now) == 0;
+    }
+    /// Returns how many recently heard routers of the fleet have a name before this one's.
+    std::size_t rankByName(Clock::time_point now) const;
     /// Shares the store's confirmations of these kinds with the neighbours. The replicas must outlive the exchange.
     void shareReplicas(std::vector<replica::SharedReplica *> replicas);
     /// Returns the rank by name of this router among the recently heard neighbours, 0 for the first; nothing if none is heard. The
@@ -127,6 +132,7 @@
     Task<void> sendCrashRecords(bool includeSilent, Clock::time_point now);
     std::vector<Peer> countersFor(uint64_t content, const std::vector<Peer> &others) const;
     std::vector<Peer> originKeepers(uint64_t stream, std::size_t count, Clock::time_point now) const;
+    std::optional<Peer> originRecorder(Clock::time_point now) const;
     void handleOrigins(const PeerMessage &message, const http::Address &from, Clock::time_point now);
     Task<void> sendReply(Peer to, PeerMessage reply);
     /// True if one round of datagrams can reach all routers of the fleet.
--- a/src/peers/load_exchange_streams.cpp
+++ b/src/peers/load_exchange_streams.cpp
@@ -29,14 +29,32 @@
     return keepers;
 }
 
+// Returns the router that writes origins to the store; nothing if it is this one.
+std::optional<Peer> LoadExchange::originRecorder(Clock::time_point now) const
+{
+    const Peer *first = nullptr;
+    for (const auto *peers : {&m_directory.domainPeers(), &m_directory.otherDomainPeers()}) {
+        for (const auto &peer : *peers) {
+            const bool earlier = peer.id < (first ? first->id : m_self.id);
+            first = earlier && !isSilent(peer, now) ? &peer : first;
+        }
+    }
+    return first ? std::optional(*first) : std::nullopt;
+}
+
+// Copies go to the routers that keep them and, while the service has several versions, to the one that writes them to the store.
 Task<void> LoadExchange::sendOriginCopies(streams::OriginRecord record)
 {
     if (m_socket) {
         const auto now = Clock::now();
         PeerMessage message;
         message.origins.push_back(record);
-        const auto keepers = originKeepers(record.stream, streams::originCopies, now);
-        co_await send(keepers, message, now);
+        auto receivers = originKeepers(record.stream, streams::originCopies, now);
+        const auto recorder = m_table.soleVersion(record.origin.service, now) ? std::nullopt : originRecorder(now);
+        if (recorder && std::find(receivers.begin(), receivers.end(), *recorder) == receivers.end()) {
+            receivers.push_back(*recorder);
+        }
+        co_await send(receivers, message, now);
     }
 }
 
--- a/src/router_constraints.cpp
+++ b/src/router_constraints.cpp
@@ -165,6 +165,18 @@
     }
 }
 
+std::map<std::string, std::set<std::string>> RoutingTable::listedVersions() const
+{
+    std::lock_guard lock(m_mutex);
+    std::map<std::string, std::set<std::string>> versions;
+    for (const auto &[pool, held] : m_versions) {
+        if (!held.versions.empty()) {
+            versions.emplace(pool, held.versions);
+        }
+    }
+    return versions;
+}
+
 std::optional<std::string> RoutingTable::soleVersion(const std::string &pool, Clock::time_point now) const
 {
     std::lock_guard lock(m_mutex);
--- a/src/router_core.h
+++ b/src/router_core.h
@@ -189,6 +189,8 @@
     /// The version of all endpoints of a pool, listed as live or leaving; nothing if there is none, if there are several, or if this
     /// router has seen another one within a minute.
     std::optional<std::string> soleVersion(const std::string &pool, Clock::time_point now) const;
+    /// The versions of the endpoints of each pool, listed as live or leaving; of its last ones for a pool without endpoints.
+    std::map<std::string, std::set<std::string>> listedVersions() const;
     /// When an endpoint joined. Returns a default-constructed time point for endpoints of the first listing and for
     /// unknown ones.
     Clock::time_point joinedAt(const std::string &id) const;
--- a/src/stream_origins.cpp
+++ b/src/stream_origins.cpp
@@ -3,6 +3,7 @@
 #include <boost/asio/post.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace yucca::streams
 {
@@ -12,16 +13,40 @@
     {
         std::lock_guard lock(m_mutex);
         insert(record, now);
+        collectRecord(record);
+        m_entries[record.stream].own = true;
     }
     if (sendCopies) {
         sendCopies(record);
     }
 }
 
+void StreamOrigins::announceAgain(const std::string &service, Clock::duration within, Clock::time_point now)
+{
+    std::vector<OriginRecord> records;
+    {
+        std::lock_guard lock(m_mutex);
+        for (const auto &[stream, entry] : m_entries) {
+            if (entry.own && !entry.contradicted && entry.origin.service == service && now - entry.at < within) {
+                records.push_back({stream, entry.origin});
+            }
+        }
+        for (const auto &record : records) {
+            collectRecord(record);
+        }
+    }
+    for (const auto &record : records) {
+        if (sendCopies) {
+            sendCopies(record);
+        }
+    }
+}
+
 void StreamOrigins::merge(const OriginRecord &record, Clock::time_point now)
 {
     std::lock_guard lock(m_mutex);
     insert(record, now);
+    collectRecord(record);
     completeQueries(record.stream);
 }
 
@@ -34,6 +59,35 @@
     m_order.emplace_back(now, record.stream);
 }
 
+void StreamOrigins::collectRecord(const OriginRecord &record)
+{
+    if (m_collecting && m_collected.size() < m_options.maxRecords) {
+        m_collected.push_back(record);
+    }
+}
+
+void StreamOrigins::restore(const OriginRecord &record, Clock::time_point now)
+{
+    std::lock_guard lock(m_mutex);
+    insert(record, now);
+    completeQueries(record.stream);
+}
+
+void StreamOrigins::collect(bool enabled)
+{
+    std::lock_guard lock(m_mutex);
+    m_collecting = enabled;
+    if (!enabled) {
+        m_collected.clear();
+    }
+}
+
+std::vector<OriginRecord> StreamOrigins::takeCollected()
+{
+    std::lock_guard lock(m_mutex);
+    return std::exchange(m_collected, {});
+}
+
 // Drops expired records, and the oldest ones if there are too many.
 void StreamOrigins::prune(Clock::time_point now)
 {
--- a/src/stream_origins.h
+++ b/src/stream_origins.h
@@ -17,6 +17,7 @@
 #include <set>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 namespace yucca::streams
 {
@@ -60,8 +61,13 @@
     /// Records the origin of a stream whose first event this router has received, and has copies sent. The event is passed on without
     /// waiting for them: a stream whose copies are lost is refused later, and never continued at a guess.
     void announce(const OriginRecord &record, Clock::time_point now);
+    /// Has copies sent once more of the streams of a service that this router has recorded within a time: their copies, sent while the
+    /// service had one version, did not need to go to the store.
+    void announceAgain(const std::string &service, Clock::duration within, Clock::time_point now);
     /// Records a copy from another router. Contradicting records make the stream unknown.
     void merge(const OriginRecord &record, Clock::time_point now);
+    /// Records an origin that was read from the store. It is not collected again.
+    void restore(const OriginRecord &record, Clock::time_point now);
     /// Returns the origin of a stream, if this router knows it.
     std::optional<Origin> find(uint64_t stream, Clock::time_point now) const;
     /// Returns the origin of a stream, or nothing if neither this router nor one of those that were asked knows it.
@@ -71,6 +77,10 @@
     /// Records that a router does not know the stream for which it was asked.
     void recordUnknown(uint64_t stream, const http::Address &peer);
     std::size_t size() const;
+    /// Selects whether records are collected from now on, for takeCollected().
+    void collect(bool enabled);
+    /// Returns the records that were announced or merged since the last call, at most maxRecords.
+    std::vector<OriginRecord> takeCollected();
 
     /// Sends copies of a record to other routers; called from any thread. Empty if there are none.
     std::function<void(const OriginRecord &)> sendCopies;
@@ -82,6 +92,7 @@
         Origin origin;
         Clock::time_point at{};
         bool contradicted = false; ///< by a record with another origin
+        bool own = false; ///< announced by this router
     };
     /// One request that waits for answers of other routers.
     struct Query {
@@ -94,6 +105,7 @@
     using QueryPtr = std::shared_ptr<Query>;
 
     void insert(const OriginRecord &record, Clock::time_point now);
+    void collectRecord(const OriginRecord &record);
     void prune(Clock::time_point now);
     void completeQueries(uint64_t stream);
     static void wake(const QueryPtr &query);
@@ -103,6 +115,8 @@
     std::unordered_map<uint64_t, Entry> m_entries; ///< by stream
     std::deque<std::pair<Clock::time_point, uint64_t>> m_order; ///< times and streams of all records, oldest first
     std::multimap<uint64_t, QueryPtr> m_queries; ///< by stream
+    bool m_collecting = false;
+    std::vector<OriginRecord> m_collected;
 };
 
 } // namespace yucca::streams
--- /dev/null
+++ b/src/stream_store.cpp
@@ -0,0 +1,444 @@
+#include "stream_store.h"
+
+#include "decode.h"
+#include "failure.h"
+#include "log.h"
+#include "text.h"
+
+#include <boost/asio/detached.hpp>
+
+#include <algorithm>
+
+namespace yucca::streams
+{
+
+using json = nlohmann::json;
+
+namespace
+{
+
+constexpr const char *versionsKey = "versions";
+constexpr const char *originsKey = "origins";
+constexpr std::size_t keyDigits = 16; ///< of a stream's key in hexadecimal
+
+const Error incompleteList{store::Unavailable, "the store refuses a page"};
+
+std::string paddedKey(uint64_t stream)
+{
+    const auto digits = text::toHex(stream);
+    return std::string(keyDigits - digits.size(), '0') + digits;
+}
+
+// Groups the keys of streams by service and version: {SERVICE: {VERSION: "KEYKEY..."}}.
+json encodeOrigins(const std::vector<OriginRecord> &records)
+{
+    std::map<std::string, std::map<std::string, std::string>> keys;
+    for (const auto &record : records) {
+        keys[record.origin.service][record.origin.version] += paddedKey(record.stream);
+    }
+    return {{originsKey, keys}};
+}
+
+void appendKeys(const Origin &origin, std::string_view keys, std::vector<OriginRecord> &out)
+{
+    for (std::size_t at = 0; at + keyDigits <= keys.size(); at += keyDigits) {
+        if (const auto stream = text::parseHex(keys.substr(at, keyDigits))) {
+            out.push_back({*stream, origin});
+        }
+    }
+}
+
+// Other programs may have written anything: what is no record is passed over.
+std::vector<OriginRecord> decodeOrigins(const json &value)
+{
+    std::vector<OriginRecord> records;
+    const auto services = value.is_object() ? value.find(originsKey) : value.end();
+    if (services == value.end() || !services->is_object()) {
+        return records;
+    }
+    for (const auto &[service, versions] : services->items()) {
+        if (!versions.is_object()) {
+            continue;
+        }
+        for (const auto &[version, keys] : versions.items()) {
+            if (keys.is_string()) {
+                appendKeys({service, version}, keys.get_ref<const std::string &>(), records);
+            }
+        }
+    }
+    return records;
+}
+
+// Returns nothing for a value that is no record of versions.
+std::optional<std::set<std::string>> decodeVersions(const json &value)
+{
+    const auto list = value.is_object() ? value.find(versionsKey) : value.end();
+    if (list == value.end() || !list->is_array() || list->empty()) {
+        return std::nullopt;
+    }
+    std::set<std::string> versions;
+    for (const auto &version : *list) {
+        if (!version.is_string()) {
+            return std::nullopt;
+        }
+        versions.insert(version.get<std::string>());
+    }
+    return versions;
+}
+
+json encodeVersions(const std::set<std::string> &versions)
+{
+    json value;
+    value[versionsKey] = versions;
+    return value;
+}
+
+void logFailure(const char *operation, const Error &error)
+{
+    log::Line{log::Event::PlatformUnreachable}.add("op", operation).add("code", int64_t{error.code});
+}
+
+} // namespace
+
+StreamStore::StreamStore(StreamStoreParts parts, asio::any_io_executor executor, StreamStoreOptions options)
+    : m_parts(std::move(parts))
+    , m_executor(std::move(executor))
+    , m_options(options)
+    , m_nextObject(m_random() % options.originObjects)
+{
+}
+
+Task<void> StreamStore::run()
+{
+    const auto begin = Clock::now() + m_options.startDelay;
+    auto rankDue = begin;
+    m_parts.origins.collect(true);
+    while (!m_stopping) {
+        const auto now = Clock::now();
+        announceUnrecorded(now);
+        collectOrigins(now);
+        if (now >= rankDue) {
+            rankDue = now + m_options.rankInterval;
+            m_rank = m_parts.rank();
+            m_parts.origins.collect(m_rank == 0);
+        }
+        if (now >= begin && m_rank < m_options.versionRecorders) {
+            co_await recordVersions(now);
+        }
+        if (now >= begin && m_rank == 0) {
+            co_await saveOrigins();
+        }
+        co_await sleepFor(currentInterval());
+    }
+}
+
+// Only the router that writes origins has to do so often.
+Millis StreamStore::currentInterval() const
+{
+    return m_rank == 0 && !m_mixed.empty() ? std::min(m_options.writeInterval, m_options.pollInterval) : m_options.pollInterval;
+}
+
+bool StreamStore::hasSeveralVersions(const std::string &service, Clock::time_point now) const
+{
+    return !m_parts.table.soleVersion(service, now).has_value();
+}
+
+// Sends the origins of this router's streams to the one that records them, once their service has several versions.
+void StreamStore::announceUnrecorded(Clock::time_point now)
+{
+    for (const auto &service : m_parts.services()) {
+        if (!hasSeveralVersions(service, now)) {
+            m_mixed.erase(service);
+        } else if (m_mixed.insert(service).second) {
+            m_parts.origins.announceAgain(service, m_options.callerPatience, now);
+        }
+    }
+}
+
+// Keeps collected origins for as long as their streams may be taken up: other routers may see a new version sooner.
+void StreamStore::collectOrigins(Clock::time_point now)
+{
+    for (auto &record : m_parts.origins.takeCollected()) {
+        m_pending.emplace_back(now, std::move(record));
+    }
+    while (!m_pending.empty() && now - m_pending.front().first >= m_options.callerPatience) {
+        m_pending.pop_front();
+    }
+}
+
+// Records versions that are listed and not recorded, one recorder after the other, and drops those that have had no streams for long.
+Task<void> StreamStore::recordVersions(Clock::time_point now)
+{
+    if (m_parts.api.epoch() != m_epoch) {
+        m_epoch = m_parts.api.epoch();
+        m_versionsLoaded = false; // a restored store has lost the later writes
+    }
+    bool due = false;
+    bool expired = false;
+    const auto listed = m_parts.table.listedVersions();
+    for (const auto &service : m_parts.services()) {
+        const auto it = listed.find(service);
+        if (it != listed.end()) {
+            noteAbsent(service, it->second, now);
+            due = due || !m_versionsLoaded || !isRecorded(service, it->second);
+            expired = expired || hasExpired(service, it->second, now);
+        }
+    }
+    m_unrecordedSince = !due ? Clock::time_point{} : m_unrecordedSince == Clock::time_point{} ? now : m_unrecordedSince;
+    const auto turn = m_options.recorderInterval * static_cast<int64_t>(m_rank);
+    if ((due && now - m_unrecordedSince >= turn) || (expired && m_rank == 0)) {
+        const bool saved = co_await saveVersions();
+        m_unrecordedSince = saved ? Clock::time_point{} : Clock::now();
+    }
+}
+
+Task<bool> StreamStore::saveVersions()
+{
+    if (!m_versionsLoaded) {
+        m_versionsLoaded = co_await readVersions();
+        if (!m_versionsLoaded) {
+            co_return false;
+        }
+    }
+    const auto listed = m_parts.table.listedVersions();
+    for (const auto &service : m_parts.services()) {
+        const auto it = listed.find(service);
+        const bool upToDate = it == listed.end() || (isRecorded(service, it->second) && !hasExpired(service, it->second, Clock::now()));
+        if (upToDate) {
+            continue;
+        }
+        const bool saved = co_await saveVersions(service, it->second);
+        if (!saved) {
+            co_return false;
+        }
+    }
+    co_return true;
+}
+
+// Reads the record, and writes it on condition that no other router has changed it meanwhile.
+Task<bool> StreamStore::saveVersions(std::string service, Versions listed)
+{
+    auto stored = co_await m_parts.api.get(versionKind, service, store::Freshness::Current);
+    if (!ok(stored) && std::get<Error>(stored).code != store::NotFound) {
+        logFailure("stream versions", std::get<Error>(stored));
+        co_return false;
+    }
+    const auto *object = std::get_if<store::Object>(&stored);
+    const auto before = object ? decodeVersions(object->value) : std::nullopt;
+    auto versions = withoutExpired(service, before.value_or(Versions{}), listed, Clock::now());
+    versions.insert(listed.begin(), listed.end());
+    if (before != versions) {
+        const auto version = object ? object->version : 0;
+        auto value = encodeVersions(versions);
+        auto written = co_await m_parts.api.put(versionKind, service, std::move(value), version);
+        if (!ok(written)) {
+            logFailure("stream versions", std::get<Error>(written));
+            co_return false;
+        }
+    }
+    setRecorded(service, std::move(versions));
+    co_return true;
+}
+
+// Returns the stored versions without those that this router has seen recorded and not listed for as long as their streams may last.
+StreamStore::Versions StreamStore::withoutExpired(const std::string &service, Versions stored, const Versions &listed, Clock::time_point now)
+{
+    std::erase_if(stored, [&](const std::string &version) {
+        const auto absent = m_absentSince.find({service, version});
+        return !listed.count(version) && absent != m_absentSince.end() && now - absent->second >= m_options.versionMemory;
+    });
+    return stored;
+}
+
+bool StreamStore::hasExpired(const std::string &service, const Versions &listed, Clock::time_point now) const
+{
+    return std::any_of(m_absentSince.begin(), m_absentSince.end(), [&](const auto &absent) {
+        return absent.first.first == service && !listed.count(absent.first.second) && now - absent.second >= m_options.versionMemory;
+    });
+}
+
+// Notes since when recorded versions are not listed.
+void StreamStore::noteAbsent(const std::string &service, const Versions &listed, Clock::time_point now)
+{
+    std::lock_guard lock(m_mutex);
+    const auto recorded = m_recorded.find(service);
+    std::erase_if(m_absentSince, [&](const auto &absent) {
+        const auto &[ofService, version] = absent.first;
+        return ofService == service && (listed.count(version) || recorded == m_recorded.end() || !recorded->second.count(version));
+    });
+    if (recorded == m_recorded.end()) {
+        return;
+    }
+    for (const auto &version : recorded->second) {
+        if (!listed.count(version)) {
+            m_absentSince.try_emplace({service, version}, now);
+        }
+    }
+}
+
+// Returns true if all listed versions are recorded.
+bool StreamStore::isRecorded(const std::string &service, const Versions &listed) const
+{
+    std::lock_guard lock(m_mutex);
+    const auto recorded = m_recorded.find(service);
+    return recorded != m_recorded.end() && std::includes(recorded->second.begin(), recorded->second.end(), listed.begin(), listed.end());
+}
+
+void StreamStore::setRecorded(const std::string &service, Versions versions)
+{
+    std::lock_guard lock(m_mutex);
+    m_recorded[service] = std::move(versions);
+}
+
+Task<bool> StreamStore::saveOrigins()
+{
+    const auto now = Clock::now();
+    collectOrigins(now);
+    std::vector<OriginRecord> records;
+    std::erase_if(m_pending, [&](const auto &pending) {
+        const bool due = hasSeveralVersions(pending.second.origin.service, now);
+        if (due) {
+            records.push_back(pending.second);
+        }
+        return due;
+    });
+    if (records.empty()) {
+        co_return true;
+    }
+    co_return co_await putOrigins(encodeOrigins(records));
+}
+
+Task<bool> StreamStore::putOrigins(json value)
+{
+    const auto name = std::to_string(m_nextObject);
+    m_nextObject = (m_nextObject + 1) % m_options.originObjects;
+    auto written = co_await m_parts.api.put(originKind, name, value, std::nullopt);
+    if (!ok(written) && std::get<Error>(written).code == store::NotFound) {
+        written = co_await m_parts.api.put(originKind, name, std::move(value), 0);
+    }
+    if (!ok(written)) {
+        logFailure("stream origins", std::get<Error>(written));
+    }
+    co_return ok(written);
+}
+
+bool StreamStore::versionsAreCurrent(Clock::time_point now) const
+{
+    std::lock_guard lock(m_mutex);
+    return m_versionsReadAt != Clock::time_point{} && now - m_versionsReadAt <= m_options.readInterval + m_options.readTimeout;
+}
+
+std::optional<std::string> StreamStore::recordedVersion(const std::string &service, Clock::time_point now) const
+{
+    const auto listed = m_parts.table.soleVersion(service, now);
+    std::lock_guard lock(m_mutex);
+    const auto recorded = m_recorded.find(service);
+    const bool known = listed && recorded != m_recorded.end() && recorded->second == Versions{*listed};
+    return known ? listed : std::nullopt;
+}
+
+Task<std::optional<std::string>> StreamStore::soleVersion(std::string service)
+{
+    if (!m_parts.table.soleVersion(service, Clock::now())) {
+        co_return std::nullopt;
+    }
+    if (!versionsAreCurrent(Clock::now())) {
+        co_await refresh();
+    }
+    const auto now = Clock::now();
+    co_return versionsAreCurrent(now) ? recordedVersion(service, now) : std::nullopt;
+}
+
+Task<std::optional<Origin>> StreamStore::find(uint64_t stream, std::string service)
+{
+    const auto version = co_await soleVersion(service);
+    if (version) {
+        co_return Origin{std::move(service), *version};
+    }
+    co_await refresh();
+    co_return m_parts.origins.find(stream, Clock::now());
+}
+
+Task<void> StreamStore::refresh()
+{
+    co_await asio::co_spawn(m_executor, refreshOnLoop(), asio::use_awaitable);
+}
+
+// Reads the records unless that was done within the interval. All requests that wait share one read.
+Task<void> StreamStore::refreshOnLoop()
+{
+    const auto now = Clock::now();
+    if (m_readNotBefore == Clock::time_point{}) {
+        const auto spread = m_options.readDelayPerRouter * static_cast<int64_t>(m_parts.routers());
+        m_readNotBefore = now + Millis(m_random() % static_cast<uint64_t>(spread.count() + 1));
+    }
+    if (!m_reading) {
+        if (!m_hasRead && now < m_readNotBefore && m_readNotBefore - now < m_options.readTimeout) {
+            co_await sleepFor(m_readNotBefore - now);
+        }
+        if (Clock::now() < m_readNotBefore) {
+            co_return;
+        }
+    }
+    if (!m_reading) {
+        m_reading = true;
+        asio::co_spawn(m_executor, read(), [](std::exception_ptr failure) {
+            if (failure) {
+                log::Line{log::Event::TaskFailed}.add("task", "read streams").add("error", describe(failure));
+            }
+        });
+    }
+    co_await m_readEnded.wait(now + m_options.readTimeout);
+}
+
+Task<void> StreamStore::read()
+{
+    const bool versions = co_await readVersions();
+    const bool origins = co_await readOrigins();
+    m_readNotBefore = Clock::now() + m_options.readInterval;
+    m_hasRead = true;
+    m_reading = false;
+    m_readEnded.notifyAll();
+    log::Line{log::Event::StreamsRead}.add("versions", versions).add("origins", origins).add("known", static_cast<int64_t>(m_parts.origins.size()));
+}
+
+Task<bool> StreamStore::readVersions()
+{
+    const auto begun = Clock::now();
+    auto listed = co_await platform::listAll(m_parts.api, versionKind, store::Freshness::Current);
+    const auto *listing = std::get_if<store::Listing>(&listed);
+    if (!listing || listing->more) {
+        logFailure("stream versions", listing ? incompleteList : std::get<Error>(listed));
+        co_return false;
+    }
+    std::lock_guard lock(m_mutex);
+    m_recorded.clear();
+    for (const auto &object : listing->items) {
+        const auto versions = decodeVersions(object.value);
+        if (!versions) {
+            log::Line{log::Event::CatalogueEntryRejected}.add("entry", std::string(versionKind) + "/" + object.name).add("problems", "no list of versions");
+            continue;
+        }
+        m_recorded[object.name] = *versions;
+    }
+    m_versionsReadAt = begun;
+    co_return true;
+}
+
+Task<bool> StreamStore::readOrigins()
+{
+    auto listed = co_await platform::listAll(m_parts.api, originKind, store::Freshness::Current);
+    if (const auto *error = std::get_if<Error>(&listed)) {
+        logFailure("stream origins", *error);
+        co_return false;
+    }
+    const auto now = Clock::now();
+    for (const auto &object : std::get<store::Listing>(listed).items) {
+        for (const auto &record : decodeOrigins(object.value)) {
+            m_parts.origins.restore(record, now);
+        }
+    }
+    co_return true;
+}
+
+} // namespace yucca::streams
--- /dev/null
+++ b/src/stream_store.h
@@ -0,0 +1,122 @@
+// Keeps in the store what binds streams to the software that began them, so that it outlives a restart of all routers: for each
+// service the versions that streams under way may be of, and, while these are several, the origins of streams. One router records
+// them; any router reads them when a stream is taken up that no running router knows. What the store does not tell is not guessed.
+#pragma once
+
+#include "object_api.h"
+#include "router_core.h"
+#include "stream_origins.h"
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+
+namespace yucca::streams
+{
+
+/// Kinds of the objects. The name of a record of versions is that of its service.
+inline constexpr const char *versionKind = "stream-versions";
+inline constexpr const char *originKind = "stream-origins";
+
+/// Intervals and limits.
+struct StreamStoreOptions {
+    Millis startDelay{3000}; ///< before this router records anything: routers that started together have heard each other by then
+    Millis pollInterval{200}; ///< between checks for something to record; a check makes no call
+    Millis rankInterval{1000}; ///< between checks whether this router is a recorder
+    /// Between writes of origins. A stream that began after the last one may be lost with all routers, and many last for a second only.
+    Millis writeInterval{100};
+    /// Objects to which origins are written in turn: each write holds new origins only. Together they cover the patience of callers.
+    std::size_t originObjects = 128;
+    Millis callerPatience{20000}; ///< for which a stream may be taken up
+    std::size_t versionRecorders = 3; ///< routers that record versions, of which one is running
+    Millis recorderInterval{500}; ///< between the attempts of two of them
+    Millis versionMemory{60000}; ///< how long a version that is no longer listed may have streams under way
+    Millis readInterval{1000}; ///< between two reads
+    Millis readTimeout{400}; ///< for which a request waits
+    Millis readDelayPerRouter{5}; ///< spreads the first reads after a restart of many routers, whose store has one link
+};
+
+/// What this object needs of the rest of its process. All functions are called on its event loop.
+struct StreamStoreParts {
+    platform::ObjectApi &api;
+    router::RoutingTable &table;
+    StreamOrigins &origins;
+    std::function<std::set<std::string>()> services; ///< with streams that may be taken up
+    std::function<std::size_t()> rank; ///< of this router by name, among those that run; 0 for the first
+    std::function<std::size_t()> routers; ///< in the fleet
+};
+
+/// Reads and writes the records on one event loop.
+class StreamStore
+{
+public:
+    StreamStore(StreamStoreParts parts, asio::any_io_executor executor, StreamStoreOptions options = {});
+
+    /// Records versions and origins until stop() is called.
+    Task<void> run();
+    void stop()
+    {
+        m_stopping = true;
+    }
+    /// Returns the version that all streams of a service under way are of; nothing if there may be several, or if the store cannot
+    /// tell. Called from any thread.
+    Task<std::optional<std::string>> soleVersion(std::string service);
+    /// Returns the origin of a stream that no router knows. Called from any thread.
+    Task<std::optional<Origin>> find(uint64_t stream, std::string service);
+
+    /// Records the listed versions of all services that lack them. Returns false if the store could not be reached.
+    Task<bool> saveVersions();
+    /// Writes the origins that were collected since the last call. Returns false if the store could not be reached.
+    Task<bool> saveOrigins();
+
+private:
+    using Versions = std::set<std::string>;
+
+    void announceUnrecorded(Clock::time_point now);
+    bool hasSeveralVersions(const std::string &service, Clock::time_point now) const;
+    void collectOrigins(Clock::time_point now);
+    Task<void> recordVersions(Clock::time_point now);
+    Task<bool> saveVersions(std::string service, Versions listed);
+    Task<bool> putOrigins(nlohmann::json value);
+    Millis currentInterval() const;
+    Versions withoutExpired(const std::string &service, Versions stored, const Versions &listed, Clock::time_point now);
+    bool hasExpired(const std::string &service, const Versions &listed, Clock::time_point now) const;
+    void noteAbsent(const std::string &service, const Versions &listed, Clock::time_point now);
+    bool isRecorded(const std::string &service, const Versions &listed) const;
+    void setRecorded(const std::string &service, Versions versions);
+    std::optional<std::string> recordedVersion(const std::string &service, Clock::time_point now) const;
+    bool versionsAreCurrent(Clock::time_point now) const;
+    Task<void> refresh();
+    Task<void> refreshOnLoop();
+    Task<void> read();
+    Task<bool> readVersions();
+    Task<bool> readOrigins();
+
+    StreamStoreParts m_parts;
+    asio::any_io_executor m_executor;
+    StreamStoreOptions m_options;
+    std::minstd_rand m_random{std::random_device{}()};
+    bool m_stopping = false;
+    std::size_t m_rank = 0; ///< as last checked
+    std::set<std::string> m_mixed; ///< services that have several versions
+    std::deque<std::pair<Clock::time_point, OriginRecord>> m_pending; ///< origins that were collected and not written, the oldest first
+    std::size_t m_nextObject; ///< to which origins are written
+    Clock::time_point m_unrecordedSince{}; ///< since when a listed version is not recorded, as far as this router knows
+    std::map<std::pair<std::string, std::string>, Clock::time_point> m_absentSince; ///< by service and version: recorded, not listed
+    store::Epoch m_epoch = 0;
+    bool m_versionsLoaded = false; ///< by this router as a recorder
+    bool m_reading = false;
+    Notifier m_readEnded;
+    Clock::time_point m_readNotBefore{};
+    bool m_hasRead = false; ///< for a stream that no router knows
+    mutable std::mutex m_mutex;
+    std::map<std::string, Versions> m_recorded; ///< by service, as last read or written
+    Clock::time_point m_versionsReadAt{}; ///< before the last successful read began
+};
+
+} // namespace yucca::streams
--- a/tests/entry_fixture.h
+++ b/tests/entry_fixture.h
@@ -207,7 +207,7 @@
                           const entry::GatewayOptions &tuned = {})
         : loop(loop)
         , settings{settingsWithSlack(retrySlack)}
-        , gateway(entry::GatewayParts{published, table, admission, quarantine, nullptr, &relayPeers, &fleet, &origins}, options(settings, tuned))
+        , gateway(entry::GatewayParts{published, table, admission, quarantine, nullptr, &relayPeers, &fleet, &origins, &streamStore}, options(settings, tuned))
     {
         listOtherRouters();
         configure(entryConfiguration());
@@ -217,9 +217,16 @@
         }
         published.replaceEndpoints(listed);
         published.recordContact(Clock::now());
+        recordVersions();
         port = std::get<uint16_t>(server.start());
     }
 
+    /// Lets the first router of the fleet record the listed versions, as it does within a second.
+    void recordVersions()
+    {
+        require(loop.run(streamStore.saveVersions()));
+    }
+
     void configure(const nlohmann::json &written)
     {
         Findings findings;
@@ -270,6 +277,9 @@
     relay::RelayPeers relayPeers{{{"zone-near", "region-1"}, {"zone-far", "region-2"}}}; ///< empty until a test sets some
     peers::FleetMembership fleet;
     streams::StreamOrigins origins;
+    store::ObjectStore durable; ///< the platform's, as far as the gateway uses it
+    platform::LocalObjectApi durableApi{durable};
+    streams::StreamStore streamStore{streamStoreParts(), loop.io.get_executor()};
     entry::Gateway<platform::PlatformDialect> gateway;
     http::Server server{{&loop.io}, "127.0.0.1", 0, [this](http::Exchange &ex) {
                             return gateway.handle(ex);
@@ -278,6 +288,21 @@
     uint16_t port = 0;
 
 private:
+    streams::StreamStoreParts streamStoreParts()
+    {
+        return {durableApi,
+                table,
+                origins,
+                [this] {
+                    return entry::resumableServices(published.configuration());
+                },
+                [] {
+                    return std::size_t(0);
+                },
+                [] {
+                    return std::size_t(1);
+                }};
+    }
     // Makes this router one of a hundred, all of which have been listed for long.
     void listOtherRouters()
     {
