Bound what long answers hold together; take requests in a stop only if they can end in it

A faulty engine that sends a body without end made the router hold 54 MB for one request (users' developers, code as found), with no bound over many. And in a planned stop with 8 s of grace, 13 of 40 requests that need 7 s were taken, passed on and ended with 502.

Cause: a body was read whole up to 16 MiB in a string that doubles, for each request. And a stopping router took every request for 3 s, whatever time it needed.

Change: ResponseMemory gives all answers together 8 MiB beyond the first 64 KiB of each, one of them 1 MiB; a longer answer is relayed in parts at its caller's pace, and cut off where it breaks. One whose stated length is over the limit is refused at once. A call that reads a whole body takes 8 MiB. RouteDurations tells how long requests of a route take; a stopping router rejects with 503, before passing it on, what it would not expect to end.

The new tests play 60 answers without end whose callers do not read."

--- a/src/entry/gateway.h
+++ b/src/entry/gateway.h
@@ -13,8 +13,10 @@
 #include "entry/path_monitor.h"
 #include "entry/placement_rules.h"
 #include "entry/request_profile.h"
+#include "entry/response_memory.h"
 #include "entry/retry_after.h"
 #include "entry/retry_policy.h"
+#include "entry/route_durations.h"
 #include "entry/silence_watch.h"
 #include "entry/stall_monitor.h"
 #include "failure.h"
@@ -105,7 +107,8 @@
     /// connections, so further ones will break.
     Millis keepAliveDistrustTime{10000};
     std::size_t maxIdleConnections = 32; ///< maximum number of keep-alive connections to an endpoint
-    std::size_t maxResponseBytes = 16 * 1024 * 1024; ///< maximum body size of a response that is relayed as a whole
+    std::size_t maxResponseBytes = 16 * 1024 * 1024; ///< maximum body size of a response that is no stream
+    ResponseMemoryOptions responseMemory; ///< for bodies that are read whole before they are relayed; longer ones are relayed in parts
     /// How long an endpoint is watched for a crash after one of its responses broke: its entry in
     /// the store expires after three heartbeats of 1.2 s, and the router learns of that up to a
     /// second later.
@@ -152,6 +155,7 @@
         , m_options(options)
         , m_activity(options.maxEndpointPause)
         , m_dialect(std::move(dialect))
+        , m_responseMemory(options.responseMemory)
     {
     }
 
@@ -172,6 +176,11 @@
     {
         return m_metrics;
     }
+    /// Returns what responses hold that are read whole, in bytes beyond the free part of each. Must be called on the traffic thread.
+    std::size_t bufferedResponseBytes() const
+    {
+        return m_responseMemory.used();
+    }
     uint64_t connectionsOpened() const
     {
         return m_client.connectionsOpened();
@@ -193,6 +202,12 @@
             co_await sleepFor(StallMonitor::tickInterval);
         }
     }
+    /// Rejects new requests that are not expected to end by then, because this router exits: another router can serve them. Callable
+    /// from any thread.
+    void stopBy(Clock::time_point end)
+    {
+        m_stopsAt = end;
+    }
     /// Rejects all new requests from now on, because this router is about to stop.
     void rejectNewRequests()
     {
@@ -266,6 +281,7 @@
         std::optional<streams::Origin> origin; ///< of the stream, once an event of it is known to have reached its caller
         bool originAnnounced = false; ///< to other routers, by this request
         bool headSent = false; ///< the head of a streamed response has been sent to the caller
+        bool relayedInParts = false; ///< bytes of a response that is no stream have been sent: no other attempt can continue it
         bool sendLost = false; ///< a keep-alive connection broke after the request was sent on it: the request may have run, whatever a second send returned
         bool timedOut = false;
         bool stopping = false; ///< this router is about to exit
@@ -313,6 +329,7 @@
     void logStreamRefused(const RequestState &state, Rejection why);
     std::variant<RequestProfile, Rejection> identify(const http::Exchange &ex, Clock::time_point now);
     bool configurationMayBeStale(Clock::time_point now) const;
+    bool canEndInTime(const Route &route, Clock::time_point now) const;
     std::optional<Millis> admitWithinLimits(const RequestProfile &profile, Clock::time_point now, std::optional<limits::AdmissionSlot> &slot);
     Task<bool> claimKey(http::Exchange &ex, RequestState &state);
     Task<void> settle(idempotency::Claim claim, nlohmann::json record);
@@ -341,6 +358,9 @@
     void recordReceived(RequestState &state, const Endpoint &endpoint);
     void applySelfReport(const Endpoint &endpoint, const ResponseHead &head);
     Task<AttemptEnd> relayBuffered(http::Exchange &ex, RequestState &state, const Endpoint &endpoint, const ResponseHead &head, http::Response &response);
+    bool mayRelayInParts(const http::Exchange &ex, const RequestState &state, const ResponseHead &head) const;
+    Task<AttemptEnd> relayInParts(http::Exchange &ex, RequestState &state, const Endpoint &endpoint, http::Response &response, http::Headers headers,
+                                  std::string begun);
     Task<AttemptEnd> relayStream(http::Exchange &ex, RequestState &state, const Endpoint &endpoint, http::Response &response);
     Task<void> answerFailure(http::Exchange &ex, RequestState &state);
     Clock::time_point headDeadline(const RequestState &state, Clock::time_point now) const;
@@ -415,6 +435,9 @@
     std::minstd_rand m_random{std::random_device{}()};
     Clock::time_point m_startedAt = Clock::now();
     std::atomic<bool> m_rejectingNewRequests{false};
+    std::atomic<Clock::time_point> m_stopsAt{Clock::time_point::max()};
+    RouteDurations m_durations;
+    ResponseMemory m_responseMemory;
     bool m_ending = false; ///< this router exits: no further attempt is made
 };
 
@@ -480,6 +503,10 @@
         co_return;
     }
     state.profile = std::move(std::get<RequestProfile>(identified));
+    if (!canEndInTime(*state.profile.route, now)) {
+        co_await reject(ex, state.profile.id, Rejection::Stopping);
+        co_return;
+    }
     if (const auto quarantine = withheld(state.profile, now)) {
         logWithheld(state.profile, *quarantine);
         co_await reject(ex, state.profile.id, quarantine->why(), quarantine->remaining);
@@ -584,7 +611,7 @@
             }
             end = AttemptEnd::CallerGone;
         }
-        const bool willRetry = mayRetry(route, end, state.count);
+        const bool willRetry = !state.relayedInParts && mayRetry(route, end, state.count);
         recordAttempt(state, endpoint, end, now, willRetry);
         if (end == AttemptEnd::Delivered || end == AttemptEnd::CallerGone) {
             recordRequest(state, requestEndFor(state, end), state.lastStatus);
--- a/src/entry/gateway_admit.h
+++ b/src/entry/gateway_admit.h
@@ -33,6 +33,24 @@
     return m_options.maxConfigurationAge > Millis(0) && now - m_published.lastContact() > m_options.maxConfigurationAge;
 }
 
+// Tells whether a request of a route is expected to end before this router exits, from what requests of the route have taken and from
+// those that are under way.
+template <Dialect D> bool Gateway<D>::canEndInTime(const Route &route, Clock::time_point now) const
+{
+    const auto end = m_stopsAt.load();
+    if (end == Clock::time_point::max()) {
+        return true;
+    }
+    auto expected = m_durations.expected(route, now);
+    for (const auto &[state, endpoint] : m_attempts) {
+        const auto &other = *state->profile.route;
+        if (other.host == route.host && other.pathPrefix == route.pathPrefix) {
+            expected = std::max(expected, now - state->profile.arrived);
+        }
+    }
+    return now + expected <= end;
+}
+
 // Counts a request against the limits of its workspace for the lifetime of the slot. When a limit
 // is reached, returns the time after which the caller may retry, and leaves the slot empty.
 template <Dialect D>
--- a/src/entry/gateway_attempt.h
+++ b/src/entry/gateway_attempt.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "entry/gateway.h"
+#include "text.h"
 
 namespace yucca::entry
 {
@@ -214,12 +215,16 @@
 }
 
 // Reads the whole response before relaying any of it, so that a truncated one can be requested from
-// another endpoint.
+// another endpoint. A response for which there is no memory is relayed in parts.
 template <Dialect D>
 Task<AttemptEnd> Gateway<D>::relayBuffered(http::Exchange &ex, RequestState &state, const Endpoint &endpoint, const ResponseHead &head,
                                            http::Response &response)
 {
+    if (text::parseNumber<uint64_t>(response.header("content-length")).value_or(0) > m_options.maxResponseBytes) {
+        co_return AttemptEnd::Broken; // it would be cut off after a part of it had been relayed
+    }
     auto headers = m_dialect.responseHeaders(response, state.profile, endpoint);
+    ResponseMemory::Share memory(m_responseMemory);
     std::string body;
     for (bool more = true; more;) {
         auto read = co_await response.read();
@@ -233,6 +238,12 @@
         if (body.size() > m_options.maxResponseBytes) {
             co_return AttemptEnd::Broken;
         }
+        if (!memory.cover(body.size())) {
+            if (!mayRelayInParts(ex, state, head)) {
+                co_return AttemptEnd::Broken;
+            }
+            co_return co_await relayInParts(ex, state, endpoint, response, std::move(headers), std::move(body));
+        }
     }
     if (state.headSent) {
         co_return AttemptEnd::EngineFailed; // this response can't continue the stream that has begun
@@ -249,6 +260,47 @@
     co_return AttemptEnd::Delivered;
 }
 
+// A failure that another endpoint may avoid, and a response that must be recorded, are needed whole. Only HTTP/1.1 has a framing
+// that tells a part from a whole body of unknown length.
+template <Dialect D> bool Gateway<D>::mayRelayInParts(const http::Exchange &ex, const RequestState &state, const ResponseHead &head) const
+{
+    const bool retried = head.status >= 500 && repeatable(*state.profile.route);
+    return !state.headSent && !state.claim && !retried && ex.request().version() >= 11;
+}
+
+// Relays a response as it arrives, after the part that has been read.
+template <Dialect D>
+Task<AttemptEnd> Gateway<D>::relayInParts(http::Exchange &ex, RequestState &state, const Endpoint &endpoint, http::Response &response, http::Headers headers,
+                                          std::string begun)
+{
+    state.headSent = true;
+    state.relayedInParts = true;
+    std::size_t total = begun.size();
+    co_await ex.beginStream(response.status(), "", std::move(headers));
+    bool delivered = co_await ex.sendChunk(std::move(begun));
+    while (delivered) {
+        auto read = co_await response.read();
+        if (ex.callerDisconnected()) {
+            break;
+        }
+        if (std::holds_alternative<http::CallError>(read)) {
+            co_return Clock::now() >= state.profile.responseDeadline ? AttemptEnd::Silent : AttemptEnd::Broken;
+        }
+        auto &bytes = std::get<std::string>(read);
+        recordReceived(state, endpoint);
+        if (bytes.empty()) {
+            co_await ex.endStream();
+            co_return AttemptEnd::Delivered;
+        }
+        total += bytes.size();
+        if (total > m_options.maxResponseBytes) {
+            co_return AttemptEnd::Broken;
+        }
+        delivered = co_await ex.sendChunk(std::move(bytes));
+    }
+    co_return AttemptEnd::CallerGone;
+}
+
 // Relays a stream event by event as the events arrive.
 template <Dialect D> Task<AttemptEnd> Gateway<D>::relayStream(http::Exchange &ex, RequestState &state, const Endpoint &endpoint, http::Response &response)
 {
--- a/src/entry/process.h
+++ b/src/entry/process.h
@@ -464,14 +464,15 @@
         asio::signal_set signals(co_await asio::this_coro::executor, SIGTERM, SIGINT, SIGHUP);
         co_await awaitStopSignal(signals);
         const auto began = Clock::now();
+        const auto end = began + Millis(m_stopGraceMs) - m_stop.reserve;
         m_stopping = true;
+        m_gateway.stopBy(end);
         m_callerServer.closeConnectionsAfterResponses();
         m_relay.stop(); // peers have other routers to ask, and open tunnels must end within the grace period
         log::Line{log::Event::StopRequested}.add("inflight", m_callerServer.inflight());
         co_await sleepFor(std::min(m_stop.acceptRequestsFor, Millis(m_stopGraceMs) / 2));
         m_gateway.rejectNewRequests();
         m_callerServer.stopAccepting();
-        const auto end = began + Millis(m_stopGraceMs) - m_stop.reserve;
         while ((m_callerServer.inflight() > 0 || m_relay.counters().open > 0) && Clock::now() < end) {
             co_await sleepFor(m_stop.pollInterval);
         }
--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -25,7 +25,6 @@
 constexpr double idleTimeoutShare = 0.7; ///< of the idle timeout that a peer states; the remainder covers a request in transit
 constexpr Millis closeIdleInterval{1000};
 constexpr std::size_t maxUnparsedBytes = 2 * maxResponseHeadBytes; ///< received on a connection: a head, or the head of a chunk
-constexpr std::size_t maxWholeBodyBytes = 16 * 1024 * 1024; ///< of a response that call() reads
 constexpr std::size_t maxSkippedBytes = 1024 * 1024; ///< of a late response to an earlier request
 constexpr int maxInterimResponses = 16; ///< (1xx) before a final response
 constexpr std::size_t heldHeadBytes = 2; ///< the empty line that completes a head
@@ -565,7 +564,7 @@
             break;
         }
         reply.body += bytes;
-        if (reply.body.size() > maxWholeBodyBytes) {
+        if (reply.body.size() > options.maxBodyBytes) {
             co_return CallError{CallStage::Receive, "the response is too long"};
         }
     }
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -70,6 +70,7 @@
     /// requests are sent as a whole.
     std::optional<Millis> confirmAfterIdle = {};
     Millis confirmTimeout{150}; ///< for that acknowledgement, which takes one round trip
+    std::size_t maxBodyBytes = 8 * 1024 * 1024; ///< of a response that call() reads
     bool headOnly = false; ///< the response has no body, as to a HEAD request; set by the client
     std::optional<TunnelRequest> tunnel = {}; ///< connect through this tunnel, which carries one request and is not kept
 };
--- a/tests/test_endless_answers.cpp
+++ b/tests/test_endless_answers.cpp
@@ -178,3 +178,137 @@
     }));
     CHECK(output.bytes <= maxBytesTaken);
 }
+
+TEST_GROUP(ResponseMemory)
+{
+    entry::ResponseMemoryOptions options;
+    void setup() override
+    {
+        options.free = 10;
+        options.perResponse = 100;
+        options.total = 150;
+    }
+};
+
+TEST(ResponseMemory, SharesAreBoundedEachAndTogetherAndReturnedAtTheirEnd)
+{
+    entry::ResponseMemory memory(options);
+    {
+        entry::ResponseMemory::Share first(memory);
+        CHECK(first.cover(10));
+        LONGS_EQUAL(0, memory.used());
+        CHECK(first.cover(100));
+        CHECK(first.cover(50));
+        LONGS_EQUAL(90, memory.used());
+        CHECK(!first.cover(101));
+        entry::ResponseMemory::Share second(memory);
+        CHECK(second.cover(70));
+        CHECK(!second.cover(71));
+        LONGS_EQUAL(150, memory.used());
+        entry::ResponseMemory::Share third(memory);
+        CHECK(third.cover(10));
+        CHECK(!third.cover(11));
+    }
+    LONGS_EQUAL(0, memory.used());
+}
+
+LOOP_GROUP(LongAnswers);
+
+namespace
+{
+
+// Answers with a body of a length that the head states; sends only a part of it if there is a cut.
+ScriptedEndpoint::Script longAnswer(std::size_t bytes, std::size_t cut = 0)
+{
+    return [bytes, cut](tcp::socket &socket, const ReceivedRequest &request) -> Task<void> {
+        const auto head = headOf(idOf(request), signatureOf(idOf(request)) + "Content-Length: " + std::to_string(bytes) + "\r\n");
+        co_await sendBytes(socket, head + std::string(bytes - cut, 'x'));
+        if (cut > 0) {
+            resetConnection(socket);
+        }
+    };
+}
+
+constexpr std::size_t longBytes = 5 * 1024 * 1024;
+
+} // namespace
+
+TEST(LongAnswers, AnswerThatIsNotReadWholeIsRelayedInPartsAndWhole)
+{
+    ScriptedEndpoint endpoint(loop(), longAnswer(longBytes));
+    EntryFixture fixture(loop(), {{"e1", {"s", endpoint.port}}});
+    for (const char *path : {"/book/1", "/remind/1"}) {
+        const auto reply = fixture.reply("POST", path, "a1");
+        LONGS_EQUAL(200, reply.status);
+        LONGS_EQUAL(longBytes, reply.body.size());
+        STRCMP_EQUAL("sig-a1", reply.header("Yuccasaddle-Response-Signature").c_str());
+    }
+    LONGS_EQUAL(2, endpoint.seen.size());
+    LONGS_EQUAL(0, fixture.gateway.bufferedResponseBytes());
+}
+
+TEST(LongAnswers, TruncatedAnswerThatIsRelayedInPartsDoesNotLookWholeAndIsNotContinued)
+{
+    ScriptedEndpoint endpoint(loop(), longAnswer(longBytes, 1));
+    EntryFixture fixture(loop(), {{"e1", {"s", endpoint.port}}, {"e2", {"s", endpoint.port}}});
+    CHECK(std::holds_alternative<http::CallError>(fixture.call("POST", "/remind/1", "a1")));
+    LONGS_EQUAL(1, endpoint.seen.size());
+}
+
+TEST(LongAnswers, LongFailureOfARepeatableRequestIsTriedElsewhere)
+{
+    ScriptedEndpoint failing(loop(), [](tcp::socket &socket, const ReceivedRequest &request) -> Task<void> {
+        const auto head = "HTTP/1.1 500 X\r\nYuccasaddle-Attempt-Id: " + idOf(request) + "\r\n" + signatureOf(idOf(request));
+        co_await sendBytes(socket, head + "Content-Length: " + std::to_string(longBytes) + "\r\n\r\n" + std::string(longBytes, 'x'));
+    });
+    EntryFixture fixture(loop(), {{"e1", {"s", failing.port}}, {"e2", {"s", failing.port}}});
+    LONGS_EQUAL(502, fixture.reply("POST", "/remind/1", "a1").status);
+    LONGS_EQUAL(2, failing.seen.size());
+}
+
+// The callers of the answers without end read nothing.
+TEST(LongAnswers, ManyAnswersWithoutEndHoldNoMoreThanTheirLimitTogether)
+{
+    constexpr int count = 60;
+    std::vector<Output> outputs(count);
+    std::size_t begun = 0;
+    ScriptedEndpoint broken(loop(), [&](tcp::socket &socket, const ReceivedRequest &request) -> Task<void> {
+        auto &output = outputs[begun++];
+        const auto head = headOf(idOf(request), signatureOf(idOf(request)));
+        co_await sendWithoutEnd(socket, head, fill, output);
+        socket.close();
+    });
+    ScriptedEndpoint sound(loop(), longAnswer(longBytes));
+    EntryFixture fixture(loop(), {{"e1", {"m", broken.port}}, {"e2", {"s", sound.port}}});
+    auto configuration = entryConfiguration(2);
+    configuration["routes"][1]["service"] = "m";
+    configuration["routes"][1]["max_attempts"] = 1;
+    fixture.configure(configuration);
+    std::vector<std::unique_ptr<tcp::socket>> deaf;
+    for (int n = 0; n < count; ++n) {
+        deaf.push_back(std::make_unique<tcp::socket>(loop().io));
+        deaf.back()->connect({asio::ip::make_address("127.0.0.1"), fixture.port});
+        asio::write(*deaf.back(), asio::buffer(requestBytes("POST", "/remind/1", "a" + std::to_string(n))));
+    }
+    std::size_t peak = 0;
+    CHECK(becomesTrue(loop(), [&] {
+        peak = std::max(peak, fixture.gateway.bufferedResponseBytes());
+        return begun == count;
+    }));
+    const auto reply = fixture.reply("POST", "/book/1", "sound");
+    LONGS_EQUAL(200, reply.status);
+    LONGS_EQUAL(longBytes, reply.body.size());
+    becomesTrue(
+        loop(),
+        [&] {
+            peak = std::max(peak, fixture.gateway.bufferedResponseBytes());
+            return false;
+        },
+        Millis(300));
+    CHECK(peak > 0);
+    CHECK(peak <= entry::ResponseMemoryOptions{}.total);
+    deaf.clear();
+    CHECK(becomesTrue(loop(), [&] { // what is suspended in the loop refers to the fixture
+        return fixture.server.inflight() == 0;
+    }));
+}
--- a/tests/test_stop.cpp
+++ b/tests/test_stop.cpp
@@ -71,3 +71,104 @@
     const auto result = replyAtTheEnd(loop(), "/chat/1", "m", beginStream, entry::RequestEnd::Cut);
     CHECK(std::holds_alternative<http::CallError>(*result));
 }
+
+TEST_GROUP(RouteDurations)
+{
+    Clock::time_point now = Clock::now();
+    entry::RouteDurations durations;
+    entry::Route route;
+    void setup() override
+    {
+        route.host = "h.example";
+        route.pathPrefix = "/book/";
+        route.targetLatency = Millis(300);
+    }
+};
+
+TEST(RouteDurations, TargetIsExpectedUntilARequestHasEnded)
+{
+    CHECK(durations.expected(route, now) == Millis(300));
+    auto other = route;
+    other.pathPrefix = "/other/";
+    durations.record(other, Millis(5000), now);
+    CHECK(durations.expected(route, now) == Millis(300));
+}
+
+TEST(RouteDurations, LongestRecentDurationIsExpectedWithAMargin)
+{
+    durations.record(route, Millis(5000), now);
+    durations.record(route, Millis(1000), now);
+    CHECK(durations.expected(route, now) == Millis(6250));
+    const auto next = now + entry::RouteDurations::window;
+    durations.record(route, Millis(1000), next);
+    CHECK(durations.expected(route, next) == Millis(6250));
+    durations.record(route, Millis(1000), next + entry::RouteDurations::window);
+    CHECK(durations.expected(route, next + entry::RouteDurations::window) == Millis(1250));
+    CHECK(durations.expected(route, next + 4 * entry::RouteDurations::window) == Millis(300));
+}
+
+LOOP_GROUP(LateRequests);
+
+namespace
+{
+
+constexpr Millis work{100};
+
+/// A router in front of an endpoint that takes a while for each request, and has served one.
+struct StoppingRouter {
+    explicit StoppingRouter(Loop &loop)
+        : endpoint(loop,
+                   [](tcp::socket &socket, const ReceivedRequest &request) -> Task<void> {
+                       co_await sleepFor(work);
+                       co_await sendBytes(socket, signedAnswer(request.header("Yuccasaddle-Attempt-Id"), "ok"));
+                   })
+        , router(loop, {{"e1", {"s", endpoint.port}}})
+    {
+        auto configuration = entryConfiguration(2);
+        configuration["routes"][0]["target_latency_ms"] = 1;
+        router.configure(configuration);
+    }
+    ScriptedEndpoint endpoint;
+    EntryFixture router;
+};
+
+} // namespace
+
+TEST(LateRequests, RequestThatIsNotExpectedToEndInTimeIsRejectedAndNotPassedOn)
+{
+    StoppingRouter stopping(loop());
+    LONGS_EQUAL(200, stopping.router.reply("POST", "/book/1", "a1").status);
+    stopping.router.gateway.stopBy(Clock::now() + work);
+    const auto late = stopping.router.reply("POST", "/book/1", "a2");
+    LONGS_EQUAL(503, late.status);
+    CHECK(!late.header("Retry-After").empty());
+    LONGS_EQUAL(1, stopping.endpoint.seen.size());
+}
+
+TEST(LateRequests, RequestThatIsExpectedToEndInTimeIsServed)
+{
+    StoppingRouter stopping(loop());
+    LONGS_EQUAL(200, stopping.router.reply("POST", "/book/1", "a1").status);
+    stopping.router.gateway.stopBy(Clock::now() + 20 * work);
+    LONGS_EQUAL(200, stopping.router.reply("POST", "/book/1", "a2").status);
+}
+
+TEST(LateRequests, RequestsUnderWayTellHowLongOthersTake)
+{
+    StoppingRouter stopping(loop());
+    std::optional<http::CallResult<http::Reply>> first;
+    loop().start(stopping.router.send("POST", "/book/1", EntryFixture::caller("a1"), ""), first);
+    loop().runUntil([&] {
+        return stopping.endpoint.seen.size() == 1;
+    });
+    const auto pause = []() -> Task<bool> {
+        co_await sleepFor(work / 2);
+        co_return true;
+    };
+    loop().run(pause());
+    stopping.router.gateway.stopBy(Clock::now() + work / 4);
+    LONGS_EQUAL(503, stopping.router.reply("POST", "/book/1", "a2").status);
+    loop().runUntil([&] {
+        return first.has_value();
+    });
+}
