Stand-ins and soak: odd names, lists of several pages, odd answers, all routers killed

The store of the soak has pages of three entries, and other writers store entries under eight odd names in four kinds.

--- a/emulators/endpoint_server.cpp
+++ b/emulators/endpoint_server.cpp
@@ -1,5 +1,7 @@
 #include "endpoint_server.h"
 
+#include "odd_answers.h"
+
 #include "decode.h"
 #include "text.h"
 #include "yucca/ring.h"
@@ -273,6 +275,10 @@
         co_return;
     }
     const auto headers = responseHeaders(ex);
+    if (m_faults.oddAnswers) {
+        co_await sendOddAnswer(ex, headers, m_oddAnswers++);
+        co_return;
+    }
     co_await ex.reply(drawFailure() ? 500 : 200, "answer of " + m_options.id + " to " + ex.header(attemptIdHeader), headers, "text/plain");
 }
 
@@ -288,6 +294,10 @@
     const auto start = Clock::now();
     const int after = text::parseNumber<int>(ex.header("Last-Event-Id")).value_or(0);
     const auto headers = responseHeaders(ex);
+    if (m_faults.oddAnswers) {
+        co_await sendOddAnswer(ex, headers, m_oddAnswers++);
+        co_return;
+    }
     co_await ex.beginStream(200, "text/event-stream", headers);
     for (int i = after + 1; i <= m_options.events; ++i) {
         co_await sleepFor(m_options.eventGap);
@@ -321,6 +331,7 @@
         m_faults.loseAnswers = body.value("loseAnswers", false);
         m_faults.failPercent = body.value("failPercent", 0);
         m_faults.cutAfter = body.value("cutAfter", -1);
+        m_faults.oddAnswers = body.value("oddAnswers", false);
         m_faults.silentMs = body.value("silentMs", 0);
     }
     if (m_faults.silentMs > 0) {
--- a/emulators/soak/evacuation.cpp
+++ b/emulators/soak/evacuation.cpp
@@ -29,9 +29,9 @@
     http::CallOptions options;
     options.deadline = Clock::now() + callerTimeout;
     const http::Address to{"127.0.0.1", port(storePortOffset)};
-    const std::string path = "/api/objects/evacuations";
     const std::string object = evacuationObject(domain).dump();
-    auto request = evacuated ? http::makeRequest("POST", path, object) : http::makeRequest("DELETE", path + "/" + domainName(domain));
+    auto request =
+        evacuated ? http::makeRequest("POST", kindTarget("evacuations"), object) : http::makeRequest("DELETE", objectTarget("evacuations", domainName(domain)));
     auto written = co_await m_client.call(to, std::move(request), options);
     const auto *reply = std::get_if<http::Reply>(&written);
     const bool isApplied = reply && (reply->status == 200 || reply->status == (evacuated ? 409U : 404U));
--- a/emulators/soak/faults.cpp
+++ b/emulators/soak/faults.cpp
@@ -120,6 +120,9 @@
     case Fault::EndpointAsksForRest:
         faults = R"({"shed": true, "restMs": 2000})";
         break;
+    case Fault::EndpointAnswersOddly:
+        faults = R"({"oddAnswers": true})";
+        break;
     case Fault::EndpointSheds:
         faults = R"({"shed": true})";
         break;
@@ -210,7 +213,7 @@
         http::CallOptions options;
         options.deadline = Clock::now() + callerTimeout;
         const http::Address store{"127.0.0.1", port(storePortOffset)};
-        co_await m_client.call(store, http::makeRequest("DELETE", "/api/objects/router/router-" + std::to_string(n), ""), options);
+        co_await m_client.call(store, http::makeRequest("DELETE", objectTarget("router", "router-" + std::to_string(n))), options);
         // The result is ignored: the store may be down, and a router may not be listed yet.
     }
 }
--- a/emulators/soak/fleet.cpp
+++ b/emulators/soak/fleet.cpp
@@ -248,8 +248,11 @@
 
 Task<bool> SoakFleet::startFleet()
 {
-    m_store = std::make_unique<Child>(std::vector<std::string>{m_options.programs + "/yucca-platform", "--port", std::to_string(port(storePortOffset))},
-                                      m_options.directory + "/store.log");
+    const std::string settings = m_options.directory + "/store.json";
+    std::ofstream(settings) << R"({"pageEntries": 3})"; // lists of several pages
+    m_store = std::make_unique<Child>(
+        std::vector<std::string>{m_options.programs + "/yucca-platform", "--config", settings, "--port", std::to_string(port(storePortOffset))},
+        m_options.directory + "/store.log");
     const auto started = m_store->start();
     if (!ok(started)) {
         co_return false;
@@ -303,7 +306,7 @@
     http::CallOptions options;
     options.deadline = Clock::now() + callerTimeout;
     const std::string method = m_acceptedVersion == 0 ? "POST" : "PUT";
-    const std::string path = std::string("/api/objects/config") + (m_acceptedVersion == 0 ? "" : "/main");
+    const std::string path = m_acceptedVersion == 0 ? kindTarget("config") : objectTarget("config", "main");
     const http::Address to{"127.0.0.1", port(storePortOffset)};
     auto written = co_await m_client.call(to, http::makeRequest(method, path, object.dump()), options);
     const auto *reply = std::get_if<http::Reply>(&written);
@@ -363,6 +366,7 @@
     co_await applyPathCut(step);
     co_await applyEvacuation(step);
     co_await applyForeignEntry(step);
+    co_await applyOddlyNamedEntry(step);
     co_await restoreStore(step);
     --m_activeSteps;
     if (disturbing) {
--- a/emulators/soak/foreign_entries.cpp
+++ b/emulators/soak/foreign_entries.cpp
@@ -1,4 +1,5 @@
-// Entries of another writer whose values are nested so deeply that handling them level by level would end a process.
+// Entries of another writer: values that are nested so deeply that handling them level by level would end a process, and names that a
+// request cannot carry as they are.
 #include "soak/fleet.h"
 #include "soak/layout.h"
 
@@ -33,6 +34,23 @@
     return {{"metadata", {{"name", name}}}, {"spec", std::move(spec)}};
 }
 
+constexpr std::array<const char *, 4> listedKinds{"servers", "config", "quarantine", "router"};
+
+using NamePair = std::array<std::string, 2>;
+
+// Returns names that sort before all others of their kinds, and so end a page.
+NamePair oddNames(std::size_t pair)
+{
+    const std::array<std::string, 2 * oddNamePairs> names{
+        "00%#", "01&b=", "02+", "03%C3%A9", "04 b", "05\u00e9\u4e2d", "06\r\nX-Injected: 1", "07" + std::string(2048, '%')};
+    return {names[2 * pair], names[2 * pair + 1]};
+}
+
+json oddlyNamedObject(const std::string &name)
+{
+    return {{"metadata", {{"name", name}}}, {"spec", {{"written", "by another"}}}};
+}
+
 } // namespace
 
 // Writes the entry and deletes it again. A store that is down may keep it: it then stays until the end.
@@ -43,16 +61,40 @@
     }
     const auto &entry = entries[step.target];
     const std::string name = "foreign-" + std::to_string(step.target);
-    const std::string path = std::string("/api/objects/") + entry.kind;
-    const http::Address to{"127.0.0.1", port(storePortOffset)};
-    http::CallOptions options;
-    options.deadline = Clock::now() + callerTimeout;
     const std::string object = objectFor(entry, name).dump();
-    co_await m_client.call(to, http::makeRequest("POST", path, object), options);
+    co_await storeCall("POST", kindTarget(entry.kind), object);
+    co_await sleepFor(step.duration);
+    co_await storeCall("DELETE", objectTarget(entry.kind, name), "");
+}
+
+// Writes entries of all kinds that routers list, and deletes them again.
+Task<void> SoakFleet::applyOddlyNamedEntry(Step step)
+{
+    if (step.fault != Fault::OddlyNamedEntry) {
+        co_return;
+    }
+    const auto names = oddNames(step.target);
+    for (const char *kind : listedKinds) {
+        for (const auto &name : names) {
+            const auto object = oddlyNamedObject(name).dump();
+            co_await storeCall("POST", kindTarget(kind), object);
+        }
+    }
     co_await sleepFor(step.duration);
+    for (const char *kind : listedKinds) {
+        for (const auto &name : names) {
+            co_await storeCall("DELETE", objectTarget(kind, name), "");
+        }
+    }
+}
+
+// The result is ignored: the store may be down, or an earlier entry of this name may still be there.
+Task<void> SoakFleet::storeCall(std::string method, std::string target, std::string body)
+{
+    http::CallOptions options;
     options.deadline = Clock::now() + callerTimeout;
-    co_await m_client.call(to, http::makeRequest("DELETE", path + "/" + name), options);
-    // The results are ignored: the store may be down, or an earlier entry of this name may still be there.
+    const http::Address to{"127.0.0.1", port(storePortOffset)};
+    co_await m_client.call(to, http::makeRequest(method, target, std::move(body)), options);
 }
 
 } // namespace yucca::soak
--- a/emulators/soak/layout.h
+++ b/emulators/soak/layout.h
@@ -1,8 +1,10 @@
 // The ports, names and request headers of a soak test.
 #pragma once
 
+#include "object_form.h"
 #include "soak/invariants.h"
 #include "soak/plan.h"
+#include "uri.h"
 
 #include <string>
 
@@ -91,4 +93,16 @@
 /// Returns the headers of a caller's request with this attempt id, API key and time limit.
 http::Headers callerHeaders(const std::string &id, const std::string &key, Millis timeout = callerTimeout);
 
+/// The target of calls on a kind of the store's objects.
+inline std::string kindTarget(const std::string &kind)
+{
+    return uri::Target(platform::objectsPath).segment(kind).text();
+}
+
+/// The target of calls on one of the store's objects.
+inline std::string objectTarget(const std::string &kind, const std::string &name)
+{
+    return uri::Target(platform::objectsPath).segment(kind).segment(name).text();
+}
+
 } // namespace yucca::soak
--- a/emulators/soak/plan.cpp
+++ b/emulators/soak/plan.cpp
@@ -25,13 +25,16 @@
     uint64_t salt; ///< XORed with the seed
     int maxIntervalMs; ///< between two starts
 };
-constexpr std::array<IndependentFault, 7> independentFaults{{{Fault::DomainEvacuated, 0x65766163, 5000},
-                                                             {Fault::EndpointAsksForRest, 0x72657374, 5000},
-                                                             {Fault::StoreRestored, 0x72657475, 6000},
-                                                             {Fault::RouterCutOff, 0x72637574, 2500},
-                                                             {Fault::DomainCutOff, 0x64637574, 6000},
-                                                             {Fault::PartEndsEndpoints, 0x70617274, 6000},
-                                                             {Fault::ForeignEntry, 0x666f7265, 4000}}};
+constexpr std::array<IndependentFault, 10> independentFaults{{{Fault::DomainEvacuated, 0x65766163, 5000},
+                                                              {Fault::EndpointAsksForRest, 0x72657374, 5000},
+                                                              {Fault::StoreRestored, 0x72657475, 6000},
+                                                              {Fault::RouterCutOff, 0x72637574, 2500},
+                                                              {Fault::DomainCutOff, 0x64637574, 6000},
+                                                              {Fault::PartEndsEndpoints, 0x70617274, 6000},
+                                                              {Fault::ForeignEntry, 0x666f7265, 4000},
+                                                              {Fault::OddlyNamedEntry, 0x6f64646e, 4000},
+                                                              {Fault::EndpointAnswersOddly, 0x6f646461, 5000},
+                                                              {Fault::AllRoutersKilled, 0x616c6c6b, 12000}}};
 /// What happens to open connections over a path that is cut.
 constexpr std::array<Disturbance, 5> cutDisturbances{Disturbance::None, Disturbance::Reset, Disturbance::MuteForth, Disturbance::MuteBack,
                                                      Disturbance::Silence};
@@ -81,6 +84,7 @@
     case Fault::EndpointCutsStreams:
     case Fault::EndpointAsksForRest:
     case Fault::EndpointRequestsPaused:
+    case Fault::EndpointAnswersOddly:
         return options.endpoints;
     case Fault::DomainEvacuated:
         return endpointDomains;
@@ -90,6 +94,8 @@
         return routerDomains;
     case Fault::ForeignEntry:
         return foreignEntries;
+    case Fault::OddlyNamedEntry:
+        return oddNamePairs;
     default:
         return 1;
     }
