Write origins after the newest object of the recorder before; keep what could not be written

A recorder that had just started wrote at a random object, and replaced the newest origins of the one before it, which are those that callers still take up. It reads the objects once before its first write now, and goes on after the one with the highest version. Origins whose write fails are kept for the next.

The first of the two new tests, twenty recorders in turn, replaces objects on the code before unless its draws all differ."

--- a/src/stream_store.cpp
+++ b/src/stream_store.cpp
@@ -98,13 +98,34 @@
     log::Line{log::Event::PlatformUnreachable}.add("op", operation).add("code", int64_t{error.code});
 }
 
+// Returns the number of the object after the one that was written last, by this router or by one before it: the newest origins are the
+// ones that are still needed.
+Task<std::optional<std::size_t>> objectAfterNewest(platform::ObjectApi &api, std::size_t objects)
+{
+    auto listed = co_await platform::listAll(api, originKind, store::Freshness::Current);
+    if (const auto *error = std::get_if<Error>(&listed)) {
+        logFailure("stream origins", *error);
+        co_return std::nullopt;
+    }
+    uint64_t newest = 0;
+    std::size_t next = 0;
+    for (const auto &object : std::get<store::Listing>(listed).items) {
+        const auto number = text::parseNumber<std::size_t>(object.name);
+        if (number && *number < objects && object.version > newest) {
+            newest = object.version;
+            next = (*number + 1) % objects;
+        }
+    }
+    co_return next;
+}
+
 } // namespace
 
 StreamStore::StreamStore(StreamStoreParts parts, asio::any_io_executor executor, StreamStoreOptions options)
     : m_parts(std::move(parts))
     , m_executor(std::move(executor))
     , m_options(options)
-    , m_nextObject(m_random() % options.originObjects)
+    , m_nextObject(options.originObjects)
 {
 }
 
@@ -294,22 +315,35 @@
 {
     const auto now = Clock::now();
     collectOrigins(now);
-    std::vector<OriginRecord> records;
-    std::erase_if(m_pending, [&](const auto &pending) {
-        const bool due = hasSeveralVersions(pending.second.origin.service, now);
-        if (due) {
-            records.push_back(pending.second);
-        }
-        return due;
+    const auto due = std::stable_partition(m_pending.begin(), m_pending.end(), [&](const auto &pending) {
+        return !hasSeveralVersions(pending.second.origin.service, now);
     });
-    if (records.empty()) {
+    const std::deque<std::pair<Clock::time_point, OriginRecord>> taken(due, m_pending.end());
+    m_pending.erase(due, m_pending.end());
+    if (taken.empty()) {
         co_return true;
     }
-    co_return co_await putOrigins(encodeOrigins(records));
+    std::vector<OriginRecord> records;
+    for (const auto &pending : taken) {
+        records.push_back(pending.second);
+    }
+    auto value = encodeOrigins(records);
+    const bool written = co_await putOrigins(std::move(value));
+    if (!written) {
+        m_pending.insert(m_pending.begin(), taken.begin(), taken.end());
+    }
+    co_return written;
 }
 
 Task<bool> StreamStore::putOrigins(json value)
 {
+    if (m_nextObject == m_options.originObjects) {
+        const auto next = co_await objectAfterNewest(m_parts.api, m_options.originObjects);
+        if (!next) {
+            co_return false;
+        }
+        m_nextObject = *next;
+    }
     const auto name = std::to_string(m_nextObject);
     m_nextObject = (m_nextObject + 1) % m_options.originObjects;
     auto written = co_await m_parts.api.put(originKind, name, value, std::nullopt);
--- a/src/stream_store.h
+++ b/src/stream_store.h
@@ -105,7 +105,7 @@
     std::size_t m_rank = 0; ///< as last checked
     std::set<std::string> m_mixed; ///< services that have several versions
     std::deque<std::pair<Clock::time_point, OriginRecord>> m_pending; ///< origins that were collected and not written, the oldest first
-    std::size_t m_nextObject; ///< to which origins are written
+    std::size_t m_nextObject; ///< to which origins are written; originObjects: not known yet
     Clock::time_point m_unrecordedSince{}; ///< since when a listed version is not recorded, as far as this router knows
     std::map<std::pair<std::string, std::string>, Clock::time_point> m_absentSince; ///< by service and version: recorded, not listed
     store::Epoch m_epoch = 0;
--- a/tests/test_stream_store.cpp
+++ b/tests/test_stream_store.cpp
@@ -212,6 +212,32 @@
     CHECK(restarted.find(2 * rounds - 1) == newVersion);
 }
 
+TEST(StreamStore, NewRecorderDoesNotReplaceTheNewestOrigins)
+{
+    store::ObjectStore store;
+    constexpr uint64_t routers = 20;
+    for (uint64_t stream = 0; stream < routers; ++stream) {
+        StreamRouter router(loop(), store, {"v1", "v2"});
+        router.begin(stream, oldVersion);
+        CHECK(router.record());
+    }
+    LONGS_EQUAL(routers, store.list(streams::originKind).items.size());
+}
+
+TEST(StreamStore, OriginsThatCouldNotBeWrittenAreWrittenLater)
+{
+    store::ObjectStore store;
+    StreamRouter router(loop(), store, {"v1", "v2"});
+    CHECK(router.record());
+    router.begin(7, oldVersion);
+    router.api.outage = true;
+    CHECK(!loop().run(router.streamStore.saveOrigins()));
+    router.api.outage = false;
+    CHECK(loop().run(router.streamStore.saveOrigins()));
+    StreamRouter restarted(loop(), store, {"v1", "v2"});
+    CHECK(restarted.find(7) == oldVersion);
+}
+
 TEST(StreamStore, RequestsShareReadsOfTheStore)
 {
     store::ObjectStore store;
