Records of streams: wait a second after a call that the store did not take

A recorder whose write failed at once asked the store again at its next check, up to ten times a second, also while the store was away. Found by reading; StreamStore holds, and the rate was not measured."

--- a/src/stream_store.cpp
+++ b/src/stream_store.cpp
@@ -146,10 +146,11 @@
         if (now >= begin && m_rank < m_options.versionRecorders) {
             co_await recordVersions(now);
         }
+        bool saved = true;
         if (now >= begin && m_rank == 0) {
-            co_await saveOrigins();
+            saved = co_await saveOrigins();
         }
-        co_await sleepFor(currentInterval());
+        co_await sleepFor(saved ? currentInterval() : m_options.rankInterval); // each call has a cost, also to a store that is away
     }
 }
 
@@ -209,7 +210,7 @@
     const auto turn = m_options.recorderInterval * static_cast<int64_t>(m_rank);
     if ((due && now - m_unrecordedSince >= turn) || (expired && m_rank == 0)) {
         const bool saved = co_await saveVersions();
-        m_unrecordedSince = saved ? Clock::time_point{} : Clock::now();
+        m_unrecordedSince = saved ? Clock::time_point{} : Clock::now() + m_options.rankInterval;
     }
 }
 
