--- a/review/7/case.py
+++ b/review/7/case.py
@@ -58,13 +58,16 @@
     if case.trouble:
         lost.kill()
     await asyncio.sleep(FIRST_CHANGE_S)
+    leaving = case.servers[0]
+    drained_at = None
     for version, key in enumerate(KEYS[:3], 2):
-        if version > 2:
-            await asyncio.sleep(CHANGE_EACH_S)
         gone[key] = configure(version, [k for k in KEYS if k not in gone and k != key])
-    leaving = case.servers[0]
-    drained_at = leaving.drain()
-    await asyncio.sleep(WATCHED_S)
+        drained_at = drained_at or leaving.drain()
+        await asyncio.sleep(WATCHED_S)
+        if leaving.up:
+            await leaving.leave()
+        if version < 4:
+            await asyncio.sleep(CHANGE_EACH_S - WATCHED_S)
     load.cancel()
     await asyncio.gather(*tasks)
     if outcomes["served"] < 100:
