A router that nobody keeps current never rests on answers that may lag

Cause: a router without a neighbour followed the store by watches that may lag, with a current one each 10 s or after a sign of trouble. A replica that is seconds behind gives no sign. The same held for the only router of a failure domain, one just added, cut off or restarted, for its list of quarantined requests, and while an incomplete listing was not shared. Besides, an answer read after the process had stood still, and datagrams that had waited in its socket, counted as of the moment of reading, and a router that left the calls to others waited 3.2 s for them after they had gone.

Change: current watches alone, with a wait of half of the bound; the first listing is confirmed as soon as the size of the fleet is known, spread by 5 ms a router; the quarantine is read currently; confirmations and datagrams count as of the latest time that is certain. ReadPolicy and its tests are gone: they checked a choice that cannot keep the bound. In their place tests check that every watch is current, and that a lagging replica hides no change.

--- a/emulators/model/change_fleet.cpp
+++ b/emulators/model/change_fleet.cpp
@@ -17,6 +17,7 @@
 const std::string objectName = "main";
 constexpr Millis startTime{6000}; ///< until all routers have listed the objects and heard a confirmation
 constexpr Millis peerLatency{1};
+constexpr Millis replicaPollInterval{10}; ///< at which a watch notices what its replica receives
 constexpr std::size_t watchAnswerBytes = 200; ///< without events
 constexpr double bitsPerByte = 8;
 
@@ -106,7 +107,12 @@
 
 private:
     bool refuses() const;
-    Task<void> receive(std::size_t bytes);
+    bool lags(platform::Freshness freshness) const
+    {
+        return freshness == platform::Freshness::MayLag && m_fleet.m_options.replicaLag > Millis(0);
+    }
+    Task<void> receive(std::size_t bytes, platform::Freshness freshness);
+    platform::WatchBatch replicaChanges(uint64_t from) const;
 
     ChangeFleet &m_fleet;
     Router &m_router;
@@ -137,11 +143,15 @@
         , peerLink(fleet, *this)
         , replica(
               kind,
-              [&fleet, n](Clock::time_point) {
-                  return std::optional<std::size_t>(n / fleet.m_options.domains);
+              [this, &fleet, n](Clock::time_point now) {
+                  const bool hearsOthers = now - heardAt <= peers::ExchangeOptions().neighbourSilentAfter;
+                  return hearsOthers ? std::optional(n / fleet.m_options.domains) : std::nullopt;
               },
               peerLink)
     {
+        replica.routerCount = [&fleet] {
+            return std::optional(fleet.m_options.routers);
+        };
         FollowerOptions options;
         options.sharedReplica = &replica;
         follower = std::make_unique<Follower<VersionSink>>(storeLink, kind, sink, options);
@@ -161,6 +171,8 @@
     WorkQueue downlink;
     bool refused = false; ///< by the store
     bool silent = false; ///< to requests of peers
+    bool alone = false; ///< cut off from all other routers
+    Clock::time_point heardAt{}; ///< when a datagram of another router last arrived
     StoreLink storeLink;
     PeerLink peerLink;
     VersionSink sink;
@@ -177,9 +189,10 @@
 }
 
 // Waits until an answer has passed the links and the router has parsed it.
-Task<void> ChangeFleet::StoreLink::receive(std::size_t bytes)
+Task<void> ChangeFleet::StoreLink::receive(std::size_t bytes, platform::Freshness freshness)
 {
     ++m_fleet.m_storeCalls;
+    m_fleet.m_laggingCalls += freshness == platform::Freshness::MayLag ? 1 : 0;
     m_fleet.m_storeBytes += bytes;
     if (!m_fleet.m_started) {
         co_return;
@@ -190,28 +203,50 @@
     co_await sleepUntil(m_router.processor.enqueue(m_fleet.processorTime(m_fleet.m_options.costs.perKilobyte * static_cast<double>(bytes) / 1024)));
 }
 
-Task<Result<platform::Listing>> ChangeFleet::StoreLink::list(std::string listed, std::string after, platform::Freshness)
+Task<Result<platform::Listing>> ChangeFleet::StoreLink::list(std::string listed, std::string after, platform::Freshness freshness)
 {
     co_await sleepFor(peerLatency);
     if (refuses()) {
         co_return refusedError;
     }
     auto listing = m_fleet.m_store.list(listed, after);
+    if (const auto held = m_fleet.replicaState(); lags(freshness) && held) {
+        listing.items = {*held};
+        listing.revision = held->version;
+    }
     std::size_t bytes = watchAnswerBytes;
     for (const auto &object : listing.items) {
         bytes += wireBytes(object);
     }
-    co_await receive(bytes);
+    co_await receive(bytes, freshness);
     co_return listing;
 }
 
-Task<Result<platform::WatchBatch>> ChangeFleet::StoreLink::watch(std::string watched, uint64_t from, Millis timeout, platform::Freshness, http::Cancellation *)
+platform::WatchBatch ChangeFleet::StoreLink::replicaChanges(uint64_t from) const
+{
+    const auto held = m_fleet.replicaState();
+    platform::WatchBatch batch{held->version, {}, m_fleet.m_store.epoch()};
+    if (held->version > from) {
+        batch.events.push_back({false, held->version, *held});
+    }
+    return batch;
+}
+
+Task<Result<platform::WatchBatch>> ChangeFleet::StoreLink::watch(std::string watched, uint64_t from, Millis timeout, platform::Freshness freshness,
+                                                                 http::Cancellation *)
 {
     co_await sleepFor(peerLatency);
     if (refuses()) {
         co_return refusedError;
     }
     const auto end = Clock::now() + timeout;
+    if (lags(freshness)) {
+        while (replicaChanges(from).events.empty() && Clock::now() < end && !m_fleet.m_stopping) {
+            co_await sleepFor(replicaPollInterval);
+        }
+        co_await receive(watchAnswerBytes, freshness);
+        co_return replicaChanges(from);
+    }
     while (!m_fleet.m_store.changedSince(from, {watched}) && Clock::now() < end && !m_fleet.m_stopping) {
         co_await m_fleet.m_storeChanged.wait(end);
     }
@@ -222,7 +257,7 @@
             bytes += wireBytes(event.object);
         }
     }
-    co_await receive(bytes);
+    co_await receive(bytes, freshness);
     co_return result;
 }
 
@@ -232,7 +267,7 @@
     const auto deadline = Clock::now() + (limit == replica::TransferLimit::Large ? options.fetchLargeTimeout : options.fetchTimeout);
     auto &peer = *m_fleet.m_routers[std::stoul(from.host)];
     co_await sleepFor(peerLatency);
-    if (peer.silent) {
+    if (peer.silent || peer.alone || m_router.alone) {
         co_await sleepUntil(deadline);
         co_return noAnswerError;
     }
@@ -268,7 +303,8 @@
     : m_options(options)
     , m_random(options.seed)
 {
-    m_store.put(kind, objectName, {{"version", m_version}, {"padding", ""}}, 0);
+    writeVersion(0);
+    m_writes.back().at = {}; // long ago
     for (std::size_t n = 0; n < options.routers; ++n) {
         m_routers.push_back(std::make_unique<Router>(*this, n));
     }
@@ -350,8 +386,12 @@
 Task<void> ChangeFleet::deliver(Router &from, std::size_t to, replica::Confirmation confirmation)
 {
     auto &receiver = *m_routers[to];
+    if (from.alone || receiver.alone) {
+        co_return;
+    }
     co_await sleepFor(peerLatency);
     co_await sleepUntil(receiver.processor.enqueue(processorTime(m_options.costs.perDatagram)));
+    receiver.heardAt = Clock::now();
     receiver.replica.receiveConfirmation(confirmation, from.address(), Clock::now());
 }
 
@@ -359,10 +399,31 @@
 {
     ++m_version;
     m_writtenAt = Clock::now();
-    m_store.put(kind, objectName, {{"version", m_version}, {"padding", std::string(bytes, 'x')}}, std::nullopt);
+    writeVersion(bytes);
     m_storeChanged.notifyAll();
 }
 
+void ChangeFleet::writeVersion(std::size_t bytes)
+{
+    auto written = m_store.put(kind, objectName, {{"version", m_version}, {"padding", std::string(bytes, 'x')}}, std::nullopt);
+    m_writes.push_back({Clock::now(), std::move(std::get<store::Object>(written))});
+}
+
+// Returns the object as a replica holds it.
+std::optional<store::Object> ChangeFleet::replicaState() const
+{
+    const auto until = Clock::now() - m_options.replicaLag;
+    const auto held = std::find_if(m_writes.rbegin(), m_writes.rend(), [until](const Write &write) {
+        return write.at <= until;
+    });
+    return held == m_writes.rend() ? std::nullopt : std::optional(held->object);
+}
+
+void ChangeFleet::setAlone(std::size_t router, bool alone)
+{
+    m_routers[router]->alone = alone;
+}
+
 ChangeTimes ChangeFleet::timesOfLastWrite() const
 {
     std::vector<Clock::duration> times;
--- a/emulators/model/change_fleet.h
+++ b/emulators/model/change_fleet.h
@@ -34,6 +34,7 @@
     double linkMbit = 20; ///< of a router, in each direction
     double storeLinkMbit = 1000;
     Millis storeLatency{4};
+    Millis replicaLag{0}; ///< age of the state in answers that may lag
     double refusedShare = 0; ///< share of the routers that the store refuses once the fleet has started
     std::size_t silentPeers = 0; ///< routers that announce changes and do not answer requests for them, of each domain
     ChangeCosts costs = {};
@@ -81,6 +82,8 @@
     {
         m_time.run(m_loop, duration);
     }
+    /// Cuts a router off from all others, or ends that. It still reaches the store.
+    void setAlone(std::size_t router, bool alone);
     /// Returns the times of the last written version. A router that got a later version instead has it too.
     ChangeTimes timesOfLastWrite() const;
     /// Bytes that the store sent since the start of the fleet.
@@ -93,13 +96,25 @@
     {
         return m_storeCalls;
     }
+    /// Of these, the calls whose answers could lag.
+    uint64_t laggingCalls() const
+    {
+        return m_laggingCalls;
+    }
 
 private:
     struct Router;
     class StoreLink;
     class PeerLink;
+    /// A version as it was written.
+    struct Write {
+        Clock::time_point at{};
+        store::Object object;
+    };
 
     void start(std::size_t n);
+    void writeVersion(std::size_t bytes);
+    std::optional<store::Object> replicaState() const;
     Task<void> exchangeRounds(Router &router);
     Task<void> deliver(Router &from, std::size_t to, replica::Confirmation confirmation);
     Clock::duration transferTime(std::size_t bytes, double mbit) const;
@@ -109,12 +124,14 @@
     VirtualTime m_time;
     asio::io_context m_loop{1};
     store::ObjectStore m_store;
+    std::vector<Write> m_writes;
     Notifier m_storeChanged;
     WorkQueue m_storeLink;
     std::vector<std::unique_ptr<Router>> m_routers;
     std::mt19937_64 m_random;
     uint64_t m_storeBytes = 0;
     uint64_t m_storeCalls = 0;
+    uint64_t m_laggingCalls = 0;
     int64_t m_version = 0;
     Clock::time_point m_writtenAt{};
     bool m_started = false;
--- a/src/entry/control.h
+++ b/src/entry/control.h
@@ -480,7 +480,7 @@
             const auto now = Clock::now();
             published.recordContact(now);
             if (!shared) {
-                published.recordEvacuationsConfirmed(now); // after a restore, all watches ask for current answers
+                published.recordEvacuationsConfirmed(now);
             }
         }
         void onStoreRecovered(Clock::duration)
@@ -496,7 +496,6 @@
     {
         FollowerOptions options;
         options.essentialNames = std::move(essentialNames);
-        options.readPolicy = &m_readPolicy;
         options.sharedReplica = shared;
         return options;
     }
@@ -506,7 +505,6 @@
     SharedKinds m_shared;
     std::map<std::string, std::atomic<Clock::time_point>> m_confirmedAt; ///< by kind; the keys never change after the construction
     bool m_stopping = false;
-    ReadPolicy m_readPolicy;
     ConfigurationSink m_configurationSink;
     EndpointSink m_endpointSink;
     EvacuationSink m_evacuationSink;
--- a/src/entry/process.h
+++ b/src/entry/process.h
@@ -100,6 +100,11 @@
         m_exchange.shareQuarantine(m_quarantine);
         m_exchange.shareOrigins(m_origins);
         if (settings.peers.port != 0) {
+            for (auto *replica : sharedReplicas(settings)) {
+                replica->routerCount = [this] {
+                    return m_exchange.listedRouters();
+                };
+            }
             m_origins.sendCopies = [this](const streams::OriginRecord &record) {
                 asio::co_spawn(m_controlLoop, m_exchange.sendOriginCopies(record), asio::detached);
             };
--- a/src/follower.h
+++ b/src/follower.h
@@ -1,13 +1,13 @@
 // Follows one kind of objects in the store: one listing, then successive watches. The follower recovers from outages, dropped
 // history and hanging connections. Routers that hear each other share the work: a router watches the store only when no recent
-// confirmation of its state is known, and fetches changes from the peer that announced them.
+// confirmation of its state is known, and fetches changes from the peer that announced them. A router that hears no other one watches
+// the store itself, and never a replica, whose answers may be older than the bound within which a change must be in effect.
 #pragma once
 
 #include "log.h"
 #include "notifier.h"
 #include "object_api.h"
 #include "page_cursor.h"
-#include "read_policy.h"
 #include "shared_replica.h"
 #include "task.h"
 
@@ -49,14 +49,11 @@
     /// cost, and while many endpoints join and leave, each change would wake the watch of every router. The delay is far below the
     /// 2 s within which a change must be in effect.
     Millis changeCoalescingDelay{300};
-    ReadPolicy *readPolicy = nullptr; ///< read policy of the store; null: every watch requires a current answer
     replica::SharedReplica *sharedReplica = nullptr; ///< state shared with other routers; null: this router follows the store on its own
-    /// A first listing that was served by a replica is confirmed by this router's own watch after this delay, unless peers confirm
-    /// it earlier. Routers that started together hear each other by then; a router counts as connected 3 s after its start.
-    Millis selfConfirmDelay{2500};
     /// Delay after a failed call of a router that hears others and is not among the first maxProbingRouters by name. Those notice the
     /// store's return and announce it.
     Millis nonProberRetryDelay{3200};
+    Millis rankPollInterval{400}; ///< between checks during that delay whether this router has become one that probes the store
     Millis outageSuspectedAfter{2500}; ///< the store may have been down if neither this router nor a peer heard from it for this long
     Millis replicaWatchTimeout{100}; ///< timeout of a watch on a replica for a change that a peer announced; after it, the store itself is watched
     /// Delay of the first listing after the store was restored from a backup. The known state stays in effect meanwhile. It is
@@ -97,7 +94,7 @@
             }
             const bool reached = co_await step();
             if (!reached && !m_stopping && !behindPeer()) {
-                co_await wake().wait(std::min(Clock::now() + nextRetryDelay(), nextFetchAt()));
+                co_await waitForRetry();
             } else if (m_hadChanges && !m_stopping) {
                 co_await wake().wait(Clock::now() + m_options.changeCoalescingDelay);
             }
@@ -112,7 +109,6 @@
     /// a failed call.
     void restartWatch()
     {
-        requireCurrentReads();
         wake().notifyAll();
         if (m_cancellation) {
             m_cancellation->cancel();
@@ -171,9 +167,6 @@
                 .add("before", static_cast<int64_t>(m_epoch))
                 .add("revision", static_cast<int64_t>(listing.revision))
                 .add("held", static_cast<int64_t>(m_revision));
-            if (m_options.readPolicy) {
-                m_options.readPolicy->recordRestore(Clock::now());
-            }
             m_sink.onStoreRestored();
         }
         m_epoch = listing.epoch;
@@ -203,6 +196,24 @@
         return shared() ? shared()->nextFetchAt() : Clock::time_point::max();
     }
 
+    bool isProber() const
+    {
+        return !shared() || shared()->rank(Clock::now()) < maxProbingRouters;
+    }
+
+    // Waits after a failed call, or until notified. A router that leaves the calls to others does so only while it hears them.
+    Task<void> waitForRetry()
+    {
+        const bool probes = isProber();
+        const auto retryAt = Clock::now() + nextRetryDelay();
+        for (bool due = false; !due;) {
+            const auto until = std::min({retryAt, nextFetchAt(), probes ? retryAt : Clock::now() + m_options.rankPollInterval});
+            co_await wake().wait(until);
+            const auto now = Clock::now();
+            due = now < until || now >= retryAt || m_stopping || behindPeer() || (!probes && isProber());
+        }
+    }
+
     // Waits while confirmations from peers are recent enough.
     Task<void> waitUntilDue()
     {
@@ -413,7 +424,7 @@
         m_incomplete = true;
         m_listRetryDelay = m_listRetryDelay == Millis(0) ? m_options.firstListRetryDelay : std::min(m_listRetryDelay * 2, m_options.maxListRetryDelay);
         m_listRetryAt = Clock::now() + m_listRetryDelay;
-        const auto listing = adoptListing(freshness);
+        const auto listing = adoptListing();
         m_sink.onIncompleteListing(listing);
         co_return true;
     }
@@ -429,16 +440,12 @@
     }
 
     // Makes the pages that were read the held state, up to what the sink receives.
-    platform::Listing adoptListing(platform::Freshness freshness)
+    platform::Listing adoptListing()
     {
         auto listing = std::exchange(m_listing, {});
         m_cursor = {};
         applyEpoch(listing);
         m_listedAt = Clock::now();
-        if (freshness == platform::Freshness::Current) {
-            m_lastCurrent = m_listedAt;
-        }
-        m_lastFreshness = freshness;
         m_revision = listing.revision;
         m_listed = true;
         return listing;
@@ -449,7 +456,7 @@
         const auto confirmedBefore = confirmedAt();
         m_incomplete = false;
         m_listRetryDelay = Millis(0);
-        const auto listing = adoptListing(freshness);
+        const auto listing = adoptListing();
         m_sink.onListing(listing, freshness);
         if (m_options.sharedReplica) {
             m_options.sharedReplica->applyListing(listing, freshness, m_listedAt);
@@ -468,9 +475,8 @@
         http::Cancellation cancellation;
         m_cancellation = &cancellation;
         const auto requestedAt = Clock::now();
-        const bool sharedWatch = shared() && shared()->hasActivePeers(requestedAt);
-        const auto freshness = mode ? mode->freshness : sharedWatch ? platform::Freshness::Current : standaloneFreshness(requestedAt);
-        const auto wait = mode ? mode->wait : sharedWatch ? shared()->watchTimeout() : standaloneWait(requestedAt);
+        const auto freshness = mode ? mode->freshness : platform::Freshness::Current;
+        const auto wait = mode ? mode->wait : watchTimeout(requestedAt);
         const auto from = shared() ? shared()->watchFrom(requestedAt) : m_revision;
         auto result = co_await m_api.watch(m_kind, from, wait, freshness, &cancellation);
         m_cancellation = nullptr;
@@ -479,7 +485,6 @@
         }
         if (!ok(result)) {
             const auto &error = std::get<Error>(result);
-            requireCurrentReads();
             if (error.code == store::Gone) {
                 log::Line{log::Event::WatchRestarted}.add("kind", m_kind).add("from", static_cast<int64_t>(from));
                 m_listed = false;
@@ -495,7 +500,6 @@
         if (batch.epoch != m_epoch) {
             co_return batch.epoch > m_epoch; // the next step lists the objects; an answer of an older epoch is ignored
         }
-        recordWatchAnswer(freshness, batch, requestedAt);
         if (batch.revision < m_revision) {
             m_listed = m_listed && freshness == platform::Freshness::MayLag; // a current answer shows that the store went back: list again
             co_return true;
@@ -513,48 +517,16 @@
             logChanges(batch.events.size(), freshness == platform::Freshness::Current ? "store" : "replica", "", arrivedAt, confirmedBefore);
         }
         if (shared() && freshness == platform::Freshness::Current) {
-            shared()->recordConfirmation(batch.revision, Clock::now(), m_hadChanges);
+            // A process that stood still reads the answer late: it shows the store's state at the end of the watch at best.
+            shared()->recordConfirmation(batch.revision, std::min(Clock::now(), requestedAt + wait), m_hadChanges);
         }
         co_return true;
     }
 
-    // Returns true while the first listing, which a replica served, is not confirmed.
-    bool unconfirmed() const
+    // An incomplete state is not shared, so no other router confirms it.
+    Millis watchTimeout(Clock::time_point now) const
     {
-        return shared() && !shared()->isConfirmed();
-    }
-
-    platform::Freshness standaloneFreshness(Clock::time_point now) const
-    {
-        if (unconfirmed()) {
-            return now >= m_listedAt + m_options.selfConfirmDelay ? platform::Freshness::Current : platform::Freshness::MayLag;
-        }
-        return m_options.readPolicy ? m_options.readPolicy->choose(m_lastCurrent, now) : platform::Freshness::Current;
-    }
-
-    Millis standaloneWait(Clock::time_point now) const
-    {
-        const auto left = std::chrono::ceil<Millis>(m_listedAt + m_options.selfConfirmDelay - now);
-        return unconfirmed() && left > Millis(0) ? std::min(left, m_options.watchTimeout) : m_options.watchTimeout;
-    }
-
-    void requireCurrentReads()
-    {
-        if (m_options.readPolicy) {
-            m_options.readPolicy->requireCurrent(Clock::now());
-        }
-    }
-
-    void recordWatchAnswer(platform::Freshness freshness, const platform::WatchBatch &batch, Clock::time_point requestedAt)
-    {
-        const auto now = Clock::now();
-        if (freshness == platform::Freshness::Current) {
-            m_lastCurrent = now;
-        }
-        if (m_options.readPolicy) {
-            m_options.readPolicy->recordAnswer(freshness, batch.revision, !batch.events.empty(), requestedAt, now, m_lastFreshness);
-        }
-        m_lastFreshness = freshness;
+        return m_options.sharedReplica ? m_options.sharedReplica->watchTimeout(now) : m_options.watchTimeout;
     }
 
     void recordContact()
@@ -616,7 +588,6 @@
     bool m_incomplete = false; ///< the last listing could not be completed
     Millis m_listRetryDelay{0};
     Clock::time_point m_listRetryAt{};
-    platform::Freshness m_lastFreshness = platform::Freshness::Current; ///< of the last answered watch
     bool m_hadChanges = false; ///< in the last step
     std::size_t m_fetchedChanges = 0; ///< from a peer in the last step
     Clock::time_point m_fetchedAt{}; ///< when the first of them arrived
@@ -625,7 +596,6 @@
     bool m_stopping = false;
     Clock::time_point m_listedAt{};
     Clock::time_point m_lastContact{};
-    Clock::time_point m_lastCurrent{}; ///< time of the last current answer
 };
 
 } // namespace yucca
--- a/src/peers/load_exchange.cpp
+++ b/src/peers/load_exchange.cpp
@@ -57,9 +57,24 @@
         return false;
     }
     m_socket = std::move(socket);
+    m_socketEmptyAt = Clock::now();
     return true;
 }
 
+void LoadExchange::noteEmptySocket(Clock::time_point now)
+{
+    boost::system::error_code ec;
+    if (m_socket->available(ec) == 0) {
+        m_socketEmptyAt = now;
+    }
+}
+
+// Returns the latest time at which a datagram read now may be taken to have arrived.
+Clock::time_point LoadExchange::arrivalTime(Clock::time_point now) const
+{
+    return now - m_socketEmptyAt > m_options.maxReceiveDelay ? m_socketEmptyAt : now;
+}
+
 Task<void> LoadExchange::runPeerRefresh()
 {
     // Spreads the listings of routers that start together.
@@ -195,6 +210,7 @@
         }
         m_updatePending = false;
         if (openSocket(ex) && !m_stopping) {
+            noteEmptySocket(Clock::now());
             co_await sendRound();
         }
     }
@@ -276,6 +292,7 @@
             co_await sleepFor(m_options.retryDelay);
             continue;
         }
+        noteEmptySocket(Clock::now());
         Udp::endpoint from;
         boost::system::error_code ec;
         const auto n = co_await m_socket->async_receive_from(asio::buffer(buffer), from, asio::redirect_error(asio::use_awaitable, ec));
@@ -283,7 +300,7 @@
             co_await sleepFor(m_options.roundInterval); // an earlier datagram of this router was rejected by its receiver's host
             continue;
         }
-        handleDatagram({buffer.data(), n}, {from.address().to_string(), from.port()}, Clock::now());
+        handleDatagram({buffer.data(), n}, {from.address().to_string(), from.port()}, arrivalTime(Clock::now()));
     }
 }
 
@@ -375,6 +392,12 @@
     return active;
 }
 
+std::optional<std::size_t> LoadExchange::listedRouters() const
+{
+    const auto others = m_directory.domainPeers().size() + m_directory.otherDomainPeers().size();
+    return m_listings > 0 ? std::optional(others + 1) : std::nullopt;
+}
+
 std::set<std::string> LoadExchange::listedHosts() const
 {
     std::set<std::string> hosts;
--- a/src/peers/load_exchange.h
+++ b/src/peers/load_exchange.h
@@ -49,6 +49,9 @@
     /// Number of routers that count the crashes attributed to one request; every router selects the same ones. Three, because any
     /// of them may be restarted or unreachable.
     std::size_t crashCounterRouters = 3;
+    /// A datagram may have waited in the socket while this process stood still. If the socket was last seen empty longer ago than this,
+    /// the datagram counts as received then, since the ages in it are those of its sending.
+    Millis maxReceiveDelay{1000};
     Millis warningInterval{10000}; ///< minimum interval between warnings about the socket or about malformed datagrams
 };
 
@@ -75,6 +78,8 @@
     }
     /// Returns all peers that were heard recently, in any failure domain.
     std::vector<Peer> activePeers(Clock::time_point now) const;
+    /// Returns the number of listed routers with this one; nothing before the first listing.
+    std::optional<std::size_t> listedRouters() const;
     /// Returns the host addresses of all listed peers.
     std::set<std::string> listedHosts() const;
     /// Returns the routers that may be running, for limits that all routers share.
@@ -127,6 +132,8 @@
 private:
     using Udp = asio::ip::udp;
     bool openSocket(const asio::any_io_executor &ex);
+    void noteEmptySocket(Clock::time_point now);
+    Clock::time_point arrivalTime(Clock::time_point now) const;
     Task<void> sendRound();
     Task<void> send(const std::vector<Peer> &receivers, const PeerMessage &message, Clock::time_point now);
     Task<void> sendCrashRecords(bool includeSilent, Clock::time_point now);
@@ -152,6 +159,7 @@
     ExchangeOptions m_options;
     PeerDirectory m_directory;
     std::optional<Udp::socket> m_socket;
+    Clock::time_point m_socketEmptyAt{}; ///< when no datagram was waiting
     std::map<http::Address, Clock::time_point> m_lastHeardAt; ///< by sender; the time of the first listing for a sender not heard yet
     std::set<http::Address> m_domainAddresses; ///< of the peers of this failure domain
     FleetInflight m_fleetInflight;
--- a/src/quarantine_store.cpp
+++ b/src/quarantine_store.cpp
@@ -93,10 +93,10 @@
     if (!m_storeReachable) {
         return m_options.retryDelay;
     }
-    if (m_loadCount < 2) {
-        return m_options.secondLoadDelay;
+    if (m_isAlone()) {
+        return m_options.reloadIntervalAlone;
     }
-    return m_isAlone() ? m_options.reloadIntervalAlone : m_options.reloadInterval;
+    return m_loadCount < 2 ? m_options.secondLoadDelay : m_options.reloadInterval;
 }
 
 Task<void> QuarantineStore::run()
@@ -124,7 +124,9 @@
 
 Task<bool> QuarantineStore::load()
 {
-    auto result = co_await platform::listAll(m_api, recordKind, platform::Freshness::MayLag);
+    // Routers that start together all seem to be alone at first, and a later listing reads what their first one has missed.
+    const auto freshness = m_loadCount > 0 && m_isAlone() ? platform::Freshness::Current : platform::Freshness::MayLag;
+    auto result = co_await platform::listAll(m_api, recordKind, freshness);
     m_lastCallAt = Clock::now();
     m_storeReachable = ok(result);
     if (!m_storeReachable) {
--- a/src/quarantine_store.h
+++ b/src/quarantine_store.h
@@ -24,8 +24,9 @@
 /// Intervals and limits of the calls to the store.
 struct QuarantineStoreOptions {
     Millis reloadInterval{30000}; ///< between listings; other routers send updates within a second
-    Millis reloadIntervalAlone{2000}; ///< between listings while no other router is heard
-    /// Time before the second listing: the first may be served by a lagging replica and miss what was written just before the start.
+    Millis reloadIntervalAlone{2000}; ///< between listings while no other router is heard; they are current
+    /// Time before the second listing while other routers are heard: the first may be served by a lagging replica and miss what was
+    /// written just before the start.
     Millis secondLoadDelay{5000};
     Millis retryDelay{1000}; ///< after a failed call
     Millis savePollInterval{100}; ///< between checks for unsaved records; a check makes no call
--- a/src/query_schedule.h
+++ b/src/query_schedule.h
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <cstddef>
+#include <optional>
 
 namespace yucca::replica
 {
@@ -22,6 +23,14 @@
     /// Delay per rank while nobody queries the store: the first router by name queries first, and its confirmation reaches the next in time.
     Millis rankDelay{150};
     std::size_t maxRankDelays = 6; ///< all further routers query after this many delays, still within the bound
+    /// Watch timeout of a router that hears no other one. Changes end a watch at once, so the timeout only limits how long a watch
+    /// whose connection has silently failed may hide them.
+    Millis aloneWatchTimeout{1500};
+    /// A router that hears no other one confirms its first listing, which a replica served, after a random delay up to this for each
+    /// router of the fleet, since all of them may have started at the same time.
+    Millis confirmDelayPerRouter{5};
+    Millis maxConfirmDelay{2500}; ///< routers that started together hear each other by then
+    Millis fleetSizePollInterval{100}; ///< between checks for the size of the fleet while it is unknown
     /// Minimum age of a revision that is watched from. A store that drops its history may hide the changes of the second before
     /// from watches and still report its newest revision.
     Millis watchRevisionMinAge{3000};
@@ -40,6 +49,7 @@
     options.watchTimeout = fraction(0.20);
     options.maxAge = fraction(0.45);
     options.rankDelay = fraction(0.05);
+    options.aloneWatchTimeout = fraction(0.50);
     return options;
 }
 
@@ -80,6 +90,16 @@
         return std::max(m_confirmedAt, m_confirmationsExpectedFrom) + m_options.maxAge
             + std::chrono::duration_cast<Clock::duration>(m_options.rankDelay * steps);
     }
+    /// Returns when a router that hears no other one confirms its first listing, made at listedAt. If the size of the fleet is
+    /// unknown, this is the time of the next check.
+    Clock::time_point firstConfirmationDueAt(Clock::time_point listedAt, std::optional<std::size_t> routers, Clock::time_point now) const
+    {
+        if (!routers) {
+            return std::min(listedAt + m_options.maxConfirmDelay, now + m_options.fleetSizePollInterval);
+        }
+        const auto spread = std::min<Clock::duration>(m_options.maxConfirmDelay, m_options.confirmDelayPerRouter * static_cast<int64_t>(*routers));
+        return listedAt + std::chrono::duration_cast<Clock::duration>(spread * m_jitter);
+    }
     const QueryScheduleOptions &options() const
     {
         return m_options;
--- a/src/shared_replica.cpp
+++ b/src/shared_replica.cpp
@@ -39,6 +39,7 @@
 void SharedReplica::applyListing(const store::Listing &listing, store::Freshness freshness, Clock::time_point now)
 {
     m_listed = true;
+    m_listedAt = now;
     if (listing.epoch != m_objects.epoch()) {
         m_unfetchedDigest = 0;
     }
@@ -93,7 +94,13 @@
         m_querySchedule.expectConfirmationsFrom(now);
     }
     m_hadActivePeers = currentRank.has_value();
-    return currentRank ? m_querySchedule.queryDueAt(*currentRank) : m_querySchedule.confirmedAt();
+    if (currentRank) {
+        return m_querySchedule.queryDueAt(*currentRank);
+    }
+    if (isConfirmed()) {
+        return m_querySchedule.confirmedAt();
+    }
+    return m_querySchedule.firstConfirmationDueAt(m_listedAt, routerCount ? routerCount() : 0, now);
 }
 
 uint64_t SharedReplica::watchFrom(Clock::time_point now) const
--- a/src/shared_replica.h
+++ b/src/shared_replica.h
@@ -72,7 +72,8 @@
     void applyListing(const store::Listing &listing, store::Freshness freshness, Clock::time_point now);
     /// Applies one change from an answer that the follower received and that covers changes up to revision.
     void applyChange(const store::Object &object, bool deleted, uint64_t revision);
-    /// Records that the store confirmed that no change is missing up to a revision. If there were changes, peers are informed at once.
+    /// Records that the store confirmed at a time that no change is missing up to a revision. If there were changes, peers are informed
+    /// at once.
     void recordConfirmation(uint64_t revision, Clock::time_point at, bool hasChanges);
 
     /// Returns true while other routers are heard, so that their confirmations count.
@@ -92,10 +93,11 @@
     }
     /// Returns when the follower must query the store.
     Clock::time_point queryDueAt(Clock::time_point now);
-    /// Returns the watch timeout used while other routers are heard.
-    Millis watchTimeout() const
+    /// Returns the timeout of a watch that begins now.
+    Millis watchTimeout(Clock::time_point now) const
     {
-        return m_querySchedule.options().watchTimeout;
+        const auto &options = m_querySchedule.options();
+        return hasActivePeers(now) ? options.watchTimeout : options.aloneWatchTimeout;
     }
     /// Returns the revision to watch from: that of the last change, or a later confirmed one that has reached watchRevisionMinAge.
     uint64_t watchFrom(Clock::time_point now) const;
@@ -139,6 +141,8 @@
     {
         return m_wake;
     }
+    /// Returns the number of listed routers, nothing while it is unknown. Empty if there are no other routers.
+    std::function<std::optional<std::size_t>()> routerCount;
     /// onConfirmed is called with each confirmation, onChange after changes that peers must be informed of soon.
     std::function<void(Clock::time_point at)> onConfirmed;
     std::function<void()> onChange;
@@ -181,6 +185,7 @@
     uint64_t m_unfetchedDigest = 0; ///< digest of the state that could not be fetched from a peer
     Clock::time_point m_unfetchedAt{};
     bool m_listed = false;
+    Clock::time_point m_listedAt{};
     bool m_hadActivePeers = false;
     uint64_t m_lastChange = 0; ///< revision of the last change; a watch from here repeats no change
     std::deque<ConfirmedRevision> m_confirmedRevisions; ///< sampled by confirmation time, the oldest first
--- a/tests/test_entry_state.cpp
+++ b/tests/test_entry_state.cpp
@@ -618,52 +618,35 @@
     CHECK(ended.has_value());
 }
 
-TEST(EntryFollower, WatchesMayLagWithoutTroubleAndAreCheckedPeriodically)
+TEST(EntryFollower, EveryWatchIsCurrent)
 {
     store::ObjectStore store;
     platform::LocalObjectApi api(store);
     RecordingSink sink;
-    ReadPolicy reads;
-    FollowerOptions options;
-    options.readPolicy = &reads;
-    Follower<RecordingSink> follower(api, "k", sink, options);
-    for (int i = 0; i < 20; ++i) {
+    Follower<RecordingSink> follower(api, "k", sink);
+    CHECK(loop().run(follower.step()));
+    for (int i = 1; i <= 20; ++i) {
         CHECK(loop().run(follower.step()));
+        LONGS_EQUAL(i, api.currentWatchCount);
     }
-    LONGS_EQUAL(0, api.currentWatchCount); // the listing was current, and no time has passed
-    ReadPolicyOptions always;
-    always.currentReadInterval = Millis(0);
-    ReadPolicy checking(always);
-    options.readPolicy = &checking;
-    Follower<RecordingSink> checked(api, "k", sink, options);
-    CHECK(loop().run(checked.step()));
-    CHECK(loop().run(checked.step()));
-    LONGS_EQUAL(1, api.currentWatchCount);
 }
 
-TEST(EntryFollower, LaggingReplicaIsNotUsedAfterANewerResponse)
+TEST(EntryFollower, ALaggingReplicaHidesNoChange)
 {
-    // Two kinds of one store: changes of one show that the replica of the other lags.
     store::ObjectStore store;
     platform::LocalObjectApi api(store);
     RecordingSink sink;
-    ReadPolicy reads;
-    FollowerOptions options;
-    options.readPolicy = &reads;
-    Follower<RecordingSink> first(api, "k", sink, options);
-    Follower<RecordingSink> second(api, "other", sink, options);
+    Follower<RecordingSink> first(api, "k", sink);
+    Follower<RecordingSink> second(api, "other", sink);
     CHECK(loop().run(first.step()));
     CHECK(loop().run(second.step()));
-    const uint64_t before = store.list("k", "", 1).revision;
+    api.replicaRevision = store.list("k", "", 1).revision;
     store.put("k", "a", 1, std::nullopt);
     CHECK(loop().run(first.step()));
-    api.replicaRevision = before;
     store.put("other", "b", 1, std::nullopt);
-    CHECK(loop().run(second.step())); // answered from an old state: there is nothing new, and another listing would not help
-    CHECK(loop().run(second.step())); // a current watch
+    CHECK(loop().run(second.step()));
     const std::vector<std::string> expected{"listed 0", "listed 0", "set a", "set b"};
     CHECK(sink.updates == expected);
-    LONGS_EQUAL(1, api.currentWatchCount);
 }
 
 TEST(EntryFollower, EveryWatchIsCurrentAfterStoreTrouble)
@@ -671,48 +654,15 @@
     store::ObjectStore store(1);
     platform::LocalObjectApi api(store);
     RecordingSink sink;
-    ReadPolicy reads;
-    FollowerOptions options;
-    options.readPolicy = &reads;
-    Follower<RecordingSink> follower(api, "k", sink, options);
+    Follower<RecordingSink> follower(api, "k", sink);
     CHECK(loop().run(follower.step()));
     store.put("k", "a", 1, std::nullopt);
     store.put("k", "b", 1, std::nullopt);
     CHECK(loop().run(follower.step())); // the history is lost
-    LONGS_EQUAL(0, api.currentWatchCount);
+    LONGS_EQUAL(1, api.currentWatchCount);
     CHECK(loop().run(follower.step())); // a listing
     CHECK(loop().run(follower.step()));
-    LONGS_EQUAL(1, api.currentWatchCount);
-}
-
-TEST(EntryFollower, ChangesPendingAtACurrentWatchIndicateALaggingReplica)
-{
-    ReadPolicy reads;
-    const Clock::time_point now{std::chrono::hours(1)};
-    CHECK(reads.choose(now, now) == platform::Freshness::MayLag);
-    reads.recordAnswer(platform::Freshness::Current, 5, true, now, now + Millis(500)); // the changes came while the watch waited
-    CHECK(reads.choose(now, now + Millis(500)) == platform::Freshness::MayLag);
-    reads.recordAnswer(platform::Freshness::Current, 6, true, now, now + Millis(5));
-    CHECK(reads.choose(now, now + Millis(500)) == platform::Freshness::Current);
-}
-
-TEST(EntryFollower, PendingChangesAreAWeakSignAndNoneAfterACurrentResponse)
-{
-    using platform::Freshness;
-    ReadPolicy reads;
-    const Clock::time_point now{std::chrono::hours(1)};
-    // Current watches follow each other while many endpoints change; no replica was asked in
-    // between.
-    reads.recordAnswer(Freshness::Current, 6, true, now, now + Millis(5), Freshness::Current);
-    CHECK(reads.choose(now, now) == Freshness::MayLag);
-    reads.recordAnswer(Freshness::Current, 7, true, now, now + Millis(5), Freshness::MayLag);
-    CHECK(reads.choose(now, now + Millis(2000)) == Freshness::Current);
-    CHECK(reads.choose(now, now + Millis(3000)) == Freshness::MayLag);
-    // A replica that is behind the newest known revision is a strong sign.
-    reads.recordAnswer(Freshness::MayLag, 6, false, now + Millis(3000), now + Millis(3005));
-    CHECK(reads.choose(now + Millis(20000), now + Millis(20000)) == Freshness::Current);
-    reads.recordAnswer(Freshness::Current, 9, true, now + Millis(3000), now + Millis(3005), Freshness::MayLag);
-    CHECK(reads.choose(now + Millis(20000), now + Millis(20000)) == Freshness::Current); // a weak sign does not shorten the period
+    LONGS_EQUAL(2, api.currentWatchCount);
 }
 
 namespace
--- a/tests/test_peers.cpp
+++ b/tests/test_peers.cpp
@@ -1,11 +1,13 @@
 // Tests of the exchange of loads between routers: the datagram, the directory of routers in the store, and the checks on what is received.
 #include "local_object_api.h"
 #include "peers/load_exchange.h"
+#include "recording_sink.h"
 
 // CppUTest goes last: its memory-leak macros redefine operator new.
 #include "loop_group.h"
 
 #include <algorithm>
+#include <thread>
 #include <tuple>
 
 using namespace yucca;
@@ -241,6 +243,14 @@
     return table;
 }
 
+/// Peers that send no changes.
+struct NoSource : replica::ChangeSource {
+    Task<Result<replica::Changes>> fetch(http::Address, std::string, replica::Position, replica::TransferLimit) override
+    {
+        co_return Error{503, "none"};
+    }
+};
+
 /// Receives and decodes one datagram.
 Task<peers::PeerMessage> receiveMessage(asio::ip::udp::socket &socket)
 {
@@ -286,12 +296,7 @@
     peers::ExchangeOptions options;
     options.maxPeersPerRound = 1;
     peers::LoadExchange exchange(api, peerAt("a", "north", 1), table, options);
-    struct NoSource : replica::ChangeSource {
-        Task<Result<replica::Changes>> fetch(http::Address, std::string, replica::Position, replica::TransferLimit) override
-        {
-            co_return Error{503, "none"};
-        }
-    } none;
+    NoSource none;
     replica::SharedReplica held(
         "k",
         [&exchange](Clock::time_point now) {
@@ -313,6 +318,58 @@
     CHECK(held.isConfirmed());
 }
 
+// Guards against a router that stood still taking the datagrams that waited meanwhile for the present state of its peers.
+TEST(LoadExchange, DatagramsThatWaitedWhileTheProcessStoodStillCountAsReceivedBefore)
+{
+    store::ObjectStore store;
+    platform::LocalObjectApi api(store);
+    router::RoutingTable table;
+    asio::ip::udp::socket sender(loop().io, {asio::ip::make_address("127.0.0.1"), 0});
+    const uint16_t port = [this] {
+        asio::ip::udp::socket probe(loop().io, {asio::ip::make_address("127.0.0.1"), 0});
+        return probe.local_endpoint().port();
+    }();
+    peers::ExchangeOptions options;
+    options.maxReceiveDelay = Millis(50);
+    peers::LoadExchange exchange(api, peerAt("a", "north", port), table, options);
+    NoSource none;
+    replica::SharedReplica held(
+        "k",
+        [&exchange](Clock::time_point now) {
+            return exchange.rank(now);
+        },
+        none);
+    exchange.shareReplicas({&held});
+    peers::PeerDirectory b(api, peerAt("b", "north", sender.local_endpoint().port()));
+    CHECK(loop().run(b.refresh()));
+    CHECK(loop().run(exchange.refreshPeers(Clock::now())));
+    held.applyListing({9, {}, false}, store::Freshness::MayLag, Clock::now());
+    bool stopped = false;
+    asio::co_spawn(loop().io, exchange.runReceiver(), [&stopped](std::exception_ptr) {
+        stopped = true;
+    });
+    CHECK(loop().run(trueAfterDelay(Millis(5))));
+    const auto stoodStill = Clock::now();
+    const asio::ip::udp::endpoint to(asio::ip::make_address("127.0.0.1"), port);
+    for (int i = 0; i < 3; ++i) {
+        sender.send_to(asio::buffer(peers::encode({{}, {}, {{"k", 9, 0, Clock::now()}}}, Clock::now())), to);
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds(200)); // the loop does not run meanwhile
+    loop().runUntil([&] {
+        return held.isConfirmed();
+    });
+    CHECK(loop().run(trueAfterDelay(Millis(5))));
+    CHECK(held.confirmedAt() <= stoodStill);
+    sender.send_to(asio::buffer(peers::encode({{}, {}, {{"k", 9, 0, Clock::now()}}}, Clock::now())), to);
+    loop().runUntil([&] {
+        return held.confirmedAt() > stoodStill;
+    });
+    exchange.stop();
+    loop().runUntil([&] {
+        return stopped;
+    });
+}
+
 TEST(LoadExchange, ALoadReportedByAPeerChangesThePlacement)
 {
     ExchangeFixture fixture;
--- a/tests/test_quarantine.cpp
+++ b/tests/test_quarantine.cpp
@@ -1,5 +1,6 @@
 // Quarantine of requests that crash endpoints: which crashes count, which updates
 // go to other routers and to the store, and what clears a content.
+#include "follower_fixture.h"
 #include "local_object_api.h"
 #include "orders.h"
 #include "peers/load_exchange.h"
@@ -530,8 +531,8 @@
 
 /// The quarantine of one router and its persistence in the store.
 struct StoredRouter {
-    explicit StoredRouter(platform::ObjectApi &api, bool sweeps = false)
-        : persistence(api, quarantine, neverAlone, [sweeps] {
+    explicit StoredRouter(platform::ObjectApi &api, bool sweeps = false, std::function<bool()> isAlone = neverAlone)
+        : persistence(api, quarantine, std::move(isAlone), [sweeps] {
             return sweeps;
         })
     {
@@ -570,6 +571,24 @@
     CHECK(after.isQuarantined());
 }
 
+// Guards against a router that hears no other one learning of a quarantine seconds late, from a replica.
+TEST(QuarantineStore, ARouterThatHearsNobodyReadsThePresentRecords)
+{
+    store::ObjectStore store;
+    CountingApi api(store);
+    bool alone = true;
+    StoredRouter router(api, false, [&alone] {
+        return alone;
+    });
+    CHECK(loop().run(router.persistence.load()));
+    CHECK(api.lastListFreshness == platform::Freshness::MayLag); // the first one, by all routers of a fleet that starts
+    CHECK(loop().run(router.persistence.load()));
+    CHECK(api.lastListFreshness == platform::Freshness::Current);
+    alone = false;
+    CHECK(loop().run(router.persistence.load()));
+    CHECK(api.lastListFreshness == platform::Freshness::MayLag);
+}
+
 TEST(QuarantineStore, OneMoreCrashAfterTwoSavedOnesQuarantinesTheContent)
 {
     store::ObjectStore store;
--- a/tests/test_shared_replica.cpp
+++ b/tests/test_shared_replica.cpp
@@ -356,19 +356,110 @@
 {
     FollowerFixture fixture;
     fixture.rank = std::nullopt;
-    fixture.options.selfConfirmDelay = Millis(50);
-    fixture.follower = std::make_unique<Follower<RecordingSink>>(fixture.api, "k", fixture.sink, fixture.options);
-    CHECK(loop().run(fixture.follower->step()));
+    std::optional<std::size_t> routers;
+    fixture.own.routerCount = [&routers] {
+        return routers;
+    };
     CHECK(loop().run(fixture.follower->step()));
+    CHECK(fixture.api.lastListFreshness == platform::Freshness::MayLag);
     CHECK(!fixture.own.isConfirmed()); // a replica's answer confirms nothing
-    LONGS_EQUAL(0, fixture.api.currentWatchCount);
-    CHECK(fixture.api.lastWait <= Millis(50));
-    CHECK(loop().run(trueAfterDelay(Millis(60))));
+    const auto now = Clock::now();
+    CHECK(fixture.own.queryDueAt(now) > now); // the size of the fleet is unknown
+    routers = 1;
+    CHECK(fixture.own.queryDueAt(now) <= now + Millis(5));
+    CHECK(loop().run(trueAfterDelay(Millis(10))));
     CHECK(loop().run(fixture.follower->step()));
     CHECK(fixture.own.isConfirmed());
+    LONGS_EQUAL(1, fixture.api.watches);
     LONGS_EQUAL(1, fixture.api.currentWatchCount);
 }
 
+// Guards against all routers of a large fleet, restarted together, calling the store at the same moment.
+TEST(QuerySchedule, FirstConfirmationsOfALargeFleetAreSpread)
+{
+    const replica::QuerySchedule first({}, 0);
+    const replica::QuerySchedule middle({}, 0.5);
+    const replica::QuerySchedule last({}, 1);
+    const auto listed = Clock::now();
+    CHECK(first.firstConfirmationDueAt(listed, 300, listed) == listed);
+    CHECK(middle.firstConfirmationDueAt(listed, 300, listed) == listed + Millis(750));
+    CHECK(last.firstConfirmationDueAt(listed, 300, listed) == listed + Millis(1500));
+    CHECK(last.firstConfirmationDueAt(listed, 2000, listed) == listed + Millis(2500));
+    CHECK(last.firstConfirmationDueAt(listed, std::nullopt, listed + Millis(2450)) == listed + Millis(2500));
+}
+
+// Guards against a router that nobody keeps current following a replica, which may be seconds behind: each watch is a current one, and
+// its timeout is within the bound.
+TEST(SharedFollower, ARouterThatHearsNobodyNeverWatchesAReplica)
+{
+    FollowerFixture fixture;
+    fixture.rank = std::nullopt;
+    fixture.start(loop());
+    fixture.api.replicaRevision = 1; // and without changes
+    for (int i = 0; i < 30; ++i) {
+        fixture.store.put("k", "a", i, std::nullopt);
+        CHECK(loop().run(fixture.follower->step()));
+    }
+    LONGS_EQUAL(30, fixture.api.watches);
+    LONGS_EQUAL(30, fixture.api.currentWatchCount);
+    LONGS_EQUAL(31, fixture.sink.updates.size());
+    CHECK(fixture.api.lastWait <= Millis(1500));
+    CHECK(replica::queryScheduleWithin(Millis(2000)).aloneWatchTimeout + platform::watchResponseMargin < Millis(2000));
+}
+
+// Guards against the same in the time until a router's neighbours are known to be gone.
+TEST(SharedFollower, ARouterThatLosesItsNeighboursQueriesTheStoreAtOnce)
+{
+    FollowerFixture fixture;
+    fixture.start(loop());
+    const auto later = Clock::now() + std::chrono::seconds(5);
+    CHECK(fixture.own.queryDueAt(Clock::now()) > Clock::now() + Millis(1000));
+    fixture.rank = std::nullopt;
+    CHECK(fixture.own.queryDueAt(later) <= later);
+    fixture.store.put("k", "a", 1, std::nullopt);
+    CHECK(loop().run(fixture.follower->step()));
+    LONGS_EQUAL(1, fixture.api.currentWatchCount);
+    STRCMP_EQUAL("set a", fixture.sink.updates.back().c_str());
+}
+
+// Guards against a process that stood still announcing an old answer as the store's present state.
+TEST(SharedFollower, AnAnswerThatIsReadLateConfirmsNoMoreThanTheEndOfItsWatch)
+{
+    FollowerFixture fixture;
+    fixture.start(loop());
+    fixture.rank = 0;
+    const auto wait = fixture.own.watchTimeout(Clock::now());
+    fixture.api.watchLatency = wait + Millis(300); // the answer is read that much after the call
+    const auto begun = Clock::now();
+    CHECK(loop().run(fixture.follower->step()));
+    CHECK(fixture.own.confirmedAt() <= begun + wait + Millis(50));
+    CHECK(fixture.own.confirmedAt() >= begun + wait);
+}
+
+// Guards against a router that left the calls to others, after a failed one, waiting on when these have gone.
+TEST(SharedFollower, ARouterThatLeftTheCallsToOthersCallsSoonAfterTheyAreGone)
+{
+    FollowerFixture fixture;
+    fixture.start(loop());
+    fixture.api.outage = true;
+    std::optional<bool> ended;
+    loop().start(runUntilStopped(*fixture.follower), ended);
+    loop().runUntil([&] {
+        return fixture.api.watches == 1;
+    });
+    CHECK(loop().run(trueAfterDelay(Millis(50))));
+    fixture.rank = std::nullopt;
+    const auto gone = Clock::now();
+    loop().runUntil([&] {
+        return fixture.api.watches == 2;
+    });
+    CHECK(Clock::now() - gone < Millis(1000)); // 3.2 s while others call
+    fixture.follower->stop();
+    loop().runUntil([&] {
+        return ended.has_value();
+    });
+}
+
 // Guards against every router of a fleet querying the store when routers begin to hear each other.
 TEST(SharedFollower, ARouterThatBeginsToHearOthersWaitsForTheirConfirmation)
 {
