Names of any length are carried between routers, and one unreadable item costs itself alone

Cause: a writer without its reader's limit. A datagram had versions of any length; its reader took 64 bytes and dropped the whole datagram, uncounted. The same pair: ids of endpoints and services over 200 bytes, loads out of range, datagrams over the reader's 2,048 bytes, and in the store objects without a limit on their size.

Change: a longer name is sent as a digest of the whole name, so that two names have the same text only if they are equal; origins compare such names, records in the store keep the text. encode() divides a message by size; an item that cannot be read is passed over, counted and logged. Every item can be read by the release before, and its items by this one.

--- a/src/entry/entry_metrics.cpp
+++ b/src/entry/entry_metrics.cpp
@@ -220,6 +220,8 @@
     writeSingle(out, "yucca_responses_truncated_total", "counter", "Responses that a failure or a write timeout ended", static_cast<double>(gauges.truncated));
     writeSingle(out, "yucca_handler_failures_total", "counter", "Handlers of requests that failed", static_cast<double>(gauges.handlerFailures));
     writeSingle(out, "yucca_tunnels_refused_total", "counter", "Tunnels refused to peers", static_cast<double>(gauges.tunnelsRefused));
+    writeSingle(out, "yucca_peer_items_unreadable_total", "counter", "Items of other routers' datagrams that could not be read",
+                static_cast<double>(gauges.unreadablePeerItems));
     writeSingle(out, "yucca_stream_origins", "gauge", "Streams whose software version this router knows", static_cast<double>(gauges.streamOrigins));
     writeSingle(out, "yucca_cold_endpoints", "gauge", "Endpoints that are taken for cold", static_cast<double>(gauges.coldEndpoints));
     writeSingle(out, "yucca_requests_in_flight", "gauge", "Requests in flight", static_cast<double>(gauges.inflight));
--- a/src/entry/gateway_streams.h
+++ b/src/entry/gateway_streams.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "entry/gateway.h"
+#include "name_digest.h"
 
 namespace yucca::entry
 {
@@ -22,7 +23,7 @@
     const auto service = chooseService(profile);
     if (profile.resumes.empty()) {
         const auto version = co_await m_streamStore->soleVersion(service);
-        co_return version ? std::optional(streams::Origin{service, *version}) : std::nullopt;
+        co_return version ? std::optional(streams::makeOrigin(service, *version)) : std::nullopt;
     }
     const auto stream = streamKey(profile, profile.resumes);
     auto origin = co_await m_origins->locate(stream);
@@ -43,13 +44,15 @@
     if (!state.origin) {
         co_return Rejection::VersionUnknown;
     }
+    const auto &origin = *state.origin;
     const auto &destinations = profile.route->destinations;
-    const bool routed = std::any_of(destinations.begin(), destinations.end(), [&state](const Destination &destination) {
-        return destination.service == state.origin->service;
+    const auto destination = std::find_if(destinations.begin(), destinations.end(), [&origin](const Destination &candidate) {
+        return names::abbreviate(candidate.service, names::maxServiceBytes) == origin.service;
     });
-    state.service = state.origin->service;
-    state.constraints.version = state.origin->version;
-    co_return routed ? std::nullopt : std::optional(Rejection::VersionUnavailable);
+    const bool routed = destination != destinations.end();
+    state.service = routed ? destination->service : origin.service;
+    state.constraints.version = m_table.findVersion(state.service, origin.version);
+    co_return routed &&state.constraints.version ? std::nullopt : std::optional(Rejection::VersionUnavailable);
 }
 
 // Binds a stream to the endpoint that brought its first event to this router, and informs other routers: the caller may take
@@ -57,7 +60,7 @@
 template <Dialect D> void Gateway<D>::recordOrigin(RequestState &state, const Endpoint &endpoint)
 {
     if (!state.origin) {
-        state.origin = streams::Origin{endpoint.pool, endpoint.version};
+        state.origin = streams::makeOrigin(endpoint.pool, endpoint.version);
         state.constraints.version = endpoint.version;
     }
     if (state.originAnnounced || !m_origins || !repeatable(*state.profile.route)) {
--- a/src/entry/process.h
+++ b/src/entry/process.h
@@ -420,6 +420,7 @@
         gauges.coldEndpoints = m_table.coldCount(Clock::now());
         gauges.quarantined = m_quarantine.quarantinedCount(Clock::now());
         gauges.streamOrigins = m_origins.size();
+        gauges.unreadablePeerItems = m_exchange.unreadableItems();
         gauges.tunnels = m_relay.counters().open;
         gauges.tunnelsAccepted = m_relay.counters().accepted;
         gauges.tunnelsRefused = m_relay.counters().refused;
--- a/src/log.h
+++ b/src/log.h
@@ -66,6 +66,7 @@
     ListIncomplete = 2063,
     TunnelNotOpened = 2064,
     StreamsRead = 2065,
+    PeerItemsUnreadable = 2066,
     OrderAccepted = 3001,
     OrderRefused = 3002,
     Draining = 3003,
--- a/src/peers/load_exchange.cpp
+++ b/src/peers/load_exchange.cpp
@@ -14,7 +14,6 @@
 namespace
 {
 
-constexpr std::size_t maxDatagramBytes = 2048;
 constexpr Millis startJitter{1000};
 constexpr uint64_t silentPeerRounds = 10; ///< a silent peer gets a datagram in one of this many rounds
 
@@ -271,22 +270,25 @@
 
 Task<void> LoadExchange::send(const std::vector<Peer> &receivers, const PeerMessage &message, Clock::time_point now)
 {
-    const auto datagram = encode(message, now);
+    const auto datagrams = encode(message, now);
     for (const auto &peer : receivers) {
         boost::system::error_code ec;
         const auto address = asio::ip::make_address(peer.address.host, ec);
-        if (!ec) {
-            const Udp::endpoint to(address, peer.address.port);
+        if (ec) {
+            continue;
+        }
+        const Udp::endpoint to(address, peer.address.port);
+        for (const auto &datagram : datagrams) {
+            // A lost datagram is not logged: the next round sends newer state.
             co_await m_socket->async_send_to(asio::buffer(datagram), to, asio::redirect_error(asio::use_awaitable, ec));
         }
-        // A lost datagram is not logged: the next round sends newer state.
     }
 }
 
 Task<void> LoadExchange::runReceiver()
 {
     const auto ex = co_await asio::this_coro::executor;
-    std::array<uint8_t, maxDatagramBytes> buffer;
+    std::vector<uint8_t> buffer(maxReceivedBytes);
     while (!m_stopping) {
         if (!openSocket(ex)) {
             co_await sleepFor(m_options.retryDelay);
@@ -312,11 +314,16 @@
     }
     const auto decoded = decode(datagram, now);
     if (const auto *error = std::get_if<Error>(&decoded)) {
+        ++m_unreadableItems;
         logWarning(from.host, error->message, now);
         return;
     }
     heard->second = now;
     const auto &message = std::get<PeerMessage>(decoded);
+    if (message.unreadable > 0) {
+        m_unreadableItems += message.unreadable;
+        logUnreadable(from.host, message.unreadable, now);
+    }
     if (m_listings >= 2) {
         const auto kind = m_domainAddresses.count(from) ? PeerKind::SameDomain : PeerKind::OtherDomain;
         m_fleetInflight.recordDatagram(from, kind, message.inflight, now);
@@ -379,6 +386,18 @@
     }
 }
 
+// Logs that items of a peer's datagrams were passed over, at most once per warningInterval.
+void LoadExchange::logUnreadable(const std::string &peer, std::size_t items, Clock::time_point now)
+{
+    if (now - m_unreadableLoggedAt >= m_options.warningInterval) {
+        m_unreadableLoggedAt = now;
+        log::Line{log::Event::PeerItemsUnreadable}
+            .add("peer", peer)
+            .add("items", static_cast<int64_t>(items))
+            .add("total", static_cast<int64_t>(m_unreadableItems.load()));
+    }
+}
+
 std::vector<Peer> LoadExchange::activePeers(Clock::time_point now) const
 {
     std::vector<Peer> active;
--- a/src/peers/load_exchange.h
+++ b/src/peers/load_exchange.h
@@ -76,6 +76,11 @@
     {
         return m_activePeerCount;
     }
+    /// Returns the items of datagrams, or whole datagrams, that could not be read; callable from any thread.
+    uint64_t unreadableItems() const
+    {
+        return m_unreadableItems;
+    }
     /// Returns all peers that were heard recently, in any failure domain.
     std::vector<Peer> activePeers(Clock::time_point now) const;
     /// Returns the number of listed routers with this one; nothing before the first listing.
@@ -151,6 +156,7 @@
     Task<void> removeSilentEntries(Clock::time_point now);
     void countActivePeers(Clock::time_point now);
     void logWarning(const std::string &peer, const std::string &why, Clock::time_point now);
+    void logUnreadable(const std::string &peer, std::size_t items, Clock::time_point now);
     bool isSilent(const Peer &peer, Clock::time_point now) const;
     std::vector<Peer> randomPeers(const std::vector<Peer> &peers, std::size_t maxCount, bool includeSilent, Clock::time_point now);
 
@@ -173,6 +179,8 @@
     Clock::time_point m_sentUpTo{};
     uint64_t m_round = 0;
     Clock::time_point m_warnedAt{};
+    Clock::time_point m_unreadableLoggedAt{};
+    std::atomic<uint64_t> m_unreadableItems{0};
     std::minstd_rand m_random{std::random_device{}()};
     std::atomic<std::size_t> m_activePeerCount{0};
     FleetMembership m_membership;
--- a/src/peers/peer_message.h
+++ b/src/peers/peer_message.h
@@ -34,7 +34,8 @@
     bool operator==(const PromptAnnouncement &) const = default;
 };
 
-/// The contents of one datagram.
+/// What routers tell each other in one or more datagrams. Names of services and versions are as names::abbreviate() returns them; ids of
+/// endpoints and names of services may be digests in a message that was received.
 struct PeerMessage {
     std::vector<LoadReport> loads;
     std::vector<PromptAnnouncement> prompts;
@@ -46,23 +47,31 @@
     std::vector<streams::OriginRecord> origins = {}; ///< of streams that the sender knows
     std::vector<uint64_t> originQueries = {}; ///< streams whose origins the sender asks for
     std::vector<uint64_t> unknownOrigins = {}; ///< streams for which the sender was asked and that it does not know
+    std::size_t unreadable = 0; ///< items of the datagram that were passed over
     bool operator==(const PeerMessage &) const = default;
 };
 
-/// Limits per datagram. A report takes about 25 B and a prompt 9 to 25 B, so that a datagram fits one packet of 1,400 B.
+/// Size of a datagram: one packet. A single item, or the counts of requests in flight together, may need more.
+inline constexpr std::size_t maxPacketBytes = 1400;
+/// A reader accepts what UDP can carry; a reader of an earlier release has room for fewer bytes.
+inline constexpr std::size_t maxReceivedBytes = 65536;
+inline constexpr std::size_t earlierReleaseBytes = 2048;
+
+/// Limits per datagram.
 inline constexpr std::size_t maxLoadReports = 32;
 inline constexpr std::size_t maxPrompts = 24;
-/// Crash records, of about 12 B and 9 B per endpoint, and answers are sent in datagrams of their own.
-inline constexpr std::size_t maxCrashRecords = 16;
-inline constexpr std::size_t maxOrigins = 16; ///< records of up to 70 B, queries and replies, in datagrams of their own
-inline constexpr std::size_t maxConfirmations = 4; ///< one per kind of objects, of about 35 B
-inline constexpr std::size_t maxInflightCounts = 8; ///< one per service, of about 20 B each; they count toward maxLoadReports
+inline constexpr std::size_t maxCrashRecords = 16; ///< and as many suspicions and complete responses
+inline constexpr std::size_t maxOrigins = 16; ///< and as many queries and replies
+inline constexpr std::size_t maxConfirmations = 4; ///< one per kind of objects
+inline constexpr std::size_t maxInflightCounts = 8; ///< one per service; they count toward maxLoadReports
 
-/// Encodes a datagram: the newest reports and the first prompts if there are too many. Times are encoded as ages in ms, because
-/// routers' clocks differ.
-std::vector<uint8_t> encode(PeerMessage message, Clock::time_point now);
+/// Encodes a message as datagrams, at least one: the newest reports and the first items of each other type if there are too many for one
+/// reader. Times are encoded as ages in ms, because routers' clocks differ. Every item can be read by an earlier release, which would
+/// pass over the whole datagram otherwise.
+std::vector<std::vector<uint8_t>> encode(PeerMessage message, Clock::time_point now);
 
-/// Decodes a datagram. Ages are subtracted from now. Fails with an Error (400) that describes what is malformed.
+/// Decodes a datagram. Ages are subtracted from now. An item that cannot be read, or exceeds the limit of its type, is passed over and
+/// counted. Fails with an Error (400) if the datagram is no list of items.
 Result<PeerMessage> decode(std::span<const uint8_t> datagram, Clock::time_point now);
 
 } // namespace yucca::peers
--- a/src/prompt_snapshot.cpp
+++ b/src/prompt_snapshot.cpp
@@ -13,17 +13,25 @@
 namespace
 {
 
+constexpr std::size_t overheadBytes = 6; ///< quotes and separators of a name or a key
+
 std::optional<uint64_t> parseKey(const json &keyText)
 {
     return keyText.is_string() ? text::parseHex(keyText.get_ref<const std::string &>()) : std::nullopt;
 }
 
-// Groups the prompts by endpoint, the most recently recorded first.
-json encodeSnapshot(const std::vector<peers::PromptAnnouncement> &prompts)
+// Groups the prompts by endpoint, the most recently recorded first, up to a size.
+json encodeSnapshot(const std::vector<peers::PromptAnnouncement> &prompts, std::size_t maxBytes)
 {
     json out = json::object();
+    std::size_t bytes = 0;
     for (const auto &p : prompts) {
-        out[p.endpoint].push_back(text::toHex(p.prompt));
+        auto key = text::toHex(p.prompt);
+        bytes += key.size() + overheadBytes + (out.contains(p.endpoint) ? 0 : p.endpoint.size() + overheadBytes);
+        if (bytes > maxBytes) {
+            break;
+        }
+        out[p.endpoint].push_back(std::move(key));
     }
     return out;
 }
@@ -98,7 +106,7 @@
     if (known.empty()) {
         co_return true;
     }
-    const json snapshot = encodeSnapshot(known);
+    const json snapshot = encodeSnapshot(known, m_options.maxBytes);
     auto result = co_await m_api.put(snapshotKind, snapshotName, snapshot, std::nullopt);
     if (!ok(result) && std::get<Error>(result).code == store::NotFound) {
         result = co_await m_api.put(snapshotKind, snapshotName, snapshot, 0);
--- a/src/prompt_snapshot.h
+++ b/src/prompt_snapshot.h
@@ -21,6 +21,7 @@
     Millis readRetryDelay{300}; ///< after a failed read
     Millis endpointsPollInterval{20}; ///< between two checks for a known endpoint list; a check makes no call
     int maxReads = 20; ///< at a start, 6 s in total; by then callers have requested the held prompts again
+    std::size_t maxBytes = 512 * 1024; ///< of the endpoints' ids and the prompts, of the 1 MB limit of an object
     std::size_t maxPrompts = 4000; ///< most recently recorded ones; about 20 B each, of the 1 MB limit of an object
 };
 
--- a/src/router_constraints.cpp
+++ b/src/router_constraints.cpp
@@ -1,5 +1,6 @@
 // Constraints of the routing table besides load: evacuated failure domains, allowed regions, and the limit on cold
 // endpoints.
+#include "name_digest.h"
 #include "router_core.h"
 
 #include <algorithm>
@@ -177,6 +178,24 @@
     return versions;
 }
 
+std::optional<std::string> RoutingTable::findVersion(const std::string &pool, const std::string &abbreviated) const
+{
+    if (!names::isDigest(abbreviated)) {
+        return abbreviated;
+    }
+    std::lock_guard lock(m_mutex);
+    const auto held = m_versions.find(pool);
+    if (held == m_versions.end()) {
+        return std::nullopt;
+    }
+    for (const auto &version : held->second.versions) {
+        if (names::abbreviate(version, names::maxVersionBytes) == abbreviated) {
+            return version;
+        }
+    }
+    return std::nullopt;
+}
+
 std::optional<std::string> RoutingTable::soleVersion(const std::string &pool, Clock::time_point now) const
 {
     std::lock_guard lock(m_mutex);
--- a/src/router_core.cpp
+++ b/src/router_core.cpp
@@ -117,6 +117,7 @@
     } else {
         update.added.erase(endpoint.id);
     }
+    recordListed(endpoint, true);
     m_endpoints[endpoint.id] = std::move(endpoint);
 }
 
@@ -125,6 +126,7 @@
     removeLive(endpoint.id, batch);
     removeLeaving(endpoint.id, batch);
     countVersion(endpoint, 1, batch);
+    recordListed(endpoint, true);
     m_leaving[endpoint.id] = endpoint;
 }
 
@@ -143,6 +145,7 @@
     }
     batch.changed = true;
     countVersion(known->second, -1, batch);
+    recordListed(known->second, false);
     m_unlistedAt[incarnationKey(known->second)] = batch.now;
     auto &update = batch.pools[known->second.pool];
     update.added.erase(id);
@@ -155,6 +158,7 @@
     const auto known = m_leaving.find(id);
     if (known != m_leaving.end()) {
         countVersion(known->second, -1, batch);
+        recordListed(known->second, false);
         m_leaving.erase(known);
     }
 }
--- a/src/router_core.h
+++ b/src/router_core.h
@@ -189,6 +189,9 @@
     /// The version of all endpoints of a pool, listed as live or leaving; nothing if there is none, if there are several, or if this
     /// router has seen another one within a minute.
     std::optional<std::string> soleVersion(const std::string &pool, Clock::time_point now) const;
+    /// The version of a pool's endpoints that names::abbreviate() turned into the given text; nothing if that is a digest and no listed
+    /// endpoint has such a version.
+    std::optional<std::string> findVersion(const std::string &pool, const std::string &abbreviated) const;
     /// The versions of the endpoints of each pool, listed as live or leaving; of its last ones for a pool without endpoints.
     std::map<std::string, std::set<std::string>> listedVersions() const;
     /// When an endpoint joined. Returns a default-constructed time point for endpoints of the first listing and for
@@ -265,6 +268,9 @@
         return !m_refusals.isLeaving(endpoint) && !isEvacuated(endpoint);
     }
     void countVersion(const Endpoint &endpoint, int difference, Batch &batch);
+    void recordListed(const Endpoint &endpoint, bool listed);
+    const std::string &idOf(const std::string &received) const;
+    std::map<std::string, Pool>::iterator findPoolByReceivedName(const std::string &received);
     void recordVersions(const Batch &batch);
     Picker makePicker(EndpointKind kind) const;
     std::optional<std::size_t> pickMember(const std::string &name, Pool &pool, const placement::Affinity &requestAffinity, const std::set<std::string> &exclude,
@@ -312,6 +318,7 @@
     limits::ColdLimiter m_coldLimiter;
     limits::RejectionLimiter m_rejections;
     std::map<std::string, PoolVersions> m_versions; ///< by pool
+    std::map<std::string, std::string> m_idsOfDigests; ///< of listed endpoints whose ids are too long for datagrams, by digest
     std::map<std::string, Clock::time_point> m_unlistedAt; ///< by incarnation: when it was last listed
 };
 
--- a/src/router_prompts.cpp
+++ b/src/router_prompts.cpp
@@ -118,7 +118,7 @@
 void RoutingTable::mergePeerPrompt(const peers::PromptAnnouncement &announcement, Clock::time_point now)
 {
     std::lock_guard lock(m_mutex);
-    if (const auto *endpoint = findListed(announcement.endpoint)) {
+    if (const auto *endpoint = findListed(idOf(announcement.endpoint))) {
         m_holders.record(announcement.prompt, *endpoint, HolderSource::Peer, now);
     }
 }
--- a/src/router_reports.cpp
+++ b/src/router_reports.cpp
@@ -1,4 +1,5 @@
 // Load reports in the routing table: this router's own and those of peers, and which of them to share.
+#include "name_digest.h"
 #include "router_core.h"
 
 #include <algorithm>
@@ -29,13 +30,45 @@
     applyReport(id, load, now);
 }
 
+// Keeps the ids that peers know by their digests alone.
+void RoutingTable::recordListed(const Endpoint &endpoint, bool listed)
+{
+    auto digest = names::abbreviate(endpoint.id, names::maxEndpointIdBytes);
+    if (digest == endpoint.id) {
+        return;
+    }
+    if (listed) {
+        m_idsOfDigests.insert_or_assign(std::move(digest), endpoint.id);
+    } else {
+        m_idsOfDigests.erase(digest);
+    }
+}
+
+// Returns the id of the endpoint that a peer names.
+const std::string &RoutingTable::idOf(const std::string &received) const
+{
+    const auto digest = m_idsOfDigests.find(received);
+    return digest == m_idsOfDigests.end() ? received : digest->second;
+}
+
+std::map<std::string, RoutingTable::Pool>::iterator RoutingTable::findPoolByReceivedName(const std::string &received)
+{
+    if (!names::isDigest(received)) {
+        return m_pools.find(received);
+    }
+    return std::find_if(m_pools.begin(), m_pools.end(), [&received](const auto &entry) {
+        return names::abbreviate(entry.first, names::maxServiceBytes) == received;
+    });
+}
+
 void RoutingTable::mergePeerReport(const peers::LoadReport &report, Clock::time_point now)
 {
     std::lock_guard lock(m_mutex);
-    if (!m_endpoints.count(report.endpoint)) {
+    const auto &id = idOf(report.endpoint);
+    if (!m_endpoints.count(id)) {
         return; // not listed here
     }
-    auto &health = m_health[report.endpoint];
+    auto &health = m_health[id];
     if (report.receivedAt < health.joinedAt) {
         return; // from an earlier incarnation
     }
@@ -44,7 +77,7 @@
         health.peerReceivedAt = report.receivedAt;
         health.peerMergedAt = now;
     }
-    applyReport(report.endpoint, report.load, report.receivedAt);
+    applyReport(id, report.load, report.receivedAt);
 }
 
 std::vector<peers::LoadReport> RoutingTable::reportsToForward(Clock::time_point then, std::size_t limit, Millis maxAge, Clock::time_point now) const
@@ -118,11 +151,11 @@
     std::lock_guard lock(m_mutex);
     auto own = inflightByPool();
     for (const auto &[name, others] : requests) {
-        const auto pool = m_pools.find(name);
+        const auto pool = findPoolByReceivedName(name);
         if (pool == m_pools.end()) {
             continue;
         }
-        auto elsewhere = own[name]; // on endpoints that are not members
+        auto elsewhere = own[pool->first]; // on endpoints that are not members
         for (const auto &id : m_busy) {
             std::size_t member = 0;
             elsewhere -= findPool(id, member) == &pool->second ? m_health.at(id).inflight : 0;
--- a/src/stream_origins.cpp
+++ b/src/stream_origins.cpp
@@ -1,5 +1,7 @@
 #include "stream_origins.h"
 
+#include "name_digest.h"
+
 #include <boost/asio/post.hpp>
 
 #include <algorithm>
@@ -8,6 +10,16 @@
 namespace yucca::streams
 {
 
+Origin makeOrigin(std::string_view service, std::string_view version)
+{
+    return {names::abbreviate(service, names::maxServiceBytes), names::abbreviate(version, names::maxVersionBytes)};
+}
+
+Origin receivedOrigin(std::string_view service, std::string_view version)
+{
+    return {names::received(service, names::maxServiceBytes), names::received(version, names::maxVersionBytes)};
+}
+
 void StreamOrigins::announce(const OriginRecord &record, Clock::time_point now)
 {
     {
@@ -24,10 +36,11 @@
 void StreamOrigins::announceAgain(const std::string &service, Clock::duration within, Clock::time_point now)
 {
     std::vector<OriginRecord> records;
+    const auto name = names::abbreviate(service, names::maxServiceBytes);
     {
         std::lock_guard lock(m_mutex);
         for (const auto &[stream, entry] : m_entries) {
-            if (entry.own && !entry.contradicted && entry.origin.service == service && now - entry.at < within) {
+            if (entry.own && !entry.contradicted && entry.origin.service == name && now - entry.at < within) {
                 records.push_back({stream, entry.origin});
             }
         }
--- a/src/stream_origins.h
+++ b/src/stream_origins.h
@@ -16,19 +16,25 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
 namespace yucca::streams
 {
 
-/// The software that began a stream.
+/// The software that began a stream. The names are abbreviated, so that equal ones are equal wherever they come from.
 struct Origin {
     std::string service;
     std::string version;
-    bool operator==(const Origin &) const = default;
+    auto operator<=>(const Origin &) const = default;
 };
 
+/// Returns the origin with the given names.
+Origin makeOrigin(std::string_view service, std::string_view version);
+/// Returns the origin whose names were sent by another router or read from a record.
+Origin receivedOrigin(std::string_view service, std::string_view version);
+
 /// The origin of one stream, as routers send it to each other.
 struct OriginRecord {
     uint64_t stream = 0; ///< hash of the caller's workspace and of the attempt that brought the first event
--- a/src/stream_store.cpp
+++ b/src/stream_store.cpp
@@ -3,6 +3,7 @@
 #include "decode.h"
 #include "failure.h"
 #include "log.h"
+#include "name_digest.h"
 #include "text.h"
 
 #include <boost/asio/detached.hpp>
@@ -29,44 +30,61 @@
     return std::string(keyDigits - digits.size(), '0') + digits;
 }
 
-// Groups the keys of streams by service and version: {SERVICE: {VERSION: "KEYKEY..."}}.
-json encodeOrigins(const std::vector<OriginRecord> &records)
+// Returns a version, or a service that has a record, as it stands in records.
+std::string recordName(std::string_view name)
 {
-    std::map<std::string, std::map<std::string, std::string>> keys;
-    for (const auto &record : records) {
-        keys[record.origin.service][record.origin.version] += paddedKey(record.stream);
+    return names::abbreviate(name, names::maxStoredBytes);
+}
+
+std::set<std::string> recordNames(const std::set<std::string> &versions)
+{
+    std::set<std::string> out;
+    for (const auto &version : versions) {
+        out.insert(recordName(version));
     }
-    return {{originsKey, keys}};
+    return out;
 }
 
-void appendKeys(const Origin &origin, std::string_view keys, std::vector<OriginRecord> &out)
+// Returns false if the text is not a list of keys.
+bool appendKeys(const Origin &origin, std::string_view keys, std::vector<OriginRecord> &out)
 {
-    for (std::size_t at = 0; at + keyDigits <= keys.size(); at += keyDigits) {
-        if (const auto stream = text::parseHex(keys.substr(at, keyDigits))) {
-            out.push_back({*stream, origin});
+    for (std::size_t at = 0; at < keys.size(); at += keyDigits) {
+        const auto digits = keys.substr(at, keyDigits);
+        const auto stream = digits.size() == keyDigits ? text::parseHex(digits) : std::nullopt;
+        if (!stream) {
+            return false;
         }
+        out.push_back({*stream, origin});
     }
+    return true;
 }
 
-// Other programs may have written anything: what is no record is passed over.
-std::vector<OriginRecord> decodeOrigins(const json &value)
-{
+/// The records of one object. Other programs may have written anything: what is no record is passed over.
+struct DecodedOrigins {
     std::vector<OriginRecord> records;
+    std::size_t unreadable = 0; ///< parts that were passed over
+};
+
+// Decodes the keys of streams, grouped by service and version: {SERVICE: {VERSION: "KEYKEY..."}}.
+DecodedOrigins decodeOrigins(const json &value)
+{
+    DecodedOrigins out;
     const auto services = value.is_object() ? value.find(originsKey) : value.end();
     if (services == value.end() || !services->is_object()) {
-        return records;
+        out.unreadable = 1;
+        return out;
     }
     for (const auto &[service, versions] : services->items()) {
         if (!versions.is_object()) {
+            ++out.unreadable;
             continue;
         }
         for (const auto &[version, keys] : versions.items()) {
-            if (keys.is_string()) {
-                appendKeys({service, version}, keys.get_ref<const std::string &>(), records);
-            }
+            const bool readable = keys.is_string() && appendKeys(receivedOrigin(service, version), keys.get_ref<const std::string &>(), out.records);
+            out.unreadable += readable ? 0 : 1;
         }
     }
-    return records;
+    return out;
 }
 
 // Returns nothing for a value that is no record of versions.
@@ -81,7 +99,7 @@
         if (!version.is_string()) {
             return std::nullopt;
         }
-        versions.insert(version.get<std::string>());
+        versions.insert(names::received(version.get_ref<const std::string &>(), names::maxStoredBytes));
     }
     return versions;
 }
@@ -93,6 +111,11 @@
     return value;
 }
 
+void logUnreadable(const char *kind, const std::string &name, const std::string &problems)
+{
+    log::Line{log::Event::CatalogueEntryRejected}.add("entry", std::string(kind) + "/" + name).add("problems", problems);
+}
+
 void logFailure(const char *operation, const Error &error)
 {
     log::Line{log::Event::PlatformUnreachable}.add("op", operation).add("code", int64_t{error.code});
@@ -166,6 +189,16 @@
     }
 }
 
+// Returns the listed versions of each service as they stand in records.
+std::map<std::string, StreamStore::Versions> StreamStore::listedVersions() const
+{
+    auto listed = m_parts.table.listedVersions();
+    for (auto &[service, versions] : listed) {
+        versions = recordNames(versions);
+    }
+    return listed;
+}
+
 // Records versions that are listed and not recorded, one recorder after the other, and drops those that have had no streams for long.
 Task<void> StreamStore::recordVersions(Clock::time_point now)
 {
@@ -175,7 +208,7 @@
     }
     bool due = false;
     bool expired = false;
-    const auto listed = m_parts.table.listedVersions();
+    const auto listed = listedVersions();
     for (const auto &service : m_parts.services()) {
         const auto it = listed.find(service);
         if (it != listed.end()) {
@@ -204,7 +237,7 @@
             co_return false;
         }
     }
-    const auto listed = m_parts.table.listedVersions();
+    const auto listed = listedVersions();
     for (const auto &service : m_parts.services()) {
         const auto it = listed.find(service);
         const bool upToDate = it == listed.end() || (isRecorded(service, it->second) && !hasExpired(service, it->second, Clock::now()));
@@ -222,7 +255,7 @@
 // Reads the record, and writes it on condition that no other router has changed it meanwhile.
 Task<bool> StreamStore::saveVersions(std::string service, Versions listed)
 {
-    auto stored = co_await m_parts.api.get(versionKind, service, store::Freshness::Current);
+    auto stored = co_await m_parts.api.get(versionKind, recordName(service), store::Freshness::Current);
     if (!ok(stored) && std::get<Error>(stored).code != store::NotFound) {
         logFailure("stream versions", std::get<Error>(stored));
         co_return false;
@@ -237,7 +270,7 @@
     if (before != versions) {
         const auto version = object ? object->version : 0;
         auto value = encodeVersions(versions);
-        auto written = co_await m_parts.api.put(versionKind, service, std::move(value), version);
+        auto written = co_await m_parts.api.put(versionKind, recordName(service), std::move(value), version);
         if (!ok(written)) {
             logFailure("stream versions", std::get<Error>(written));
             co_return false;
@@ -265,7 +298,7 @@
 void StreamStore::noteAbsent(const std::string &service, const Versions &listed, Clock::time_point now)
 {
     std::lock_guard lock(m_mutex);
-    const auto recorded = m_recorded.find(service);
+    const auto recorded = m_recorded.find(recordName(service));
     std::erase_if(m_absentSince, [&](const auto &absent) {
         const auto &[ofService, version] = absent.first;
         return ofService == service && (listed.count(version) || recorded == m_recorded.end() || !recorded->second.count(version));
@@ -284,14 +317,14 @@
 bool StreamStore::isRecorded(const std::string &service, const Versions &listed) const
 {
     std::lock_guard lock(m_mutex);
-    const auto recorded = m_recorded.find(service);
+    const auto recorded = m_recorded.find(recordName(service));
     return recorded != m_recorded.end() && std::includes(recorded->second.begin(), recorded->second.end(), listed.begin(), listed.end());
 }
 
 void StreamStore::setRecorded(const std::string &service, Versions versions)
 {
     std::lock_guard lock(m_mutex);
-    m_recorded[service] = std::move(versions);
+    m_recorded[recordName(service)] = std::move(versions);
 }
 
 Task<bool> StreamStore::saveOrigins()
@@ -299,10 +332,12 @@
     const auto now = Clock::now();
     collectOrigins(now);
     const auto due = std::stable_partition(m_pending.begin(), m_pending.end(), [&](const auto &pending) {
-        return !hasSeveralVersions(pending.second.origin.service, now);
+        return !hasSeveralVersions(serviceOf(pending.second.origin), now);
     });
-    const std::deque<std::pair<Clock::time_point, OriginRecord>> taken(due, m_pending.end());
-    m_pending.erase(due, m_pending.end());
+    const auto count = std::min(m_options.maxOriginsPerObject, static_cast<std::size_t>(m_pending.end() - due));
+    const auto end = due + static_cast<std::ptrdiff_t>(count);
+    const std::deque<std::pair<Clock::time_point, OriginRecord>> taken(due, end);
+    m_pending.erase(due, end);
     if (taken.empty()) {
         co_return true;
     }
@@ -318,6 +353,41 @@
     co_return written;
 }
 
+// Returns the name of an origin's service; its digest if no configured service has it.
+std::string StreamStore::serviceOf(const Origin &origin) const
+{
+    if (names::isDigest(origin.service)) {
+        for (auto &service : m_parts.services()) {
+            if (names::abbreviate(service, names::maxServiceBytes) == origin.service) {
+                return service;
+            }
+        }
+    }
+    return origin.service;
+}
+
+// Returns the version of an origin as it stands in records: an earlier release knows it by its text alone.
+std::string StreamStore::versionOf(const Origin &origin, const std::string &service) const
+{
+    const auto version = m_parts.table.findVersion(service, origin.version);
+    return version ? recordName(*version) : origin.version;
+}
+
+// Groups the keys of streams by service and version, see decodeOrigins().
+json StreamStore::encodeOrigins(const std::vector<OriginRecord> &records) const
+{
+    std::map<Origin, std::string> keys;
+    for (const auto &record : records) {
+        keys[record.origin] += paddedKey(record.stream);
+    }
+    json services = json::object();
+    for (const auto &[origin, streams] : keys) {
+        const auto service = serviceOf(origin);
+        services[recordName(service)][versionOf(origin, service)] = streams;
+    }
+    return {{originsKey, std::move(services)}};
+}
+
 // Each write is conditional. Another router that counts as the first by name, or did a moment ago, may write too: then its objects are
 // the newest, and this router goes on after them.
 Task<bool> StreamStore::putOrigins(json value)
@@ -381,8 +451,8 @@
 {
     const auto listed = m_parts.table.soleVersion(service, now);
     std::lock_guard lock(m_mutex);
-    const auto recorded = m_recorded.find(service);
-    const bool known = listed && recorded != m_recorded.end() && recorded->second == Versions{*listed};
+    const auto recorded = m_recorded.find(recordName(service));
+    const bool known = listed && recorded != m_recorded.end() && recorded->second == Versions{recordName(*listed)};
     return known ? listed : std::nullopt;
 }
 
@@ -402,7 +472,7 @@
 {
     const auto version = co_await soleVersion(service);
     if (version) {
-        co_return Origin{std::move(service), *version};
+        co_return makeOrigin(service, *version);
     }
     co_await refresh();
     co_return m_parts.origins.find(stream, Clock::now());
@@ -472,7 +542,7 @@
     for (const auto &object : listing->items) {
         const auto versions = decodeVersions(object.value);
         if (!versions) {
-            log::Line{log::Event::CatalogueEntryRejected}.add("entry", std::string(versionKind) + "/" + object.name).add("problems", "no list of versions");
+            logUnreadable(versionKind, object.name, "no list of versions");
             continue;
         }
         m_recorded[object.name] = *versions;
@@ -490,9 +560,13 @@
     }
     const auto now = Clock::now();
     for (const auto &object : std::get<store::Listing>(listed).items) {
-        for (const auto &record : decodeOrigins(object.value)) {
+        const auto decoded = decodeOrigins(object.value);
+        for (const auto &record : decoded.records) {
             m_parts.origins.restore(record, now);
         }
+        if (decoded.unreadable > 0) {
+            logUnreadable(originKind, object.name, std::to_string(decoded.unreadable) + " parts are no origins of streams");
+        }
     }
     co_return true;
 }
--- a/src/stream_store.h
+++ b/src/stream_store.h
@@ -20,7 +20,7 @@
 namespace yucca::streams
 {
 
-/// Kinds of the objects. The name of a record of versions is that of its service.
+/// Kinds of the objects. The name of a record of versions is that of its service, abbreviated like all names in records.
 inline constexpr const char *versionKind = "stream-versions";
 inline constexpr const char *originKind = "stream-origins";
 
@@ -33,6 +33,7 @@
     Millis writeInterval{100}; ///< between writes of origins; those after the last write are lost if all routers end
     /// Objects to which origins are written in turn. Each write holds new origins only: resumptionWindow / writeInterval objects hold all.
     std::size_t originObjects = 200;
+    std::size_t maxOriginsPerObject = 16384; ///< of 16 bytes each, of the 1 MB that an object may have
     std::size_t versionRecorders = 3; ///< routers that record versions; one after the other tries
     Millis recorderInterval{500}; ///< between the attempts of two of them
     Millis versionMemory{60000}; ///< how long a version that is no longer listed may have streams under way
@@ -77,6 +78,10 @@
 private:
     using Versions = std::set<std::string>;
 
+    std::map<std::string, Versions> listedVersions() const;
+    std::string serviceOf(const Origin &origin) const;
+    std::string versionOf(const Origin &origin, const std::string &service) const;
+    nlohmann::json encodeOrigins(const std::vector<OriginRecord> &records) const;
     void announceUnrecorded(Clock::time_point now);
     bool hasSeveralVersions(const std::string &service, Clock::time_point now) const;
     void collectOrigins(Clock::time_point now);
--- a/tests/test_stream_store.cpp
+++ b/tests/test_stream_store.cpp
@@ -106,6 +106,64 @@
     CHECK(!restarted.find(8));
 }
 
+// Guards against records that lose versions with long names, or that a router of the release before cannot read: they hold the text.
+TEST(StreamStore, OriginsOfVersionsWithLongNamesAreRecordedByTheirText)
+{
+    const std::string image = "sha256:" + std::string(63, 'a');
+    const std::string huge(100000, 'v');
+    store::ObjectStore store;
+    {
+        StreamRouter router(loop(), store, {image + "1", image + "2", huge + "1", huge + "2"});
+        router.begin(7, streams::makeOrigin("m", image + "1"));
+        router.begin(8, streams::makeOrigin("m", image + "2"));
+        router.begin(9, streams::makeOrigin("m", huge + "1"));
+        CHECK(router.record());
+    }
+    const auto object = store.list(streams::originKind).items.front();
+    STRCMP_EQUAL("0000000000000007", object.value["origins"]["m"][image + "1"].get<std::string>().c_str());
+    CHECK(object.value.dump().size() < 1000);
+    CHECK(recordedVersions(store).count(image + "1") == 1);
+    CHECK(std::get<store::Object>(store.get(streams::versionKind, "m")).value.dump().size() < 1000);
+    StreamRouter restarted(loop(), store, {image + "1", image + "2", huge + "1", huge + "2"});
+    CHECK(restarted.find(7) == streams::makeOrigin("m", image + "1"));
+    CHECK(restarted.find(8) == streams::makeOrigin("m", image + "2"));
+    CHECK(restarted.find(9) == streams::makeOrigin("m", huge + "1"));
+    CHECK(*restarted.table.findVersion("m", restarted.find(9)->version) == huge + "1");
+    CHECK(!restarted.table.findVersion("m", streams::makeOrigin("m", huge + "3").version));
+}
+
+TEST(StreamStore, AVersionWithAVeryLongNameThatAloneIsRecordedBindsAllStreams)
+{
+    const std::string huge(100000, 'v');
+    store::ObjectStore store;
+    CHECK(StreamRouter(loop(), store, {huge}).record());
+    StreamRouter restarted(loop(), store, {huge});
+    CHECK(*restarted.soleVersion() == huge);
+    CHECK(restarted.find(7) == streams::makeOrigin("m", huge));
+    StreamRouter other(loop(), store, {huge + "1"});
+    CHECK(!other.soleVersion());
+}
+
+// Guards against an object of more bytes than the store accepts, which would never be written.
+TEST(StreamStore, ManyOriginsAreWrittenToSeveralObjects)
+{
+    store::ObjectStore store;
+    auto options = StreamRouter::quick();
+    options.maxOriginsPerObject = 10;
+    StreamRouter router(loop(), store, {"v1", "v2"}, options);
+    for (uint64_t stream = 0; stream < 25; ++stream) {
+        router.begin(stream, oldVersion);
+    }
+    for (int i = 0; i < 3; ++i) {
+        CHECK(router.record());
+    }
+    LONGS_EQUAL(3, store.list(streams::originKind).items.size());
+    StreamRouter restarted(loop(), store, {"v1", "v2"});
+    for (uint64_t stream = 0; stream < 25; ++stream) {
+        CHECK(restarted.find(stream) == oldVersion);
+    }
+}
+
 TEST(StreamStore, RestartedRouterDoesNotTakeTheListedVersionForTheOnlyOne)
 {
     store::ObjectStore store;
