A router out of step binds no stream by a view or a record of before

A stream that no running router knows goes on if its service has one version. A caller who takes one up at a router that stood still, or heard nobody, while another version joined could get events of two versions (ORDER): the record in the store may have been read up to 1.4 s before, and the router's list of endpoints was compared with nothing.

--- a/scripts/proofs.sh
+++ b/scripts/proofs.sh
@@ -41,6 +41,15 @@
 done
 echo "proofs: streams: no stream over two versions ($states); four seeded faults are found"
 
+errors=$(model_check $OUT/records records)
+states=$(grep -oE '[0-9.e+]+ states, stored' $OUT/records/pan.log)
+[ "$errors" = 0 ] || { echo "proofs: records of streams: $errors errors"; exit 1; }
+for fault in EARLIER_RECORD OWN_VIEW RECORD_FIRST LEAVES_UNRECORDED; do
+    seeded_errors=$(model_check "$OUT/records-$fault" records "-D$fault")
+    [ "$seeded_errors" -gt 0 ] || { echo "proofs: records of streams: the seeded fault $fault was not found"; exit 1; }
+done
+echo "proofs: records of streams: no stream bound to another version ($states); four seeded faults are found"
+
 # Fuzzing: a fixed number of runs with a fixed seed. The programs are linked without PIE, because libFuzzer's choices
 # depend on code addresses.
 clang++ -std=c++20 -g -O1 -fsanitize=fuzzer,address,undefined -fno-pie -no-pie -Isrc -o $OUT/fuzz_events tests/fuzz/fuzz_events.cpp src/sse.cpp
--- a/src/entry/control.h
+++ b/src/entry/control.h
@@ -281,6 +281,11 @@
     {
         return m_endpoints.step();
     }
+    /// Returns true if the endpoints in effect are those that the store lists at the time of this call, or later ones. Makes one call.
+    Task<bool> catchUpEndpoints(Clock::time_point until)
+    {
+        return m_endpoints.catchUp(until);
+    }
     /// Polls the store until stopped. Once it answers after an outage, all watches are restarted:
     /// changes that they wait for may have been lost.
     Task<void> watchStore()
--- a/src/entry/process.h
+++ b/src/entry/process.h
@@ -175,6 +175,9 @@
                 },
                 [this] {
                     return m_exchange.listedHosts().size();
+                },
+                [this](Clock::time_point until) {
+                    return m_control.catchUpEndpoints(until);
                 }};
     }
     // Called often, on the control thread; a configuration may have more than a thousand routes.
--- a/src/follower.h
+++ b/src/follower.h
@@ -65,6 +65,8 @@
     std::vector<std::string> essentialNames;
     /// Failures in a row after which a later page counts as one that cannot be had, though other calls may be answered.
     int maxPageFailures = 6;
+    Millis catchUpWait{1}; ///< timeout of the watch of catchUp(): the store shall answer at once
+    Millis catchUpPollInterval{5}; ///< between checks of catchUp() for the changes that it had read; a check makes no call
     Millis firstListRetryDelay{2000}; ///< after an incomplete listing; each further one doubles it, up to maxListRetryDelay
     Millis maxListRetryDelay{60000};
 };
@@ -114,6 +116,29 @@
             m_cancellation->cancel();
         }
     }
+    /// Returns true if the held state is the one that the store has at the time of this call, or a later one; if it is not, has the
+    /// changes read, and waits for them up to a time. Makes one call.
+    Task<bool> catchUp(Clock::time_point until)
+    {
+        if (!m_listed) {
+            co_return false;
+        }
+        const auto from = shared() ? shared()->watchFrom(Clock::now()) : m_revision;
+        const auto epoch = m_epoch;
+        const auto result = co_await m_api.watch(m_kind, from, m_options.catchUpWait, platform::Freshness::Current, nullptr);
+        const auto *batch = std::get_if<platform::WatchBatch>(&result);
+        if (!batch || batch->epoch != epoch) {
+            co_return false;
+        }
+        if (!batch->events.empty() && heldRevision() < batch->revision) {
+            m_mustQuery = true;
+            restartWatch();
+        }
+        while (!batch->events.empty() && heldRevision() < batch->revision && Clock::now() < until) {
+            co_await sleepFor(m_options.catchUpPollInterval);
+        }
+        co_return m_epoch == epoch && (batch->events.empty() || heldRevision() >= batch->revision);
+    }
     /// Runs one listing, one fetch from a peer or one watch. Returns false if the store could not be reached.
     Task<bool> step()
     {
@@ -151,6 +176,12 @@
         return m_incomplete && Clock::now() >= m_listRetryAt;
     }
 
+    // Returns the revision up to which no change is missing, as far as this router knows.
+    uint64_t heldRevision() const
+    {
+        return shared() ? std::max(m_revision, shared()->revision()) : m_revision;
+    }
+
     // Returns true if the store has announced a later epoch than that of the held state.
     bool behindEpoch() const
     {
@@ -220,7 +251,7 @@
         while (shared() && m_listed && !m_stopping) {
             const auto now = Clock::now();
             const auto due = shared()->queryDueAt(now);
-            if (behindPeer() || behindEpoch() || due <= now) {
+            if (m_mustQuery || behindPeer() || behindEpoch() || due <= now) {
                 co_return;
             }
             co_await wake().wait(std::min(due, nextFetchAt()));
@@ -475,6 +506,7 @@
         http::Cancellation cancellation;
         m_cancellation = &cancellation;
         const auto requestedAt = Clock::now();
+        m_mustQuery = m_mustQuery && mode;
         const auto freshness = mode ? mode->freshness : platform::Freshness::Current;
         const auto wait = mode ? mode->wait : watchTimeout(requestedAt);
         const auto from = shared() ? shared()->watchFrom(requestedAt) : m_revision;
@@ -589,6 +621,7 @@
     Millis m_listRetryDelay{0};
     Clock::time_point m_listRetryAt{};
     bool m_hadChanges = false; ///< in the last step
+    bool m_mustQuery = false; ///< the store is known to have changes that are not held
     std::size_t m_fetchedChanges = 0; ///< from a peer in the last step
     Clock::time_point m_fetchedAt{}; ///< when the first of them arrived
     bool m_listed = false;
--- a/src/log.cpp
+++ b/src/log.cpp
@@ -21,7 +21,7 @@
 namespace
 {
 
-constexpr std::array<EventInfo, 63> catalogue{{
+constexpr std::array<EventInfo, 64> catalogue{{
     {Event::ProgramStarted, "ProgramStarted", Level::Info},
     {Event::StopRequested, "StopRequested", Level::Info},
     {Event::ProgramStopped, "ProgramStopped", Level::Info},
@@ -78,6 +78,7 @@
     {Event::TunnelNotOpened, "TunnelNotOpened", Level::Info},
     {Event::StreamsRead, "StreamsRead", Level::Info},
     {Event::PeerItemsUnreadable, "PeerItemsUnreadable", Level::Warn},
+    {Event::StreamVersionsRead, "StreamVersionsRead", Level::Info},
     {Event::OrderAccepted, "OrderAccepted", Level::Info},
     {Event::OrderRefused, "OrderRefused", Level::Warn},
     {Event::Draining, "Draining", Level::Info},
--- a/src/log.h
+++ b/src/log.h
@@ -67,6 +67,7 @@
     TunnelNotOpened = 2064,
     StreamsRead = 2065,
     PeerItemsUnreadable = 2066,
+    StreamVersionsRead = 2067,
     OrderAccepted = 3001,
     OrderRefused = 3002,
     Draining = 3003,
--- a/src/shared_replica.h
+++ b/src/shared_replica.h
@@ -99,6 +99,11 @@
         const auto &options = m_querySchedule.options();
         return hasActivePeers(now) ? options.watchTimeout : options.aloneWatchTimeout;
     }
+    /// Returns the revision up to which no change is missing, as far as this router knows.
+    uint64_t revision() const
+    {
+        return m_objects.revision();
+    }
     /// Returns the revision to watch from: that of the last change, or a later confirmed one that has reached watchRevisionMinAge.
     uint64_t watchFrom(Clock::time_point now) const;
     Clock::time_point confirmedAt() const
--- a/src/stream_store.cpp
+++ b/src/stream_store.cpp
@@ -441,12 +441,6 @@
     co_return std::nullopt;
 }
 
-bool StreamStore::versionsAreCurrent(Clock::time_point now) const
-{
-    std::lock_guard lock(m_mutex);
-    return m_versionsReadAt != Clock::time_point{} && now - m_versionsReadAt <= m_options.readInterval + m_options.readTimeout;
-}
-
 std::optional<std::string> StreamStore::recordedVersion(const std::string &service, Clock::time_point now) const
 {
     const auto listed = m_parts.table.soleVersion(service, now);
@@ -461,11 +455,8 @@
     if (!m_parts.table.soleVersion(service, Clock::now())) {
         co_return std::nullopt;
     }
-    if (!versionsAreCurrent(Clock::now())) {
-        co_await refresh();
-    }
-    const auto now = Clock::now();
-    co_return versionsAreCurrent(now) ? recordedVersion(service, now) : std::nullopt;
+    const bool checked = co_await asio::co_spawn(m_executor, checkVersions(), asio::use_awaitable);
+    co_return checked ? recordedVersion(service, Clock::now()) : std::nullopt;
 }
 
 Task<std::optional<Origin>> StreamStore::find(uint64_t stream, std::string service)
@@ -474,63 +465,95 @@
     if (version) {
         co_return makeOrigin(service, *version);
     }
-    co_await refresh();
+    co_await asio::co_spawn(m_executor, refreshOrigins(), asio::use_awaitable);
     co_return m_parts.origins.find(stream, Clock::now());
 }
 
-Task<void> StreamStore::refresh()
+// Waits for a check of the versions that begins after this call. Returns false if there is none in time. All requests that wait share
+// the checks.
+Task<bool> StreamStore::checkVersions()
 {
-    co_await asio::co_spawn(m_executor, refreshOnLoop(), asio::use_awaitable);
+    const auto arrived = Clock::now();
+    const auto until = arrived + m_options.readTimeout;
+    const bool mayRead = co_await awaitFirstRead(until);
+    while (mayRead && m_checkedAt < arrived && Clock::now() < until) {
+        if (!m_checking && Clock::now() >= m_checkNotBefore) {
+            m_checking = true;
+            spawn(readVersionsAndEndpoints());
+        }
+        co_await m_checkEnded.wait(m_checking ? until : std::min(until, m_checkNotBefore));
+    }
+    co_return m_checkedAt >= arrived;
 }
 
-// Reads the records unless that was done within the interval. All requests that wait share one read.
-Task<void> StreamStore::refreshOnLoop()
+// The endpoints are read first: a version that has none any more is in the records by then.
+Task<void> StreamStore::readVersionsAndEndpoints()
 {
-    const auto until = Clock::now() + m_options.readTimeout;
-    if (!m_hasRead && !m_reading) {
-        co_await delayFirstRead();
+    const auto begun = Clock::now();
+    const auto spread = m_options.versionsIntervalPerRouter * static_cast<int64_t>(m_parts.routers());
+    m_checkNotBefore = begun + std::clamp(spread, m_options.versionsInterval, m_options.maxVersionsInterval);
+    const bool endpoints = co_await m_parts.catchUpEndpoints(begun + m_options.readTimeout);
+    bool versions = false;
+    if (endpoints) {
+        versions = co_await readVersions();
     }
-    if (!m_reading && Clock::now() < m_readNotBefore) {
+    m_checkedAt = versions ? begun : m_checkedAt;
+    m_checking = false;
+    m_checkEnded.notifyAll();
+    log::Line{log::Event::StreamVersionsRead}.add("versions", versions).add("endpoints", endpoints);
+}
+
+// Reads the origins unless that was done within the interval. All requests that wait share one read.
+Task<void> StreamStore::refreshOrigins()
+{
+    const auto until = Clock::now() + m_options.readTimeout;
+    const bool mayRead = co_await awaitFirstRead(until);
+    if (!mayRead || (!m_reading && Clock::now() < m_readNotBefore)) {
         co_return;
     }
     if (!m_reading) {
         m_reading = true;
-        asio::co_spawn(m_executor, read(), [](std::exception_ptr failure) {
-            if (failure) {
-                log::Line{log::Event::TaskFailed}.add("task", "read streams").add("error", describe(failure));
-            }
-        });
+        spawn(readAllOrigins());
     }
     co_await m_readEnded.wait(until);
 }
 
-// Waits for this router's time of the first read, unless that is later than a request may wait.
-Task<void> StreamStore::delayFirstRead()
+Task<void> StreamStore::readAllOrigins()
 {
-    const auto now = Clock::now();
-    if (m_readNotBefore == Clock::time_point{}) {
-        const auto spread = m_options.readDelayPerRouter * static_cast<int64_t>(m_parts.routers());
-        m_readNotBefore = now + Millis(m_random() % static_cast<uint64_t>(spread.count() + 1));
-    }
-    if (now < m_readNotBefore && m_readNotBefore - now < m_options.readTimeout) {
-        co_await sleepFor(m_readNotBefore - now);
-    }
-}
-
-Task<void> StreamStore::read()
-{
-    const bool versions = co_await readVersions();
     const bool origins = co_await readOrigins();
     m_readNotBefore = Clock::now() + m_options.readInterval;
-    m_hasRead = true;
     m_reading = false;
     m_readEnded.notifyAll();
-    log::Line{log::Event::StreamsRead}.add("versions", versions).add("origins", origins).add("known", static_cast<int64_t>(m_parts.origins.size()));
+    log::Line{log::Event::StreamsRead}.add("origins", origins).add("known", static_cast<int64_t>(m_parts.origins.size()));
+}
+
+void StreamStore::spawn(Task<void> task)
+{
+    asio::co_spawn(m_executor, std::move(task), [](std::exception_ptr failure) {
+        if (failure) {
+            log::Line{log::Event::TaskFailed}.add("task", "read streams").add("error", describe(failure));
+        }
+    });
+}
+
+// Waits for this router's time of the first read. Returns false if that is later than a request may wait.
+Task<bool> StreamStore::awaitFirstRead(Clock::time_point until)
+{
+    if (m_firstReadAt == Clock::time_point{}) {
+        const auto spread = m_options.readDelayPerRouter * static_cast<int64_t>(m_parts.routers());
+        m_firstReadAt = Clock::now() + Millis(m_random() % static_cast<uint64_t>(spread.count() + 1));
+    }
+    if (m_firstReadAt >= until) {
+        co_return false;
+    }
+    if (const auto now = Clock::now(); now < m_firstReadAt) {
+        co_await sleepFor(m_firstReadAt - now);
+    }
+    co_return true;
 }
 
 Task<bool> StreamStore::readVersions()
 {
-    const auto begun = Clock::now();
     auto listed = co_await platform::listAll(m_parts.api, versionKind, store::Freshness::Current);
     const auto *listing = std::get_if<store::Listing>(&listed);
     if (!listing || listing->more) {
@@ -547,7 +570,6 @@
         }
         m_recorded[object.name] = *versions;
     }
-    m_versionsReadAt = begun;
     co_return true;
 }
 
--- a/src/stream_store.h
+++ b/src/stream_store.h
@@ -37,8 +37,13 @@
     std::size_t versionRecorders = 3; ///< routers that record versions; one after the other tries
     Millis recorderInterval{500}; ///< between the attempts of two of them
     Millis versionMemory{60000}; ///< how long a version that is no longer listed may have streams under way
-    Millis readInterval{1000}; ///< between two reads
-    Millis readTimeout{400}; ///< for which a request waits for a read
+    Millis readInterval{1000}; ///< between two reads of origins
+    /// Between the beginnings of two reads of versions: the minimum, an addition for each router of the fleet, and the maximum. A request
+    /// waits for a read that begins after its arrival.
+    Millis versionsInterval{200};
+    Millis versionsIntervalPerRouter{5};
+    Millis maxVersionsInterval{400};
+    Millis readTimeout{500}; ///< for which a request waits for a read
     Millis readDelayPerRouter{5}; ///< maximum delay of the first read, for each router of the fleet: routers restarted together share the store's link
 };
 
@@ -50,6 +55,8 @@
     std::function<std::set<std::string>()> services; ///< with streams that may be taken up
     std::function<std::size_t()> rank; ///< of this router by name, among those that run; 0 for the first
     std::function<std::size_t()> routers; ///< in the fleet
+    /// Returns true if the listed versions are those in the store at the time of the call or later; waits for them up to a time.
+    std::function<Task<bool>(Clock::time_point until)> catchUpEndpoints;
 };
 
 /// Reads and writes the records on one event loop.
@@ -65,7 +72,8 @@
         m_stopping = true;
     }
     /// Returns the version that all streams of a service under way are of; nothing if there may be several, or if the store cannot
-    /// tell. Called from any thread.
+    /// tell. What this router held before the call does not suffice: it may have stood still, or hear nobody, while another version
+    /// joined and began the stream. Called from any thread.
     Task<std::optional<std::string>> soleVersion(std::string service);
     /// Returns the origin of a stream that no router knows. Called from any thread.
     Task<std::optional<Origin>> find(uint64_t stream, std::string service);
@@ -97,11 +105,12 @@
     bool isRecorded(const std::string &service, const Versions &listed) const;
     void setRecorded(const std::string &service, Versions versions);
     std::optional<std::string> recordedVersion(const std::string &service, Clock::time_point now) const;
-    bool versionsAreCurrent(Clock::time_point now) const;
-    Task<void> refresh();
-    Task<void> refreshOnLoop();
-    Task<void> delayFirstRead();
-    Task<void> read();
+    Task<bool> checkVersions();
+    Task<void> readVersionsAndEndpoints();
+    Task<void> refreshOrigins();
+    Task<void> readAllOrigins();
+    Task<bool> awaitFirstRead(Clock::time_point until);
+    void spawn(Task<void> task);
     Task<bool> readVersions();
     Task<bool> readOrigins();
 
@@ -119,13 +128,16 @@
     std::map<std::pair<std::string, std::string>, Clock::time_point> m_absentSince; ///< by service and version: recorded, not listed
     store::Epoch m_epoch = 0;
     bool m_versionsLoaded = false; ///< by this router as a recorder
-    bool m_reading = false;
+    Clock::time_point m_firstReadAt{}; ///< for a stream that no router knows
+    bool m_checking = false; ///< versions and endpoints are being read
+    Notifier m_checkEnded;
+    Clock::time_point m_checkNotBefore{};
+    Clock::time_point m_checkedAt{}; ///< when the last successful check began
+    bool m_reading = false; ///< origins are being read
     Notifier m_readEnded;
     Clock::time_point m_readNotBefore{};
-    bool m_hasRead = false; ///< since the start, for a stream that no router knows
     mutable std::mutex m_mutex;
     std::map<std::string, Versions> m_recorded; ///< by service, as last read or written
-    Clock::time_point m_versionsReadAt{}; ///< before the last successful read began
 };
 
 } // namespace yucca::streams
--- a/tests/entry_fixture.h
+++ b/tests/entry_fixture.h
@@ -301,6 +301,9 @@
                 },
                 [] {
                     return std::size_t(1);
+                },
+                [](Clock::time_point) -> Task<bool> {
+                    co_return true;
                 }};
     }
     // Makes this router one of a hundred, all of which have been listed for long.
--- a/tests/test_shared_replica.cpp
+++ b/tests/test_shared_replica.cpp
@@ -473,6 +473,30 @@
     CHECK(fixture.own.queryDueAt(later + Millis(100)) < later + Millis(2500)); // counted from the first time that others were heard
 }
 
+// Guards against a router taking its view for the store's present state when it missed a change: it stood still, or those that it hears
+// missed it too.
+TEST(SharedFollower, CatchingUpReadsWhatTheStoreHasAndTheNeighboursHaveNot)
+{
+    FollowerFixture fixture;
+    CHECK(!loop().run(fixture.follower->catchUp(Clock::now() + Millis(100)))); // nothing is held
+    fixture.start(loop());
+    std::optional<bool> ended;
+    loop().start(runUntilStopped(*fixture.follower), ended);
+    CHECK(loop().run(fixture.follower->catchUp(Clock::now() + Millis(100))));
+    LONGS_EQUAL(1, fixture.sink.updates.size());
+    fixture.store.put("k", "a", 1, std::nullopt);
+    const auto begun = Clock::now();
+    CHECK(loop().run(fixture.follower->catchUp(Clock::now() + Millis(500))));
+    CHECK(Clock::now() - begun < Millis(400)); // a query is due after a second only
+    STRCMP_EQUAL("set a", fixture.sink.updates.back().c_str());
+    fixture.api.outage = true;
+    CHECK(!loop().run(fixture.follower->catchUp(Clock::now() + Millis(100))));
+    fixture.follower->stop();
+    loop().runUntil([&] {
+        return ended.has_value();
+    });
+}
+
 TEST(SharedFollower, ChangesAreFetchedFromTheNeighbourThatAnnouncedThem)
 {
     FollowerFixture fixture;
--- a/tests/test_stream_store.cpp
+++ b/tests/test_stream_store.cpp
@@ -42,6 +42,9 @@
                        },
                        [] {
                            return std::size_t(1);
+                       },
+                       [this](Clock::time_point) {
+                           return catchUp();
                        }},
                       l.io.get_executor(), options)
     {
@@ -53,8 +56,18 @@
         options.startDelay = options.pollInterval = options.rankInterval = Millis(1);
         options.recorderInterval = Millis(5);
         options.readDelayPerRouter = Millis(0);
+        options.versionsInterval = Millis(1);
+        options.versionsIntervalPerRouter = Millis(0);
         return options;
     }
+    Task<bool> catchUp()
+    {
+        ++catchUps;
+        if (onCatchUp) {
+            onCatchUp();
+        }
+        co_return seesStore;
+    }
     void begin(uint64_t stream, const Origin &origin)
     {
         origins.collect(true);
@@ -78,6 +91,9 @@
     router::RoutingTable table;
     streams::StreamOrigins origins;
     std::size_t rank = 0;
+    bool seesStore = true; ///< the endpoints in effect are those in the store
+    int catchUps = 0;
+    std::function<void()> onCatchUp;
     streams::StreamStore streamStore;
 };
 
@@ -332,7 +348,58 @@
     for (uint64_t stream = 0; stream < 100; ++stream) {
         CHECK(!router.find(stream));
     }
-    LONGS_EQUAL(2, router.api.lists); // one of each kind
+    LONGS_EQUAL(1, router.api.lists); // of origins alone, as there are two versions
+}
+
+TEST(StreamStore, RequestsShareChecksOfTheOnlyVersion)
+{
+    store::ObjectStore store;
+    CHECK(StreamRouter(loop(), store, {"v1"}).record());
+    auto options = StreamRouter::quick();
+    options.versionsInterval = options.maxVersionsInterval = Millis(100);
+    StreamRouter router(loop(), store, {"v1"}, options);
+    for (int round = 1; round <= 3; ++round) {
+        std::vector<std::optional<std::optional<Origin>>> found(20);
+        for (uint64_t stream = 0; stream < found.size(); ++stream) {
+            loop().start(router.streamStore.find(stream, "m"), found[stream]);
+        }
+        loop().runUntil([&] {
+            return std::all_of(found.begin(), found.end(), [](const auto &result) {
+                return result.has_value();
+            });
+        });
+        CHECK(**found.front() == oldVersion);
+        LONGS_EQUAL(round, router.api.lists);
+        LONGS_EQUAL(round, router.catchUps);
+    }
+}
+
+// Guards against a router that is out of step continuing a stream at the one version that it knows: its view must be the store's, as of
+// the time at which the stream is taken up.
+TEST(StreamStore, AViewThatIsBehindTheStoreBindsNoStream)
+{
+    store::ObjectStore store;
+    CHECK(StreamRouter(loop(), store, {"v1"}).record());
+    StreamRouter behind(loop(), store, {"v1"});
+    behind.seesStore = false;
+    CHECK(!behind.soleVersion());
+    CHECK(!behind.find(7));
+    behind.seesStore = true;
+    CHECK(behind.find(7) == oldVersion);
+    behind.onCatchUp = [&behind] {
+        behind.table.setEndpoints(enginesOf({"v1", "v2"})); // what the store lists now
+    };
+    CHECK(!behind.find(8));
+}
+
+TEST(StreamStore, ARecordReadBeforeTheStreamIsTakenUpDoesNotBindIt)
+{
+    store::ObjectStore store;
+    CHECK(StreamRouter(loop(), store, {"v1"}).record());
+    StreamRouter router(loop(), store, {"v1"});
+    CHECK(router.find(7) == oldVersion);
+    CHECK(StreamRouter(loop(), store, {"v1", "v2"}).record()); // another version joined and began a stream just now
+    CHECK(!router.find(8));
 }
 
 TEST(StreamStore, VersionIsDroppedOnceARecorderHasMissedItForLong)
