--- a/tests/test_foreign_entries.cpp
+++ b/tests/test_foreign_entries.cpp
@@ -2,6 +2,7 @@
 // entry must not create an endpoint, must remove the endpoint whose valid entry it
 // replaces, and must not affect the entries of other endpoints.
 #include "codec.h"
+#include "decode.h"
 #include "response_parser.h"
 #include "scripted_store.h"
 
@@ -66,6 +67,38 @@
     CHECK(!isValidEntry(endpointEntryAt("127.0.0.1:80"), ""));
 }
 
+// Guards against entries of other writers that requests are sent to: what no endpoint can mean names none.
+TEST(ForeignEntries, EntryWithANumberThatNoEndpointCanMeanIsRejected)
+{
+    const std::string digits(40, '9');
+    for (const char *field : {"slots", "sequence", "cold_remaining_ms", "born"}) {
+        const auto text = endpointEntryAt("127.0.0.1:80").dump();
+        const auto from = text.find(std::string("\"") + field + "\":") + std::string(field).size() + 3;
+        const auto to = text.find_first_of(",}", from);
+        for (const std::string &number : {std::string("-1"), std::string("0.5"), std::string("1e-400"), std::string("9223372036854775808"),
+                                          std::string("18446744073709551616"), std::string("1000000000000000000"), std::string("-9223372036854775809"),
+                                          std::string("1e18"), std::string("1e19"), std::string("null"), std::string("true"), digits}) {
+            const auto odd = decode::textOrNull(text.substr(0, from) + number + text.substr(to));
+            CHECK_TEXT(odd.is_object(), number.c_str());
+            CHECK_TEXT(!isValidEntry(odd), (std::string(field) + " " + number).c_str());
+        }
+    }
+    CHECK(!isValidEntry(entryWith("slots", 0)));
+    CHECK(isValidEntry(entryWith("slots", 1)));
+    CHECK(isValidEntry(entryWith("sequence", 0)));
+    CHECK(isValidEntry(entryWith("cold_remaining_ms", 60000)));
+}
+
+TEST(ForeignEntries, EntryWithAnAddressThatNoConnectionCanBeOpenedToIsRejected)
+{
+    for (const char *address : {"127.0.0.1:0", "host.invalid:9", "127.0.0.1:65536", "127.0.0.1:-1", "127.0.0.1:", "127.0.0.1", ":9", "", "127.0.0.1:9x",
+                                "999.1.1.1:9", "127.0.0.1:9\r\nX: 1", "127.0.0.1 :9", "localhost:9"}) {
+        CHECK_TEXT(!isValidEntry(endpointEntryAt(address)), address);
+    }
+    CHECK(isValidEntry(endpointEntryAt("127.0.0.1:9")));
+    CHECK(isValidEntry(endpointEntryAt("::1:9")));
+}
+
 TEST(ForeignEntries, EntryWithAnUnknownStateIsRejected)
 {
     CHECK(!isValidEntry(entryWith("state", "resting")));
@@ -126,6 +159,47 @@
     }
 }
 
+// Guards against an odd entry under the id of a sound endpoint, or a thousand of them, costing the others or the sound entry's return.
+TEST(ForeignEntriesInTheStore, OddEntriesAmongManyCostThemselvesAlone)
+{
+    ScriptedStore store(loop());
+    router::RoutingTable table;
+    entry::Published published(table);
+    entry::Control<platform::ObjectCodec> control(store.client, published);
+    const auto a = item("a", endpointEntryAt("127.0.0.1:1").dump());
+    const auto b = item("b", endpointEntryAt("127.0.0.1:2").dump());
+    std::string odd;
+    for (int i = 0; i < 1000; ++i) {
+        auto entry = endpointEntryAt("127.0.0.1:9");
+        entry[i % 2 ? "slots" : "sequence"] = -1 - i;
+        odd += "," + item("x-" + std::to_string(i), entry.dump());
+    }
+    store.answer = listingResponse(a + odd + "," + b);
+    CHECK(loop().run(control.stepEndpoints()));
+    CHECK((endpointIds(table) == std::vector<std::string>{"a", "b"}));
+    store.answer = R"({"events":[)" + watchEvent(item("a", entryWith("slots", -1).dump())) + R"(],"store_revision":12})";
+    CHECK(loop().run(control.stepEndpoints()));
+    CHECK((endpointIds(table) == std::vector<std::string>{"b"}));
+    store.answer = R"({"events":[)" + watchEvent(a) + R"(],"store_revision":13})";
+    CHECK(loop().run(control.stepEndpoints()));
+    CHECK((endpointIds(table) == std::vector<std::string>{"a", "b"}));
+    // Odd metadata and status beside a sound spec.
+    const std::string nested = std::string(150000, '[') + std::string(150000, ']');
+    std::string withStatus = item("c", endpointEntryAt("127.0.0.1:3").dump());
+    withStatus.replace(withStatus.find("\"status\":null"), 13, "\"status\":" + nested);
+    store.answer = R"({"events":[)" + watchEvent(withStatus) + R"(],"store_revision":14})";
+    CHECK(loop().run(control.stepEndpoints()));
+    CHECK((endpointIds(table) == std::vector<std::string>{"a", "b", "c"}));
+    for (const char *metadata : {R"({"name":"d","revision":-1})", R"({"name":"d","revision":1e999})", R"({"name":"d","revision":99999999999999999999999})",
+                                 R"({"name":"d","revision":null,"finalizers":7,"deleting":"no"})", R"({"name":["d"]})", R"({"name":""})", "7", "null"}) {
+        store.answer = R"({"events":[)" + watchEvent(std::string(R"({"metadata":)") + metadata + R"(,"spec":)" + endpointEntryAt("127.0.0.1:4").dump() + "}")
+            + R"(],"store_revision":15})";
+        CHECK_TEXT(loop().run(control.stepEndpoints()), metadata);
+        const auto ids = endpointIds(table);
+        CHECK_TEXT((std::vector<std::string>{"a", "b", "c"} == std::vector<std::string>(ids.begin(), ids.begin() + 3)), metadata);
+    }
+}
+
 TEST(ForeignEntriesInTheStore, ItemWithInvalidMetadataIsSkipped)
 {
     ScriptedStore store(loop());
