Tests of heads and lists that break off, over one hop and two, at the store and between routers

From a report of others: an endpoint that stops within its head must not become a success with an empty body.

--- a/tests/test_response_head.cpp
+++ b/tests/test_response_head.cpp
@@ -315,3 +315,119 @@
     CHECK(std::holds_alternative<http::Reply>(called));
     STRCMP_EQUAL("part and whole", std::get<http::Reply>(called).body.c_str());
 }
+
+LOOP_GROUP(BrokenAnswers);
+
+namespace
+{
+
+const std::vector<std::string> headsToBreak{statusLine + "Content-Length: 12\r\n", statusLine + "Transfer-Encoding: chunked\r\n", statusLine,
+                                            "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 102 Processing\r\n\r\n" + statusLine, statusLine + "Content-Length: 0\r\n"};
+
+Task<void> sendPart(tcp::socket &socket, std::string bytes, bool reset)
+{
+    co_await sendBytes(socket, std::move(bytes));
+    if (reset) {
+        co_await sleepFor(Millis(2)); // the bytes must arrive before the reset
+        resetConnection(socket);
+    } else {
+        socket.close();
+    }
+}
+
+} // namespace
+
+// Guards against a success with an empty or short body, framed as whole, made of a head that broke off.
+TEST(BrokenAnswers, HeadThatBreaksOffAtAnyByteIsNoSuccessDirectlyOrThroughATunnel)
+{
+    constexpr std::size_t step = 5;
+    for (const bool tunnel : {false, true}) {
+        std::string bytes;
+        bool reset = false;
+        ScriptedEndpoint endpoint(loop(), [&](tcp::socket &socket, const ReceivedRequest &request) -> Task<void> {
+            auto head = bytes;
+            if (const auto at = head.find("ID"); at != std::string::npos) {
+                head.replace(at, 2, idOf(request));
+            }
+            co_await sendPart(socket, std::move(head), reset);
+        });
+        PeerRouter peer(loop(), {{"e1", {"s", endpoint.port}}});
+        EntryFixture fixture(loop(), {{"e1", {"s", tunnel ? closedPort(loop()) : endpoint.port}}});
+        usePeers(fixture, {peer.address});
+        for (const auto &head : headsToBreak) {
+            const auto whole = head + "Yuccasaddle-Attempt-Id: ID\r\nYuccasaddle-Response-Signature: s\r\n\r\n";
+            for (std::size_t length = 0; length < whole.size(); length += step) {
+                bytes = whole.substr(0, length);
+                reset = length % 2 == 0;
+                const auto seen = endpoint.seen.size();
+                const auto reply = fixture.reply("POST", "/book/1", "a1");
+                LONGS_EQUAL_TEXT(502, reply.status, bytes.c_str());
+                LONGS_EQUAL_TEXT(seen + 1, endpoint.seen.size(), bytes.c_str()); // a call that may run once is not sent again
+            }
+        }
+    }
+}
+
+// Guards against half a list, or half of the changes that a router hands on, being taken for all of it.
+TEST(BrokenAnswers, PartOfAListOrOfChangesIsNotUsed)
+{
+    std::string bytes;
+    bool reset = false;
+    ScriptedEndpoint server(loop(), [&](tcp::socket &socket, const ReceivedRequest &) {
+        return sendPart(socket, bytes, reset);
+    });
+    const http::Address address{"127.0.0.1", server.port};
+    platform::StoreClient store(address);
+    replica::ChangeClient changes;
+    replica::Changes handedOn;
+    handedOn.revision = 7;
+    for (int i = 0; i < 5; ++i) {
+        handedOn.objects.push_back({"e" + std::to_string(i), 3, nlohmann::json{{"slots", i}}});
+    }
+    const auto encoded = replica::encode(handedOn);
+    const std::string list =
+        R"({"items":[{"metadata":{"name":"a","revision":1},"spec":{"x":1}},{"metadata":{"name":"b","revision":2},"spec":{}}],"has_more":false,"store_revision":9})";
+    for (const auto &body : {list, std::string(encoded.begin(), encoded.end())}) {
+        for (const auto &framing : {"Content-Length: " + std::to_string(body.size()) + "\r\n", std::string()}) {
+            const auto whole = statusLine + framing + "\r\n" + body;
+            const auto isRead = [&](std::size_t length) {
+                bytes = whole.substr(0, length);
+                reset = length % 3 == 0;
+                if (body == list) {
+                    return yucca::ok(loop().run(store.list("k", "", platform::Freshness::Current)));
+                }
+                return yucca::ok(loop().run(changes.fetch(address, "k", {}, replica::TransferLimit::Regular)));
+            };
+            for (std::size_t length = 0; length < whole.size(); length += 7) {
+                CHECK_TEXT(!isRead(length), bytes.c_str());
+            }
+            bytes = whole;
+            CHECK(isRead(whole.size()) || whole.size() % 3 == 0);
+        }
+    }
+}
+
+// Guards against a sound answer being refused because its head comes in pieces.
+TEST(BrokenAnswers, HeadThatComesInPiecesOrPausesIsRead)
+{
+    for (const bool tunnel : {false, true}) {
+        std::size_t part = 1;
+        Millis pause{0};
+        ScriptedEndpoint endpoint(loop(), [&](tcp::socket &socket, const ReceivedRequest &request) -> Task<void> {
+            socket.set_option(tcp::no_delay(true));
+            const auto answer = answerWith(statusLine, idOf(request));
+            for (std::size_t at = 0; at < answer.size(); at += part) {
+                co_await sendBytes(socket, answer.substr(at, part));
+                co_await sleepFor(pause);
+            }
+            socket.close();
+        });
+        PeerRouter peer(loop(), {{"e1", {"s", endpoint.port}}});
+        EntryFixture fixture(loop(), {{"e1", {"s", tunnel ? closedPort(loop()) : endpoint.port}}});
+        usePeers(fixture, {peer.address});
+        LONGS_EQUAL(200, fixture.reply("POST", "/book/1", "a1").status);
+        part = 40;
+        pause = Millis(300);
+        LONGS_EQUAL(200, fixture.reply("POST", "/book/1", "a2").status);
+    }
+}
