--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -19,12 +19,23 @@
     sed 's/^/  /' KNOWN-RED.txt
 fi
 
-# Unit and invariant tests (CppUTest).
+# Unit and invariant tests (CppUTest): each group in a process of its own, several at a time.
 known_failed=0
-timeout 300 build/yucca-tests -v >build/unit.log 2>&1 || true
-grep -E "^(OK|Errors) \(" build/unit.log || true
-unit_ran=$(grep -oE '[0-9]+ ran' build/unit.log | tail -1 | cut -d' ' -f1 || true)
-unit_ran=${unit_ran:-0}
+rm -rf build/unit
+mkdir -p build/unit
+build/yucca-tests -lg | tr ' ' '\n' | grep . | sort -u >build/unit/groups
+run_group() { timeout 300 build/yucca-tests -v -sg "$1" >"build/unit/$1.log" 2>&1 || true; }
+export -f run_group
+xargs -P "$((($(nproc) + 1) / 2))" -I{} bash -c 'run_group "$1"' run_group {} <build/unit/groups
+# A group that crashed, timed out, ran nothing or printed no result counts as a failure.
+incomplete=()
+while read -r group; do
+    grep -qE '^(OK|Errors) \(.* [1-9][0-9]* ran' "build/unit/$group.log" || incomplete+=("$group")
+done <build/unit/groups
+cat build/unit/*.log >build/unit.log
+unit_ran=$(grep -E '^(OK|Errors) \(' build/unit.log | grep -oE '[0-9]+ ran' | awk '{n += $1} END {print n + 0}')
+unit_listed=$(build/yucca-tests -ln | tr ' ' '\n' | grep -c .)
+echo "unit tests: $unit_ran of $unit_listed ran, in $(wc -l <build/unit/groups) groups"
 unit_failed=0
 failed_tests=$(grep -oE 'Failure in TEST\([A-Za-z0-9_]+, [A-Za-z0-9_]+\)' build/unit.log | sed -E 's/.*\((.*), (.*)\)/\1.\2/' | sort -u || true)
 for t in $failed_tests; do
@@ -38,9 +49,13 @@
 if [ "$unit_failed" -gt 0 ]; then
     grep -A6 "Failure in" build/unit.log | head -80
 fi
-# A run that crashed, timed out or printed no result counts as a failure.
-if ! grep -qE "^(OK|Errors) \(" build/unit.log; then
-    tail -5 build/unit.log
+for group in "${incomplete[@]}"; do
+    echo "unit tests, group $group: no result"
+    tail -5 "build/unit/$group.log"
+    unit_failed=$((unit_failed + 1))
+done
+if [ "$unit_ran" -ne "$unit_listed" ] && [ ${#incomplete[@]} -eq 0 ]; then
+    echo "unit tests: some did not run"
     unit_failed=$((unit_failed + 1))
 fi
 for t in $(cut -d' ' -f1 KNOWN-RED.txt 2>/dev/null | grep -F . | grep -v '\.sh$' || true); do
