Stand-ins: replicas that lag, heartbeats that change nothing, odd numbers, heads that break off; a test of the last router

The soak has replicas 5 s behind, versions named like image digests in every second plan, entries with numbers and addresses that no endpoint can mean, heads that break off, and at its end a router whose neighbours have been killed and three changes of the configuration.

The bound on a step's target in SoakPlan is now that of its fault: foreign entries have ten shapes, and no step has another index than before.

--- a/emulators/malformed_responses.cpp
+++ b/emulators/malformed_responses.cpp
@@ -33,6 +33,9 @@
                                                        {sound, "Content-Length: 13\r\nContent-Length: 3\r\n"},
                                                        {sound, ""}}}; // ends with a reset, and states no length
 
+/// Eighths of a head after which a sound one breaks off; every second time the connection ends in order.
+constexpr std::array<std::size_t, 4> brokenHeadEighths{1, 3, 5, 7};
+
 std::string malformedResponse(const MalformedHead &head, const http::Headers &fields)
 {
     std::string bytes(head.statusLine);
@@ -46,7 +49,13 @@
 
 Task<void> sendMalformedResponse(http::Exchange &ex, const http::Headers &fields, std::size_t number)
 {
-    const std::string bytes = malformedResponse(malformedHeads[number % malformedHeads.size()], fields);
+    const auto shape = number % (malformedHeads.size() + brokenHeadEighths.size());
+    const bool breaksOff = shape >= malformedHeads.size();
+    std::string bytes = malformedResponse(breaksOff ? MalformedHead{sound, length} : malformedHeads[shape], fields);
+    if (breaksOff) {
+        bytes.resize((bytes.size() - body.size()) * brokenHeadEighths[shape - malformedHeads.size()] / 8);
+    }
+    const bool endsInOrder = breaksOff && shape % 2 == 0;
     const int descriptor = ex.detach();
     if (descriptor < 0) {
         co_return;
@@ -55,7 +64,9 @@
     asio::ip::tcp::socket socket(co_await asio::this_coro::executor);
     socket.assign(asio::ip::tcp::v4(), descriptor, ec);
     co_await asio::async_write(socket, asio::buffer(bytes), asio::redirect_error(asio::use_awaitable, ec));
-    socket.set_option(asio::socket_base::linger(true, 0), ec);
+    if (!endsInOrder) {
+        socket.set_option(asio::socket_base::linger(true, 0), ec);
+    }
     socket.close(ec);
 }
 
--- a/emulators/malformed_responses.h
+++ b/emulators/malformed_responses.h
@@ -1,4 +1,4 @@
-// Answers that no sound endpoint sends, byte by byte: heads that must not be accepted, and a body whose end is a reset.
+// Answers that no sound endpoint sends, byte by byte: heads that must not be accepted or break off, and a body whose end is a reset.
 #pragma once
 
 #include "http_exchange.h"
@@ -6,7 +6,7 @@
 namespace yucca::emulators
 {
 
-/// Sends one of the answers, selected by number, in place of a response, and resets the connection. The fields are those of a sound
+/// Sends one of the answers, selected by number, in place of a response, and ends the connection. The fields are those of a sound
 /// response, so that nothing but the head or the end tells it from one.
 Task<void> sendMalformedResponse(http::Exchange &ex, const http::Headers &fields, std::size_t number);
 
--- a/emulators/platform_server.cpp
+++ b/emulators/platform_server.cpp
@@ -22,6 +22,7 @@
 {
 
 constexpr const char *serverKind = "servers"; ///< kind of the entries that endpoints write themselves
+constexpr Millis snapshotInterval{100}; ///< between two states that are kept for answers that may be stale
 constexpr Millis serverExpiryTimeout{1500}; ///< three heartbeat intervals of yucca-endpoint
 
 constexpr std::string_view adminPrefix = "/admin/";
@@ -95,6 +96,17 @@
     return uri::decode(segment).value_or("");
 }
 
+// Returns true for an update of a server's entry that changes nothing but its sequence: such a write is no change.
+bool isHeartbeat(json held, json updated)
+{
+    for (auto *value : {&held, &updated}) {
+        if (value->is_object()) {
+            value->erase("sequence");
+        }
+    }
+    return held == updated;
+}
+
 std::string errorBody(const Error &e)
 {
     json body;
@@ -123,6 +135,7 @@
     , m_writes(static_cast<double>(settings.writesPerS), static_cast<double>(settings.writesPerS), Clock::now())
     , m_reads(static_cast<double>(settings.readsPerS), static_cast<double>(settings.readsPerS), Clock::now())
 {
+    takeSnapshot(Clock::now());
 }
 
 Task<void> PlatformServer::handle(http::Exchange &ex)
@@ -137,6 +150,7 @@
         co_return;
     }
     removeExpiredServers(Clock::now());
+    takeSnapshot(Clock::now());
     if (m_faults.outage) {
         co_await respond(ex, 503, R"({"error":"object API unavailable"})", retryAfterHeader());
         co_return;
@@ -166,6 +180,7 @@
 void PlatformServer::restore()
 {
     m_store.restore(m_backup);
+    m_snapshots.clear();
     m_serverUpdatedAt.clear();
     for (const auto &entry : m_store.list(serverKind).items) {
         m_serverUpdatedAt[entry.name] = Clock::now();
@@ -174,6 +189,31 @@
     log::event(log::Event::FaultSet, "restored to epoch " + std::to_string(m_store.epoch()));
 }
 
+// Keeps the present state for answers that may be stale. Called with each request, which is often enough.
+void PlatformServer::takeSnapshot(Clock::time_point now)
+{
+    if (m_settings.replicaLagMs == 0 || (!m_snapshots.empty() && now - m_snapshots.back().first < snapshotInterval)) {
+        return;
+    }
+    m_snapshots.emplace_back(now, m_store);
+    while (m_snapshots.size() > 1 && now - m_snapshots[1].first >= Millis(m_settings.replicaLagMs)) {
+        m_snapshots.pop_front();
+    }
+}
+
+// Returns the state from which a read is answered.
+const store::ObjectStore &PlatformServer::stateFor(const http::Exchange &ex, Clock::time_point now) const
+{
+    const bool lags = m_settings.replicaLagMs > 0 && ex.query("allow_stale") == "1" && !m_snapshots.empty();
+    if (!lags) {
+        return m_store;
+    }
+    const auto later = std::find_if(m_snapshots.begin(), m_snapshots.end(), [this, now](const auto &snapshot) {
+        return now - snapshot.first < Millis(m_settings.replicaLagMs);
+    });
+    return later == m_snapshots.begin() ? later->second : std::prev(later)->second;
+}
+
 // Removes server entries that have not been updated for too long. Called with each request, which is often enough.
 // The time of an outage does not count, because servers cannot update their entries then.
 void PlatformServer::removeExpiredServers(Clock::time_point now)
@@ -228,7 +268,7 @@
 {
     const auto method = ex.request().method();
     if (method == http::bhttp::verb::get) {
-        return m_store.get(kind, name);
+        return stateFor(ex, Clock::now()).get(kind, name);
     }
     if (kind == vmKind) {
         return Error{403, "the VM list is the platform's"};
@@ -253,6 +293,10 @@
     }
     if (kind == serverKind) {
         m_serverUpdatedAt[name] = Clock::now();
+        auto held = m_store.get(kind, name);
+        if (ok(held) && !ifVersion && isHeartbeat(std::get<store::Object>(held).value, object.value)) {
+            return held;
+        }
     }
     return m_store.put(kind, name, object.value, ifVersion);
 }
@@ -260,7 +304,7 @@
 // Responds with one page of the objects of a kind, starting after the name in the query.
 Task<void> PlatformServer::handleListing(http::Exchange &ex, std::string kind)
 {
-    const auto page = m_store.list(kind, ex.query("after_rev"), static_cast<std::size_t>(m_settings.pageEntries));
+    const auto page = stateFor(ex, Clock::now()).list(kind, ex.query("after_rev"), static_cast<std::size_t>(m_settings.pageEntries));
     co_await respond(ex, 200, makePage(page).dump());
 }
 
@@ -273,6 +317,15 @@
     ex.onCallerDisconnect([this] {
         m_changed.notifyAll();
     });
+    if (&stateFor(ex, Clock::now()) != &m_store) {
+        auto lagging = co_await awaitReplicaChanges(ex, from, kinds, deadline);
+        if (!ok(lagging)) {
+            co_await respondError(ex, std::get<Error>(lagging));
+        } else {
+            co_await respond(ex, 200, makeBatch(std::get<store::WatchBatch>(lagging)).dump());
+        }
+        co_return;
+    }
     while (!m_store.changedSince(from, kinds) && Clock::now() < deadline && !ex.callerDisconnected() && !m_faults.outage) {
         co_await m_changed.wait(deadline);
     }
@@ -289,6 +342,24 @@
     co_await respond(ex, 200, makeBatch(std::get<store::WatchBatch>(result)).dump());
 }
 
+// Waits for changes to reach a lagging replica. One that has not reached the revision yet reports its own, and no changes.
+Task<Result<store::WatchBatch>> PlatformServer::awaitReplicaChanges(http::Exchange &ex, uint64_t from, std::vector<std::string> kinds,
+                                                                    Clock::time_point deadline)
+{
+    for (;;) {
+        const auto now = Clock::now();
+        const auto &state = stateFor(ex, now);
+        const bool behind = from > state.revision();
+        if (!behind && state.changedSince(from, kinds)) {
+            co_return state.since(from, kinds);
+        }
+        if (now >= deadline || m_faults.outage) {
+            co_return store::WatchBatch{state.revision(), {}, m_store.epoch()};
+        }
+        co_await sleepFor(snapshotInterval);
+    }
+}
+
 // Publishes a change of the VM list after the lag of the list. Without an entry the VM is removed.
 Task<void> PlatformServer::publishVm(std::string id, std::optional<json> entry)
 {
--- a/emulators/platform_server.h
+++ b/emulators/platform_server.h
@@ -9,6 +9,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <deque>
 #include <map>
 #include <string>
 
@@ -41,6 +42,9 @@
     Task<void> handleAdmin(http::Exchange &ex, std::string path);
     Task<void> publishVm(std::string id, std::optional<nlohmann::json> entry);
     void removeExpiredServers(Clock::time_point now);
+    void takeSnapshot(Clock::time_point now);
+    const store::ObjectStore &stateFor(const http::Exchange &ex, Clock::time_point now) const;
+    Task<Result<store::WatchBatch>> awaitReplicaChanges(http::Exchange &ex, uint64_t from, std::vector<std::string> kinds, Clock::time_point deadline);
     Result<store::Object> performCall(const http::Exchange &ex, const std::string &kind, const std::string &name);
 
     settings::PlatformSettings m_settings;
@@ -48,6 +52,8 @@
     store::ObjectStore::Backup m_backup; ///< the last backup; empty before the first
     limits::TokenBucket m_writes;
     limits::TokenBucket m_reads;
+    /// Earlier states for answers that may be stale, the oldest first; only if replicas lag.
+    std::deque<std::pair<Clock::time_point, store::ObjectStore>> m_snapshots;
     Faults m_faults;
     std::map<std::string, Clock::time_point> m_serverUpdatedAt; ///< last update of server entries, by name
     Notifier m_changed;
--- a/emulators/soak/callers.cpp
+++ b/emulators/soak/callers.cpp
@@ -8,6 +8,9 @@
 namespace
 {
 
+constexpr Millis lastRouterDelay{2500}; ///< after which a router knows that its neighbours are gone
+constexpr int lastRouterChanges = 3;
+constexpr Millis configurationBound{2000}; ///< within which a change of the configuration must be in effect
 constexpr Millis callerRequestDelay{15}; ///< between one caller's requests
 constexpr Millis retryPlanRequestDelay{100}; ///< the same in a retry plan: with fewer requests, most of the budget is its slack
 constexpr int promptKinds = 5; ///< second parts of the prompts of sound requests
@@ -222,4 +225,30 @@
     }
 }
 
+// Checks that a router whose neighbours have all been killed applies changes of the configuration within the bound.
+Task<void> SoakFleet::checkLastRouter()
+{
+    const auto last = static_cast<std::size_t>(m_options.plan.seed) % m_routers.size();
+    for (std::size_t n = 0; n < m_routers.size(); ++n) {
+        if (n != last) {
+            m_routers[n].stopped = true;
+            m_routers[n].process->kill();
+        }
+    }
+    co_await sleepFor(lastRouterDelay);
+    for (int change = 0; change < lastRouterChanges; ++change) {
+        const auto revoked = apiKeyFor(m_acceptedVersion);
+        co_await changeConfiguration();
+        co_await sleepFor(configurationBound);
+        const auto status = co_await probe(last, revoked);
+        if (status != 401) {
+            m_violations.push_back("the last router answers a revoked key with status " + std::to_string(status));
+        }
+        const auto current = co_await probe(last, apiKeyFor(m_acceptedVersion));
+        if (current != 200) {
+            m_violations.push_back("the last router answers the key in force with status " + std::to_string(current));
+        }
+    }
+}
+
 } // namespace yucca::soak
--- a/emulators/soak/fleet.cpp
+++ b/emulators/soak/fleet.cpp
@@ -144,6 +144,7 @@
     }
     co_await checkCrashLimit();
     co_await checkEvacuation();
+    co_await checkLastRouter();
     co_return true;
 }
 
@@ -222,7 +223,7 @@
                                      "--ends-on-part",
                                      crashingPart,
                                      "--software-version",
-                                     "v" + std::to_string((firstVersion + endpoint.releases) % softwareVersions),
+                                     softwareVersion((firstVersion + endpoint.releases) % softwareVersions, m_options.plan.seed),
                                      "--events",
                                      std::to_string(eventsPerStream),
                                      "--rest-log",
@@ -249,7 +250,7 @@
 Task<bool> SoakFleet::startFleet()
 {
     const std::string settings = m_options.directory + "/store.json";
-    std::ofstream(settings) << R"({"pageEntries": 3})"; // lists of several pages
+    std::ofstream(settings) << R"({"pageEntries": 3, "replicaLagMs": 5000})"; // lists of several pages
     m_store = std::make_unique<Child>(
         std::vector<std::string>{m_options.programs + "/yucca-platform", "--config", settings, "--port", std::to_string(port(storePortOffset))},
         m_options.directory + "/store.log");
--- a/emulators/soak/fleet.h
+++ b/emulators/soak/fleet.h
@@ -145,6 +145,7 @@
     Task<RequestRecord> readRecord(Kind kind, http::Response &response);
     Task<void> resumeStream(std::string first, std::string events, std::size_t router, std::string key);
     Task<void> checkServiceAfterFaults();
+    Task<void> checkLastRouter();
     Task<void> adminCall(uint16_t adminPort, std::string path, std::string body);
     Task<unsigned> probe(std::size_t router, std::string key);
     void checkRouterExits();
--- a/emulators/soak/foreign_entries.cpp
+++ b/emulators/soak/foreign_entries.cpp
@@ -1,5 +1,6 @@
-// Entries of another writer: values that are nested so deeply that handling them level by level would end a process, and names that a
-// request cannot carry as they are.
+// Entries of another writer: values that are nested so deeply that handling them level by level would end a process, numbers and
+// addresses that no endpoint can mean, and names that a request cannot carry as they are.
+#include "decode.h"
 #include "soak/fleet.h"
 #include "soak/layout.h"
 
@@ -15,22 +16,28 @@
 
 using nlohmann::json;
 
-constexpr int nestedLevels = 150000; ///< 300 KB of lists, 900 KB of objects; an object of the store may have 1 MB
-
-/// An entry that is otherwise as its kind expects; the emulated store sends the marker as nested values.
+/// An entry that is otherwise as its kind expects. The emulated store sends a marker as nested values.
 struct ForeignEntry {
     const char *kind;
     const char *field;
-    const char *marker;
+    const char *value; ///< JSON
 };
-constexpr std::array<ForeignEntry, foreignEntries> entries{
-    {{"servers", "zone", "nestedLists"}, {"servers", "note", "nestedObjects"}, {"config", "routes", "nestedObjects"}, {"router", "address", "nestedLists"}}};
+constexpr std::array<ForeignEntry, foreignEntries> entries{{{"servers", "zone", R"({"nestedLists":150000})"},
+                                                            {"servers", "note", R"({"nestedObjects":150000})"},
+                                                            {"config", "routes", R"({"nestedObjects":150000})"},
+                                                            {"router", "address", R"({"nestedLists":150000})"},
+                                                            {"servers", "slots", "-1"},
+                                                            {"servers", "sequence", "18446744073709551615"},
+                                                            {"servers", "cold_remaining_ms", "1000000000000000000"},
+                                                            {"servers", "address", R"("127.0.0.1:0")"},
+                                                            {"servers", "address", R"("127.0.0.1:65536")"},
+                                                            {"servers", "born", "null"}}};
 
 json objectFor(const ForeignEntry &entry, const std::string &name)
 {
     json spec{{"service", plainService}, {"address", "127.0.0.1:9"}, {"zone", "zone-0"},         {"version", "v0"}, {"slots", 1}, {"state", "ready"},
               {"sequence", 1},           {"cold_remaining_ms", 0},   {"failureDomain", "zone-0"}};
-    spec[entry.field] = {{entry.marker, nestedLevels}};
+    spec[entry.field] = decode::textOrNull(entry.value);
     return {{"metadata", {{"name", name}}}, {"spec", std::move(spec)}};
 }
 
--- a/emulators/soak/layout.h
+++ b/emulators/soak/layout.h
@@ -43,6 +43,11 @@
 inline constexpr const char *firstPart = "f1";
 /// The software versions that endpoints run; a release replaces one by the next.
 inline constexpr int softwareVersions = 3;
+/// Returns the name of a software version: in every second plan the digest of an image, which differs in its last character only.
+inline std::string softwareVersion(int number, uint64_t seed)
+{
+    return seed % 2 == 0 ? "v" + std::to_string(number) : "sha256:" + std::string(63, '0') + std::to_string(number);
+}
 
 /// Returns the index of an endpoint's failure domain.
 inline std::size_t domainIndexOf(std::size_t endpoint)
--- a/emulators/soak/plan.h
+++ b/emulators/soak/plan.h
@@ -43,7 +43,7 @@
     RouterEntriesLost, ///< the store loses the entries of all routers
     PartEndsEndpoints, ///< requests that share only a part of their prompts crash each endpoint that runs them
     EndpointRequestsPaused, ///< those that are running, and no others
-    ForeignEntry, ///< another writer stores a deeply nested value; the target selects its kind and shape
+    ForeignEntry, ///< another writer stores a deeply nested value, or one that no endpoint can mean; the target selects its kind and shape
     UnsafelyNamedEntry, ///< another writer stores entries of several kinds under two names that a request cannot carry as they are; the target selects them
     EndpointResponsesMalformed, ///< heads or ends of its answers are malformed
 };
@@ -108,7 +108,7 @@
 };
 
 /// The number of foreign entries to choose from.
-inline constexpr std::size_t foreignEntries = 4;
+inline constexpr std::size_t foreignEntries = 10;
 /// The number of pairs of unsafe names to choose from.
 inline constexpr std::size_t unsafeNamePairs = 4;
 /// The number of failure domains of endpoints. With four endpoints or more, each domain has endpoints of both services.
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -245,6 +245,7 @@
     r.read("vmListLagMs", s.vmListLagMs, 0, 600000);
     r.read("watchHistory", s.watchHistory, 1, 10000000);
     r.read("pageEntries", s.pageEntries, 1, 100000);
+    r.read("replicaLagMs", s.replicaLagMs, 0, 600000);
     r.read("logLevel", s.logLevel);
     r.finish();
     return s;
--- a/src/settings.h
+++ b/src/settings.h
@@ -124,6 +124,7 @@
     int64_t vmListLagMs = 1000; ///< delay of the VM list
     int64_t watchHistory = 10000; ///< number of events kept for watches that start at an older revision
     int64_t pageEntries = 500; ///< of a list
+    int64_t replicaLagMs = 0; ///< age of the state in answers to calls that allow stale ones
     std::string logLevel = "info";
 };
 
--- a/tests/test_soak.cpp
+++ b/tests/test_soak.cpp
@@ -37,7 +37,7 @@
         Millis previous{0};
         for (const auto &step : soak::makePlan(options)) {
             CHECK(step.at >= previous && step.at < options.duration);
-            CHECK(step.target < std::max(options.routers, options.endpoints));
+            CHECK(step.target < (step.fault == soak::Fault::ForeignEntry ? soak::foreignEntries : std::max(options.routers, options.endpoints)));
             CHECK(step.duration > Millis(0));
             previous = step.at;
             seen.insert(step.fault);
