--- a/src/entry/gateway_streams.h
+++ b/src/entry/gateway_streams.h
@@ -52,7 +52,8 @@
     const bool routed = destination != destinations.end();
     state.service = routed ? destination->service : origin.service;
     state.constraints.version = m_table.findVersion(state.service, origin.version);
-    co_return routed &&state.constraints.version ? std::nullopt : std::optional(Rejection::VersionUnavailable);
+    const bool mayGoOn = routed && state.constraints.version.has_value();
+    co_return mayGoOn ? std::nullopt : std::optional(Rejection::VersionUnavailable);
 }
 
 // Binds a stream to the endpoint that brought its first event to this router, and informs other routers: the caller may take
