entry.sh: wait until both routers have a confirmed configuration before a 404 is demanded

A router that nobody has confirmed since its start refuses what it does not know with 503 and not with 404: its first listing may be seconds old. The test took a pause of 0.5 s for enough; it now demands a confirmed configuration within 3 s (2.5 s is the longest delay of the first confirmation), and the 404 after it as before.

--- a/tests/e2e/entry.sh
+++ b/tests/e2e/entry.sh
@@ -74,6 +74,16 @@
 for r in 1 2; do wait_ok "127.0.0.1:$((P + 10 * r + 1))/ready"; done
 sleep 0.5 # until the routers have the endpoints' entries
 
+# Until a router's first listing, which a replica may have served, is confirmed, it refuses what it does not know with 503.
+await_confirmation() { # router
+    for _ in $(seq 1 30); do
+        curl -s "127.0.0.1:$((P + 10 * $1 + 2))/metrics" | awk '/^yucca_store_silence_seconds / {known = $2 < 3} END {exit !known}' && return 0
+        sleep 0.1
+    done
+    fail "router $1 has no confirmed configuration 3 s after it was ready"
+}
+for r in 1 2; do await_confirmation $r; done
+
 expect "a booking" 200 "$(send_request 1 POST /book/1 b1 -d '{}')"
 grep -q 'answer of i-s. to b1' "$RUN/body" || fail "the response to a booking"
 expect "a reminder" 200 "$(send_request 2 GET /remind/1 r1)"
