Origins are made in the header: the fuzzer of the decoders links no coroutines

clang 14 with its sanitizers cannot compile the coroutines of stream_origins.cpp ("Cannot represent a difference across sections"), so scripts/proofs.sh failed after it had proved all models. The two functions have no other content than before.

--- a/scripts/proofs.sh
+++ b/scripts/proofs.sh
@@ -62,7 +62,7 @@
 # detect it in this version of clang.
 clang++ -std=c++20 -g -O1 -fsanitize=fuzzer,address,undefined -fno-pie -no-pie -w -DBOOST_ASIO_HAS_CO_AWAIT=1 -DBOOST_ASIO_HAS_STD_COROUTINE=1 \
     -Iinclude -Isrc -Iplatform -Iemulators -Itests -o $OUT/fuzz_decoders tests/fuzz/fuzz_decoders.cpp platform/codec.cpp platform/prompt_parts.cpp \
-    src/entry/entry_settings.cpp src/entry/configuration.cpp src/explain.cpp src/peers/peer_message.cpp src/name_digest.cpp src/stream_origins.cpp emulators/model/scenario.cpp src/settings.cpp src/findings.cpp src/http.cpp \
+    src/entry/entry_settings.cpp src/entry/configuration.cpp src/explain.cpp src/peers/peer_message.cpp src/name_digest.cpp emulators/model/scenario.cpp src/settings.cpp src/findings.cpp src/http.cpp \
     src/tunnel_frames.cpp src/decode.cpp platform/response_parser.cpp src/object_replica.cpp -lxxhash
 mkdir -p $OUT/decoders
 cp config/router.json $OUT/decoders/
--- a/src/stream_origins.cpp
+++ b/src/stream_origins.cpp
@@ -1,7 +1,5 @@
 #include "stream_origins.h"
 
-#include "name_digest.h"
-
 #include <boost/asio/post.hpp>
 
 #include <algorithm>
@@ -10,16 +8,6 @@
 namespace yucca::streams
 {
 
-Origin makeOrigin(std::string_view service, std::string_view version)
-{
-    return {names::abbreviate(service, names::maxServiceBytes), names::abbreviate(version, names::maxVersionBytes)};
-}
-
-Origin receivedOrigin(std::string_view service, std::string_view version)
-{
-    return {names::received(service, names::maxServiceBytes), names::received(version, names::maxVersionBytes)};
-}
-
 void StreamOrigins::announce(const OriginRecord &record, Clock::time_point now)
 {
     {
--- a/src/stream_origins.h
+++ b/src/stream_origins.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "http.h"
+#include "name_digest.h"
 #include "notifier.h"
 #include "task.h"
 
@@ -31,9 +32,15 @@
 };
 
 /// Returns the origin with the given names.
-Origin makeOrigin(std::string_view service, std::string_view version);
+inline Origin makeOrigin(std::string_view service, std::string_view version)
+{
+    return {names::abbreviate(service, names::maxServiceBytes), names::abbreviate(version, names::maxVersionBytes)};
+}
 /// Returns the origin whose names were sent by another router or read from a record.
-Origin receivedOrigin(std::string_view service, std::string_view version);
+inline Origin receivedOrigin(std::string_view service, std::string_view version)
+{
+    return {names::received(service, names::maxServiceBytes), names::received(version, names::maxVersionBytes)};
+}
 
 /// The origin of one stream, as routers send it to each other.
 struct OriginRecord {
