--- a/src/entry/control.h
+++ b/src/entry/control.h
@@ -281,7 +281,7 @@
     {
         return m_endpoints.step();
     }
-    /// Returns true if the endpoints in effect are those that the store lists at the time of this call, or later ones. Makes one call.
+    /// As Follower::catchUp(), for the endpoints.
     Task<bool> catchUpEndpoints(Clock::time_point until)
     {
         return m_endpoints.catchUp(until);
--- a/src/entry/entry_metrics.h
+++ b/src/entry/entry_metrics.h
@@ -94,7 +94,7 @@
     uint64_t truncated = 0; ///< responses that a failure or a write timeout ended, since the start
     uint64_t handlerFailures = 0; ///< since the start
     std::size_t streamOrigins = 0; ///< number of streams whose software version this router knows
-    uint64_t unreadablePeerItems = 0; ///< items of other routers' datagrams that were passed over, since the start
+    uint64_t unreadablePeerItems = 0; ///< items of other routers' datagrams that were skipped, since the start
     std::vector<RetryGauge> retryBudgets; ///< at most maxGaugedServices
 };
 
--- a/src/follower.h
+++ b/src/follower.h
@@ -65,8 +65,8 @@
     std::vector<std::string> essentialNames;
     /// Failures in a row after which a later page counts as one that cannot be had, though other calls may be answered.
     int maxPageFailures = 6;
-    Millis catchUpWait{1}; ///< timeout of the watch of catchUp(): the store shall answer at once
-    Millis catchUpPollInterval{5}; ///< between checks of catchUp() for the changes that it had read; a check makes no call
+    Millis catchUpWait{1}; ///< timeout of the watch in catchUp(), which asks for the changes that exist already
+    Millis catchUpPollInterval{5}; ///< between checks in catchUp() for the requested changes; a check makes no call
     Millis firstListRetryDelay{2000}; ///< after an incomplete listing; each further one doubles it, up to maxListRetryDelay
     Millis maxListRetryDelay{60000};
 };
@@ -116,8 +116,8 @@
             m_cancellation->cancel();
         }
     }
-    /// Returns true if the held state is the one that the store has at the time of this call, or a later one; if it is not, has the
-    /// changes read, and waits for them up to a time. Makes one call.
+    /// Compares the held state with the store's, in one call. If changes are missing, makes run() read them and waits until they are
+    /// applied. Returns true if the held state is the store's as of this call or later; false after until, or if the call fails.
     Task<bool> catchUp(Clock::time_point until)
     {
         if (!m_listed) {
@@ -506,7 +506,9 @@
         http::Cancellation cancellation;
         m_cancellation = &cancellation;
         const auto requestedAt = Clock::now();
-        m_mustQuery = m_mustQuery && mode;
+        if (!mode) {
+            m_mustQuery = false;
+        }
         const auto freshness = mode ? mode->freshness : platform::Freshness::Current;
         const auto wait = mode ? mode->wait : watchTimeout(requestedAt);
         const auto from = shared() ? shared()->watchFrom(requestedAt) : m_revision;
@@ -549,7 +551,7 @@
             logChanges(batch.events.size(), freshness == platform::Freshness::Current ? "store" : "replica", "", arrivedAt, confirmedBefore);
         }
         if (shared() && freshness == platform::Freshness::Current) {
-            // A process that stood still reads the answer late: it shows the store's state at the end of the watch at best.
+            // A process that was suspended reads the answer late. The answer is no newer than the end of the watch.
             shared()->recordConfirmation(batch.revision, std::min(Clock::now(), requestedAt + wait), m_hadChanges);
         }
         co_return true;
--- a/src/peers/load_exchange.cpp
+++ b/src/peers/load_exchange.cpp
@@ -60,7 +60,7 @@
     return true;
 }
 
-void LoadExchange::noteEmptySocket(Clock::time_point now)
+void LoadExchange::checkSocketEmpty(Clock::time_point now)
 {
     boost::system::error_code ec;
     if (m_socket->available(ec) == 0) {
@@ -68,7 +68,7 @@
     }
 }
 
-// Returns the latest time at which a datagram read now may be taken to have arrived.
+// Returns the arrival time to assume for a datagram that is read now.
 Clock::time_point LoadExchange::arrivalTime(Clock::time_point now) const
 {
     return now - m_socketEmptyAt > m_options.maxReceiveDelay ? m_socketEmptyAt : now;
@@ -209,7 +209,7 @@
         }
         m_updatePending = false;
         if (openSocket(ex) && !m_stopping) {
-            noteEmptySocket(Clock::now());
+            checkSocketEmpty(Clock::now());
             co_await sendRound();
         }
     }
@@ -294,7 +294,7 @@
             co_await sleepFor(m_options.retryDelay);
             continue;
         }
-        noteEmptySocket(Clock::now());
+        checkSocketEmpty(Clock::now());
         Udp::endpoint from;
         boost::system::error_code ec;
         const auto n = co_await m_socket->async_receive_from(asio::buffer(buffer), from, asio::redirect_error(asio::use_awaitable, ec));
@@ -386,7 +386,7 @@
     }
 }
 
-// Logs that items of a peer's datagrams were passed over, at most once per warningInterval.
+// Logs that items of a peer's datagrams were skipped, at most once per warningInterval.
 void LoadExchange::logUnreadable(const std::string &peer, std::size_t items, Clock::time_point now)
 {
     if (now - m_unreadableLoggedAt >= m_options.warningInterval) {
--- a/src/peers/load_exchange.h
+++ b/src/peers/load_exchange.h
@@ -49,8 +49,8 @@
     /// Number of routers that count the crashes attributed to one request; every router selects the same ones. Three, because any
     /// of them may be restarted or unreachable.
     std::size_t crashCounterRouters = 3;
-    /// A datagram may have waited in the socket while this process stood still. If the socket was last seen empty longer ago than this,
-    /// the datagram counts as received then, since the ages in it are those of its sending.
+    /// Datagrams queue in the socket while this process is suspended, and the ages in them are as of their sending. If the socket was last
+    /// empty longer ago than this, a datagram counts as received at that time.
     Millis maxReceiveDelay{1000};
     Millis warningInterval{10000}; ///< minimum interval between warnings about the socket or about malformed datagrams
 };
@@ -137,7 +137,7 @@
 private:
     using Udp = asio::ip::udp;
     bool openSocket(const asio::any_io_executor &ex);
-    void noteEmptySocket(Clock::time_point now);
+    void checkSocketEmpty(Clock::time_point now);
     Clock::time_point arrivalTime(Clock::time_point now) const;
     Task<void> sendRound();
     Task<void> send(const std::vector<Peer> &receivers, const PeerMessage &message, Clock::time_point now);
@@ -165,7 +165,7 @@
     ExchangeOptions m_options;
     PeerDirectory m_directory;
     std::optional<Udp::socket> m_socket;
-    Clock::time_point m_socketEmptyAt{}; ///< when no datagram was waiting
+    Clock::time_point m_socketEmptyAt{}; ///< when the socket last had no queued datagram
     std::map<http::Address, Clock::time_point> m_lastHeardAt; ///< by sender; the time of the first listing for a sender not heard yet
     std::set<http::Address> m_domainAddresses; ///< of the peers of this failure domain
     FleetInflight m_fleetInflight;
--- a/src/peers/peer_message.h
+++ b/src/peers/peer_message.h
@@ -34,8 +34,7 @@
     bool operator==(const PromptAnnouncement &) const = default;
 };
 
-/// What routers tell each other in one or more datagrams. Names of services and versions are as names::abbreviate() returns them; ids of
-/// endpoints and names of services may be digests in a message that was received.
+/// The items of one or more datagrams. In a received message, ids of endpoints and names of services may be digests, see name_digest.h.
 struct PeerMessage {
     std::vector<LoadReport> loads;
     std::vector<PromptAnnouncement> prompts;
@@ -47,7 +46,7 @@
     std::vector<streams::OriginRecord> origins = {}; ///< of streams that the sender knows
     std::vector<uint64_t> originQueries = {}; ///< streams whose origins the sender asks for
     std::vector<uint64_t> unknownOrigins = {}; ///< streams for which the sender was asked and that it does not know
-    std::size_t unreadable = 0; ///< items of the datagram that were passed over
+    std::size_t unreadable = 0; ///< number of skipped items of a received datagram
     bool operator==(const PeerMessage &) const = default;
 };
 
@@ -66,11 +65,11 @@
 inline constexpr std::size_t maxInflightCounts = 8; ///< one per service; they count toward maxLoadReports
 
 /// Encodes a message as datagrams, at least one: the newest reports and the first items of each other type if there are too many for one
-/// reader. Times are encoded as ages in ms, because routers' clocks differ. Every item can be read by an earlier release, which would
-/// pass over the whole datagram otherwise.
+/// reader. Times are encoded as ages in ms, because routers' clocks differ. Every item can be read by an earlier release, which
+/// skips a whole datagram for one unknown item.
 std::vector<std::vector<uint8_t>> encode(PeerMessage message, Clock::time_point now);
 
-/// Decodes a datagram. Ages are subtracted from now. An item that cannot be read, or exceeds the limit of its type, is passed over and
+/// Decodes a datagram. Ages are subtracted from now. An item that cannot be read, or exceeds the limit of its type, is skipped and
 /// counted. Fails with an Error (400) if the datagram is no list of items.
 Result<PeerMessage> decode(std::span<const uint8_t> datagram, Clock::time_point now);
 
--- a/src/query_schedule.h
+++ b/src/query_schedule.h
@@ -25,7 +25,7 @@
     std::size_t maxRankDelays = 6; ///< all further routers query after this many delays, still within the bound
     /// Watch timeout of a router that hears no other one. Changes end a watch at once, so the timeout only limits how long a watch
     /// whose connection has silently failed may hide them.
-    Millis aloneWatchTimeout{1500};
+    Millis standaloneWatchTimeout{1500};
     /// A router that hears no other one confirms its first listing, which a replica served, after a random delay up to this for each
     /// router of the fleet, since all of them may have started at the same time.
     Millis confirmDelayPerRouter{5};
@@ -49,7 +49,7 @@
     options.watchTimeout = fraction(0.20);
     options.maxAge = fraction(0.45);
     options.rankDelay = fraction(0.05);
-    options.aloneWatchTimeout = fraction(0.50);
+    options.standaloneWatchTimeout = fraction(0.50);
     return options;
 }
 
--- a/src/router_reports.cpp
+++ b/src/router_reports.cpp
@@ -30,7 +30,7 @@
     applyReport(id, load, now);
 }
 
-// Keeps the ids that peers know by their digests alone.
+// Maintains the ids that peers send as digests.
 void RoutingTable::recordListed(const Endpoint &endpoint, bool listed)
 {
     auto digest = names::abbreviate(endpoint.id, names::maxEndpointIdBytes);
@@ -44,7 +44,7 @@
     }
 }
 
-// Returns the id of the endpoint that a peer names.
+// Returns the id of an endpoint as received from a peer.
 const std::string &RoutingTable::idOf(const std::string &received) const
 {
     const auto digest = m_idsOfDigests.find(received);
--- a/src/shared_replica.h
+++ b/src/shared_replica.h
@@ -97,7 +97,7 @@
     Millis watchTimeout(Clock::time_point now) const
     {
         const auto &options = m_querySchedule.options();
-        return hasActivePeers(now) ? options.watchTimeout : options.aloneWatchTimeout;
+        return hasActivePeers(now) ? options.watchTimeout : options.standaloneWatchTimeout;
     }
     /// Returns the revision up to which no change is missing, as far as this router knows.
     uint64_t revision() const
--- a/src/stream_store.cpp
+++ b/src/stream_store.cpp
@@ -59,10 +59,10 @@
     return true;
 }
 
-/// The records of one object. Other programs may have written anything: what is no record is passed over.
+/// The records of one object. Other programs may have written anything: what is no record is skipped.
 struct DecodedOrigins {
     std::vector<OriginRecord> records;
-    std::size_t unreadable = 0; ///< parts that were passed over
+    std::size_t unreadable = 0; ///< number of skipped parts
 };
 
 // Decodes the keys of streams, grouped by service and version: {SERVICE: {VERSION: "KEYKEY..."}}.
@@ -478,28 +478,25 @@
     const bool mayRead = co_await awaitFirstRead(until);
     while (mayRead && m_checkedAt < arrived && Clock::now() < until) {
         if (!m_checking && Clock::now() >= m_checkNotBefore) {
-            m_checking = true;
-            spawn(readVersionsAndEndpoints());
+            startRead(readVersionsAndEndpoints(), m_checking, m_checkEnded);
         }
         co_await m_checkEnded.wait(m_checking ? until : std::min(until, m_checkNotBefore));
     }
     co_return m_checkedAt >= arrived;
 }
 
-// The endpoints are read first: a version that has none any more is in the records by then.
+// The order matters: a version whose last endpoint left before the comparison has been recorded by then.
 Task<void> StreamStore::readVersionsAndEndpoints()
 {
     const auto begun = Clock::now();
     const auto spread = m_options.versionsIntervalPerRouter * static_cast<int64_t>(m_parts.routers());
-    m_checkNotBefore = begun + std::clamp(spread, m_options.versionsInterval, m_options.maxVersionsInterval);
+    m_checkNotBefore = begun + std::clamp(spread, m_options.minVersionsInterval, m_options.maxVersionsInterval);
     const bool endpoints = co_await m_parts.catchUpEndpoints(begun + m_options.readTimeout);
     bool versions = false;
     if (endpoints) {
         versions = co_await readVersions();
     }
     m_checkedAt = versions ? begun : m_checkedAt;
-    m_checking = false;
-    m_checkEnded.notifyAll();
     log::Line{log::Event::StreamVersionsRead}.add("versions", versions).add("endpoints", endpoints);
 }
 
@@ -512,8 +509,7 @@
         co_return;
     }
     if (!m_reading) {
-        m_reading = true;
-        spawn(readAllOrigins());
+        startRead(readAllOrigins(), m_reading, m_readEnded);
     }
     co_await m_readEnded.wait(until);
 }
@@ -522,14 +518,16 @@
 {
     const bool origins = co_await readOrigins();
     m_readNotBefore = Clock::now() + m_options.readInterval;
-    m_reading = false;
-    m_readEnded.notifyAll();
     log::Line{log::Event::StreamsRead}.add("origins", origins).add("known", static_cast<int64_t>(m_parts.origins.size()));
 }
 
-void StreamStore::spawn(Task<void> task)
+// Runs a read, and wakes the requests that wait for it when it ends, also by an exception.
+void StreamStore::startRead(Task<void> read, bool &running, Notifier &ended)
 {
-    asio::co_spawn(m_executor, std::move(task), [](std::exception_ptr failure) {
+    running = true;
+    asio::co_spawn(m_executor, std::move(read), [&running, &ended](std::exception_ptr failure) {
+        running = false;
+        ended.notifyAll();
         if (failure) {
             log::Line{log::Event::TaskFailed}.add("task", "read streams").add("error", describe(failure));
         }
--- a/src/stream_store.h
+++ b/src/stream_store.h
@@ -38,10 +38,10 @@
     Millis recorderInterval{500}; ///< between the attempts of two of them
     Millis versionMemory{60000}; ///< how long a version that is no longer listed may have streams under way
     Millis readInterval{1000}; ///< between two reads of origins
-    /// Between the beginnings of two reads of versions: the minimum, an addition for each router of the fleet, and the maximum. A request
-    /// waits for a read that begins after its arrival.
-    Millis versionsInterval{200};
+    /// Interval between the starts of two reads of versions, per router of the fleet, with its minimum and maximum. A request waits for a
+    /// read that starts after its arrival.
     Millis versionsIntervalPerRouter{5};
+    Millis minVersionsInterval{200};
     Millis maxVersionsInterval{400};
     Millis readTimeout{500}; ///< for which a request waits for a read
     Millis readDelayPerRouter{5}; ///< maximum delay of the first read, for each router of the fleet: routers restarted together share the store's link
@@ -55,7 +55,7 @@
     std::function<std::set<std::string>()> services; ///< with streams that may be taken up
     std::function<std::size_t()> rank; ///< of this router by name, among those that run; 0 for the first
     std::function<std::size_t()> routers; ///< in the fleet
-    /// Returns true if the listed versions are those in the store at the time of the call or later; waits for them up to a time.
+    /// Compares the endpoints of the table with the store's, see Follower::catchUp().
     std::function<Task<bool>(Clock::time_point until)> catchUpEndpoints;
 };
 
@@ -72,8 +72,8 @@
         m_stopping = true;
     }
     /// Returns the version that all streams of a service under way are of; nothing if there may be several, or if the store cannot
-    /// tell. What this router held before the call does not suffice: it may have stood still, or hear nobody, while another version
-    /// joined and began the stream. Called from any thread.
+    /// tell. The state held before the call is not relied on: another version may have joined while this router was suspended or
+    /// partitioned. Called from any thread.
     Task<std::optional<std::string>> soleVersion(std::string service);
     /// Returns the origin of a stream that no router knows. Called from any thread.
     Task<std::optional<Origin>> find(uint64_t stream, std::string service);
@@ -110,7 +110,7 @@
     Task<void> refreshOrigins();
     Task<void> readAllOrigins();
     Task<bool> awaitFirstRead(Clock::time_point until);
-    void spawn(Task<void> task);
+    void startRead(Task<void> read, bool &running, Notifier &ended);
     Task<bool> readVersions();
     Task<bool> readOrigins();
 
--- a/tests/datagram.h
+++ b/tests/datagram.h
@@ -20,7 +20,7 @@
     return std::move(datagrams.front());
 }
 
-/// Returns true if a datagram's items are all passed over and counted, and a sound item beside them is read.
+/// Returns true if a datagram's items are all skipped and counted, and a sound item beside them is read.
 inline bool passesOver(nlohmann::json items, Clock::time_point now)
 {
     const auto count = items.size();
@@ -33,7 +33,7 @@
     return ok(decoded) && std::get<peers::PeerMessage>(decoded) == expected;
 }
 
-/// Returns true if of limit + 1 equal items the last one is passed over.
+/// Returns true if of limit + 1 equal items the last one is skipped.
 inline bool readsAtMost(std::size_t limit, const char *item, Clock::time_point now)
 {
     const std::vector<nlohmann::json> items(limit + 1, nlohmann::json::parse(item));
--- a/tests/test_peers.cpp
+++ b/tests/test_peers.cpp
@@ -430,7 +430,7 @@
     CHECK(held.isConfirmed());
 }
 
-// Guards against a router that stood still taking the datagrams that waited meanwhile for the present state of its peers.
+// Guards against a resumed router taking the datagrams that were queued meanwhile for the present state of its peers.
 TEST(LoadExchange, DatagramsThatWaitedWhileTheProcessStoodStillCountAsReceivedBefore)
 {
     store::ObjectStore store;
--- a/tests/test_shared_replica.cpp
+++ b/tests/test_shared_replica.cpp
@@ -404,7 +404,7 @@
     LONGS_EQUAL(30, fixture.api.currentWatchCount);
     LONGS_EQUAL(31, fixture.sink.updates.size());
     CHECK(fixture.api.lastWait <= Millis(1500));
-    CHECK(replica::queryScheduleWithin(Millis(2000)).aloneWatchTimeout + platform::watchResponseMargin < Millis(2000));
+    CHECK(replica::queryScheduleWithin(Millis(2000)).standaloneWatchTimeout + platform::watchResponseMargin < Millis(2000));
 }
 
 // Guards against the same in the time until a router's neighbours are known to be gone.
@@ -422,7 +422,7 @@
     STRCMP_EQUAL("set a", fixture.sink.updates.back().c_str());
 }
 
-// Guards against a process that stood still announcing an old answer as the store's present state.
+// Guards against a suspended process announcing an old answer as the store's present state.
 TEST(SharedFollower, AnAnswerThatIsReadLateConfirmsNoMoreThanTheEndOfItsWatch)
 {
     FollowerFixture fixture;
@@ -473,7 +473,7 @@
     CHECK(fixture.own.queryDueAt(later + Millis(100)) < later + Millis(2500)); // counted from the first time that others were heard
 }
 
-// Guards against a router taking its view for the store's present state when it missed a change: it stood still, or those that it hears
+// Guards against a router taking its view for the store's present state when it missed a change: it was suspended, or those that it hears
 // missed it too.
 TEST(SharedFollower, CatchingUpReadsWhatTheStoreHasAndTheNeighboursHaveNot)
 {
--- a/tests/test_stream_store.cpp
+++ b/tests/test_stream_store.cpp
@@ -56,7 +56,7 @@
         options.startDelay = options.pollInterval = options.rankInterval = Millis(1);
         options.recorderInterval = Millis(5);
         options.readDelayPerRouter = Millis(0);
-        options.versionsInterval = Millis(1);
+        options.minVersionsInterval = Millis(1);
         options.versionsIntervalPerRouter = Millis(0);
         return options;
     }
@@ -356,7 +356,7 @@
     store::ObjectStore store;
     CHECK(StreamRouter(loop(), store, {"v1"}).record());
     auto options = StreamRouter::quick();
-    options.versionsInterval = options.maxVersionsInterval = Millis(100);
+    options.minVersionsInterval = options.maxVersionsInterval = Millis(100);
     StreamRouter router(loop(), store, {"v1"}, options);
     for (int round = 1; round <= 3; ++round) {
         std::vector<std::optional<std::optional<Origin>>> found(20);
